--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+SHELL := /bin/bash
+
+.PHONY: setup demo test format lint types binary ci \
+        bench-cost bench-load bench-state bench-capacity plots
+
+# The stamp is newer than the lock once everything the lock names is installed.
+$(VENV)/.installed: requirements/dev.lock pyproject.toml
+	test -x $(PYTHON) || python3.11 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --require-hashes -r requirements/dev.lock
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --editable .
+	touch $@
+
+setup: $(VENV)/.installed
+
+demo: setup
+	$(PYTHON) -m fuchsiaroute demo
+
+test: setup
+	$(PYTHON) -m pytest -n 4
+
+format: setup
+	$(PYTHON) -m ruff format .
+	$(PYTHON) -m ruff check --fix .
+
+lint: setup
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m ruff check .
+
+types: setup
+	$(PYTHON) -m mypy
+
+binary: setup
+	bash scripts/build-binary $(PYTHON)
+
+bench-cost bench-load bench-state bench-capacity: setup
+	$(PYTHON) -m benches.$(subst -,_,$@)
+
+plots: setup
+	$(PYTHON) -m benches.plots
+
+ci: lint types test
--- /dev/null
+++ b/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: run with make, never as tests."""
--- /dev/null
+++ b/fuchsiaroute/__init__.py
@@ -0,0 +1,3 @@
+"""Model-aware router for versions and cascades."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/fuchsiaroute/clock/_manual.py
@@ -0,0 +1,54 @@
+"""A clock that moves only when it is told to."""
+
+import asyncio
+import heapq
+import itertools
+
+from fuchsiaroute.clock._clock import Clock, Milliseconds
+
+#: Passes of the event loop that let woken tasks reach their next suspension.
+SETTLING_PASSES = 20
+
+
+class ManualClock(Clock):
+    """Clock for tests and benches; time passes only through ``advance``."""
+
+    def __init__(self, *, start: Milliseconds = Milliseconds(1_000_000)) -> None:
+        self._now = start
+        self._order = itertools.count()
+        self._sleepers: list[tuple[int, int, asyncio.Future[None]]] = []
+
+    def now(self) -> Milliseconds:
+        """Return the current instant in milliseconds."""
+        return self._now
+
+    def wall(self) -> Milliseconds:
+        """Return the current instant in milliseconds; both clocks agree."""
+        return self._now
+
+    async def sleep(self, duration: Milliseconds) -> None:
+        """Suspend the calling task until ``advance`` has passed ``duration``."""
+        woken = asyncio.get_running_loop().create_future()
+        entry = (self._now + max(duration, 0), next(self._order), woken)
+        heapq.heappush(self._sleepers, entry)
+        await woken
+
+    def tick(self, duration: Milliseconds) -> None:
+        """Move time on by ``duration`` without waking sleeping tasks."""
+        self._now = Milliseconds(self._now + duration)
+
+    async def advance(self, duration: Milliseconds) -> None:
+        """Move time on by ``duration``, waking sleepers in order of their instant."""
+        end = self._now + duration
+        await self._settle()
+        while self._sleepers and self._sleepers[0][0] <= end:
+            instant, _, woken = heapq.heappop(self._sleepers)
+            self._now = Milliseconds(max(self._now, instant))
+            if not woken.done():
+                woken.set_result(None)
+            await self._settle()
+        self._now = Milliseconds(end)
+
+    async def _settle(self) -> None:
+        for _ in range(SETTLING_PASSES):
+            await asyncio.sleep(0)
--- /dev/null
+++ b/fuchsiaroute/ids/__init__.py
@@ -0,0 +1,43 @@
+"""Identifier types shared by every package."""
+
+from fuchsiaroute.ids._ids import (
+    ChangeId,
+    EndpointId,
+    FailureDomainId,
+    FencingNumber,
+    Incarnation,
+    InstanceId,
+    ModelId,
+    Nonce,
+    OrganisationId,
+    ProductId,
+    RegionId,
+    RequestClass,
+    RequestId,
+    Revision,
+    RolloutId,
+    ServiceId,
+    SessionId,
+    VersionId,
+)
+
+__all__ = [
+    "ChangeId",
+    "EndpointId",
+    "FailureDomainId",
+    "FencingNumber",
+    "Incarnation",
+    "InstanceId",
+    "ModelId",
+    "Nonce",
+    "OrganisationId",
+    "ProductId",
+    "RegionId",
+    "RequestClass",
+    "RequestId",
+    "Revision",
+    "RolloutId",
+    "ServiceId",
+    "SessionId",
+    "VersionId",
+]
