--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
         bench-cost bench-load bench-state bench-capacity plots
 
 # The stamp is newer than the lock once everything the lock names is installed.
-$(VENV)/.installed: requirements/dev.lock pyproject.toml
+$(VENV)/.installed: requirements/dev.lock
 	test -x $(PYTHON) || python3.11 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet --disable-pip-version-check --require-hashes -r requirements/dev.lock
 	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --editable .
