Add the life cycle of endpoints and their choice under cold limits

Cause: nothing chose an endpoint, and a starting endpoint must not get more than it bears from all entries together, with differing views, pauses, restarts, and the store down. Change: a state table with mergeable warmth facts; a chooser over own requests and late reports; cold slots with one record each in the table service, claimed if absent and passed on only when the platform's list says that the owner's process has ended. A lease that lapses by time, owners computed from each entry's own view, and an even split were weighed and dropped. In them own-view owners and the even split put more than cold_capacity on one endpoint at 6, 8 and 390 entries with seed 1; the slots never do. Conclusion: the sum holds without shared counters; progress of a cold endpoint waits for its owner.

--- /dev/null
+++ b/fuchsiaroute/balancing/_chooser.py
@@ -0,0 +1,249 @@
+"""The choice of an endpoint for a request."""
+
+import itertools
+from collections.abc import Iterable, Sequence
+from random import Random
+
+from returns.result import Failure, Result, Success
+
+from fuchsiaroute.balancing._cold_slots import ColdSlots
+from fuchsiaroute.balancing._estimate import LoadEstimate
+from fuchsiaroute.balancing._refusals import refusal_for
+from fuchsiaroute.balancing._reservation import Reservation, ReservationKind, Target
+from fuchsiaroute.balancing._selection import LoadedEndpoint, select
+from fuchsiaroute.balancing._targets import TargetIndex
+from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.configuration import Configuration
+from fuchsiaroute.endpoints import (
+    LONGEST_REQUEST,
+    UNSETTLED_OUTCOMES,
+    EndpointRecord,
+    EndpointState,
+    EndpointTable,
+    LoadReport,
+    Outcome,
+    WarmthFact,
+)
+from fuchsiaroute.ids import EndpointId, Incarnation, InstanceId
+from fuchsiaroute.platform import InstanceRecord
+from fuchsiaroute.request import Request
+from fuchsiaroute.verdict import Refusal
+
+#: Time over which the capacity in use grows from cold to full once warm.
+RAMP = Milliseconds(10_000)
+#: Largest estimated load at which an endpoint gets more, relative to its capacity.
+LARGEST_UTILISATION = 1.25
+#: Utilisation of warm endpoints above which warming ones are used beside them.
+RELIEF_UTILISATION = 0.8
+#: Longest time between a choice and the first byte of its dispatch.
+CHOICE_LIFETIME = Milliseconds(1_000)
+
+_COLD_STATES = (EndpointState.COLD, EndpointState.WARMING)
+_STATES_WITHOUT_NEW_WORK = (EndpointState.LEAVING, EndpointState.OUT)
+
+
+class EndpointChooser:
+    """
+    Chooses endpoints for the requests of one entry.
+
+    Load, warmth and life cycle are learned from outcomes, late reports, the
+    platform's list and other entries. A cold endpoint gets a request only through a
+    slot in ``cold_slots``.
+    """
+
+    def __init__(self, *, entry: InstanceId, clock: Clock, random: Random) -> None:
+        self._clock = clock
+        self._random = random
+        self._numbers = itertools.count(1)
+        self._estimates: dict[EndpointId, LoadEstimate] = {}
+        self._open: dict[int, Reservation] = {}
+        self._targets = TargetIndex(entry)
+        self._entry_count = 1
+        #: The life cycles.
+        self.table = EndpointTable(clock)
+        #: The slots of cold endpoints that this entry owns.
+        self.cold_slots = ColdSlots(clock)
+
+    def update_configuration(self, configuration: Configuration) -> None:
+        """Take over a configuration that came into force."""
+        self.table.update_configuration(configuration)
+        self._targets.update(configuration.endpoints)
+        for endpoint in configuration.endpoints:
+            self._estimates.setdefault(endpoint.id, LoadEstimate(self._clock))
+
+    def update_instances(self, instances: Iterable[InstanceRecord]) -> None:
+        """Take over the platform's list of instances."""
+        self.table.update_instances(instances)
+
+    def update_members(self, entries: Sequence[InstanceId]) -> None:
+        """Take over the entries that are alive, this one included."""
+        self._entry_count = max(len(entries), 1)
+
+    def report(self, report: LoadReport) -> None:
+        """Take over a load report of an endpoint."""
+        if report.endpoint not in self.table:
+            return
+        self.heard(report.endpoint, report.incarnation)
+        self._estimates[report.endpoint].report(report)
+
+    def heard(self, endpoint: EndpointId, incarnation: Incarnation) -> None:
+        """Note the incarnation that an endpoint named; call before ``finished``."""
+        if endpoint not in self.table:
+            return
+        former = self.table[endpoint].warmth.incarnation
+        self.table.heard(endpoint, incarnation)
+        if incarnation > former:
+            self.cold_slots.restarted(endpoint)
+
+    def learn(self, facts: Iterable[WarmthFact]) -> None:
+        """Merge what other entries know of the endpoints' warmth."""
+        for fact in facts:
+            self.table.learn(fact)
+
+    def choose(
+        self,
+        request: Request,
+        target: Target,
+        *,
+        excluded: frozenset[EndpointId] = frozenset(),
+    ) -> Result[Reservation, Refusal]:
+        """Reserve a place at an endpoint that serves ``target``."""
+        self.table.advance()
+        records = self._records(target, excluded)
+        warm = self._warm(records)
+        trial = self._trial(records, request)
+        if trial is not None:
+            return Success(self._reserve(trial, target, ReservationKind.TRIAL))
+        usable = [item for item in warm if item.utilisation < LARGEST_UTILISATION]
+        cold = self._cold(records, request, usable)
+        if cold is not None:
+            return Success(self._reserve(cold, target, ReservationKind.COLD_SLOT))
+        if not usable:
+            return Failure(refusal_for(is_full=bool(warm), target=target))
+        chosen = select(usable, prefix_hash=request.prefix_hash, random=self._random)
+        return Success(self._reserve(chosen.record, target, ReservationKind.WARM))
+
+    def may_dispatch(self, reservation: Reservation) -> bool:
+        """
+        Return whether ``reservation`` still holds.
+
+        To be asked right before the first byte leaves: the process may have been
+        paused, or the endpoint may have turned cold, left or gone out meanwhile.
+        """
+        if self._clock.now() - reservation.chosen_at > CHOICE_LIFETIME:
+            return False
+        endpoint = reservation.endpoint.id
+        if endpoint not in self.table:
+            return False
+        record = self.table[endpoint]
+        if record.state in _STATES_WITHOUT_NEW_WORK:
+            return False
+        if reservation.kind is ReservationKind.COLD_SLOT:
+            return not self.cold_slots.is_suspended
+        return record.warmth == reservation.warmth
+
+    def finished(self, reservation: Reservation, outcome: Outcome) -> None:
+        """Give ``reservation`` back; a second time has no effect."""
+        if self._open.pop(reservation.number, None) is None:
+            return
+        endpoint = reservation.endpoint.id
+        self._estimates[endpoint].finished()
+        if reservation.kind is ReservationKind.COLD_SLOT:
+            is_settled = outcome not in UNSETTLED_OUTCOMES
+            self.cold_slots.free(endpoint, is_settled=is_settled)
+        self.table.finished(endpoint, outcome, reservation.warmth)
+
+    def in_flight(self, endpoint: EndpointId) -> int:
+        """Return the number of this entry's requests at ``endpoint``."""
+        return self._estimates[endpoint].own
+
+    def _records(
+        self, target: Target, excluded: frozenset[EndpointId]
+    ) -> list[EndpointRecord]:
+        names = self._targets.endpoints(target, self.cold_slots.endpoints)
+        return [self.table[name] for name in names if name not in excluded]
+
+    def _warm(self, records: Iterable[EndpointRecord]) -> list[LoadedEndpoint]:
+        return [
+            LoadedEndpoint(record=record, utilisation=self._utilisation(record))
+            for record in records
+            if record.state is EndpointState.WARM
+        ]
+
+    def _utilisation(self, record: EndpointRecord) -> float:
+        endpoint = record.endpoint
+        since_warm = self._clock.now() - record.changed_at
+        capacity = float(endpoint.capacity)
+        if since_warm < RAMP:
+            growth = (capacity - endpoint.cold_capacity) * since_warm / RAMP
+            capacity = max(endpoint.cold_capacity + growth, 1.0)
+        sharing = self._entry_count * self._targets.share
+        return self._estimates[endpoint.id].total(sharing) / capacity
+
+    def _trial(
+        self, records: Iterable[EndpointRecord], request: Request
+    ) -> EndpointRecord | None:
+        if not request.is_idempotent:
+            return None
+        for record in records:
+            # A suspect endpoint that is not warm is tried through a cold slot only.
+            is_warm = record.warmth.is_warm
+            is_suspect = record.state is EndpointState.SUSPECT
+            if is_suspect and is_warm and self.table.is_trial_due(record):
+                self.table.note_trial(record)
+                return record
+        return None
+
+    def _cold(
+        self,
+        records: Iterable[EndpointRecord],
+        request: Request,
+        usable: Sequence[LoadedEndpoint],
+    ) -> EndpointRecord | None:
+        if request.deadline > self._clock.wall() + LONGEST_REQUEST:
+            return None
+        available = [record for record in records if self._has_slot(record)]
+        if not available:
+            return None
+        idle = [record for record in available if self._needs_first(record)]
+        if idle and request.is_idempotent:
+            return self._random.choice(idle)
+        least = min((item.utilisation for item in usable), default=1.0)
+        if least >= RELIEF_UTILISATION:
+            return self._random.choice(available)
+        return None
+
+    def _has_slot(self, record: EndpointRecord) -> bool:
+        if record.state is EndpointState.SUSPECT:
+            is_candidate = not record.warmth.is_warm and self.table.is_trial_due(record)
+        else:
+            is_candidate = record.state in _COLD_STATES
+        return (
+            is_candidate
+            and self.cold_slots.is_available(record.endpoint.id)
+            and self.table.is_drained(record)
+        )
+
+    def _needs_first(self, record: EndpointRecord) -> bool:
+        is_waiting = record.state is not EndpointState.WARMING
+        return is_waiting and not self.cold_slots.is_used(record.endpoint.id)
+
+    def _reserve(
+        self, record: EndpointRecord, target: Target, kind: ReservationKind
+    ) -> Reservation:
+        endpoint = record.endpoint
+        if kind is ReservationKind.COLD_SLOT:
+            self.cold_slots.take(endpoint.id)
+            if record.state is EndpointState.SUSPECT:
+                self.table.note_trial(record)
+        self._estimates[endpoint.id].started()
+        reservation = Reservation(
+            number=next(self._numbers),
+            endpoint=endpoint,
+            target=target,
+            kind=kind,
+            warmth=record.warmth,
+            chosen_at=self._clock.now(),
+        )
+        self._open[reservation.number] = reservation
+        return reservation
--- /dev/null
+++ b/fuchsiaroute/balancing/_ownership.py
@@ -0,0 +1,171 @@
+"""Ownership of cold slots, agreed through the platform's table service."""
+
+from collections.abc import Iterable, Sequence
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from fuchsiaroute.balancing._cold_slots import ColdSlot, ColdSlots
+from fuchsiaroute.balancing._departures import Departures, SlotOwner
+from fuchsiaroute.balancing._subset import by_rank
+from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.configuration import Endpoint
+from fuchsiaroute.ids import InstanceId
+from fuchsiaroute.platform import (
+    Check,
+    Committed,
+    Put,
+    Record,
+    StoreError,
+    TableStore,
+    Transaction,
+)
+
+#: Time between two readings of the slots that concern this entry.
+READ_INTERVAL = Milliseconds(10_000)
+#: Keys in one read or transaction.
+BATCH_SIZE = 100
+_KEY_PREFIX = "cold-slot/"
+_FREE = b""
+
+
+class ColdSlotKeeper:
+    """
+    Claims slots of cold endpoints for one entry process and keeps them.
+
+    A slot has one record, written only if it is absent, free, or its owner has
+    departed for good. It has no expiry, so a store that is down neither takes slots
+    away nor gives them to anyone: owners go on, and nobody else starts.
+    """
+
+    def __init__(
+        self,
+        *,
+        owner: SlotOwner,
+        store: TableStore,
+        slots: ColdSlots,
+        departures: Departures,
+        clock: Clock,
+    ) -> None:
+        self._owner = owner
+        self._store = store
+        self._slots = slots
+        self._departures = departures
+        self._clock = clock
+        self._read_at = Milliseconds(clock.now() - READ_INTERVAL)
+        self._claimed: frozenset[ColdSlot] = frozenset()
+        self._is_stopping = False
+
+    async def step(
+        self, endpoints: Sequence[Endpoint], members: Sequence[InstanceId]
+    ) -> Result[None, StoreError]:
+        """Note that the process runs, and claim slots; call about once a second."""
+        self._slots.tick()
+        is_due = self._clock.now() - self._read_at >= READ_INTERVAL
+        if self._is_stopping or not (is_due or self._slots.is_suspended):
+            return Success(None)
+        self._read_at = self._clock.now()
+        if self._departures.is_owner_missing:
+            self._slots.suspend()
+            return Success(None)
+        wanted = self._wanted(endpoints, members)
+        outcome = await self._claim(wanted)
+        if isinstance(outcome, Failure):
+            return Failure(outcome.failure())
+        self._claimed = frozenset(outcome.unwrap())
+        borne = {endpoint.id: endpoint.cold_capacity for endpoint in endpoints}
+        self._slots.confirm(
+            slot for slot in self._claimed if slot.number < borne.get(slot.endpoint, 0)
+        )
+        return Success(None)
+
+    async def release(self) -> Result[None, StoreError]:
+        """
+        Free all slots for other entries.
+
+        To be called at a graceful stop, once no request of this entry is running. A
+        slot whose last request may still run stays, and passes on as after a crash.
+        """
+        self._is_stopping = True
+        self._slots.suspend()
+        settled = [
+            slot for slot in self._claimed if not self._slots.is_used(slot.endpoint)
+        ]
+        for batch in _batches(sorted(settled)):
+            read = await self._store.read([_key(slot) for slot in batch])
+            if isinstance(read, Failure):
+                return Failure(read.failure())
+            own = [item for item in read.unwrap() if _owner(item) == self._owner]
+            committed = await self._write(own, _FREE)
+            if isinstance(committed, Failure):
+                return Failure(committed.failure())
+        return Success(None)
+
+    def _wanted(
+        self, endpoints: Sequence[Endpoint], members: Sequence[InstanceId]
+    ) -> list[ColdSlot]:
+        # The preference only saves conflicts. Views of the members may differ: what
+        # decides is the record in the store.
+        wanted = set(self._claimed)
+        for endpoint in endpoints:
+            preferred = by_rank(endpoint.id, {*members, self._owner.instance})
+            for number in range(endpoint.cold_capacity):
+                if preferred[number % len(preferred)] == self._owner.instance:
+                    wanted.add(ColdSlot(endpoint=endpoint.id, number=number))
+        return sorted(wanted)
+
+    async def _claim(
+        self, wanted: Sequence[ColdSlot]
+    ) -> Result[list[ColdSlot], StoreError]:
+        owned: list[ColdSlot] = []
+        for batch in _batches(wanted):
+            by_key = {_key(slot): slot for slot in batch}
+            read = await self._store.read(list(by_key))
+            if isinstance(read, Failure):
+                return Failure(read.failure())
+            records = read.unwrap()
+            claimable = [record for record in records if self._is_claimable(record)]
+            taken = [record for record in records if _owner(record) == self._owner]
+            written = await self._write(claimable, msgspec.json.encode(self._owner))
+            if written == Success(True):
+                taken += claimable
+            elif claimable:
+                # A lost answer or a conflict is resolved by reading again.
+                self._read_at = Milliseconds(self._clock.now() - READ_INTERVAL)
+            owned += [by_key[record.key] for record in taken]
+        return Success(owned)
+
+    async def _write(
+        self, records: Sequence[Record], value: bytes
+    ) -> Result[bool, StoreError]:
+        if not records:
+            return Success(False)
+        transaction = Transaction(
+            checks=tuple(
+                Check(key=record.key, version=record.version) for record in records
+            ),
+            puts=tuple(Put(key=record.key, value=value) for record in records),
+        )
+        outcome = await self._store.commit(transaction)
+        return outcome.map(lambda answer: isinstance(answer, Committed))
+
+    def _is_claimable(self, record: Record) -> bool:
+        owner = _owner(record)
+        if owner is None:
+            return True
+        return owner != self._owner and self._departures.has_departed(owner)
+
+
+def _key(slot: ColdSlot) -> str:
+    return f"{_KEY_PREFIX}{slot.endpoint}/{slot.number}"
+
+
+def _owner(record: Record) -> SlotOwner | None:
+    if record.value == _FREE:
+        return None
+    return msgspec.json.decode(record.value, type=SlotOwner)
+
+
+def _batches(slots: Sequence[ColdSlot]) -> Iterable[Sequence[ColdSlot]]:
+    for start in range(0, len(slots), BATCH_SIZE):
+        yield slots[start : start + BATCH_SIZE]
--- /dev/null
+++ b/fuchsiaroute/balancing/_selection.py
@@ -0,0 +1,60 @@
+"""Selection of one warm endpoint by prefix affinity and power of two choices."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+
+from fuchsiaroute.balancing._subset import by_rank
+from fuchsiaroute.endpoints import EndpointRecord
+
+#: Largest load, as a multiple of the mean, at which affinity still decides.
+AFFINITY_LOAD_FACTOR = 1.25
+#: Endpoints that hold the cached prefix of one prompt.
+AFFINITY_REPLICAS = 2
+#: Largest utilisation at which affinity still decides.
+AFFINITY_UTILISATION = 0.8
+#: Endpoints compared for each request.
+CHOICES = 2
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LoadedEndpoint:
+    """A warm endpoint with its estimated load relative to what it bears now."""
+
+    record: EndpointRecord
+    #: Estimated requests at the endpoint divided by its present capacity.
+    utilisation: float
+
+
+def select(
+    candidates: Sequence[LoadedEndpoint], *, prefix_hash: int, random: Random
+) -> LoadedEndpoint:
+    """Return the endpoint for a request; ``candidates`` must not be empty."""
+    if prefix_hash:
+        preferred = _by_affinity(candidates, prefix_hash)
+        if preferred is not None:
+            return preferred
+    return least_of(candidates, random)
+
+
+def least_of(
+    candidates: Sequence[LoadedEndpoint], random: Random, choices: int = CHOICES
+) -> LoadedEndpoint:
+    """Return the least utilised of ``choices`` candidates drawn at random."""
+    if len(candidates) > choices:
+        drawn = random.sample(candidates, choices)
+    else:
+        drawn = random.sample(candidates, len(candidates))
+    return min(drawn, key=lambda candidate: candidate.utilisation)
+
+
+def _by_affinity(
+    candidates: Sequence[LoadedEndpoint], prefix_hash: int
+) -> LoadedEndpoint | None:
+    mean = sum(candidate.utilisation for candidate in candidates) / len(candidates)
+    bound = min(max(mean, 1 / 32) * AFFINITY_LOAD_FACTOR, AFFINITY_UTILISATION)
+    by_id = {candidate.record.endpoint.id: candidate for candidate in candidates}
+    for name in by_rank(str(prefix_hash), by_id)[:AFFINITY_REPLICAS]:
+        if by_id[name].utilisation <= bound:
+            return by_id[name]
+    return None
--- /dev/null
+++ b/fuchsiaroute/balancing/_subset.py
@@ -0,0 +1,47 @@
+"""Deterministic subsets of endpoints and orders of preference."""
+
+from collections.abc import Iterable, Sequence
+from typing import TypeVar
+
+import xxhash
+
+from fuchsiaroute.configuration import Endpoint
+
+#: Endpoints of one target that an entry uses; more would spread too few requests
+#: over too many connections.
+SUBSET_SIZE = 20
+
+_Name = TypeVar("_Name", bound=str)
+
+
+def rank(key: str, name: str) -> int:
+    """Return the rendezvous hash of ``name`` for ``key``, from 0 to 2**64 - 1."""
+    return xxhash.xxh64_intdigest(f"{key}\0{name}".encode())
+
+
+def by_rank(key: str, names: Iterable[_Name]) -> list[_Name]:
+    """Return ``names`` in the order in which ``key`` prefers them."""
+    return sorted(names, key=lambda name: (-rank(key, name), name))
+
+
+def subset(
+    key: str, endpoints: Sequence[Endpoint], size: int = SUBSET_SIZE
+) -> list[Endpoint]:
+    """
+    Return the endpoints that the entry named ``key`` uses, at most ``size``.
+
+    Failure domains take turns, so that losing one costs each entry a like share.
+    The choice changes little when endpoints come or go.
+    """
+    if len(endpoints) <= size:
+        return list(endpoints)
+    by_domain: dict[str, list[Endpoint]] = {}
+    for endpoint in sorted(endpoints, key=lambda item: -rank(key, item.id)):
+        by_domain.setdefault(endpoint.failure_domain, []).append(endpoint)
+    domains = by_rank(key, by_domain)
+    chosen: list[Endpoint] = []
+    while len(chosen) < size:
+        for domain in domains:
+            if by_domain[domain] and len(chosen) < size:
+                chosen.append(by_domain[domain].pop(0))
+    return chosen
--- /dev/null
+++ b/fuchsiaroute/balancing/tests/test_cold_promise.py
@@ -0,0 +1,235 @@
+"""Ways of sharing a cold endpoint, under differing views, pauses and restarts."""
+
+from collections.abc import Callable
+from random import Random
+
+import pytest
+
+from examples import timberline
+from fuchsiaroute.balancing import (
+    DEPARTURE_DELAY,
+    PAUSE_BOUND,
+    ColdSlot,
+    ColdSlotKeeper,
+    ColdSlots,
+    Departures,
+    SlotOwner,
+    by_rank,
+)
+from fuchsiaroute.clock import ManualClock, Milliseconds
+from fuchsiaroute.ids import Incarnation, InstanceId
+from fuchsiaroute.platform import InstanceRecord, MemoryTableStore, StoreFault
+
+ENDPOINT = timberline.declare().endpoints[0]
+STEP = Milliseconds(1_000)
+
+
+class Entry:
+    """An entry with its own view of the members, which can be paused."""
+
+    def __init__(self, world: "World", name: str, incarnation: int = 1) -> None:
+        self.world = world
+        self.name = InstanceId(name)
+        owner = SlotOwner(instance=self.name, incarnation=Incarnation(incarnation))
+        self.slots = ColdSlots(world.clock)
+        self.departures = Departures(owner=owner, clock=world.clock)
+        self.keeper = ColdSlotKeeper(
+            owner=owner,
+            store=world.store,
+            slots=self.slots,
+            departures=self.departures,
+            clock=world.clock,
+        )
+        self.view: list[InstanceId] = []
+        self.is_paused = False
+
+    async def step(self) -> None:
+        if self.is_paused:
+            return
+        self.departures.update_instances(self.world.listed)
+        await self.keeper.step([ENDPOINT], self.view)
+
+    def is_used(self) -> bool:
+        """Send requests until no more may go, all of which then run for good."""
+        while self.slots.is_available(ENDPOINT.id):
+            self.slots.take(ENDPOINT.id)
+        return self.slots.is_used(ENDPOINT.id)
+
+
+class World:
+    def __init__(self, seed: int, size: int) -> None:
+        self.clock = ManualClock()
+        self.random = Random(seed)
+        self.store = MemoryTableStore()
+        self.entries = [Entry(self, f"entry-{number}") for number in range(size)]
+        self.listed: list[InstanceRecord] = []
+        self.list_entries()
+
+    def list_entries(self) -> None:
+        self.listed = [
+            InstanceRecord(
+                id=entry.name,
+                address="127.0.0.1:9000",
+                failure_domain=ENDPOINT.failure_domain,
+            )
+            for entry in self.entries
+        ]
+
+    def draw_views(self) -> None:
+        names = [entry.name for entry in self.entries]
+        for entry in self.entries:
+            known = self.random.sample(names, self.random.randint(1, len(names)))
+            entry.view = [*known, entry.name]
+
+    async def run(self, duration: int) -> None:
+        for _ in range(duration // STEP):
+            self.clock.tick(STEP)
+            for entry in self.entries:
+                await entry.step()
+
+    def load(self) -> int:
+        """Return the worst load that all entries together put on the endpoint."""
+        for entry in self.entries:
+            entry.is_used()
+        return sum(entry.slots._used[ENDPOINT.id] for entry in self.entries)
+
+
+def load_by_owners_of_own_view(world: World) -> int:
+    owners = [
+        entry
+        for entry in world.entries
+        if entry.name in by_rank(ENDPOINT.id, set(entry.view))[: ENDPOINT.cold_capacity]
+    ]
+    return len(owners)
+
+
+def load_by_even_split(world: World) -> int:
+    return sum(
+        max(1, ENDPOINT.cold_capacity // len(set(entry.view)))
+        for entry in world.entries
+    )
+
+
+@pytest.mark.parametrize("size", [6, 8, 390])
+@pytest.mark.parametrize("weaker", [load_by_owners_of_own_view, load_by_even_split])
+def test_differing_views_break_the_weaker_ways(
+    size: int, weaker: Callable[[World], int]
+) -> None:
+    world = World(seed=1, size=size)
+    world.draw_views()
+    assert weaker(world) > ENDPOINT.cold_capacity
+
+
+@pytest.mark.parametrize("size", [6, 8, 390])
+async def test_differing_views_never_exceed_the_cold_capacity(size: int) -> None:
+    world = World(seed=1, size=size)
+    for _ in range(5):
+        world.draw_views()
+        await world.run(11_000)
+        assert world.load() == ENDPOINT.cold_capacity
+
+
+async def _owner_of(world: World) -> Entry:
+    world.draw_views()
+    await world.run(11_000)
+    world.load()
+    return next(entry for entry in world.entries if entry.is_used())
+
+
+async def test_a_paused_owner_keeps_its_slot_however_long_it_is_paused() -> None:
+    world = World(seed=2, size=8)
+    owner = await _owner_of(world)
+    owner.is_paused = True
+    # A lease that lapses by time would be given away here.
+    for _ in range(10):
+        world.draw_views()
+        await world.run(DEPARTURE_DELAY // 3)
+    owner.is_paused = False
+    assert world.load() <= ENDPOINT.cold_capacity
+
+
+async def test_a_resumed_owner_uses_nothing_before_its_ownership_is_confirmed() -> None:
+    world = World(seed=2, size=8)
+    world.draw_views()
+    await world.run(11_000)
+    owner = next(entry for entry in world.entries if entry.slots.endpoints)
+    owner.is_paused = True
+    # The platform takes the paused process for dead, which it is not.
+    world.listed = [item for item in world.listed if item.id != owner.name]
+    await world.run(DEPARTURE_DELAY + 22_000)
+    owner.is_paused = False
+    assert not owner.slots.is_available(ENDPOINT.id)
+    assert world.load() == ENDPOINT.cold_capacity
+    await world.run(22_000)
+    assert world.load() == ENDPOINT.cold_capacity
+
+
+async def test_a_restarted_owner_waits_for_the_requests_of_its_former_life() -> None:
+    world = World(seed=3, size=8)
+    owner = await _owner_of(world)
+    lost = owner.slots._used[ENDPOINT.id]
+    world.entries.remove(owner)
+    successor = Entry(world, owner.name, incarnation=2)
+    world.entries.append(successor)
+    await world.run(DEPARTURE_DELAY - 2_000)
+    assert world.load() + lost <= ENDPOINT.cold_capacity
+    await world.run(24_000)
+    assert world.load() == ENDPOINT.cold_capacity
+
+
+async def test_a_list_without_the_entry_itself_gives_nothing_away() -> None:
+    world = World(seed=4, size=8)
+    world.listed = []
+    await _owner_of(world)
+    await world.run(2 * DEPARTURE_DELAY)
+    assert world.load() == ENDPOINT.cold_capacity
+
+
+@pytest.mark.parametrize("fault", [StoreFault.DOWN, StoreFault.ANSWER_LOST])
+async def test_the_promise_holds_while_the_store_fails(fault: StoreFault) -> None:
+    world = World(seed=5, size=8)
+    world.store.fault = fault
+    world.draw_views()
+    await world.run(30_000)
+    assert world.load() <= ENDPOINT.cold_capacity
+    world.store.fault = StoreFault.NONE
+    await world.run(22_000)
+    assert world.load() == ENDPOINT.cold_capacity
+
+
+async def test_owners_go_on_while_the_store_is_down() -> None:
+    world = World(seed=6, size=8)
+    world.draw_views()
+    await world.run(11_000)
+    world.store.fault = StoreFault.DOWN
+    await world.run(3_600_000)
+    assert world.load() == ENDPOINT.cold_capacity
+
+
+async def test_released_slots_pass_on_at_once() -> None:
+    world = World(seed=7, size=8)
+    world.draw_views()
+    await world.run(11_000)
+    owner = next(entry for entry in world.entries if entry.slots.endpoints)
+    await owner.keeper.release()
+    world.entries.remove(owner)
+    world.draw_views()
+    for entry in world.entries:
+        entry.view = [item for item in entry.view if item != owner.name]
+    await world.run(33_000)
+    assert world.load() == ENDPOINT.cold_capacity
+
+
+def test_an_unsettled_request_holds_its_slot() -> None:
+    world = World(seed=8, size=1)
+    slots = world.entries[0].slots
+    slots.confirm([ColdSlot(endpoint=ENDPOINT.id, number=0)])
+    slots.take(ENDPOINT.id)
+    slots.free(ENDPOINT.id, is_settled=False)
+    assert not slots.is_available(ENDPOINT.id)
+    for _ in range(121):
+        world.clock.tick(STEP)
+        slots.tick()
+    assert slots.is_available(ENDPOINT.id)
+    world.clock.tick(Milliseconds(PAUSE_BOUND + 1))
+    assert not slots.is_available(ENDPOINT.id)
--- /dev/null
+++ b/fuchsiaroute/endpoints/__init__.py
@@ -0,0 +1,41 @@
+"""The life cycle of endpoints: cold, warming, warm, suspect, leaving, out."""
+
+from fuchsiaroute.endpoints._load_report import LoadReport
+from fuchsiaroute.endpoints._outcome import (
+    HEALTHY_OUTCOMES,
+    OUTCOME_VERDICTS,
+    UNSETTLED_OUTCOMES,
+    Outcome,
+)
+from fuchsiaroute.endpoints._record import EndpointRecord
+from fuchsiaroute.endpoints._state import (
+    TRANSITIONS,
+    EndpointEvent,
+    EndpointState,
+    next_state,
+)
+from fuchsiaroute.endpoints._table import (
+    FAILURES_UNTIL_SUSPECT,
+    LONGEST_REQUEST,
+    EndpointTable,
+)
+from fuchsiaroute.endpoints._warmth import UNKNOWN_INCARNATION, Warmth, WarmthFact
+
+__all__ = [
+    "FAILURES_UNTIL_SUSPECT",
+    "HEALTHY_OUTCOMES",
+    "LONGEST_REQUEST",
+    "OUTCOME_VERDICTS",
+    "TRANSITIONS",
+    "UNKNOWN_INCARNATION",
+    "UNSETTLED_OUTCOMES",
+    "EndpointEvent",
+    "EndpointRecord",
+    "EndpointState",
+    "EndpointTable",
+    "LoadReport",
+    "Outcome",
+    "Warmth",
+    "WarmthFact",
+    "next_state",
+]
--- /dev/null
+++ b/fuchsiaroute/endpoints/_load_report.py
@@ -0,0 +1,18 @@
+"""Load reports of endpoints."""
+
+from dataclasses import dataclass
+
+from fuchsiaroute.clock import Milliseconds
+from fuchsiaroute.ids import EndpointId, Incarnation
+
+
+@dataclass(frozen=True, kw_only=True)
+class LoadReport:
+    """What an endpoint said of its load; it arrives late."""
+
+    endpoint: EndpointId
+    incarnation: Incarnation
+    #: Requests running or queued at the endpoint.
+    in_flight: int
+    #: Unix time in milliseconds at which the endpoint counted them.
+    taken_at: Milliseconds
--- /dev/null
+++ b/fuchsiaroute/endpoints/_table.py
@@ -0,0 +1,242 @@
+"""The life cycles of all endpoints of a configuration."""
+
+from collections.abc import Iterable, Iterator
+
+from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.configuration import Configuration, Endpoint
+from fuchsiaroute.endpoints._outcome import HEALTHY_OUTCOMES, Outcome
+from fuchsiaroute.endpoints._record import EndpointRecord
+from fuchsiaroute.endpoints._state import EndpointEvent, EndpointState, next_state
+from fuchsiaroute.endpoints._warmth import Warmth, WarmthFact
+from fuchsiaroute.ids import EndpointId, FailureDomainId, Incarnation
+from fuchsiaroute.platform import InstanceRecord, InstanceState
+
+#: Failures in a row after which an endpoint is suspect.
+FAILURES_UNTIL_SUSPECT = 3
+#: Pause before the first trial of a suspect endpoint; doubles up to the longest.
+FIRST_TRIAL_INTERVAL = Milliseconds(1_000)
+LONGEST_TRIAL_INTERVAL = Milliseconds(30_000)
+#: Longest time for which a dispatched request can load an endpoint.
+LONGEST_REQUEST = Milliseconds(120_000)
+#: Share of a failure domain's serving endpoints whose suspicion makes the rest
+#: suspect as well.
+SUSPECT_DOMAIN_SHARE = 0.5
+#: Fewest suspect endpoints that say anything about their failure domain.
+FEWEST_SUSPECTS_OF_DOMAIN = 2
+
+_SERVING = (EndpointState.COLD, EndpointState.WARMING, EndpointState.WARM)
+_ABSENT = (EndpointState.LEAVING, EndpointState.OUT)
+_FAILURES = frozenset(
+    {Outcome.FAILED_BEFORE_SENT, Outcome.FAILED_AFTER_SENT, Outcome.SILENT}
+)
+
+
+class EndpointTable:
+    """Life cycle of each endpoint, driven by events and the clock."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._records: dict[EndpointId, EndpointRecord] = {}
+        self._domains: dict[FailureDomainId, list[EndpointRecord]] = {}
+        self._warming: set[EndpointId] = set()
+
+    def __iter__(self) -> Iterator[EndpointRecord]:
+        return iter(self._records.values())
+
+    def __contains__(self, endpoint: EndpointId) -> bool:
+        return endpoint in self._records
+
+    def __getitem__(self, endpoint: EndpointId) -> EndpointRecord:
+        return self._records[endpoint]
+
+    def update_configuration(self, configuration: Configuration) -> None:
+        """Take over the endpoints and outages of ``configuration``."""
+        out = {outage.failure_domain for outage in configuration.outages}
+        records: dict[EndpointId, EndpointRecord] = {}
+        for endpoint in configuration.endpoints:
+            record = self._configured(endpoint)
+            records[endpoint.id] = record
+            is_out = endpoint.failure_domain in out
+            self._set_out(record, is_out)
+        self._records = records
+        self._domains = {}
+        for record in records.values():
+            domain = record.endpoint.failure_domain
+            self._domains.setdefault(domain, []).append(record)
+
+    def update_instances(self, instances: Iterable[InstanceRecord]) -> None:
+        """Take over the platform's list; an endpoint it lacks keeps its state."""
+        for instance in instances:
+            record = self._records.get(EndpointId(instance.id))
+            if record is None:
+                continue
+            if instance.state is InstanceState.LEAVING:
+                self._apply(record, EndpointEvent.LISTED_LEAVING)
+            else:
+                self._apply(record, EndpointEvent.LISTED_LIVE)
+
+    def heard(self, endpoint: EndpointId, incarnation: Incarnation) -> None:
+        """Note the incarnation that an endpoint named in an answer or a report."""
+        record = self._records.get(endpoint)
+        if record is not None and incarnation > record.warmth.incarnation:
+            self.learn(
+                WarmthFact(endpoint=endpoint, warmth=Warmth(incarnation=incarnation))
+            )
+
+    def learn(self, fact: WarmthFact) -> None:
+        """Merge a fact about an endpoint's warmth; older facts change nothing."""
+        record = self._records.get(fact.endpoint)
+        if record is None or fact.warmth <= record.warmth:
+            return
+        former = record.warmth
+        record.warmth = fact.warmth
+        if record.state in _ABSENT:
+            return
+        if fact.warmth.incarnation != former.incarnation:
+            record.drained_at = Milliseconds(0)
+            record.consecutive_failures = 0
+            self._apply(record, EndpointEvent.RESTARTED)
+        elif fact.warmth.cold_period != former.cold_period:
+            self._wait_for_drain(record)
+            self._apply(record, EndpointEvent.FOUND_COLD)
+        if fact.warmth.is_warm:
+            self._apply(record, EndpointEvent.WARMED_UP)
+
+    def facts(self) -> tuple[WarmthFact, ...]:
+        """Return what this entry knows, for other entries to merge."""
+        return tuple(
+            WarmthFact(endpoint=record.endpoint.id, warmth=record.warmth)
+            for record in self._records.values()
+            if record.warmth != Warmth()
+        )
+
+    def finished(self, endpoint: EndpointId, outcome: Outcome, warmth: Warmth) -> None:
+        """Note the outcome of a dispatch that was made under ``warmth``."""
+        record = self._records.get(endpoint)
+        if record is None:
+            return
+        if outcome is Outcome.REFUSED_COLD:
+            self._refused_cold(record, warmth)
+        if outcome is Outcome.ANSWERED:
+            self._answered(record)
+        if outcome in HEALTHY_OUTCOMES:
+            record.consecutive_failures = 0
+        if outcome in _FAILURES:
+            self._failed(record)
+
+    def advance(self) -> None:
+        """Apply the transitions that only time causes."""
+        if not self._warming:
+            return
+        now = self._clock.now()
+        for endpoint in sorted(self._warming):
+            record = self._records.get(endpoint)
+            if record is None or record.state is not EndpointState.WARMING:
+                self._warming.discard(endpoint)
+            elif now - record.changed_at >= record.endpoint.warm_up:
+                record.warmth = record.warmth.warmed_up()
+                self._apply(record, EndpointEvent.WARMED_UP)
+
+    def note_drained(self, record: EndpointRecord) -> None:
+        """Note that nothing of an earlier warm period runs at the endpoint."""
+        record.drained_at = self._clock.now()
+
+    def is_drained(self, record: EndpointRecord) -> bool:
+        """Return whether no request of an earlier warm period can still run."""
+        return self._clock.now() >= record.drained_at
+
+    def is_trial_due(self, record: EndpointRecord) -> bool:
+        """Return whether a suspect endpoint may get one trial request now."""
+        return self._clock.now() - record.tried_at >= record.trial_interval
+
+    def note_trial(self, record: EndpointRecord) -> None:
+        """Note that a trial of a suspect endpoint begins now."""
+        record.tried_at = self._clock.now()
+        doubled = Milliseconds(record.trial_interval * 2)
+        record.trial_interval = min(doubled, LONGEST_TRIAL_INTERVAL)
+
+    def _configured(self, endpoint: Endpoint) -> EndpointRecord:
+        record = self._records.get(endpoint.id)
+        if record is None:
+            return EndpointRecord(endpoint=endpoint, changed_at=self._clock.now())
+        if record.endpoint.url != endpoint.url:
+            # Another address is another process: nothing known holds for it.
+            return EndpointRecord(endpoint=endpoint, changed_at=self._clock.now())
+        record.endpoint = endpoint
+        return record
+
+    def _set_out(self, record: EndpointRecord, is_out: bool) -> None:
+        if is_out:
+            self._apply(record, EndpointEvent.OUTAGE_DECLARED)
+        elif record.state is EndpointState.OUT:
+            self._apply(record, EndpointEvent.OUTAGE_ENDED)
+
+    def _apply(self, record: EndpointRecord, event: EndpointEvent) -> None:
+        state = next_state(record.state, event)
+        if state is record.state:
+            return
+        was_absent = record.state in _ABSENT
+        record.state = state
+        record.changed_at = self._clock.now()
+        if state is EndpointState.WARMING:
+            self._warming.add(record.endpoint.id)
+        if state in _ABSENT and not was_absent:
+            record.warmth_before_absence = record.warmth
+            self._wait_for_drain(record)
+        if was_absent and state not in _ABSENT:
+            self._returned(record)
+
+    def _returned(self, record: EndpointRecord) -> None:
+        # Entries notice the return at different moments. Counting from the warmth
+        # before the absence gives all of them the same new cold period.
+        record.consecutive_failures = 0
+        returned = record.warmth_before_absence.found_cold()
+        record.warmth = max(record.warmth, returned)
+        if record.warmth.is_warm:
+            self._apply(record, EndpointEvent.WARMED_UP)
+
+    def _wait_for_drain(self, record: EndpointRecord) -> None:
+        # Other entries' requests of the warm period may still run there.
+        record.drained_at = Milliseconds(self._clock.now() + LONGEST_REQUEST)
+
+    def _refused_cold(self, record: EndpointRecord, warmth: Warmth) -> None:
+        if warmth.is_warm:
+            fact = WarmthFact(endpoint=record.endpoint.id, warmth=warmth.found_cold())
+            self.learn(fact)
+        elif record.state is EndpointState.WARMING:
+            self._apply(record, EndpointEvent.FOUND_COLD)
+
+    def _answered(self, record: EndpointRecord) -> None:
+        self._apply(record, EndpointEvent.FIRST_ANSWER)
+        if record.state is not EndpointState.SUSPECT:
+            return
+        if record.warmth.is_warm:
+            self._apply(record, EndpointEvent.RECOVERED)
+        else:
+            self._apply(record, EndpointEvent.FOUND_COLD)
+
+    def _failed(self, record: EndpointRecord) -> None:
+        record.consecutive_failures += 1
+        if record.consecutive_failures >= FAILURES_UNTIL_SUSPECT:
+            self._suspect(record)
+            self._suspect_domain(record.endpoint.failure_domain)
+
+    def _suspect(self, record: EndpointRecord) -> None:
+        if record.state in _SERVING:
+            record.tried_at = self._clock.now()
+            record.trial_interval = FIRST_TRIAL_INTERVAL
+            self._apply(record, EndpointEvent.FAILED_REPEATEDLY)
+
+    def _suspect_domain(self, domain: FailureDomainId) -> None:
+        records = [
+            record
+            for record in self._domains.get(domain, ())
+            if record.state not in _ABSENT
+        ]
+        suspects = [
+            record for record in records if record.state is EndpointState.SUSPECT
+        ]
+        is_enough = len(suspects) >= FEWEST_SUSPECTS_OF_DOMAIN
+        if is_enough and len(suspects) >= SUSPECT_DOMAIN_SHARE * len(records):
+            for record in records:
+                self._suspect(record)
