--- /dev/null
+++ b/fuchsiaroute/settings/_faults.py
@@ -0,0 +1,19 @@
+"""Faults found in a settings file."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True)
+class SettingsFault:
+    """One fault of a settings file and its place."""
+
+    #: Section that holds the fault; empty if it concerns the whole file.
+    section: str = ""
+    #: Key that holds the fault; empty if it concerns the whole section.
+    key: str = ""
+    #: What is wrong and what is expected.
+    message: str
+
+    def __str__(self) -> str:
+        place = f"[{self.section}] {self.key}".strip() if self.section else "file"
+        return f"{place}: {self.message}"
--- /dev/null
+++ b/fuchsiaroute/settings/_model.py
@@ -0,0 +1,147 @@
+"""The settings of an entry as typed values; one class per section."""
+
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from fuchsiaroute.clock import Milliseconds
+from fuchsiaroute.ids import FailureDomainId, InstanceId
+from fuchsiaroute.settings._types import (
+    ByteCount,
+    IpAddress,
+    LogTarget,
+    NoFile,
+    OptionalPath,
+    Port,
+    StandardError,
+    Url,
+)
+
+LOOPBACK = IpAddress("127.0.0.1")
+
+
+@dataclass(frozen=True, kw_only=True)
+class InstanceSettings:
+    """Section ``[instance]``: who this entry is."""
+
+    #: Unique among the entries of a deployment.
+    id: InstanceId
+    #: Failure domain that this entry runs in.
+    failure_domain: FailureDomainId
+
+
+@dataclass(frozen=True, kw_only=True)
+class CallerSettings:
+    """Section ``[callers]``: the address for callers and the limits on them."""
+
+    #: Address to listen on.
+    host: IpAddress = LOOPBACK
+    port: Port = Port(8080)
+    #: Address that callers are told to use; ``host`` if not set.
+    advertised_host: IpAddress = IpAddress("")
+    #: Largest request body.
+    max_body: ByteCount = ByteCount(1_048_576)
+    #: Largest request head: the request line and all headers together.
+    max_head: ByteCount = ByteCount(16_384)
+    #: Longest time for a request body to arrive in full.
+    body_timeout: Milliseconds = Milliseconds(10_000)
+    #: Longest time that an idle connection is kept.
+    idle_timeout: Milliseconds = Milliseconds(30_000)
+    #: Deadline of a request that names none, from its arrival.
+    default_deadline: Milliseconds = Milliseconds(30_000)
+    #: Furthest deadline that a request may name, from its arrival.
+    max_deadline: Milliseconds = Milliseconds(600_000)
+    #: Connections at once.
+    max_connections: int = 2_048
+
+    @property
+    def advertised(self) -> str:
+        """Return the ``host:port`` that callers are told to use."""
+        host = self.advertised_host or self.host
+        return f"[{host}]:{self.port}" if ":" in host else f"{host}:{self.port}"
+
+
+@dataclass(frozen=True, kw_only=True)
+class OperatorSettings:
+    """Section ``[operators]``: the address for operators; not open to callers."""
+
+    host: IpAddress = LOOPBACK
+    port: Port = Port(8081)
+    #: Files with one operator key each. All are accepted, so that keys can rotate;
+    #: with none, every changing call is refused.
+    key_files: tuple[Path, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True)
+class PeerSettings:
+    """Section ``[peers]``: the address for other entries."""
+
+    host: IpAddress = LOOPBACK
+    port: Port = Port(8082)
+    #: Address that peers are told to use; ``host`` if not set.
+    advertised_host: IpAddress = IpAddress("")
+    #: Files with one shared key each; the first signs, all are accepted.
+    key_files: tuple[Path, ...] = ()
+    #: Certificate of this entry in PEM; TLS is off if not set.
+    tls_certificate_file: OptionalPath = NoFile.TOKEN
+    #: Private key of this entry in PEM.
+    tls_key_file: OptionalPath = NoFile.TOKEN
+    #: Certificates of the authority that signs every entry's certificate, in PEM.
+    tls_authority_file: OptionalPath = NoFile.TOKEN
+
+    @property
+    def is_tls(self) -> bool:
+        """Return whether connections between entries use TLS."""
+        return self.tls_certificate_file is not NoFile.TOKEN
+
+    @property
+    def advertised(self) -> str:
+        """Return the ``host:port`` that peers are told to use."""
+        host = self.advertised_host or self.host
+        return f"[{host}]:{self.port}" if ":" in host else f"{host}:{self.port}"
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlatformSettings:
+    """Section ``[platform]``: the platform's services."""
+
+    #: The transactional table service.
+    table_url: Url
+    #: The object store; empty if not used.
+    object_url: Url = Url("")
+    #: The lagging list of instances; empty if not used.
+    instance_list_url: Url = Url("")
+    #: The service that rates answers; empty if not used.
+    rating_url: Url = Url("")
+    #: Longest wait for the answer to a read.
+    read_timeout: Milliseconds = Milliseconds(1_000)
+    #: Longest wait for the answer to a write.
+    write_timeout: Milliseconds = Milliseconds(2_000)
+
+
+@dataclass(frozen=True, kw_only=True)
+class SessionSettings:
+    """Section ``[session]``: the keys that sign session pins."""
+
+    #: Files with one key each; the first signs, all verify.
+    pin_key_files: tuple[Path, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True)
+class LogSettings:
+    """Section ``[log]``: where log lines go."""
+
+    #: ``stderr`` or a file.
+    path: LogTarget = StandardError.TOKEN
+
+
+@dataclass(frozen=True, kw_only=True)
+class Settings:
+    """All settings of an entry."""
+
+    instance: InstanceSettings
+    platform: PlatformSettings
+    callers: CallerSettings = field(default_factory=CallerSettings)
+    operators: OperatorSettings = field(default_factory=OperatorSettings)
+    peers: PeerSettings = field(default_factory=PeerSettings)
+    session: SessionSettings = field(default_factory=SessionSettings)
+    log: LogSettings = field(default_factory=LogSettings)
