Log each decision in one eliot line and count outcomes in metrics

Cause: operators read decisions from lines and outcomes from metrics; the token path may spend neither on each token (7,000 tokens a second at the target). Change: typed events written by record(), never with a body; a metrics registry with units in names; every gap observed for one stream in eight only.

--- /dev/null
+++ b/fuchsiaroute/logs/__init__.py
@@ -0,0 +1,31 @@
+"""Log lines: one line of JSON for each decision, without request bodies."""
+
+from fuchsiaroute.logs._events import (
+    AnswerFinished,
+    AttemptFinished,
+    ChangeSubmitted,
+    ConfigurationApplied,
+    Event,
+    InstanceStateChanged,
+    PlacementDecided,
+    RequestRefused,
+    RouteDecided,
+    route_decided,
+)
+from fuchsiaroute.logs._setup import open_log
+from fuchsiaroute.logs._write import record
+
+__all__ = [
+    "AnswerFinished",
+    "AttemptFinished",
+    "ChangeSubmitted",
+    "ConfigurationApplied",
+    "Event",
+    "InstanceStateChanged",
+    "PlacementDecided",
+    "RequestRefused",
+    "RouteDecided",
+    "open_log",
+    "record",
+    "route_decided",
+]
--- /dev/null
+++ b/fuchsiaroute/logs/_events.py
@@ -0,0 +1,152 @@
+"""Events that are logged, as typed values; no field holds a request body."""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from fuchsiaroute.clock import Milliseconds
+from fuchsiaroute.ids import (
+    ChangeId,
+    EndpointId,
+    FencingNumber,
+    InstanceId,
+    OrganisationId,
+    RequestClass,
+    RequestId,
+    Revision,
+    VersionId,
+)
+from fuchsiaroute.platform import OrderKind
+from fuchsiaroute.request import Decision, Exclusion, Request
+from fuchsiaroute.verdict import RefusalReason, Verdict
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Event:
+    """Base of every logged event."""
+
+    #: The ``message_type`` of the log line.
+    message_type: ClassVar[str]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RouteDecided(Event):
+    """The versions to try for a request, and the rules that excluded the others."""
+
+    message_type: ClassVar[str] = "route:decided"
+    request: RequestId
+    organisation: OrganisationId
+    request_class: RequestClass
+    revision: Revision
+    #: Versions to try in their order.
+    versions: tuple[VersionId, ...]
+    #: The rule per excluded version.
+    excluded: dict[VersionId, Exclusion]
+
+
+def route_decided(request: Request, decision: Decision) -> RouteDecided:
+    """Return the event for ``decision`` on ``request``."""
+    return RouteDecided(
+        request=request.id,
+        organisation=request.organisation,
+        request_class=request.request_class,
+        revision=decision.revision,
+        versions=decision.versions,
+        excluded={
+            candidate.version: candidate.exclusion
+            for candidate in decision.candidates
+            if candidate.exclusion is not Exclusion.NONE
+        },
+    )
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AttemptFinished(Event):
+    """One dispatch of a request to an endpoint has ended."""
+
+    message_type: ClassVar[str] = "route:attempt"
+    request: RequestId
+    #: 1 for the first attempt.
+    attempt: int
+    endpoint: EndpointId
+    #: Empty for a plain service.
+    version: VersionId = VersionId("")
+    verdict: Verdict
+    #: ``answered`` or the cause of the failure.
+    outcome: str
+    duration_ms: Milliseconds
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AnswerFinished(Event):
+    """A caller has its whole answer."""
+
+    message_type: ClassVar[str] = "route:answered"
+    request: RequestId
+    organisation: OrganisationId
+    endpoint: EndpointId
+    version: VersionId = VersionId("")
+    tokens: int
+    cost_microunits: int
+    first_token_ms: Milliseconds
+    duration_ms: Milliseconds
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RequestRefused(Event):
+    """A request ended without a whole answer."""
+
+    message_type: ClassVar[str] = "route:refused"
+    #: Empty if the request was refused before its id was known.
+    request: RequestId = RequestId("")
+    #: Empty if the caller was not authenticated.
+    organisation: OrganisationId = OrganisationId("")
+    reason: RefusalReason
+    verdict: Verdict
+    #: Safe to log: messages of refusals never hold request content.
+    message: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlacementDecided(Event):
+    """An order to an engine, and what came of it."""
+
+    message_type: ClassVar[str] = "placement:decided"
+    endpoint: EndpointId
+    order: OrderKind
+    version: VersionId
+    fencing: FencingNumber
+    #: ``confirmed``, ``fenced``, ``refused``, ``unknown`` or ``not-sent``.
+    outcome: str
+    #: The rule that asked for the order.
+    reason: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigurationApplied(Event):
+    """A configuration came into force in this entry."""
+
+    message_type: ClassVar[str] = "configuration:applied"
+    revision: Revision
+    #: ``store`` or ``peer``.
+    source: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChangeSubmitted(Event):
+    """An operator submitted a change of the configuration."""
+
+    message_type: ClassVar[str] = "configuration:submitted"
+    change: ChangeId
+    base: Revision
+    #: ``accepted``, ``conflict`` or ``unknown``.
+    outcome: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InstanceStateChanged(Event):
+    """This entry started, became ready, became isolated or is stopping."""
+
+    message_type: ClassVar[str] = "instance:state"
+    instance: InstanceId
+    state: str
+    reason: str = ""
--- /dev/null
+++ b/fuchsiaroute/logs/_write.py
@@ -0,0 +1,15 @@
+"""Writing of events."""
+
+import dataclasses
+
+import eliot
+
+from fuchsiaroute.logs._events import Event
+
+
+def record(event: Event) -> None:
+    """Write one log line for ``event``; enumerations are written by value."""
+    fields = {
+        field.name: getattr(event, field.name) for field in dataclasses.fields(event)
+    }
+    eliot.log_message(event.message_type, **fields)
--- /dev/null
+++ b/fuchsiaroute/logs/tests/test_logs.py
@@ -0,0 +1,155 @@
+import dataclasses
+import io
+import json
+import logging
+
+import pytest
+from eliot import prettyprint
+
+from fuchsiaroute.clock import Milliseconds
+from fuchsiaroute.ids import (
+    ChangeId,
+    EndpointId,
+    FencingNumber,
+    InstanceId,
+    ModelId,
+    OrganisationId,
+    ProductId,
+    RequestClass,
+    RequestId,
+    Revision,
+    VersionId,
+)
+from fuchsiaroute.logs import (
+    AnswerFinished,
+    AttemptFinished,
+    ChangeSubmitted,
+    ConfigurationApplied,
+    InstanceStateChanged,
+    PlacementDecided,
+    RequestRefused,
+    open_log,
+    record,
+    route_decided,
+)
+from fuchsiaroute.platform import OrderKind
+from fuchsiaroute.request import Candidate, Decision, Exclusion, Request
+from fuchsiaroute.settings import StandardError
+from fuchsiaroute.verdict import RefusalReason, Verdict
+
+REQUEST = Request(
+    id=RequestId("r-1"),
+    organisation=OrganisationId("county-01"),
+    product=ProductId("permit-desk"),
+    request_class=RequestClass("stand-lookup"),
+    pin="secret-pin",
+    deadline=Milliseconds(1),
+)
+DECISION = Decision(
+    revision=Revision(7),
+    versions=(VersionId("sapling-1"),),
+    candidates=(
+        Candidate(
+            version=VersionId("sapling-1"),
+            model=ModelId("sapling"),
+            exclusion=Exclusion.NONE,
+            cost=1,
+            quality=0.9,
+        ),
+        Candidate(
+            version=VersionId("timber-4"),
+            model=ModelId("timber"),
+            exclusion=Exclusion.NOT_PERMITTED,
+            cost=2,
+            quality=0.9,
+        ),
+    ),
+)
+ENDPOINT = EndpointId("e-1")
+EVENTS = [
+    route_decided(REQUEST, DECISION),
+    AttemptFinished(
+        request=REQUEST.id,
+        attempt=1,
+        endpoint=ENDPOINT,
+        verdict=Verdict.RUN,
+        outcome="answered",
+        duration_ms=Milliseconds(3),
+    ),
+    AnswerFinished(
+        request=REQUEST.id,
+        organisation=REQUEST.organisation,
+        endpoint=ENDPOINT,
+        tokens=3,
+        cost_microunits=4,
+        first_token_ms=Milliseconds(1),
+        duration_ms=Milliseconds(2),
+    ),
+    RequestRefused(
+        reason=RefusalReason.TOO_LARGE, verdict=Verdict.NOT_RUN, message="too large"
+    ),
+    PlacementDecided(
+        endpoint=ENDPOINT,
+        order=OrderKind.LOAD_VERSION,
+        version=VersionId("sapling-1"),
+        fencing=FencingNumber(3),
+        outcome="confirmed",
+        reason="rollout",
+    ),
+    ConfigurationApplied(revision=Revision(7), source="peer"),
+    ChangeSubmitted(change=ChangeId("c"), base=Revision(6), outcome="accepted"),
+    InstanceStateChanged(instance=InstanceId("entry-1"), state="ready"),
+]
+
+
+def written(tmp_path, event):
+    path = tmp_path / "log"
+    with open_log(path):
+        record(event)
+    (line,) = path.read_text().splitlines()
+    return line
+
+
+@pytest.mark.parametrize("event", EVENTS, ids=lambda event: event.message_type)
+def test_event_is_one_line_that_eliot_reads(tmp_path, event):
+    line = written(tmp_path, event)
+    decoded = json.loads(line)
+    assert decoded["message_type"] == event.message_type
+    names = {field.name for field in dataclasses.fields(event)}
+    assert names <= decoded.keys()
+    assert event.message_type in prettyprint.pretty_format(decoded)
+
+
+def test_route_line_names_each_excluded_version_and_its_rule(tmp_path):
+    decoded = json.loads(written(tmp_path, EVENTS[0]))
+    assert decoded["versions"] == ["sapling-1"]
+    assert decoded["excluded"] == {"timber-4": "not-permitted"}
+    assert "secret-pin" not in json.dumps(decoded)
+
+
+def test_closed_log_gets_no_more_lines(tmp_path):
+    path = tmp_path / "log"
+    with open_log(path):
+        record(EVENTS[0])
+    record(EVENTS[1])
+    assert len(path.read_text().splitlines()) == 1
+
+
+def test_standard_error_is_a_target(monkeypatch):
+    stream = io.StringIO()
+    monkeypatch.setattr("sys.stderr", stream)
+    with open_log(StandardError.TOKEN):
+        record(EVENTS[0])
+    assert json.loads(stream.getvalue())["message_type"] == "route:decided"
+
+
+@pytest.mark.parametrize("name", ["httpx", "httpcore", "uvicorn.access"])
+def test_libraries_write_no_line_per_request(tmp_path, name):
+    with open_log(tmp_path / "log"):
+        assert not logging.getLogger(name).isEnabledFor(logging.INFO)
+
+
+def test_warning_of_a_library_is_logged(tmp_path):
+    with open_log(tmp_path / "log"):
+        logging.getLogger("uvicorn.error").warning("connection lost")
+    assert "connection lost" in (tmp_path / "log").read_text()
--- /dev/null
+++ b/fuchsiaroute/metrics/_metrics.py
@@ -0,0 +1,180 @@
+"""The metrics of one entry; names carry their units."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
+
+from fuchsiaroute.clock import Milliseconds
+from fuchsiaroute.ids import FailureDomainId, ProductId, Revision, VersionId
+from fuchsiaroute.platform import OrderKind
+from fuchsiaroute.verdict import RefusalReason, Verdict
+
+MILLISECONDS_PER_SECOND = 1_000
+#: Bounds in seconds; 0.39 s is the target for the 95th percentile.
+FIRST_TOKEN_BUCKETS = (0.05, 0.1, 0.2, 0.3, 0.39, 0.5, 0.75, 1.0, 2.0, 5.0, 10.0)
+#: Bounds in seconds; 0.051 s is the target between tokens.
+BETWEEN_TOKENS_BUCKETS = (0.01, 0.025, 0.04, 0.051, 0.075, 0.1, 0.25, 0.5, 1.0, 5.0)
+#: Bounds in seconds.
+ANSWER_BUCKETS = (0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 120.0)
+
+
+class Metrics:
+    """Counters, gauges and histograms of one entry, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._requests = self._counter(
+            "requests", "Requests that ended, by outcome.", ("product", "outcome")
+        )
+        self._refusals = self._counter(
+            "refusals", "Refusals by reason and verdict.", ("reason", "verdict")
+        )
+        self._attempts = self._counter(
+            "attempts",
+            "Dispatches to endpoints by outcome.",
+            ("failure_domain", "outcome"),
+        )
+        self._answers = self._counter(
+            "answers", "Whole answers by version.", ("version",)
+        )
+        self._tokens = self._counter(
+            "answer_tokens", "Tokens of whole answers.", ("product",)
+        )
+        self._cost = self._counter(
+            "cost_microunits",
+            "Cost of answers in micro-units of the currency.",
+            ("product",),
+        )
+        self._orders = self._counter(
+            "placement_orders", "Orders to engines by outcome.", ("order", "outcome")
+        )
+        self._store_calls = self._counter(
+            "store_calls",
+            "Calls of the platform's stores by outcome.",
+            ("operation", "outcome"),
+        )
+        self._first_token = self._histogram(
+            "first_token_seconds",
+            "Time from a request's arrival to the first byte of its answer.",
+            FIRST_TOKEN_BUCKETS,
+        )
+        self._between_tokens = self._histogram(
+            "between_tokens_seconds",
+            "Time between parts of an answer, over a sample of the streams.",
+            BETWEEN_TOKENS_BUCKETS,
+        )
+        self._longest_gap = self._histogram(
+            "longest_gap_seconds",
+            "Longest time between two parts of an answer, over all streams.",
+            BETWEEN_TOKENS_BUCKETS,
+        )
+        self._answer = self._histogram(
+            "answer_seconds",
+            "Time from a request's arrival to the end of its answer.",
+            ANSWER_BUCKETS,
+        )
+        self._in_flight = self._gauge(
+            "requests_in_flight", "Requests accepted and not yet ended."
+        )
+        self._revision = self._gauge(
+            "configuration_revision", "Revision of the configuration in force."
+        )
+        self._age = self._gauge(
+            "configuration_age_seconds",
+            "Time since the configuration was last confirmed by the store or a peer.",
+        )
+        self._pending = self._gauge(
+            "ledger_pending_records", "Ledger records not yet written to the store."
+        )
+        self._ready = self._gauge("is_ready", "1 if the entry takes new requests.")
+
+    def request_started(self) -> None:
+        """Count a request that was accepted."""
+        self._in_flight.inc()
+
+    def request_ended(self) -> None:
+        """Count the end of a request that was accepted, whatever its outcome."""
+        self._in_flight.dec()
+
+    def answered(
+        self,
+        product: ProductId,
+        *,
+        version: VersionId,
+        tokens: int,
+        cost_microunits: int,
+        duration: Milliseconds,
+    ) -> None:
+        """Count a whole answer."""
+        self._requests.labels(product, "answered").inc()
+        self._answers.labels(version).inc()
+        self._tokens.labels(product).inc(tokens)
+        self._cost.labels(product).inc(cost_microunits)
+        self._answer.labels(product).observe(duration / MILLISECONDS_PER_SECOND)
+
+    def refused(
+        self, product: ProductId, *, reason: RefusalReason, verdict: Verdict
+    ) -> None:
+        """Count a request without a whole answer; ``product`` may be empty."""
+        self._requests.labels(product, "refused").inc()
+        self._refusals.labels(reason.value, verdict.value).inc()
+
+    def attempted(self, failure_domain: FailureDomainId, *, outcome: str) -> None:
+        """Count a dispatch to an endpoint in ``failure_domain``."""
+        self._attempts.labels(failure_domain, outcome).inc()
+
+    def ordered(self, order: OrderKind, *, outcome: str) -> None:
+        """Count an order to an engine."""
+        self._orders.labels(order.value, outcome).inc()
+
+    def store_called(self, operation: str, *, outcome: str) -> None:
+        """Count a call of a platform store."""
+        self._store_calls.labels(operation, outcome).inc()
+
+    def first_token(self, product: ProductId, delay: Milliseconds) -> None:
+        """Observe the time to the first part of an answer."""
+        self._first_token.labels(product).observe(delay / MILLISECONDS_PER_SECOND)
+
+    def between_tokens(self, product: ProductId, gap: Milliseconds) -> None:
+        """Observe the time between two parts of an answer."""
+        self._between_tokens.labels(product).observe(gap / MILLISECONDS_PER_SECOND)
+
+    def longest_gap(self, product: ProductId, gap: Milliseconds) -> None:
+        """Observe the longest time between two parts of one answer."""
+        self._longest_gap.labels(product).observe(gap / MILLISECONDS_PER_SECOND)
+
+    def configuration(self, revision: Revision, *, age: Milliseconds) -> None:
+        """Set the revision in force and the time since it was confirmed."""
+        self._revision.set(revision)
+        self._age.set(age / MILLISECONDS_PER_SECOND)
+
+    def ledger_pending(self, records: int) -> None:
+        """Set the number of ledger records that wait to be written."""
+        self._pending.set(records)
+
+    def ready(self, is_ready: bool) -> None:
+        """Set whether the entry takes new requests."""
+        self._ready.set(int(is_ready))
+
+    @property
+    def content_type(self) -> str:
+        """Return the media type of ``render``."""
+        return CONTENT_TYPE_LATEST
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return generate_latest(self._registry)
+
+    def _counter(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
+        return Counter(f"fuchsiaroute_{name}", text, labels, registry=self._registry)
+
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(f"fuchsiaroute_{name}", text, registry=self._registry)
+
+    def _histogram(self, name: str, text: str, buckets: tuple[float, ...]) -> Histogram:
+        return Histogram(
+            f"fuchsiaroute_{name}",
+            text,
+            ("product",),
+            buckets=buckets,
+            registry=self._registry,
+        )
--- /dev/null
+++ b/fuchsiaroute/metrics/tests/test_metrics.py
@@ -0,0 +1,112 @@
+import pytest
+from prometheus_client.parser import text_string_to_metric_families
+
+from fuchsiaroute.clock import ManualClock, Milliseconds
+from fuchsiaroute.ids import FailureDomainId, ProductId, Revision, VersionId
+from fuchsiaroute.metrics import Metrics, StreamTimer
+from fuchsiaroute.platform import OrderKind
+from fuchsiaroute.verdict import RefusalReason, Verdict
+
+PRODUCT = ProductId("permit-desk")
+
+
+def samples(metrics):
+    families = text_string_to_metric_families(metrics.render().decode())
+    return {
+        (sample.name, *sorted(sample.labels.items())): sample.value
+        for family in families
+        for sample in family.samples
+    }
+
+
+@pytest.mark.parametrize(
+    ("call", "name", "labels", "value"),
+    [
+        (
+            lambda m: m.answered(
+                PRODUCT,
+                version=VersionId("v"),
+                tokens=3,
+                cost_microunits=40,
+                duration=Milliseconds(200),
+            ),
+            "cost_microunits_total",
+            {"product": PRODUCT},
+            40,
+        ),
+        (
+            lambda m: m.refused(
+                PRODUCT, reason=RefusalReason.DEADLINE, verdict=Verdict.NOT_RUN
+            ),
+            "refusals_total",
+            {"reason": "deadline", "verdict": "not-run"},
+            1,
+        ),
+        (
+            lambda m: m.attempted(FailureDomainId("lakes-a"), outcome="answered"),
+            "attempts_total",
+            {"failure_domain": "lakes-a", "outcome": "answered"},
+            1,
+        ),
+        (
+            lambda m: m.ordered(OrderKind.LOAD_VERSION, outcome="confirmed"),
+            "placement_orders_total",
+            {"order": "load-version", "outcome": "confirmed"},
+            1,
+        ),
+        (
+            lambda m: m.store_called("read", outcome="answered"),
+            "store_calls_total",
+            {"operation": "read", "outcome": "answered"},
+            1,
+        ),
+        (
+            lambda m: m.first_token(PRODUCT, Milliseconds(390)),
+            "first_token_seconds_bucket",
+            {"product": PRODUCT, "le": "0.39"},
+            1,
+        ),
+        (
+            lambda m: m.between_tokens(PRODUCT, Milliseconds(52)),
+            "between_tokens_seconds_bucket",
+            {"product": PRODUCT, "le": "0.051"},
+            0,
+        ),
+        (
+            lambda m: m.configuration(Revision(9), age=Milliseconds(1_500)),
+            "configuration_age_seconds",
+            {},
+            1.5,
+        ),
+        (lambda m: m.ledger_pending(4), "ledger_pending_records", {}, 4),
+        (lambda m: m.ready(True), "is_ready", {}, 1),
+        (lambda m: m.request_started(), "requests_in_flight", {}, 1),
+    ],
+)
+def test_call_shows_in_the_text(call, name, labels, value):
+    metrics = Metrics()
+    call(metrics)
+    key = (f"fuchsiaroute_{name}", *sorted(labels.items()))
+    assert samples(metrics)[key] == value
+
+
+@pytest.mark.parametrize(("sequence", "gaps"), [(0, 2), (1, 0), (8, 2)])
+def test_every_gap_of_a_sampled_stream_is_observed(sequence, gaps):
+    metrics, clock = Metrics(), ManualClock()
+    timer = StreamTimer(metrics, clock, PRODUCT, arrived=clock.now(), sequence=sequence)
+    for delay in (300, 20, 600):
+        clock.tick(Milliseconds(delay))
+        timer.part()
+    timer.finish()
+    values = samples(metrics)
+    label = ("product", PRODUCT)
+    count = "fuchsiaroute_between_tokens_seconds_count"
+    assert values.get((count, label), 0) == gaps
+    assert values["fuchsiaroute_first_token_seconds_sum", label] == 0.3
+    assert values["fuchsiaroute_longest_gap_seconds_sum", label] == 0.6
+
+
+def test_stream_without_a_part_is_not_observed():
+    metrics, clock = Metrics(), ManualClock()
+    StreamTimer(metrics, clock, PRODUCT, arrived=clock.now(), sequence=0).finish()
+    assert not [key for key in samples(metrics) if "longest_gap" in key[0]]
