Serve a request from caller to ledger, thin

Cause: nothing joined the shared types into a path. Change: gateway, pipeline of steps, dispatch, stand-in endpoint, demo of both deployments with six entries each on one loop. Conclusion: each step stands behind a protocol class and can be replaced alone.

--- /dev/null
+++ b/fuchsiaroute/cli/_demo.py
@@ -0,0 +1,26 @@
+"""The demonstration command."""
+
+import asyncio
+
+from examples import hanbit, timberline
+from fuchsiaroute.clock import SystemClock
+from fuchsiaroute.demo import format_report, run_deployment
+
+SEED = 1
+
+
+def run_demo() -> bool:
+    """Run both deployments; return whether every answer was billed once."""
+    is_whole = True
+    for example in (timberline, hanbit):
+        report = asyncio.run(
+            run_deployment(
+                example.declare(),
+                key_of=example.example_key,
+                clock=SystemClock(),
+                seed=SEED,
+            )
+        )
+        print(format_report(report))
+        is_whole = is_whole and report.ledger_records == report.answered
+    return is_whole
--- /dev/null
+++ b/fuchsiaroute/demo/_deployment.py
@@ -0,0 +1,126 @@
+"""A deployment on stand-ins: endpoints, platform and entries in this process."""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass, field, replace
+
+from fuchsiaroute.clock import Clock
+from fuchsiaroute.configuration import Configuration
+from fuchsiaroute.declaration import encode
+from fuchsiaroute.entry import CONFIGURATION_KEY
+from fuchsiaroute.gateway import AdvisedEntry
+from fuchsiaroute.ids import InstanceId
+from fuchsiaroute.platform import (
+    ABSENT,
+    Check,
+    MemoryInstanceList,
+    MemoryTableStore,
+    Put,
+    Transaction,
+)
+from fuchsiaroute.serving import (
+    ComposedEntry,
+    EntryOptions,
+    HttpServer,
+    compose_entry,
+)
+from fuchsiaroute.standin import StandInEndpoint
+
+HOST = "127.0.0.1"
+ANY_PORT = 0
+ENTRY_COUNT = 6
+
+
+@dataclass(kw_only=True)
+class RunningDeployment:
+    """A deployment whose entries serve."""
+
+    configuration: Configuration
+    store: MemoryTableStore
+    entries: list[ComposedEntry] = field(default_factory=list)
+    servers: list[HttpServer] = field(default_factory=list)
+    #: Base URLs of the entries.
+    urls: list[str] = field(default_factory=list)
+    polls: list[asyncio.Task[None]] = field(default_factory=list)
+
+    async def stop(self) -> None:
+        """Stop the entries, then the stand-ins."""
+        for poll in self.polls:
+            poll.cancel()
+        await asyncio.gather(*self.polls, return_exceptions=True)
+        await asyncio.gather(*(server.stop() for server in self.servers))
+        for entry in self.entries:
+            await entry.client.aclose()
+
+
+async def start_deployment(
+    declared: Configuration, *, clock: Clock
+) -> RunningDeployment:
+    """Start stand-ins and entries for ``declared`` on free ports."""
+    endpoint_servers = await _start_endpoints(declared, clock=clock)
+    endpoints = tuple(
+        replace(endpoint, url=server.url)
+        for endpoint, server in zip(declared.endpoints, endpoint_servers, strict=True)
+    )
+    deployment = RunningDeployment(
+        configuration=replace(declared, endpoints=endpoints),
+        store=MemoryTableStore(),
+        servers=endpoint_servers,
+    )
+    await _apply(deployment)
+    await _start_entries(deployment, clock=clock)
+    return deployment
+
+
+async def _start_endpoints(
+    declared: Configuration, *, clock: Clock
+) -> list[HttpServer]:
+    servers = []
+    for seed, _ in enumerate(declared.endpoints):
+        app = StandInEndpoint(clock=clock, seed=seed).build_app()
+        server = HttpServer(app=app, host=HOST, port=ANY_PORT)
+        await server.start()
+        servers.append(server)
+    return servers
+
+
+async def _apply(deployment: RunningDeployment) -> None:
+    """Store the configuration as the operators' ``apply`` does."""
+    transaction = Transaction(
+        checks=(Check(key=CONFIGURATION_KEY, version=ABSENT),),
+        puts=(Put(key=CONFIGURATION_KEY, value=encode(deployment.configuration)),),
+    )
+    await deployment.store.commit(transaction)
+
+
+async def _start_entries(deployment: RunningDeployment, *, clock: Clock) -> None:
+    domains = deployment.configuration.failure_domains
+    for number in range(ENTRY_COUNT):
+        options = EntryOptions(
+            instance=InstanceId(f"entry-{number}"),
+            failure_domain=domains[number % len(domains)].id,
+            seed=number,
+        )
+        entry = compose_entry(
+            options=options,
+            store=deployment.store,
+            instances=MemoryInstanceList(),
+            clock=clock,
+        )
+        await entry.poll.poll()
+        deployment.polls.append(asyncio.create_task(entry.poll.run()))
+        server = HttpServer(app=entry.app, host=HOST, port=ANY_PORT)
+        await server.start()
+        deployment.entries.append(entry)
+        deployment.servers.append(server)
+        deployment.urls.append(server.url)
+    _advise(deployment.entries, deployment.urls)
+
+
+def _advise(entries: Sequence[ComposedEntry], urls: Sequence[str]) -> None:
+    advised = tuple(
+        AdvisedEntry(url=url, failure_domain=entry.options.failure_domain)
+        for entry, url in zip(entries, urls, strict=True)
+    )
+    for entry in entries:
+        entry.advice.entries = advised
--- /dev/null
+++ b/fuchsiaroute/entry/_current.py
@@ -0,0 +1,59 @@
+"""The configuration that an entry enforces at this moment."""
+
+from collections.abc import Callable
+
+from fuchsiaroute.configuration import Configuration
+from fuchsiaroute.ids import Revision
+
+#: Revision of an entry that has not yet learned any configuration.
+NO_REVISION = Revision(0)
+_EMPTY = Configuration(
+    deployment="",
+    failure_domains=(),
+    products=(),
+    organisations=(),
+    models=(),
+    endpoints=(),
+)
+
+Listener = Callable[[Revision, Configuration], None]
+
+
+class CurrentConfiguration:
+    """Holds the highest revision seen and tells listeners of each change."""
+
+    def __init__(self) -> None:
+        self._revision = NO_REVISION
+        self._configuration = _EMPTY
+        self._listeners: list[Listener] = []
+
+    @property
+    def revision(self) -> Revision:
+        """Return the revision in force; ``NO_REVISION`` before the first one."""
+        return self._revision
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration in force; empty before the first one."""
+        return self._configuration
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether any configuration is in force."""
+        return self._revision > NO_REVISION
+
+    def subscribe(self, listener: Listener) -> None:
+        """Call ``listener`` for the present and each later configuration."""
+        self._listeners.append(listener)
+        if self.is_ready:
+            listener(self._revision, self._configuration)
+
+    def apply(self, revision: Revision, configuration: Configuration) -> bool:
+        """Put ``configuration`` in force if ``revision`` is higher; say if it was."""
+        if revision <= self._revision:
+            return False
+        self._revision = revision
+        self._configuration = configuration
+        for listener in self._listeners:
+            listener(revision, configuration)
+        return True
--- /dev/null
+++ b/fuchsiaroute/entry/tests/test_pipeline.py
@@ -0,0 +1,151 @@
+from dataclasses import dataclass, field
+
+import pytest
+from returns.result import Failure, Success
+
+from fuchsiaroute.dispatch import BrokenAnswerError
+from fuchsiaroute.entry import Attempt, Call, ModelTarget, Pipeline, Routed, Steps
+from fuchsiaroute.request import Decision, Request
+from fuchsiaroute.verdict import Refusal, RefusalReason, Verdict
+
+END = b"data: [DONE]\n\n"
+NOT_RUN, MAY, RUN = Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RUN
+
+
+def refusal(verdict):
+    return Refusal(
+        reason=RefusalReason.ENDPOINT_FAILED, verdict=verdict, message="failed"
+    )
+
+
+async def stream(chunks, *, is_cut=False):
+    for chunk in chunks:
+        yield chunk
+    if is_cut:
+        raise BrokenAnswerError("cut")
+
+
+def attempt(chunks, *, is_cut=False):
+    return Success(
+        Attempt(
+            endpoint="endpoint",
+            status=200,
+            content_type="text/event-stream",
+            chunks=stream(chunks, is_cut=is_cut),
+        )
+    )
+
+
+@dataclass
+class FakeSteps:
+    """Every step in one object, which writes down what it was asked."""
+
+    versions: tuple = ("small", "large")
+    attempts: list = field(default_factory=list)
+    weak: frozenset = frozenset()
+    events: list = field(default_factory=list)
+    bills: list = field(default_factory=list)
+
+    async def admit(self, request):
+        self.events.append("admit")
+        return Success(None)
+
+    def release(self, request):
+        self.events.append("release")
+
+    async def claim(self, request):
+        self.events.append("claim")
+        return Success(None)
+
+    def check_dispatch(self, request, version=None):
+        return Success(None)
+
+    async def record(self, request, verdict):
+        self.events.append(verdict)
+
+    async def confirm_refusal(self, request, refusal):
+        return refusal
+
+    async def decide(self, call):
+        decision = Decision(revision=1, versions=self.versions, candidates=())
+        return Success(Routed(decision=decision))
+
+    def should_escalate(self, request, version, answer):
+        return answer in self.weak
+
+    def cost(self, version, answer_bytes):
+        return {"small": 1, "large": 10}[version]
+
+    async def attempt(self, call, version):
+        self.events.append(version)
+        return self.attempts.pop(0)
+
+    async def bill(self, bill):
+        self.events.append("bill")
+        self.bills.append(bill)
+
+
+def pipeline(fake):
+    return Pipeline(
+        steps=Steps(admit=fake, claim=fake, route=fake, attempt=fake, bill=fake)
+    )
+
+
+def call(*, is_idempotent=True):
+    request = Request(
+        id="request",
+        organisation="organisation",
+        product="product",
+        request_class="class",
+        deadline=10_000,
+        is_idempotent=is_idempotent,
+    )
+    return Call(request=request, target=ModelTarget(), body=b"{}")
+
+
+async def test_a_bill_is_written_before_the_caller_has_the_last_event():
+    fake = FakeSteps(versions=("small",), attempts=[attempt([b"a", END])])
+    answer = (await pipeline(fake).handle(call())).unwrap()
+    seen = [list(fake.events) async for _ in answer.chunks]
+    assert "bill" not in seen[0]
+    assert "bill" in seen[1]
+    assert fake.events.count("release") == 1
+    assert fake.events[-1] is RUN
+
+
+async def test_an_escalated_request_has_one_bill_with_the_cost_of_both_calls():
+    fake = FakeSteps(
+        attempts=[attempt([b"weak"]), attempt([b"good", END])],
+        weak=frozenset([b"weak"]),
+    )
+    answer = (await pipeline(fake).handle(call())).unwrap()
+    assert [chunk async for chunk in answer.chunks] == [b"good", END]
+    assert [bill.cost for bill in fake.bills] == [11]
+
+
+async def test_a_cut_answer_reaches_the_caller_as_an_error_and_is_not_billed():
+    fake = FakeSteps(versions=("small",), attempts=[attempt([b"a"], is_cut=True)])
+    answer = (await pipeline(fake).handle(call())).unwrap()
+    with pytest.raises(BrokenAnswerError):
+        [chunk async for chunk in answer.chunks]
+    assert fake.bills == []
+    assert fake.events[-2:] == ["release", MAY]
+
+
+@pytest.mark.parametrize(
+    ("is_idempotent", "verdicts", "tried", "expected"),
+    [
+        (True, (NOT_RUN, NOT_RUN), ["small", "large"], NOT_RUN),
+        (True, (MAY, NOT_RUN), ["small", "large"], MAY),
+        (False, (NOT_RUN, MAY), ["small", "large"], MAY),
+        (False, (MAY,), ["small"], MAY),
+    ],
+)
+async def test_a_refusal_carries_the_verdict_over_all_attempts(
+    is_idempotent, verdicts, tried, expected
+):
+    fake = FakeSteps(attempts=[Failure(refusal(verdict)) for verdict in verdicts])
+    result = await pipeline(fake).handle(call(is_idempotent=is_idempotent))
+    assert result.failure().verdict is expected
+    assert [event for event in fake.events if event in ("small", "large")] == tried
+    assert fake.events.count("release") == 1
--- /dev/null
+++ b/fuchsiaroute/gateway/_authentication.py
@@ -0,0 +1,31 @@
+"""Organisations are known by the keys that their callers send."""
+
+import hashlib
+
+from fuchsiaroute.configuration import Configuration, Organisation
+from fuchsiaroute.ids import Revision
+
+DIGEST_BYTES = 32
+
+
+def key_digest(key: str) -> str:
+    """Return the BLAKE2b-256 digest of an API key, in hexadecimal."""
+    return hashlib.blake2b(key.encode(), digest_size=DIGEST_BYTES).hexdigest()
+
+
+class KeyIndex:
+    """Organisations by the digests of their keys."""
+
+    def __init__(self) -> None:
+        self._organisations: dict[str, Organisation] = {}
+
+    def update(self, revision: Revision, configuration: Configuration) -> None:
+        """Take the organisations of the configuration that came into force."""
+        self._organisations = {
+            organisation.key_digest: organisation
+            for organisation in configuration.organisations
+        }
+
+    def find(self, key: str) -> Organisation | None:
+        """Return the organisation whose key this is, or None."""
+        return self._organisations.get(key_digest(key))
--- /dev/null
+++ b/fuchsiaroute/gateway/_render.py
@@ -0,0 +1,98 @@
+"""Answers and refusals become HTTP responses."""
+
+from collections.abc import AsyncIterator
+
+import msgspec
+from litestar import Response
+from litestar.response import Stream
+
+from fuchsiaroute.entry import Answer, NoVersion
+from fuchsiaroute.gateway._parse import PIN_HEADER, REQUEST_ID_HEADER
+from fuchsiaroute.ids import RequestId
+from fuchsiaroute.verdict import Refusal, RefusalReason
+
+VERSION_HEADER = "x-model-version"
+MILLISECONDS_PER_SECOND = 1_000
+
+_STATUS = {
+    RefusalReason.INVALID_REQUEST: 400,
+    RefusalReason.TOO_LARGE: 413,
+    RefusalReason.UNAUTHENTICATED: 401,
+    RefusalReason.NOT_PERMITTED: 403,
+    RefusalReason.VERSION_WITHDRAWN: 410,
+    RefusalReason.INVALID_PIN: 400,
+    RefusalReason.COST_LIMIT: 402,
+    RefusalReason.OVERLOADED: 429,
+    RefusalReason.NO_ENDPOINT: 503,
+    RefusalReason.DEADLINE: 504,
+    RefusalReason.DUPLICATE: 409,
+    RefusalReason.NOT_READY: 503,
+    RefusalReason.STORE_UNAVAILABLE: 503,
+    RefusalReason.ENDPOINT_FAILED: 502,
+}
+
+
+class _ErrorBody(msgspec.Struct):
+    reason: str
+    verdict: str
+    message: str
+    retry_after_ms: int
+
+
+class _Error(msgspec.Struct):
+    error: _ErrorBody
+
+
+def render_refusal(refusal: Refusal) -> Response[bytes]:
+    """Return the typed error of ``refusal``."""
+    error = _Error(
+        error=_ErrorBody(
+            reason=refusal.reason.value,
+            verdict=refusal.verdict.value,
+            message=refusal.message,
+            retry_after_ms=refusal.retry_after,
+        )
+    )
+    headers = {}
+    if refusal.retry_after:
+        # Retry-After counts whole seconds; rounding up keeps the advice true.
+        seconds = -(-refusal.retry_after // MILLISECONDS_PER_SECOND)
+        headers["retry-after"] = str(seconds)
+    return Response(
+        content=msgspec.json.encode(error),
+        status_code=_STATUS[refusal.reason],
+        media_type="application/json",
+        headers=headers,
+    )
+
+
+async def render_answer(answer: Answer, request: RequestId) -> Stream:
+    """Return the response that relays ``answer`` as it arrives."""
+    headers: dict[str, str] = {REQUEST_ID_HEADER: request}
+    if not isinstance(answer.version, NoVersion):
+        headers[VERSION_HEADER] = answer.version
+    if answer.pin:
+        headers[PIN_HEADER] = answer.pin
+    return Stream(
+        await _started(answer.chunks),
+        status_code=answer.status,
+        media_type=answer.content_type,
+        headers=headers,
+    )
+
+
+async def _started(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    """
+    Return ``chunks`` with its first item already taken.
+
+    An asynchronous generator that never started skips its ``finally`` block when
+    the caller goes away; a started one is closed by the event loop.
+    """
+    first = await anext(chunks, b"")
+
+    async def relay() -> AsyncIterator[bytes]:
+        yield first
+        async for chunk in chunks:
+            yield chunk
+
+    return relay()
--- a/fuchsiaroute/request/_request.py
+++ b/fuchsiaroute/request/_request.py
@@ -59,3 +59,5 @@
     prefix_hash: int = 0
     #: Tokens that the answer is expected to have.
     expected_tokens: int = 256
+    #: Whether the caller reads the answer as a stream while it is generated.
+    is_streamed: bool = False
--- /dev/null
+++ b/fuchsiaroute/serving/_server.py
@@ -0,0 +1,68 @@
+"""An HTTP server inside a running event loop."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any
+
+import uvicorn
+
+AsgiApp = Callable[[Any, Any, Any], Awaitable[None]]
+
+LISTEN_BACKLOG = 512
+
+
+class _EmbeddedServer(uvicorn.Server):
+    """Server that leaves signals to its process and says when it has started."""
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        #: Set once connections are accepted.
+        self.accepting = asyncio.Event()
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Capture none."""
+        yield
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Start to accept connections."""
+        await super().startup(sockets=sockets)
+        self.accepting.set()
+
+
+class HttpServer:
+    """Serves an ASGI application on one address; port 0 takes a free one."""
+
+    def __init__(self, *, app: AsgiApp, host: str, port: int) -> None:
+        self._socket = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
+        config = uvicorn.Config(
+            app, log_config=None, access_log=False, lifespan="off", http="h11"
+        )
+        self._server = _EmbeddedServer(config)
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def port(self) -> int:
+        """Return the port that the server listens on."""
+        port: int = self._socket.getsockname()[1]
+        return port
+
+    @property
+    def url(self) -> str:
+        """Return the base URL of the server."""
+        host = self._socket.getsockname()[0]
+        return f"http://{host}:{self.port}"
+
+    async def start(self) -> None:
+        """Start to serve; return once connections are accepted."""
+        serving = self._server.serve(sockets=[self._socket])
+        self._task = asyncio.create_task(serving)
+        await self._server.accepting.wait()
+
+    async def stop(self) -> None:
+        """Accept no more connections, finish the open requests, then return."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
