Meet the platform over HTTP, and stand in for it

Cause: entries run as separate processes, so the in-memory fakes can't be shared; each platform service needs an HTTP adapter and a stand-in.

Change: HTTP adapters (httpx) for table, objects, instances, ratings and engine orders, whose errors say whether a write may have taken effect; a litestar stand-in over the in-memory services; fault switches for down, slow, lost answers, writes that land late and a stale list.

Conclusion: only a call that certainly left nothing behind is REFUSED; a late write is a fault of its own, since reading back too early misses it.

--- a/fuchsiaroute/platform/__init__.py
+++ b/fuchsiaroute/platform/__init__.py
@@ -1,13 +1,23 @@
 """The platform's services, each behind a small protocol class."""
 
 from fuchsiaroute.platform._engine import EngineOrders, Order, OrderError, OrderKind
+from fuchsiaroute.platform._http import new_http_client
+from fuchsiaroute.platform._http_services import (
+    HttpEngineOrders,
+    HttpInstanceList,
+    HttpRatingService,
+)
+from fuchsiaroute.platform._http_stores import HttpObjectStore, HttpTableStore
 from fuchsiaroute.platform._instance_list import (
     InstanceList,
     InstanceRecord,
     InstanceState,
 )
 from fuchsiaroute.platform._memory import (
+    FaultSwitch,
     MemoryInstanceList,
+    MemoryObjectStore,
+    MemoryRatingService,
     MemoryTableStore,
     StoreFault,
 )
@@ -32,10 +42,18 @@
     "Committed",
     "Conflict",
     "EngineOrders",
+    "FaultSwitch",
+    "HttpEngineOrders",
+    "HttpInstanceList",
+    "HttpObjectStore",
+    "HttpRatingService",
+    "HttpTableStore",
     "InstanceList",
     "InstanceRecord",
     "InstanceState",
     "MemoryInstanceList",
+    "MemoryObjectStore",
+    "MemoryRatingService",
     "MemoryTableStore",
     "ObjectStore",
     "Order",
@@ -51,4 +69,5 @@
     "StoreFault",
     "TableStore",
     "Transaction",
+    "new_http_client",
 ]
--- a/fuchsiaroute/platform/_memory.py
+++ b/fuchsiaroute/platform/_memory.py
@@ -1,11 +1,14 @@
 """In-memory platform services with fault switches."""
 
+from collections import deque
 from collections.abc import Sequence
 from enum import Enum
 
 from returns.result import Failure, Result, Success
 
+from fuchsiaroute.clock import Clock, Milliseconds, SystemClock
 from fuchsiaroute.platform._instance_list import InstanceRecord
+from fuchsiaroute.platform._rating import Rating, RatingPage
 from fuchsiaroute.platform._table_store import (
     ABSENT,
     Committed,
@@ -16,59 +19,119 @@
     Transaction,
 )
 
+#: Delay of a call to a slow service.
+SLOW_DELAY = Milliseconds(5_000)
+#: Ratings in one page.
+RATINGS_PER_PAGE = 500
+
 
 class StoreFault(Enum):
-    """A fault that a fake store can be switched to."""
+    """A fault that a fake service can be switched to."""
 
     NONE = "none"
     #: Every call is refused.
     DOWN = "down"
+    #: Calls take effect at once and are answered after ``delay``.
+    SLOW = "slow"
     #: Writes take effect, but their answers are lost.
     ANSWER_LOST = "answer-lost"
+    #: Writes are answered as lost and take effect only when ``land_late`` is called.
+    LATE = "late"
+    #: The instance list answers with what it knew when the fault began.
+    STALE = "stale"
+
+
+class FaultSwitch:
+    """The faults of one fake service: a lasting one, and some for the next calls."""
+
+    def __init__(self, *, clock: Clock | None = None) -> None:
+        self._clock = clock or SystemClock()
+        #: The lasting fault.
+        self.fault = StoreFault.NONE
+        #: Faults of the next calls, one each, before the lasting one.
+        self.upcoming: deque[StoreFault] = deque()
+        #: How long a slow call takes.
+        self.delay = SLOW_DELAY
+
+    async def enter(self) -> StoreFault:
+        """Return the fault of the call that begins."""
+        if self.upcoming:
+            return self.upcoming.popleft()
+        return self.fault
+
+    async def leave(self, fault: StoreFault) -> None:
+        """Delay the answer of a call under ``fault``."""
+        if fault is StoreFault.SLOW:
+            await self._clock.sleep(self.delay)
 
 
 class MemoryTableStore:
     """Table service in memory; implements ``TableStore``."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, clock: Clock | None = None) -> None:
         self._records: dict[str, Record] = {}
-        #: The fault in effect.
-        self.fault = StoreFault.NONE
-        #: Calls answered so far, for budgets in tests.
+        self._late: list[Transaction] = []
+        #: The faults of the service.
+        self.switch = FaultSwitch(clock=clock)
+        #: Calls begun so far, for budgets in tests.
         self.reads = 0
         self.writes = 0
 
+    @property
+    def fault(self) -> StoreFault:
+        """Return the lasting fault."""
+        return self.switch.fault
+
+    @fault.setter
+    def fault(self, fault: StoreFault) -> None:
+        self.switch.fault = fault
+
     async def read(self, keys: Sequence[str]) -> Result[tuple[Record, ...], StoreError]:
         """Return a record per key, in the order of ``keys``."""
         self.reads += 1
-        if self.fault is StoreFault.DOWN:
+        fault = await self.switch.enter()
+        if fault is StoreFault.DOWN:
             return Failure(_refused())
-        return Success(tuple(self._record(key) for key in keys))
+        records = tuple(self._record(key) for key in keys)
+        await self.switch.leave(fault)
+        return Success(records)
 
     async def scan(
         self, prefix: str, *, limit: int
     ) -> Result[tuple[Record, ...], StoreError]:
         """Return at most ``limit`` records whose keys start with ``prefix``."""
         self.reads += 1
-        if self.fault is StoreFault.DOWN:
+        fault = await self.switch.enter()
+        if fault is StoreFault.DOWN:
             return Failure(_refused())
         keys = sorted(key for key in self._records if key.startswith(prefix))
-        return Success(tuple(self._records[key] for key in keys[:limit]))
+        records = tuple(self._records[key] for key in keys[:limit])
+        await self.switch.leave(fault)
+        return Success(records)
 
     async def commit(
         self, transaction: Transaction
     ) -> Result[Committed | Conflict, StoreError]:
         """Apply ``transaction`` as a whole, or nothing of it."""
         self.writes += 1
-        if self.fault is StoreFault.DOWN:
+        fault = await self.switch.enter()
+        if fault is StoreFault.DOWN:
             return Failure(_refused())
+        if fault is StoreFault.LATE:
+            self._late.append(transaction)
+            return Failure(_lost())
         outcome = self._apply(transaction)
-        if self.fault is StoreFault.ANSWER_LOST:
-            return Failure(
-                StoreError(kind=StoreErrorKind.UNKNOWN, message="answer lost")
-            )
+        await self.switch.leave(fault)
+        if fault is StoreFault.ANSWER_LOST:
+            return Failure(_lost())
         return Success(outcome)
 
+    def land_late(self) -> None:
+        """Let the writes that were answered as lost take effect now."""
+        late, self._late = self._late, []
+        for transaction in late:
+            self._apply(transaction)
+
     def _apply(self, transaction: Transaction) -> Committed | Conflict:
         current = tuple(self._record(check.key) for check in transaction.checks)
         wanted = tuple(check.version for check in transaction.checks)
@@ -86,17 +149,87 @@
         return self._records.get(key, absent)
 
 
+class MemoryObjectStore:
+    """Object store in memory; implements ``ObjectStore``."""
+
+    def __init__(self, *, clock: Clock | None = None) -> None:
+        self._objects: dict[str, bytes] = {}
+        #: The faults of the service.
+        self.switch = FaultSwitch(clock=clock)
+
+    async def put(self, key: str, value: bytes) -> Result[None, StoreError]:
+        """Store ``value`` under ``key``."""
+        fault = await self.switch.enter()
+        if fault is StoreFault.DOWN:
+            return Failure(_refused())
+        self._objects[key] = value
+        await self.switch.leave(fault)
+        if fault is StoreFault.ANSWER_LOST:
+            return Failure(_lost())
+        return Success(None)
+
+    async def get(self, key: str) -> Result[bytes | None, StoreError]:
+        """Return the object under ``key``, or None if there is none."""
+        fault = await self.switch.enter()
+        if fault is StoreFault.DOWN:
+            return Failure(_refused())
+        value = self._objects.get(key)
+        await self.switch.leave(fault)
+        return Success(value)
+
+
 class MemoryInstanceList:
     """Instance list in memory; implements ``InstanceList``."""
 
-    def __init__(self, records: tuple[InstanceRecord, ...] = ()) -> None:
-        #: What the next call returns.
+    def __init__(
+        self,
+        records: tuple[InstanceRecord, ...] = (),
+        *,
+        clock: Clock | None = None,
+    ) -> None:
+        self._answered = records
+        #: The instances as they are.
         self.records = records
+        #: The faults of the service.
+        self.switch = FaultSwitch(clock=clock)
 
     async def instances(self) -> Result[tuple[InstanceRecord, ...], StoreError]:
-        """Return the list as it stands."""
-        return Success(self.records)
+        """Return the list as the service knows it."""
+        fault = await self.switch.enter()
+        if fault is StoreFault.DOWN:
+            return Failure(_refused())
+        if fault is not StoreFault.STALE:
+            self._answered = self.records
+        await self.switch.leave(fault)
+        return Success(self._answered)
+
+
+class MemoryRatingService:
+    """Rating service in memory; implements ``RatingService``."""
+
+    def __init__(self, *, clock: Clock | None = None) -> None:
+        self._ratings: list[Rating] = []
+        #: The faults of the service.
+        self.switch = FaultSwitch(clock=clock)
+
+    def add(self, *ratings: Rating) -> None:
+        """Append ``ratings`` to what the service publishes."""
+        self._ratings.extend(ratings)
+
+    async def ratings(self, cursor: str) -> Result[RatingPage, StoreError]:
+        """Return the ratings after ``cursor``; an empty cursor is the beginning."""
+        fault = await self.switch.enter()
+        if fault is StoreFault.DOWN:
+            return Failure(_refused())
+        start = int(cursor or "0")
+        page = tuple(self._ratings[start : start + RATINGS_PER_PAGE])
+        await self.switch.leave(fault)
+        return Success(RatingPage(ratings=page, cursor=str(start + len(page))))
 
 
 def _refused() -> StoreError:
     return StoreError(kind=StoreErrorKind.REFUSED, message="store is down")
+
+
+def _lost() -> StoreError:
+    return StoreError(kind=StoreErrorKind.UNKNOWN, message="answer lost")
--- /dev/null
+++ b/fuchsiaroute/platform/_wire.py
@@ -0,0 +1,60 @@
+"""Messages of the HTTP adapters, shared with the stand-in of the platform."""
+
+import msgspec
+
+from fuchsiaroute.platform._instance_list import InstanceRecord
+from fuchsiaroute.platform._rating import Rating
+from fuchsiaroute.platform._table_store import Record
+
+
+class ReadRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of ``POST /table/read``."""
+
+    keys: tuple[str, ...]
+
+
+class ScanRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of ``POST /table/scan``."""
+
+    prefix: str
+    limit: int
+
+
+class RecordsResponse(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to reads and scans; values travel as base64."""
+
+    records: tuple[Record, ...]
+
+
+class CommitResponse(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to ``POST /table/commit``, whose body is a ``Transaction``."""
+
+    is_committed: bool
+    #: The records of the checked keys if the transaction was not committed.
+    records: tuple[Record, ...] = ()
+
+
+class InstancesResponse(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to ``GET /instances``."""
+
+    instances: tuple[InstanceRecord, ...]
+
+
+class RatingsRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of ``POST /ratings``, by which the stand-in is given ratings."""
+
+    ratings: tuple[Rating, ...]
+
+
+class OrderRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of ``POST /orders`` of an engine."""
+
+    kind: str
+    version: str
+    fencing: int
+
+
+class LoadedResponse(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to ``GET /orders/loaded`` of an engine."""
+
+    versions: tuple[str, ...]
