--- /dev/null
+++ b/fuchsiaroute/rollout/__init__.py
@@ -0,0 +1,18 @@
+"""Roll-outs: sticky shares by a stable hash, and the operators' transitions."""
+
+from fuchsiaroute.rollout._assignment import is_on_target, unit_fraction
+from fuchsiaroute.rollout._transitions import (
+    RolloutAction,
+    RolloutError,
+    RolloutErrorKind,
+    apply_action,
+)
+
+__all__ = [
+    "RolloutAction",
+    "RolloutError",
+    "RolloutErrorKind",
+    "apply_action",
+    "is_on_target",
+    "unit_fraction",
+]
