--- /dev/null
+++ b/benches/_load_entries.py
@@ -0,0 +1,233 @@
+"""Entries of the load bench: plain policies, and the project's own decisions."""
+
+from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, TypeVar
+
+from returns.result import Failure, Success
+
+from benches._load_endpoints import FakeEndpoint, Job
+from benches._load_events import Events
+from benches._load_policies import Policy
+from fuchsiaroute.admission import Admission, Ticket
+from fuchsiaroute.balancing import (
+    ColdSlotKeeper,
+    Departures,
+    EndpointChooser,
+    Reservation,
+    SlotOwner,
+    Target,
+)
+from fuchsiaroute.clock import Milliseconds
+from fuchsiaroute.configuration import Configuration
+from fuchsiaroute.endpoints import LoadReport, Outcome, WarmthFact
+from fuchsiaroute.ids import EndpointId, Incarnation, InstanceId
+from fuchsiaroute.platform import TableStore
+from fuchsiaroute.request import Request
+from fuchsiaroute.verdict import Refusal, RefusalReason, Verdict
+
+#: Attempts that one request gets.
+MOST_ATTEMPTS = 3
+#: Time between two passes over the waiting requests, in milliseconds.
+WAKE_INTERVAL = 50
+
+_Result = TypeVar("_Result")
+
+
+@dataclass(kw_only=True, eq=False)
+class Call:
+    """A request on its way, and what became of it."""
+
+    request: Request
+    target: Target
+    service_time: float
+    arrived_at: Milliseconds
+    first_token_at: Milliseconds | None = None
+    is_answered: bool = False
+    is_over: bool = False
+    refusal: Refusal | None = None
+    attempts: int = 0
+    #: Gives up whatever runs for the call.
+    cancel: Callable[[], None] = field(default=lambda: None)
+
+
+def run_now(coroutine: Coroutine[Any, Any, _Result]) -> _Result:
+    """Run a coroutine that never waits, such as one on the in-memory store."""
+    try:
+        coroutine.send(None)
+    except StopIteration as stop:
+        return stop.value  # type: ignore[no-any-return]
+    raise RuntimeError("the coroutine waited")
+
+
+@dataclass(kw_only=True)
+class PolicyEntry:
+    """An entry that only has a policy: no admission, no life cycles."""
+
+    events: Events
+    policy: Policy
+
+    def submit(self, call: Call) -> None:
+        """Dispatch ``call``."""
+        call.attempts += 1
+        endpoint = self.policy.choose()
+
+        def first_token() -> None:
+            call.first_token_at = call.first_token_at or self.events.clock.now()
+
+        def end(outcome: Outcome) -> None:
+            if outcome is Outcome.ANSWERED:
+                call.is_answered = call.is_over = True
+            elif not call.is_over and call.attempts < MOST_ATTEMPTS:
+                self.submit(call)
+
+        job = Job(
+            service_time=call.service_time, on_first_token=first_token, on_end=end
+        )
+        call.cancel = lambda: endpoint.cancel(job)
+        endpoint.offer(job, Incarnation(0))
+
+
+class RoutedEntry:
+    """An entry with the project's chooser, admission and cold slots."""
+
+    def __init__(
+        self,
+        *,
+        name: InstanceId,
+        events: Events,
+        fakes: dict[EndpointId, FakeEndpoint],
+        random: Random,
+        store: TableStore,
+    ) -> None:
+        clock = events.clock
+        self.name = name
+        self.chooser = EndpointChooser(entry=name, clock=clock, random=random)
+        self.admission = Admission(clock=clock, random=random)
+        owner = SlotOwner(instance=name, incarnation=Incarnation(1))
+        self._keeper = ColdSlotKeeper(
+            owner=owner,
+            store=store,
+            slots=self.chooser.cold_slots,
+            departures=Departures(owner=owner, clock=clock),
+            clock=clock,
+        )
+        self._events = events
+        self._fakes = fakes
+        self._waiting: dict[int, Call] = {}
+        self._tickets: dict[int, Ticket] = {}
+        events.every(WAKE_INTERVAL, self.wake)
+
+    def update(self, configuration: Configuration) -> None:
+        """Take over a configuration."""
+        self.chooser.update_configuration(configuration)
+        self.admission.update_configuration(configuration)
+
+    def step(self, configuration: Configuration, members: Sequence[InstanceId]) -> None:
+        """Do what the entry does once a second."""
+        self.chooser.update_members(members)
+        run_now(self._keeper.step(configuration.endpoints, members))
+
+    def learn(self, facts: Sequence[WarmthFact]) -> None:
+        """Merge other entries' facts."""
+        self.chooser.learn(facts)
+
+    def report(self, reports: Sequence[LoadReport]) -> None:
+        """Take over load reports."""
+        for report in reports:
+            self.chooser.report(report)
+
+    def submit(self, call: Call) -> None:
+        """Admit and dispatch ``call``, or let it wait, or refuse it."""
+        admitted = self.admission.admit(call.request)
+        if isinstance(admitted, Failure):
+            self._refuse(call, admitted.failure())
+            return
+        ticket = admitted.unwrap()
+        self._tickets[ticket.number] = ticket
+        self._begin(call, ticket)
+
+    def wake(self) -> None:
+        """Start what can start and refuse what waits in vain."""
+        for target in self.admission.targets():
+            for ticket, refusal in self.admission.expire(target):
+                self._refuse(self._waiting.pop(ticket.number), refusal)
+                self.admission.finished(ticket, is_answered=False)
+            while (head := self.admission.head(target)) is not None:
+                call = self._waiting[head.number]
+                chosen = self.chooser.choose(call.request, call.target)
+                if not isinstance(chosen, Success):
+                    break
+                del self._waiting[head.number]
+                self.admission.start(head, target)
+                self._dispatch(call, head, chosen.unwrap())
+
+    def _begin(self, call: Call, ticket: Ticket) -> None:
+        if not self.admission.must_wait(call.target):
+            chosen = self.chooser.choose(call.request, call.target)
+            if isinstance(chosen, Success):
+                self._dispatch(call, ticket, chosen.unwrap())
+                return
+            if chosen.failure().reason is not RefusalReason.OVERLOADED:
+                self._end(call, ticket, chosen.failure())
+                return
+        queued = self.admission.enqueue(ticket, call.target)
+        if isinstance(queued, Failure):
+            self._end(call, ticket, queued.failure())
+            return
+        self._waiting[ticket.number] = call
+        call.cancel = lambda: self._give_up(call, ticket)
+
+    def _dispatch(self, call: Call, ticket: Ticket, reservation: Reservation) -> None:
+        call.attempts += 1
+        endpoint = self._fakes[reservation.endpoint.id]
+
+        def first_token() -> None:
+            call.first_token_at = call.first_token_at or self._events.clock.now()
+
+        def end(outcome: Outcome) -> None:
+            self.chooser.heard(endpoint.endpoint.id, endpoint.incarnation)
+            self.chooser.finished(reservation, outcome)
+            self._ended(call, ticket, outcome)
+            self.wake()
+
+        def cancel() -> None:
+            endpoint.cancel(job)
+            self.chooser.finished(reservation, Outcome.CANCELLED)
+            self.admission.finished(ticket, is_answered=False)
+
+        job = Job(
+            service_time=call.service_time, on_first_token=first_token, on_end=end
+        )
+        call.cancel = cancel
+        endpoint.offer(job, reservation.warmth.incarnation)
+
+    def _ended(self, call: Call, ticket: Ticket, outcome: Outcome) -> None:
+        if outcome is Outcome.ANSWERED:
+            call.is_answered = call.is_over = True
+            self.admission.finished(ticket, is_answered=True)
+        elif call.attempts < MOST_ATTEMPTS:
+            self._begin(call, ticket)
+        else:
+            self._end(call, ticket, _EXHAUSTED)
+
+    def _end(self, call: Call, ticket: Ticket, refusal: Refusal) -> None:
+        self.admission.finished(ticket, is_answered=False)
+        self._refuse(call, refusal)
+
+    def _refuse(self, call: Call, refusal: Refusal) -> None:
+        call.refusal = refusal
+        call.is_over = True
+
+    def _give_up(self, call: Call, ticket: Ticket) -> None:
+        self._waiting.pop(ticket.number, None)
+        self.admission.leave(ticket, call.target)
+        self.admission.finished(ticket, is_answered=False)
+
+
+_EXHAUSTED = Refusal(
+    reason=RefusalReason.ENDPOINT_FAILED,
+    verdict=Verdict.MAY_HAVE_RUN,
+    message="every attempt failed",
+)
