Claim non-idempotent requests before dispatch, by group commit

Cause: the same id can reach two entries at once, after a lost answer, after a death or while its holder is paused; the store is shared by every entry and can be down, slow or lose answers.

Change: a claim book whose claims belong to one incarnation for good; group commit (64 claims a write) at the pace of the function's budget; lost answers resolved by reading back, then by the same token; ids issued and signed by an incarnation that alone dispatches them, for when the store is down; refusals before a claim close the id first, since only then "not run" stays true. A store client with timeout, circuit, jittered backoff and a budget of reads and writes a second for each function.

Conclusion: every claim that is not known to be ours is answered MAY_HAVE_RUN.

--- /dev/null
+++ b/fuchsiaroute/idempotency/__init__.py
@@ -0,0 +1,19 @@
+"""At most one run for each non-idempotent request id."""
+
+from fuchsiaroute.idempotency._answers import Replay
+from fuchsiaroute.idempotency._book import ClaimBook
+from fuchsiaroute.idempotency._claim import Claim, ClaimState
+from fuchsiaroute.idempotency._issued_ids import IdIssuer, IssuedIdState
+from fuchsiaroute.idempotency._record import Answer, ClaimRecord, Outcome
+
+__all__ = [
+    "Answer",
+    "Claim",
+    "ClaimBook",
+    "ClaimRecord",
+    "ClaimState",
+    "IdIssuer",
+    "IssuedIdState",
+    "Outcome",
+    "Replay",
+]
--- /dev/null
+++ b/fuchsiaroute/idempotency/_book.py
@@ -0,0 +1,233 @@
+"""The claim book: at most one run for each non-idempotent request id."""
+
+import asyncio
+import random
+from collections import OrderedDict
+from itertools import islice
+
+from returns.result import Failure, Result, Success
+
+from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.idempotency._answers import (
+    RepeatKind,
+    Replay,
+    answer_repeat,
+    refuse_unresolved,
+    with_verdict,
+)
+from fuchsiaroute.idempotency._claim import Claim, ClaimState
+from fuchsiaroute.idempotency._group_commit import (
+    ClaimWrite,
+    ClaimWriteState,
+    GroupCommit,
+)
+from fuchsiaroute.idempotency._issued_ids import IdIssuer, IssuedIdState
+from fuchsiaroute.idempotency._record import (
+    ClaimRecord,
+    ClaimToken,
+    Outcome,
+    claim_key,
+    decode_claim,
+)
+from fuchsiaroute.ids import Incarnation, InstanceId, OrganisationId, RequestId
+from fuchsiaroute.platform import ABSENT, StoreView, TimedOut, within
+from fuchsiaroute.request import Request
+from fuchsiaroute.verdict import Refusal, RefusalReason, Verdict
+
+#: Longest wait of a request for its claim.
+CLAIM_WAIT = Milliseconds(2_500)
+#: Claims remembered after their end; issued ids rest on this memory.
+MAX_REMEMBERED = 16_384
+#: Oldest claims examined to make room for a new one.
+FORGETTING_SCAN = 8
+TOKEN_BITS = 128
+
+
+class ClaimBook:
+    """
+    Grants the right to dispatch non-idempotent requests.
+
+    A claim belongs to one incarnation of one entry for good. Nobody takes it over,
+    so neither a pause nor a death of its holder can lead to a second run.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: StoreView,
+        clock: Clock,
+        instance: InstanceId,
+        incarnation: Incarnation,
+        rng: random.Random,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._instance = instance
+        self._incarnation = incarnation
+        self._rng = rng
+        self._issuer = IdIssuer(clock=clock, instance=instance, incarnation=incarnation)
+        self._commits = GroupCommit(store=store, clock=clock)
+        self._claims: OrderedDict[str, Claim] = OrderedDict()
+
+    @property
+    def waiting_outcomes(self) -> int:
+        """Return the number of outcomes that are not in the store yet."""
+        return self._commits.waiting_outcomes
+
+    def issue(self, organisation: OrganisationId) -> RequestId:
+        """Return an id that this incarnation alone dispatches, without the store."""
+        return self._issuer.issue(organisation)
+
+    async def run(self) -> None:
+        """Commit claims and outcomes until cancelled."""
+        await self._commits.run()
+
+    async def claim(self, request: Request) -> Result[Claim | Replay, Refusal]:
+        """
+        Claim the non-idempotent ``request`` before its first dispatch.
+
+        Success holds the claim, or the recorded answer of a repeated id. A failure
+        carries a verdict that is true of the id across all entries.
+        """
+        key = claim_key(request)
+        known = self._claims.get(key)
+        if known is not None and known.state is not ClaimState.UNRESOLVED:
+            return answer_repeat(known.record)
+        state = self._issuer.examine(request.organisation, request.id)
+        if state is IssuedIdState.CALLER_CHOSEN:
+            return await self._claim_in_store(request, key, known)
+        if state is IssuedIdState.OWN:
+            return self._claim_issued(request, key)
+        return await self._look_up(key, state)
+
+    def record(self, claim: Claim, outcome: Outcome) -> None:
+        """
+        End ``claim``; the request is never dispatched after this.
+
+        The outcome reaches the store in the background. Until then other entries
+        answer the id with ``MAY_HAVE_RUN``.
+        """
+        if claim.state is ClaimState.CLOSED:
+            return
+        kept = outcome.without_large_answer()
+        record = ClaimRecord(
+            token=claim.token,
+            instance=self._instance,
+            incarnation=self._incarnation,
+            outcome=kept,
+        )
+        claim.close(record)
+        self._commits.submit_outcome(claim.key, record)
+
+    async def refuse(self, request: Request, refusal: Refusal) -> Refusal:
+        """
+        Return ``refusal`` of an unclaimed request with a verdict that is true.
+
+        "Not run" is true of a non-idempotent id only if no entry ever dispatches it,
+        so the id is claimed and closed first.
+        """
+        if request.is_idempotent or refusal.verdict is not Verdict.NOT_RUN:
+            return refusal
+        claimed = await self.claim(request)
+        if not isinstance(claimed, Success):
+            return with_verdict(refusal, claimed.failure().verdict)
+        claim = claimed.unwrap()
+        if isinstance(claim, Replay):
+            return with_verdict(refusal, Verdict.RUN)
+        self.record(claim, Outcome(verdict=Verdict.NOT_RUN, message=refusal.message))
+        return refusal
+
+    def _claim_issued(self, request: Request, key: str) -> Result[Claim, Refusal]:
+        if not self._make_room():
+            return Failure(_overloaded())
+        claim = self._open(request, key)
+        claim.move(ClaimState.HELD)
+        return Success(claim)
+
+    async def _claim_in_store(
+        self, request: Request, key: str, known: Claim | None
+    ) -> Result[Claim | Replay, Refusal]:
+        if known is None and not self._make_room():
+            return Failure(refuse_unresolved(Milliseconds(0)))
+        claim = self._open(request, key, token=known.token if known else None)
+        write = ClaimWrite(key=key, record=claim.record)
+        self._commits.submit(write)
+        try:
+            await self._wait(write, request)
+        except asyncio.CancelledError:
+            claim.move(ClaimState.UNRESOLVED)
+            write.give_up()
+            raise
+        return self._settle(claim, write)
+
+    async def _wait(self, write: ClaimWrite, request: Request) -> None:
+        left = request.deadline - self._clock.wall()
+        limit = Milliseconds(max(0, min(CLAIM_WAIT, left)))
+        answer = await within(self._clock, limit, write.done.wait())
+        if isinstance(answer, TimedOut):
+            write.give_up()
+
+    def _settle(
+        self, claim: Claim, write: ClaimWrite
+    ) -> Result[Claim | Replay, Refusal]:
+        if write.state is ClaimWriteState.OURS:
+            claim.move(ClaimState.HELD)
+            return Success(claim)
+        if write.state is ClaimWriteState.THEIRS:
+            del self._claims[claim.key]
+            return answer_repeat(write.existing or RepeatKind.NOT_READABLE)
+        claim.move(ClaimState.UNRESOLVED)
+        return Failure(refuse_unresolved(self._store.retry_after))
+
+    async def _look_up(
+        self, key: str, state: IssuedIdState
+    ) -> Result[Claim | Replay, Refusal]:
+        """Answer an id that this incarnation may not dispatch."""
+        kind = RepeatKind.FOREIGN
+        if state is IssuedIdState.EXPIRED:
+            kind = RepeatKind.EXPIRED
+        answer = await self._store.read([key])
+        if not isinstance(answer, Success) or answer.unwrap()[0].version == ABSENT:
+            return answer_repeat(kind)
+        return answer_repeat(decode_claim(answer.unwrap()[0].value) or kind)
+
+    def _open(
+        self, request: Request, key: str, *, token: ClaimToken | None = None
+    ) -> Claim:
+        drawn = ClaimToken(f"{self._rng.getrandbits(TOKEN_BITS):032x}")
+        record = ClaimRecord(
+            token=token or drawn,
+            instance=self._instance,
+            incarnation=self._incarnation,
+        )
+        claim = Claim(request=request, key=key, record=record)
+        self._claims[key] = claim
+        self._claims.move_to_end(key)
+        return claim
+
+    def _make_room(self) -> bool:
+        """Forget old claims that are safe to forget; return whether there is room."""
+        if len(self._claims) < MAX_REMEMBERED:
+            return True
+        for key in list(islice(self._claims, FORGETTING_SCAN)):
+            if self._is_forgettable(self._claims[key]):
+                del self._claims[key]
+                return True
+        return False
+
+    def _is_forgettable(self, claim: Claim) -> bool:
+        if claim.state is ClaimState.UNRESOLVED:
+            return True
+        if claim.state is not ClaimState.CLOSED:
+            return False
+        state = self._issuer.examine(claim.request.organisation, claim.request.id)
+        return state is not IssuedIdState.OWN
+
+
+def _overloaded() -> Refusal:
+    return Refusal(
+        reason=RefusalReason.OVERLOADED,
+        verdict=Verdict.MAY_HAVE_RUN,
+        message="too many issued ids are in use; retry with the same id",
+        retry_after=Milliseconds(1_000),
+    )
--- /dev/null
+++ b/fuchsiaroute/idempotency/_group_commit.py
@@ -0,0 +1,199 @@
+"""Group commit: many claims and outcomes in one write of the table service."""
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+
+from returns.result import Success
+
+from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.idempotency._record import ClaimRecord, decode_claim, encode_claim
+from fuchsiaroute.platform import (
+    ABSENT,
+    Check,
+    Committed,
+    Conflict,
+    Put,
+    Record,
+    StoreError,
+    StoreErrorKind,
+    StoreView,
+    Transaction,
+)
+
+#: Claims and outcomes in one transaction.
+MAX_BATCH = 64
+#: Writes waiting; more are refused at once.
+MAX_WAITING = 2_048
+#: Outcomes waiting for a failing store; the oldest are dropped beyond it.
+MAX_OUTCOMES = 4_096
+#: Pause after a failed call before the next one.
+RETRY_PAUSE = Milliseconds(100)
+
+
+class ClaimWriteState(Enum):
+    """What became of a put-if-absent."""
+
+    #: Waiting, or sent without an answer yet.
+    PENDING = "pending"
+    #: The record is ours.
+    OURS = "ours"
+    #: Another record was there first.
+    THEIRS = "theirs"
+    #: The store could not say in time; our record may yet appear.
+    UNRESOLVED = "unresolved"
+
+
+@dataclass(kw_only=True, eq=False)
+class ClaimWrite:
+    """A put-if-absent of one claim."""
+
+    key: str
+    record: ClaimRecord
+    state: ClaimWriteState = ClaimWriteState.PENDING
+    #: The record that was there first, if it can be read.
+    existing: ClaimRecord | None = None
+    done: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def settle(self, state: ClaimWriteState) -> None:
+        """Set the final state and wake the waiter."""
+        self.state = state
+        self.done.set()
+
+    def settle_from(self, record: Record) -> None:
+        """Set the final state from the record that is in the table."""
+        existing = decode_claim(record.value)
+        is_ours = existing is not None and existing.token == self.record.token
+        self.existing = existing
+        self.settle(ClaimWriteState.OURS if is_ours else ClaimWriteState.THEIRS)
+
+    def give_up(self) -> None:
+        """Set the final state of a write that is not tried any more."""
+        self.settle(ClaimWriteState.UNRESOLVED)
+
+
+class GroupCommit:
+    """Collects claims and outcomes, and commits them at the pace of the budget."""
+
+    def __init__(self, *, store: StoreView, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+        self._claims: deque[ClaimWrite] = deque()
+        self._outcomes: dict[str, ClaimRecord] = {}
+        self._wake = asyncio.Event()
+
+    @property
+    def waiting_outcomes(self) -> int:
+        """Return the number of outcomes that are not in the store yet."""
+        return len(self._outcomes)
+
+    def submit(self, write: ClaimWrite) -> None:
+        """Queue a claim; it is refused at once if too many wait."""
+        if len(self._claims) >= MAX_WAITING:
+            write.give_up()
+            return
+        self._claims.append(write)
+        self._wake.set()
+
+    def submit_outcome(self, key: str, record: ClaimRecord) -> None:
+        """Queue the outcome of a claim that this entry holds."""
+        self._outcomes[key] = record
+        if len(self._outcomes) > MAX_OUTCOMES:
+            self._outcomes.pop(next(iter(self._outcomes)))
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Commit batches until cancelled."""
+        while True:
+            await self._wake.wait()
+            await self._store.write_ready()
+            self._wake.clear()
+            is_done = await self.commit_batch()
+            if not is_done:
+                await self._clock.sleep(RETRY_PAUSE)
+            if self._claims or self._outcomes:
+                self._wake.set()
+
+    async def commit_batch(self) -> bool:
+        """Commit one batch; return whether the store answered."""
+        claims = self._take_claims()
+        outcomes = dict(list(self._outcomes.items())[:MAX_BATCH])
+        if not claims and not outcomes:
+            return True
+        try:
+            answer = await self._store.commit(_transaction(claims, outcomes))
+        except asyncio.CancelledError:
+            for write in claims:
+                write.give_up()
+            raise
+        if isinstance(answer, Success):
+            self._note_answer(claims, outcomes, answer.unwrap())
+            return True
+        return await self._note_error(claims, answer.failure())
+
+    def _take_claims(self) -> list[ClaimWrite]:
+        claims: dict[str, ClaimWrite] = {}
+        while self._claims and len(claims) < MAX_BATCH:
+            write = self._claims.popleft()
+            if not write.done.is_set():
+                claims[write.key] = write
+        return list(claims.values())
+
+    def _note_answer(
+        self,
+        claims: list[ClaimWrite],
+        outcomes: dict[str, ClaimRecord],
+        answer: Committed | Conflict,
+    ) -> None:
+        if isinstance(answer, Conflict):
+            self._note_conflict(claims, answer)
+            return
+        for write in claims:
+            write.settle(ClaimWriteState.OURS)
+        for key, record in outcomes.items():
+            if self._outcomes.get(key) is record:
+                del self._outcomes[key]
+
+    def _note_conflict(self, claims: list[ClaimWrite], conflict: Conflict) -> None:
+        for write, record in zip(claims, conflict.records, strict=True):
+            if record.version == ABSENT:
+                self._claims.appendleft(write)
+            else:
+                write.settle_from(record)
+
+    async def _note_error(self, claims: list[ClaimWrite], error: StoreError) -> bool:
+        if error.kind is StoreErrorKind.REFUSED:
+            for write in claims:
+                write.give_up()
+            return False
+        await self._read_back(claims)
+        return False
+
+    async def _read_back(self, claims: list[ClaimWrite]) -> None:
+        """Settle writes whose answer was lost; try absent ones again."""
+        if not claims:
+            return
+        answer = await self._store.read([write.key for write in claims])
+        if not isinstance(answer, Success):
+            for write in claims:
+                write.give_up()
+            return
+        for write, record in zip(claims, answer.unwrap(), strict=True):
+            if record.version != ABSENT:
+                write.settle_from(record)
+            elif not write.done.is_set():
+                self._claims.append(write)
+
+
+def _transaction(
+    claims: list[ClaimWrite], outcomes: dict[str, ClaimRecord]
+) -> Transaction:
+    checks = tuple(Check(key=write.key, version=ABSENT) for write in claims)
+    claimed = tuple(
+        Put(key=write.key, value=encode_claim(write.record)) for write in claims
+    )
+    ended = tuple(
+        Put(key=key, value=encode_claim(record)) for key, record in outcomes.items()
+    )
+    return Transaction(checks=checks, puts=(*claimed, *ended))
--- /dev/null
+++ b/fuchsiaroute/idempotency/_record.py
@@ -0,0 +1,78 @@
+"""Claims and outcomes as the table service holds them."""
+
+from typing import NewType
+from urllib.parse import quote
+
+import msgspec
+
+from fuchsiaroute.ids import Incarnation, InstanceId, OrganisationId, RequestId
+from fuchsiaroute.request import Request
+from fuchsiaroute.verdict import Verdict
+
+KEY_PREFIX = "claim/"
+#: Longest answer kept with an outcome, in bytes.
+MAX_KEPT_ANSWER = 4_096
+
+#: Random value that tells one attempt to claim from another.
+ClaimToken = NewType("ClaimToken", str)
+
+
+class Answer(msgspec.Struct, frozen=True, kw_only=True):
+    """A whole answer, kept so that a repeated id gets it again."""
+
+    status: int
+    media_type: str
+    body: bytes
+
+
+class Outcome(msgspec.Struct, frozen=True, kw_only=True):
+    """How a claimed request ended."""
+
+    verdict: Verdict
+    #: Why the request was refused; empty if it was answered.
+    message: str = ""
+    #: The whole answer, or None if there is none or it is too large to keep.
+    answer: Answer | None = None
+
+    def without_large_answer(self) -> "Outcome":
+        """Return this outcome, with an answer only if it is small enough to keep."""
+        if self.answer is None or len(self.answer.body) <= MAX_KEPT_ANSWER:
+            return self
+        return Outcome(verdict=self.verdict, message=self.message)
+
+
+class ClaimRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """The one record of a claimed request; its holder alone ever changes it."""
+
+    token: ClaimToken
+    instance: InstanceId
+    incarnation: Incarnation
+    #: None until the holder has recorded how the request ended.
+    outcome: Outcome | None = None
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(ClaimRecord)
+
+
+def claim_key(request: Request) -> str:
+    """Return the key of the claim of ``request``."""
+    return key_of(request.organisation, request.id)
+
+
+def key_of(organisation: OrganisationId, request: RequestId) -> str:
+    """Return the claim's key of the request ``request`` of ``organisation``."""
+    return f"{KEY_PREFIX}{quote(organisation, safe='')}/{request}"
+
+
+def encode_claim(record: ClaimRecord) -> bytes:
+    """Return ``record`` as the table service holds it."""
+    return _ENCODER.encode(record)
+
+
+def decode_claim(encoded: bytes) -> ClaimRecord | None:
+    """Return the record in ``encoded``, or None if it cannot be read."""
+    try:
+        return _DECODER.decode(encoded)
+    except msgspec.MsgspecError:
+        return None
--- a/fuchsiaroute/platform/__init__.py
+++ b/fuchsiaroute/platform/__init__.py
@@ -1,5 +1,8 @@
 """The platform's services, each behind a small protocol class."""
 
+from fuchsiaroute.platform._budget import BUDGETS, Pacer, StoreBudget, StoreFunction
+from fuchsiaroute.platform._circuit import Circuit, CircuitState
+from fuchsiaroute.platform._client import StoreClient, StoreView, TimedOut, within
 from fuchsiaroute.platform._engine import EngineOrders, Order, OrderError, OrderKind
 from fuchsiaroute.platform._http import new_http_client
 from fuchsiaroute.platform._http_services import (
@@ -38,7 +41,10 @@
 
 __all__ = [
     "ABSENT",
+    "BUDGETS",
     "Check",
+    "Circuit",
+    "CircuitState",
     "Committed",
     "Conflict",
     "EngineOrders",
@@ -59,15 +65,22 @@
     "Order",
     "OrderError",
     "OrderKind",
+    "Pacer",
     "Put",
     "Rating",
     "RatingPage",
     "RatingService",
     "Record",
+    "StoreBudget",
+    "StoreClient",
     "StoreError",
     "StoreErrorKind",
     "StoreFault",
+    "StoreFunction",
+    "StoreView",
     "TableStore",
+    "TimedOut",
     "Transaction",
     "new_http_client",
+    "within",
 ]
--- /dev/null
+++ b/fuchsiaroute/platform/_budget.py
@@ -0,0 +1,82 @@
+"""The budget of store calls of each function, for all entries together."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from fuchsiaroute.clock import Clock, Milliseconds
+
+MILLISECONDS_PER_SECOND = 1_000
+#: Calls that an idle function may make without a pause.
+BURST = 2.0
+
+
+class StoreFunction(Enum):
+    """What a call of the table service is made for."""
+
+    CONFIGURATION = "configuration"
+    CLAIMS = "claims"
+    LEDGER = "ledger"
+    PLACEMENT = "placement"
+    SPENDING = "spending"
+    QUALITY = "quality"
+
+
+@dataclass(frozen=True, kw_only=True)
+class StoreBudget:
+    """Calls a second that one function makes, over all entries."""
+
+    reads_per_second: float
+    writes_per_second: float
+
+
+#: The whole is 1,580 reads and 380 writes a second, under the service's about two
+#: thousand reads and several hundred writes.
+BUDGETS = {
+    StoreFunction.CONFIGURATION: StoreBudget(reads_per_second=800, writes_per_second=5),
+    StoreFunction.CLAIMS: StoreBudget(reads_per_second=400, writes_per_second=200),
+    StoreFunction.LEDGER: StoreBudget(reads_per_second=100, writes_per_second=100),
+    StoreFunction.PLACEMENT: StoreBudget(reads_per_second=100, writes_per_second=15),
+    StoreFunction.SPENDING: StoreBudget(reads_per_second=90, writes_per_second=30),
+    StoreFunction.QUALITY: StoreBudget(reads_per_second=90, writes_per_second=30),
+}
+
+
+class Pacer:
+    """Token bucket whose waiters are served in order."""
+
+    def __init__(self, *, clock: Clock, rate_per_second: float) -> None:
+        self._clock = clock
+        self._rate = rate_per_second / MILLISECONDS_PER_SECOND
+        self._tokens = BURST
+        self._filled_at = clock.now()
+
+    def set_rate(self, rate_per_second: float) -> None:
+        """Change the rate, for example because entries came or went."""
+        self._fill()
+        self._rate = rate_per_second / MILLISECONDS_PER_SECOND
+
+    async def ready(self) -> None:
+        """Wait until a token is there, without taking it."""
+        while (delay := self._delay()) > 0:
+            await self._clock.sleep(delay)
+
+    async def take(self) -> None:
+        """Take a token, and wait until it has been earned."""
+        self._fill()
+        self._tokens -= 1
+        delay = self._delay(threshold=0)
+        if delay > 0:
+            await self._clock.sleep(delay)
+
+    def _delay(self, *, threshold: float = 1) -> Milliseconds:
+        self._fill()
+        missing = threshold - self._tokens
+        if missing <= 0:
+            return Milliseconds(0)
+        return Milliseconds(int(missing / self._rate) + 1)
+
+    def _fill(self) -> None:
+        now = self._clock.now()
+        earned = (now - self._filled_at) * self._rate
+        self._tokens = min(BURST, self._tokens + earned)
+        self._filled_at = now
--- /dev/null
+++ b/fuchsiaroute/platform/_client.py
@@ -0,0 +1,181 @@
+"""Client of the table service with timeout, circuit and budgets."""
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine, Sequence
+from enum import Enum
+from typing import Any, Literal, TypeVar
+
+from returns.result import Failure, Result, Success
+
+from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.platform._budget import BUDGETS, Pacer, StoreFunction
+from fuchsiaroute.platform._circuit import Circuit, CircuitState
+from fuchsiaroute.platform._table_store import (
+    Committed,
+    Conflict,
+    Record,
+    StoreError,
+    StoreErrorKind,
+    TableStore,
+    Transaction,
+)
+
+#: A call that takes longer counts as failed.
+CALL_TIMEOUT = Milliseconds(1_000)
+
+_Answer = TypeVar("_Answer")
+
+
+class TimedOut(Enum):
+    """Sentinel: the call did not end in time."""
+
+    TOKEN = "timed-out"
+
+
+async def within(
+    clock: Clock, limit: Milliseconds, call: Coroutine[Any, Any, _Answer]
+) -> _Answer | Literal[TimedOut.TOKEN]:
+    """Return the answer of ``call``, or cancel it after ``limit`` on ``clock``."""
+    task = asyncio.ensure_future(call)
+    timer = asyncio.ensure_future(clock.sleep(limit))
+    try:
+        await asyncio.wait({task, timer}, return_when=asyncio.FIRST_COMPLETED)
+        if task.done():
+            return task.result()
+        return TimedOut.TOKEN
+    finally:
+        task.cancel()
+        timer.cancel()
+
+
+class StoreClient:
+    """Shares one circuit among the functions of an entry that use the table."""
+
+    def __init__(
+        self,
+        store: TableStore,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        entry_count: Callable[[], int] = lambda: 1,
+        timeout: Milliseconds = CALL_TIMEOUT,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._circuit = Circuit(rng=rng)
+        self._entry_count = entry_count
+        self._timeout = timeout
+        self._views = {item: StoreView(self, item, clock) for item in StoreFunction}
+
+    @property
+    def circuit_state(self) -> CircuitState:
+        """Return the state of the circuit."""
+        return self._circuit.state
+
+    @property
+    def entry_count(self) -> int:
+        """Return the number of entries that share the budgets."""
+        return max(1, self._entry_count())
+
+    def retry_after(self) -> Milliseconds:
+        """Return the time until the next probe of a failing store."""
+        return self._circuit.retry_after(self._clock.now())
+
+    def view(self, function: StoreFunction) -> "StoreView":
+        """Return the table service as ``function`` may use it."""
+        return self._views[function]
+
+    async def call(
+        self,
+        call: Callable[[TableStore], Coroutine[Any, Any, Result[_Answer, StoreError]]],
+    ) -> Result[_Answer, StoreError]:
+        """Make one call under the circuit and the timeout."""
+        if not self._circuit.allows(self._clock.now()):
+            return Failure(_OPEN)
+        try:
+            answer = await within(self._clock, self._timeout, call(self._store))
+        except asyncio.CancelledError:
+            self._circuit.abandon_probe(self._clock.now())
+            raise
+        if isinstance(answer, TimedOut):
+            self._circuit.note_failure(self._clock.now())
+            return Failure(_error(StoreErrorKind.UNKNOWN, "no answer in time"))
+        if isinstance(answer, Success):
+            self._circuit.note_success()
+        else:
+            self._circuit.note_failure(self._clock.now())
+        return answer
+
+
+class StoreView:
+    """The table service for one function; implements ``TableStore``."""
+
+    def __init__(
+        self, client: StoreClient, function: StoreFunction, clock: Clock
+    ) -> None:
+        budget = BUDGETS[function]
+        self._client = client
+        self._budget = budget
+        self._read_pacer = Pacer(clock=clock, rate_per_second=budget.reads_per_second)
+        self._write_pacer = Pacer(clock=clock, rate_per_second=budget.writes_per_second)
+        #: Calls let through so far.
+        self.reads = 0
+        self.writes = 0
+
+    @property
+    def retry_after(self) -> Milliseconds:
+        """Return the time until the next probe of a failing store; 0 if none."""
+        return self._client.retry_after()
+
+    @property
+    def _write_share(self) -> float:
+        return self._budget.writes_per_second / self._client.entry_count
+
+    async def write_ready(self) -> None:
+        """Wait until the budget allows a write, so that a batch can grow meanwhile."""
+        self._write_pacer.set_rate(self._write_share)
+        await self._write_pacer.ready()
+
+    async def read(self, keys: Sequence[str]) -> Result[tuple[Record, ...], StoreError]:
+        """Return a record per key, in the order of ``keys``."""
+        return await self._read(lambda store: store.read(keys))
+
+    async def scan(
+        self, prefix: str, *, limit: int
+    ) -> Result[tuple[Record, ...], StoreError]:
+        """Return at most ``limit`` records whose keys start with ``prefix``."""
+        return await self._read(lambda store: store.scan(prefix, limit=limit))
+
+    async def commit(
+        self, transaction: Transaction
+    ) -> Result[Committed | Conflict, StoreError]:
+        """Apply ``transaction`` as a whole, or nothing of it."""
+        if self._client.retry_after() > 0:
+            return Failure(_OPEN)
+        self._write_pacer.set_rate(self._write_share)
+        await self._write_pacer.take()
+        self.writes += 1
+        return await self._client.call(lambda store: store.commit(transaction))
+
+    async def _read(
+        self,
+        call: Callable[
+            [TableStore],
+            Coroutine[Any, Any, Result[tuple[Record, ...], StoreError]],
+        ],
+    ) -> Result[tuple[Record, ...], StoreError]:
+        if self._client.retry_after() > 0:
+            return Failure(_OPEN)
+        share = self._budget.reads_per_second / self._client.entry_count
+        self._read_pacer.set_rate(share)
+        await self._read_pacer.take()
+        self.reads += 1
+        return await self._client.call(call)
+
+
+def _error(kind: StoreErrorKind, message: str) -> StoreError:
+    return StoreError(kind=kind, message=message)
+
+
+_OPEN = _error(StoreErrorKind.REFUSED, "the circuit is open")
