Bill each request once, in batches, with copies at a peer

Cause: a ledger write a request would take 12,000 writes a second at the target, and an entry that dies loses what it has not written.

Change: a ledger that puts records if absent under the request's id, 256 a write, every 4 s; copies of unwritten records at one peer in another failure domain, confirmed before the answer's end or within 30 ms; an heir adopts them; drained at a graceful stop; a bound at which the entry takes no new requests.

Conclusion: a batch of copies in flight must not be released by number, and a re-copy moves a record to its new batch only when it is confirmed; both are in the code and the second has a test.

--- /dev/null
+++ b/fuchsiaroute/billing/_ledger.py
@@ -0,0 +1,240 @@
+"""The ledger: one record for each billed request, written in batches."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from returns.result import Success
+
+from fuchsiaroute.billing._copies import (
+    NO_HOLDER,
+    BatchNumber,
+    HolderId,
+    NoCopies,
+    PeerCopies,
+)
+from fuchsiaroute.billing._record import (
+    LedgerRecord,
+    decode_batch,
+    encode_batch,
+    encode_record,
+)
+from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.platform import (
+    ABSENT,
+    Check,
+    Conflict,
+    Put,
+    StoreView,
+    TimedOut,
+    Transaction,
+    within,
+)
+
+#: Records in one transaction.
+MAX_BATCH = 256
+#: Records in one message to a peer.
+MAX_COPIED = 256
+#: Records waiting for the store at which the entry takes no new requests.
+MAX_BUFFERED = 32_768
+#: Pause between two flushes, so that records share writes.
+FLUSH_INTERVAL = Milliseconds(4_000)
+#: Pause after a failed flush or copy.
+RETRY_PAUSE = Milliseconds(500)
+#: Longest wait of an answer's end for the copy of its record.
+COPY_WAIT = Milliseconds(30)
+#: Longest wait for a peer to confirm copies.
+HOLD_TIMEOUT = Milliseconds(500)
+
+
+@dataclass(kw_only=True, eq=False)
+class _Waiting:
+    """A record that is not in the store yet."""
+
+    record: LedgerRecord
+    copied_to: HolderId = NO_HOLDER
+    batch: BatchNumber = BatchNumber(0)
+    copied: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+class Ledger:
+    """
+    Buffers the records of answered requests until the store has them.
+
+    A record is put if absent under its request's id, so that a repeat of a write, or
+    another entry with the same record, never bills a request twice.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: StoreView,
+        clock: Clock,
+        copies: PeerCopies | None = None,
+        max_buffered: int = MAX_BUFFERED,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._copies = copies or NoCopies()
+        self._max_buffered = max_buffered
+        self._waiting: dict[str, _Waiting] = {}
+        self._last_batch = BatchNumber(0)
+        #: The batch that is on its way to the holder; 0 for none.
+        self._batch_in_flight = BatchNumber(0)
+        self._appended = asyncio.Event()
+        self._is_flushing = asyncio.Lock()
+        #: Records dropped because their request had been billed before.
+        self.duplicates = 0
+
+    @property
+    def buffered(self) -> int:
+        """Return the number of records that are not in the store yet."""
+        return len(self._waiting)
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether the entry must take no new requests."""
+        return len(self._waiting) >= self._max_buffered
+
+    async def append(self, record: LedgerRecord) -> None:
+        """
+        Take ``record`` and wait shortly for its copy at a peer.
+
+        Call it before the end of the answer is sent: a crash after that loses the
+        record only if the copy failed, or its holder dies too.
+        """
+        waiting = self._waiting.setdefault(record.key, _Waiting(record=record))
+        if waiting.record != record:
+            self.duplicates += 1
+        self._appended.set()
+        if self._copies.holder() != NO_HOLDER:
+            await within(self._clock, COPY_WAIT, waiting.copied.wait())
+
+    def adopt(self, batch: bytes) -> None:
+        """Take over the records in ``batch`` from an entry that has gone."""
+        for record in decode_batch(batch):
+            self._waiting.setdefault(record.key, _Waiting(record=record))
+        self._appended.set()
+
+    async def run(self) -> None:
+        """Copy and flush records until cancelled."""
+        await asyncio.gather(self._copy_forever(), self._flush_forever())
+
+    async def drain(self, limit: Milliseconds) -> bool:
+        """Flush everything; return whether the store had it within ``limit``."""
+        drained = await within(self._clock, limit, self._drain())
+        return not isinstance(drained, TimedOut)
+
+    async def flush(self) -> bool:
+        """Write one batch; return whether the store answered."""
+        async with self._is_flushing:
+            batch = list(self._waiting.values())[:MAX_BATCH]
+            if not batch:
+                return True
+            is_written = await self._write(batch)
+        await self._copies.release(self._flushed_through())
+        return is_written
+
+    async def copy(self) -> bool:
+        """Send one batch to the present holder; return whether all are copied."""
+        holder = self._copies.holder()
+        if holder == NO_HOLDER:
+            return True
+        batch = [item for item in self._waiting.values() if item.copied_to != holder]
+        batch = batch[:MAX_COPIED]
+        if not batch:
+            return True
+        number = BatchNumber(self._last_batch + 1)
+        self._last_batch = number
+        self._batch_in_flight = number
+        encoded = encode_batch(tuple(item.record for item in batch))
+        sending = self._copies.hold(number, encoded)
+        held = await within(self._clock, HOLD_TIMEOUT, sending)
+        self._batch_in_flight = BatchNumber(0)
+        if held is not True:
+            return False
+        for item in batch:
+            item.batch = number
+            item.copied_to = holder
+            item.copied.set()
+        return True
+
+    async def _copy_forever(self) -> None:
+        while True:
+            await self._appended.wait()
+            self._appended.clear()
+            if not await self.copy():
+                await self._clock.sleep(RETRY_PAUSE)
+                self._appended.set()
+            elif self._has_uncopied():
+                self._appended.set()
+
+    async def _flush_forever(self) -> None:
+        while True:
+            await self._clock.sleep(FLUSH_INTERVAL)
+            # A new holder needs copies of everything that is still waiting.
+            self._appended.set()
+            while self._waiting:
+                if not await self.flush():
+                    break
+                if len(self._waiting) < MAX_BATCH:
+                    break
+
+    async def _drain(self) -> None:
+        while self._waiting:
+            if not await self.flush():
+                await self._clock.sleep(RETRY_PAUSE)
+
+    async def _write(self, batch: list[_Waiting]) -> bool:
+        """Put ``batch`` if absent; drop what has been billed before."""
+        while batch:
+            answer = await self._store.commit(_transaction(batch))
+            if not isinstance(answer, Success):
+                # A lost answer is resolved by the next put: it conflicts.
+                return False
+            outcome = answer.unwrap()
+            if not isinstance(outcome, Conflict):
+                self._forget(batch)
+                return True
+            batch = self._drop_billed(batch, outcome)
+        return True
+
+    def _drop_billed(self, batch: list[_Waiting], conflict: Conflict) -> list[_Waiting]:
+        absent: list[_Waiting] = []
+        billed: list[_Waiting] = []
+        for item, found in zip(batch, conflict.records, strict=True):
+            if found.version == ABSENT:
+                absent.append(item)
+                continue
+            billed.append(item)
+            if found.value != encode_record(item.record):
+                self.duplicates += 1
+        self._forget(billed)
+        return absent
+
+    def _forget(self, batch: list[_Waiting]) -> None:
+        for item in batch:
+            del self._waiting[item.record.key]
+
+    def _flushed_through(self) -> BatchNumber:
+        """Return the last batch of copies that holds nothing still waiting."""
+        needed = [item.batch for item in self._waiting.values() if item.batch]
+        if self._batch_in_flight:
+            needed.append(self._batch_in_flight)
+        if not needed:
+            return self._last_batch
+        return BatchNumber(min(needed) - 1)
+
+    def _has_uncopied(self) -> bool:
+        holder = self._copies.holder()
+        if holder == NO_HOLDER:
+            return False
+        return any(item.copied_to != holder for item in self._waiting.values())
+
+
+def _transaction(batch: list[_Waiting]) -> Transaction:
+    return Transaction(
+        checks=tuple(Check(key=item.record.key, version=ABSENT) for item in batch),
+        puts=tuple(
+            Put(key=item.record.key, value=encode_record(item.record)) for item in batch
+        ),
+    )
--- /dev/null
+++ b/fuchsiaroute/billing/tests/test_ledger.py
@@ -0,0 +1,220 @@
+"""The ledger under faults of the store and deaths of entries."""
+
+import asyncio
+import random
+
+import pytest
+
+from fuchsiaroute.billing import (
+    AttemptCost,
+    CopyHolder,
+    Ledger,
+    LedgerRecord,
+    Origin,
+    decode_record,
+)
+from fuchsiaroute.clock import ManualClock
+from fuchsiaroute.platform import (
+    MemoryTableStore,
+    StoreClient,
+    StoreFault,
+    StoreFunction,
+)
+
+ORIGIN = Origin(instance="entry-1", incarnation=1)
+
+
+def record(name, *costs):
+    return LedgerRecord(
+        organisation="county-01",
+        request=name,
+        product="permit-desk",
+        request_class="permit-draft",
+        attempts=tuple(
+            AttemptCost(version="sapling-1", endpoint="model-pool-1", cost=cost)
+            for cost in costs or (10,)
+        ),
+        instance="entry-1",
+        ended_at=1_000_000,
+    )
+
+
+class HeldCopies:
+    """Copies at holders in the same process; implements ``PeerCopies``."""
+
+    def __init__(self, origin=ORIGIN):
+        self.origin = origin
+        self.holders = {"entry-2": CopyHolder()}
+        self.current = "entry-2"
+        self.is_reachable = True
+
+    def holder(self):
+        return self.current
+
+    async def hold(self, batch, records):
+        if not self.is_reachable:
+            return False
+        return self.holders[self.current].hold(self.origin, batch, records)
+
+    async def release(self, through):
+        if self.is_reachable:
+            for holder in self.holders.values():
+                holder.release(self.origin, through)
+
+
+class Deployment:
+    def __init__(self):
+        self.clock = ManualClock()
+        self.store = MemoryTableStore(clock=self.clock)
+        self.tasks = []
+
+    def ledger(self, *, copies=None, max_buffered=32_768):
+        client = StoreClient(self.store, clock=self.clock, rng=random.Random(3))
+        ledger = Ledger(
+            store=client.view(StoreFunction.LEDGER),
+            clock=self.clock,
+            copies=copies,
+            max_buffered=max_buffered,
+        )
+        self.tasks.append(asyncio.create_task(ledger.run()))
+        return ledger
+
+    async def append(self, ledger, *records):
+        tasks = [asyncio.create_task(ledger.append(item)) for item in records]
+        await self.clock.advance(100)
+        await asyncio.gather(*tasks)
+
+    async def billed(self):
+        found = (await self.store.scan("ledger/", limit=100_000)).unwrap()
+        return {item.key: (item.version, decode_record(item.value)) for item in found}
+
+
+@pytest.fixture
+async def deployment():
+    deployment = Deployment()
+    yield deployment
+    for task in deployment.tasks:
+        task.cancel()
+    await asyncio.gather(*deployment.tasks, return_exceptions=True)
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        [],
+        [StoreFault.DOWN],
+        [StoreFault.ANSWER_LOST],
+        [StoreFault.LATE],
+        [StoreFault.SLOW, StoreFault.ANSWER_LOST],
+        [StoreFault.ANSWER_LOST, StoreFault.DOWN],
+    ],
+)
+async def test_each_request_is_billed_once_whatever_the_store_does(deployment, faults):
+    ledger = deployment.ledger()
+    deployment.store.switch.upcoming.extend(faults)
+    await deployment.append(ledger, record("a", 10, 30), record("b"))
+    await deployment.clock.advance(60_000)
+    deployment.store.land_late()
+    billed = await deployment.billed()
+    assert [version for version, _ in billed.values()] == [1, 1]
+    assert billed["ledger/county-01/a"][1].cost == 40
+    assert (ledger.buffered, ledger.duplicates) == (0, 0)
+
+
+async def test_a_repeated_id_is_billed_by_its_first_record(deployment):
+    first, second = deployment.ledger(), deployment.ledger()
+    await deployment.append(first, record("a", 10))
+    await deployment.clock.advance(10_000)
+    await deployment.append(second, record("a", 25), record("b"))
+    await deployment.clock.advance(10_000)
+    billed = await deployment.billed()
+    assert billed["ledger/county-01/a"][1].cost == 10
+    assert set(billed) == {"ledger/county-01/a", "ledger/county-01/b"}
+    assert second.duplicates == 1
+
+
+async def test_a_dead_entry_is_billed_from_its_copies(deployment):
+    copies = HeldCopies()
+    dead, heir = deployment.ledger(copies=copies), deployment.ledger()
+    deployment.store.fault = StoreFault.DOWN
+    await deployment.append(dead, record("a"), record("b"))
+    deployment.tasks[0].cancel()
+    for batch in copies.holders["entry-2"].take(ORIGIN):
+        heir.adopt(batch)
+    deployment.store.fault = StoreFault.NONE
+    await deployment.clock.advance(60_000)
+    assert len(await deployment.billed()) == 2
+
+
+async def test_copies_are_released_once_the_store_has_the_records(deployment):
+    copies = HeldCopies()
+    ledger = deployment.ledger(copies=copies)
+    await deployment.append(ledger, record("a"))
+    assert copies.holders["entry-2"].size > 0
+    await deployment.clock.advance(10_000)
+    assert copies.holders["entry-2"].size == 0
+
+
+async def test_a_new_holder_gets_what_the_former_one_held(deployment):
+    copies = HeldCopies()
+    ledger = deployment.ledger(copies=copies)
+    deployment.store.fault = StoreFault.DOWN
+    await deployment.append(ledger, record("a"))
+    copies.holders["entry-3"] = CopyHolder()
+    copies.current = "entry-3"
+    await deployment.clock.advance(10_000)
+    assert len(copies.holders["entry-3"].take(ORIGIN)) == 1
+
+
+async def test_a_failed_copy_leaves_the_former_one_in_place(deployment):
+    copies = HeldCopies()
+    ledger = deployment.ledger(copies=copies)
+    deployment.store.fault = StoreFault.DOWN
+    await deployment.append(ledger, record("a"))
+    copies.holders["entry-3"] = CopyHolder(max_bytes=0)
+    copies.current = "entry-3"
+    await deployment.clock.advance(20_000)
+    assert len(copies.holders["entry-2"].take(ORIGIN)) == 1
+
+
+async def test_a_silent_holder_delays_an_answer_by_no_more_than_the_copy_wait(
+    deployment,
+):
+    copies = HeldCopies()
+    copies.is_reachable = False
+    ledger = deployment.ledger(copies=copies)
+    task = asyncio.create_task(ledger.append(record("a")))
+    await deployment.clock.advance(29)
+    assert not task.done()
+    await deployment.clock.advance(1)
+    assert task.done()
+
+
+@pytest.mark.parametrize(
+    ("fault", "is_drained"), [(StoreFault.NONE, True), (StoreFault.DOWN, False)]
+)
+async def test_a_graceful_stop_drains_the_ledger(deployment, fault, is_drained):
+    ledger = deployment.ledger()
+    deployment.store.fault = fault
+    await deployment.append(ledger, *(record(f"r{number}") for number in range(600)))
+    draining = asyncio.create_task(ledger.drain(5_000))
+    await deployment.clock.advance(5_000)
+    assert draining.result() is is_drained
+    assert (ledger.buffered == 0) is is_drained
+
+
+async def test_a_full_buffer_is_seen(deployment):
+    ledger = deployment.ledger(max_buffered=2)
+    deployment.store.fault = StoreFault.DOWN
+    await deployment.append(ledger, record("a"))
+    assert not ledger.is_full
+    await deployment.append(ledger, record("b"))
+    assert ledger.is_full
+
+
+async def test_many_records_share_writes(deployment):
+    ledger = deployment.ledger()
+    await deployment.append(ledger, *(record(f"r{number}") for number in range(1_000)))
+    await deployment.clock.advance(10_000)
+    assert len(await deployment.billed()) == 1_000
+    assert deployment.store.writes <= 4
