Validate declarations with every fault and its place; add a builder

Cause: a typo in a configuration was ignored (unknown keys) or stopped at the first fault, and declarations repeated the model's constructors. Change: read() reports every fault of structure, validate() every broken reference, range and rule; warnings alone (all versions withdrawn, all failure domains out) never refuse an emergency change; Deployment returns typed ids; the examples use it and each has a settings file. Conclusion: check, plan and apply can show all faults at once.

--- a/examples/hanbit.py
+++ b/examples/hanbit.py
@@ -1,38 +1,24 @@
 """Declaration of Hanbit Workers' Handbook Cooperative: a shared handbook portal."""
 
-import hashlib
 import sys
 
-from fuchsiaroute.configuration import (
-    Configuration,
-    ConfiguredCall,
-    Endpoint,
-    FailureDomain,
-    Model,
-    Organisation,
-    Product,
-    RequestClassSpec,
-    Service,
-    Version,
-)
-from fuchsiaroute.declaration import encode
-from fuchsiaroute.ids import (
-    EndpointId,
-    FailureDomainId,
-    ModelId,
-    OrganisationId,
-    ProductId,
-    RegionId,
-    RequestClass,
-    ServiceId,
-    VersionId,
+from fuchsiaroute.configuration import Configuration
+from fuchsiaroute.declaration import (
+    Deployment,
+    call,
+    encode,
+    key_digest,
+    request_class,
+    version,
 )
+from fuchsiaroute.ids import FailureDomainId, ModelId, ProductId, ServiceId, VersionId
 
 DEPLOYMENT = "hanbit"
 PRODUCT = ProductId("handbook-portal")
-SEOUL = RegionId("seoul")
+REGION = "seoul"
 FAILURE_DOMAINS = tuple(FailureDomainId(f"seoul-{zone}") for zone in "abc")
 SMALL, MEDIUM, LARGE = ModelId("jebi"), ModelId("kkachi"), ModelId("duru")
+VERSIONS = (VersionId("jebi-3"), VersionId("kkachi-2"), VersionId("duru-5"))
 PORTAL_APP = ServiceId("portal-app")
 ORGANISATION_COUNT = 10
 LARGE_ORGANISATION_COUNT = 3
@@ -42,107 +28,91 @@
 FIRST_SERVICE_PORT = 9251
 
 
-def _version(name: str, *, cost: int, quality: float) -> Version:
-    return Version(id=VersionId(name), cost_per_1000_tokens=cost, prior_quality=quality)
-
-
-MODELS = (
-    Model(id=SMALL, versions=(_version("jebi-3", cost=200, quality=0.88),)),
-    Model(id=MEDIUM, versions=(_version("kkachi-2", cost=1_000, quality=0.93),)),
-    Model(id=LARGE, versions=(_version("duru-5", cost=5_000, quality=0.97),)),
-)
-
-
 def example_key(organisation: str) -> str:
     """Return the example API key of an organisation; real keys come from files."""
     return f"example-key-{organisation}"
 
 
-def key_digest(key: str) -> str:
-    """Return the digest of an API key as a configuration holds it."""
-    return hashlib.blake2b(key.encode(), digest_size=32).hexdigest()
+def _declare_product(deployment: Deployment) -> None:
+    deployment.product(
+        PRODUCT,
+        priority=5,
+        classes=(
+            request_class("overtime-question", quality_target=0.85, expected_tokens=60),
+            request_class("leave-letter", quality_target=0.90, expected_tokens=300),
+            request_class("chapter-review", quality_target=0.95, expected_tokens=500),
+        ),
+    )
 
 
-def _organisation(number: int) -> Organisation:
-    name = f"firm-{number:02}"
-    is_large = number < LARGE_ORGANISATION_COUNT
-    return Organisation(
-        id=OrganisationId(name),
-        product=PRODUCT,
-        permitted_models=(SMALL, MEDIUM, LARGE) if is_large else (SMALL, LARGE),
-        permitted_services=(PORTAL_APP,),
-        key_digest=key_digest(example_key(name)),
-        weight=3 if is_large else 1,
+def _declare_models(deployment: Deployment) -> None:
+    small, medium, large = VERSIONS
+    deployment.model(
+        SMALL, versions=[version(small, cost_per_1000_tokens=200, prior_quality=0.88)]
+    )
+    deployment.model(
+        MEDIUM,
+        versions=[version(medium, cost_per_1000_tokens=1_000, prior_quality=0.93)],
+    )
+    deployment.model(
+        LARGE, versions=[version(large, cost_per_1000_tokens=5_000, prior_quality=0.97)]
     )
 
 
-def _worker(number: int) -> Endpoint:
-    return Endpoint(
-        id=EndpointId(f"assistant-models-{number}"),
-        url=f"http://127.0.0.1:{FIRST_WORKER_PORT + number}",
-        failure_domain=FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)],
-        versions=tuple(version.id for model in MODELS for version in model.versions),
+def _declare_service(deployment: Deployment) -> None:
+    deployment.service(
+        PORTAL_APP,
+        calls=(
+            call("/pages/read", is_idempotent=True),
+            call("/signatures/add", is_idempotent=False),
+        ),
+        cost_per_call=5,
     )
 
 
-def _service_worker(number: int) -> Endpoint:
-    return Endpoint(
-        id=EndpointId(f"portal-app-{number}"),
-        url=f"http://127.0.0.1:{FIRST_SERVICE_PORT + number}",
-        failure_domain=FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)],
-        services=(PORTAL_APP,),
-    )
+def _declare_organisations(deployment: Deployment) -> None:
+    for number in range(ORGANISATION_COUNT):
+        name = f"firm-{number:02}"
+        is_large = number < LARGE_ORGANISATION_COUNT
+        deployment.organisation(
+            name,
+            product=PRODUCT,
+            permitted_models=(SMALL, MEDIUM, LARGE) if is_large else (SMALL, LARGE),
+            permitted_services=(PORTAL_APP,),
+            key_digest=key_digest(example_key(name)),
+            weight=3 if is_large else 1,
+        )
+
+
+def _declare_endpoints(deployment: Deployment) -> None:
+    for number in range(WORKER_COUNT):
+        deployment.engine(
+            f"assistant-models-{number}",
+            url=f"http://127.0.0.1:{FIRST_WORKER_PORT + number}",
+            failure_domain=FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)],
+            versions=VERSIONS,
+            is_fencing_checked=False,
+        )
+    for number in range(SERVICE_COUNT):
+        deployment.service_endpoint(
+            f"portal-app-{number}",
+            url=f"http://127.0.0.1:{FIRST_SERVICE_PORT + number}",
+            failure_domain=FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)],
+            services=(PORTAL_APP,),
+        )
 
 
 def declare() -> Configuration:
     """Return the configuration of the deployment."""
-    return Configuration(
-        deployment=DEPLOYMENT,
-        failure_domains=tuple(
-            FailureDomain(id=name, region=SEOUL) for name in FAILURE_DOMAINS
-        ),
-        products=(
-            Product(
-                id=PRODUCT,
-                priority=5,
-                classes=(
-                    RequestClassSpec(
-                        id=RequestClass("overtime-question"),
-                        quality_target=0.85,
-                        expected_tokens=60,
-                    ),
-                    RequestClassSpec(
-                        id=RequestClass("leave-letter"),
-                        quality_target=0.90,
-                        expected_tokens=300,
-                    ),
-                    RequestClassSpec(
-                        id=RequestClass("chapter-review"),
-                        quality_target=0.95,
-                        expected_tokens=500,
-                    ),
-                ),
-            ),
-        ),
-        organisations=tuple(
-            _organisation(number) for number in range(ORGANISATION_COUNT)
-        ),
-        models=MODELS,
-        services=(
-            Service(
-                id=PORTAL_APP,
-                calls=(
-                    ConfiguredCall(path="/pages/read", is_idempotent=True),
-                    ConfiguredCall(path="/signatures/add", is_idempotent=False),
-                ),
-                cost_per_call=5,
-            ),
-        ),
-        endpoints=(
-            *(_worker(number) for number in range(WORKER_COUNT)),
-            *(_service_worker(number) for number in range(SERVICE_COUNT)),
-        ),
-    )
+    deployment = Deployment(DEPLOYMENT)
+    for name in FAILURE_DOMAINS:
+        deployment.failure_domain(name, region=REGION)
+    _declare_product(deployment)
+    _declare_models(deployment)
+    _declare_service(deployment)
+    _declare_organisations(deployment)
+    _declare_endpoints(deployment)
+    return deployment.build()
 
 
 if __name__ == "__main__":
--- a/examples/timberline.py
+++ b/examples/timberline.py
@@ -1,38 +1,24 @@
 """Declaration of Timberline Permit Works: firewood permits for state forests."""
 
-import hashlib
 import sys
 
-from fuchsiaroute.configuration import (
-    Configuration,
-    ConfiguredCall,
-    Endpoint,
-    FailureDomain,
-    Model,
-    Organisation,
-    Product,
-    RequestClassSpec,
-    Service,
-    Version,
-)
-from fuchsiaroute.declaration import encode
-from fuchsiaroute.ids import (
-    EndpointId,
-    FailureDomainId,
-    ModelId,
-    OrganisationId,
-    ProductId,
-    RegionId,
-    RequestClass,
-    ServiceId,
-    VersionId,
+from fuchsiaroute.configuration import Configuration
+from fuchsiaroute.declaration import (
+    Deployment,
+    call,
+    encode,
+    key_digest,
+    request_class,
+    version,
 )
+from fuchsiaroute.ids import FailureDomainId, ModelId, ProductId, ServiceId, VersionId
 
 DEPLOYMENT = "timberline"
 PRODUCT = ProductId("permit-desk")
-LAKES = RegionId("lakes")
+REGION = "lakes"
 FAILURE_DOMAINS = tuple(FailureDomainId(f"lakes-{zone}") for zone in "abc")
 SMALL, MEDIUM, LARGE = ModelId("sapling"), ModelId("timber"), ModelId("old-growth")
+VERSIONS = (VersionId("sapling-1"), VersionId("timber-4"), VersionId("old-growth-2"))
 PERMIT_APP = ServiceId("permit-app")
 ORGANISATION_COUNT = 10
 LARGE_ORGANISATION_COUNT = 3
@@ -42,107 +28,91 @@
 FIRST_SERVICE_PORT = 9151
 
 
-def _version(name: str, *, cost: int, quality: float) -> Version:
-    return Version(id=VersionId(name), cost_per_1000_tokens=cost, prior_quality=quality)
-
-
-MODELS = (
-    Model(id=SMALL, versions=(_version("sapling-1", cost=200, quality=0.88),)),
-    Model(id=MEDIUM, versions=(_version("timber-4", cost=1_000, quality=0.93),)),
-    Model(id=LARGE, versions=(_version("old-growth-2", cost=5_000, quality=0.97),)),
-)
-
-
 def example_key(organisation: str) -> str:
     """Return the example API key of an organisation; real keys come from files."""
     return f"example-key-{organisation}"
 
 
-def key_digest(key: str) -> str:
-    """Return the digest of an API key as a configuration holds it."""
-    return hashlib.blake2b(key.encode(), digest_size=32).hexdigest()
+def _declare_product(deployment: Deployment) -> None:
+    deployment.product(
+        PRODUCT,
+        priority=7,
+        classes=(
+            request_class("stand-lookup", quality_target=0.85, expected_tokens=60),
+            request_class("permit-draft", quality_target=0.90, expected_tokens=300),
+            request_class("cutting-report", quality_target=0.95, expected_tokens=500),
+        ),
+    )
 
 
-def _organisation(number: int) -> Organisation:
-    name = f"county-{number:02}"
-    is_large = number < LARGE_ORGANISATION_COUNT
-    return Organisation(
-        id=OrganisationId(name),
-        product=PRODUCT,
-        permitted_models=(SMALL, MEDIUM, LARGE) if is_large else (SMALL, LARGE),
-        permitted_services=(PERMIT_APP,),
-        key_digest=key_digest(example_key(name)),
-        weight=3 if is_large else 1,
+def _declare_models(deployment: Deployment) -> None:
+    small, medium, large = VERSIONS
+    deployment.model(
+        SMALL, versions=[version(small, cost_per_1000_tokens=200, prior_quality=0.88)]
+    )
+    deployment.model(
+        MEDIUM,
+        versions=[version(medium, cost_per_1000_tokens=1_000, prior_quality=0.93)],
+    )
+    deployment.model(
+        LARGE, versions=[version(large, cost_per_1000_tokens=5_000, prior_quality=0.97)]
     )
 
 
-def _worker(number: int) -> Endpoint:
-    return Endpoint(
-        id=EndpointId(f"model-pool-{number}"),
-        url=f"http://127.0.0.1:{FIRST_WORKER_PORT + number}",
-        failure_domain=FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)],
-        versions=tuple(version.id for model in MODELS for version in model.versions),
+def _declare_service(deployment: Deployment) -> None:
+    deployment.service(
+        PERMIT_APP,
+        calls=(
+            call("/permits/search", is_idempotent=True),
+            call("/permits/issue", is_idempotent=False),
+        ),
+        cost_per_call=5,
     )
 
 
-def _service_worker(number: int) -> Endpoint:
-    return Endpoint(
-        id=EndpointId(f"permit-app-{number}"),
-        url=f"http://127.0.0.1:{FIRST_SERVICE_PORT + number}",
-        failure_domain=FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)],
-        services=(PERMIT_APP,),
-    )
+def _declare_organisations(deployment: Deployment) -> None:
+    for number in range(ORGANISATION_COUNT):
+        name = f"county-{number:02}"
+        is_large = number < LARGE_ORGANISATION_COUNT
+        deployment.organisation(
+            name,
+            product=PRODUCT,
+            permitted_models=(SMALL, MEDIUM, LARGE) if is_large else (SMALL, LARGE),
+            permitted_services=(PERMIT_APP,),
+            key_digest=key_digest(example_key(name)),
+            weight=3 if is_large else 1,
+        )
+
+
+def _declare_endpoints(deployment: Deployment) -> None:
+    for number in range(WORKER_COUNT):
+        deployment.engine(
+            f"model-pool-{number}",
+            url=f"http://127.0.0.1:{FIRST_WORKER_PORT + number}",
+            failure_domain=FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)],
+            versions=VERSIONS,
+            is_fencing_checked=True,
+        )
+    for number in range(SERVICE_COUNT):
+        deployment.service_endpoint(
+            f"permit-app-{number}",
+            url=f"http://127.0.0.1:{FIRST_SERVICE_PORT + number}",
+            failure_domain=FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)],
+            services=(PERMIT_APP,),
+        )
 
 
 def declare() -> Configuration:
     """Return the configuration of the deployment."""
-    return Configuration(
-        deployment=DEPLOYMENT,
-        failure_domains=tuple(
-            FailureDomain(id=name, region=LAKES) for name in FAILURE_DOMAINS
-        ),
-        products=(
-            Product(
-                id=PRODUCT,
-                priority=7,
-                classes=(
-                    RequestClassSpec(
-                        id=RequestClass("stand-lookup"),
-                        quality_target=0.85,
-                        expected_tokens=60,
-                    ),
-                    RequestClassSpec(
-                        id=RequestClass("permit-draft"),
-                        quality_target=0.90,
-                        expected_tokens=300,
-                    ),
-                    RequestClassSpec(
-                        id=RequestClass("cutting-report"),
-                        quality_target=0.95,
-                        expected_tokens=500,
-                    ),
-                ),
-            ),
-        ),
-        organisations=tuple(
-            _organisation(number) for number in range(ORGANISATION_COUNT)
-        ),
-        models=MODELS,
-        services=(
-            Service(
-                id=PERMIT_APP,
-                calls=(
-                    ConfiguredCall(path="/permits/search", is_idempotent=True),
-                    ConfiguredCall(path="/permits/issue", is_idempotent=False),
-                ),
-                cost_per_call=5,
-            ),
-        ),
-        endpoints=(
-            *(_worker(number) for number in range(WORKER_COUNT)),
-            *(_service_worker(number) for number in range(SERVICE_COUNT)),
-        ),
-    )
+    deployment = Deployment(DEPLOYMENT)
+    for name in FAILURE_DOMAINS:
+        deployment.failure_domain(name, region=REGION)
+    _declare_product(deployment)
+    _declare_models(deployment)
+    _declare_service(deployment)
+    _declare_organisations(deployment)
+    _declare_endpoints(deployment)
+    return deployment.build()
 
 
 if __name__ == "__main__":
--- a/fuchsiaroute/declaration/__init__.py
+++ b/fuchsiaroute/declaration/__init__.py
@@ -1,6 +1,30 @@
 """Operators' library: declare a deployment and print its configuration."""
 
+from fuchsiaroute.declaration._builder import (
+    Deployment,
+    call,
+    request_class,
+    version,
+)
 from fuchsiaroute.declaration._canonical import decode, encode
 from fuchsiaroute.declaration._exceptions import DeclarationError
+from fuchsiaroute.declaration._faults import Fault, Severity, has_errors
+from fuchsiaroute.declaration._keys import key_digest
+from fuchsiaroute.declaration._structure import read
+from fuchsiaroute.declaration._validate import validate
 
-__all__ = ["DeclarationError", "decode", "encode"]
+__all__ = [
+    "DeclarationError",
+    "Deployment",
+    "Fault",
+    "Severity",
+    "call",
+    "decode",
+    "encode",
+    "has_errors",
+    "key_digest",
+    "read",
+    "request_class",
+    "validate",
+    "version",
+]
--- a/fuchsiaroute/settings/tests/test_settings.py
+++ b/fuchsiaroute/settings/tests/test_settings.py
@@ -3,6 +3,7 @@
 import pytest
 from returns.result import Failure, Success
 
+import examples
 from fuchsiaroute.settings import (
     NoFile,
     StandardError,
@@ -164,3 +165,9 @@
         assert content.strip() == "" or content not in str(result.failure())
     else:
         assert result == expected
+
+
+@pytest.mark.parametrize("name", ["timberline", "hanbit"])
+def test_example_settings_have_no_fault(name):
+    path = Path(examples.__file__).with_name(f"{name}.ini")
+    assert isinstance(load(path), Success)
