Learn quality from ratings and test roll-outs sequentially

Cause: a version could turn bad unnoticed, and entries had no shared estimates. Change: a quality book that is the fold of the rating log up to a cursor, shared as one record by compare-and-set; weighted counts with change detection; a mixture likelihood ratio on the bad ratings with a false-alarm rate of 1% by Ville's inequality; a roll-out counts its attempts so that a resumption starts on new ratings. Conclusion: a rating counts once whichever entry reads it, also through store faults.

--- a/fuchsiaroute/configuration/_model.py
+++ b/fuchsiaroute/configuration/_model.py
@@ -124,6 +124,8 @@
     #: Index into ``stages`` of the stage in force.
     stage: int = 0
     state: RolloutState = RolloutState.RUNNING
+    #: Grows with each resumption; ratings from before it no longer count.
+    attempt: int = 0
 
     @property
     def share(self) -> float:
--- /dev/null
+++ b/fuchsiaroute/quality/__init__.py
@@ -0,0 +1,38 @@
+"""Quality from late, sampled and noisy ratings: estimates and the bad-version test."""
+
+from fuchsiaroute.quality._book import (
+    MAX_CELLS,
+    QualityBook,
+    fold_ratings,
+    later_book,
+)
+from fuchsiaroute.quality._cell import Cell
+from fuchsiaroute.quality._codec import MAX_BOOK_BYTES, BookError, decode, encode
+from fuchsiaroute.quality._estimates import BookEstimates
+from fuchsiaroute.quality._rating_log import RATING_BOOK_KEY, RatingLog
+from fuchsiaroute.quality._sequential_test import (
+    DEFAULT_FALSE_ALARM_RATE,
+    SequentialTest,
+    TestOutcome,
+)
+from fuchsiaroute.quality._trial import Evidence, Trial
+
+__all__ = [
+    "DEFAULT_FALSE_ALARM_RATE",
+    "MAX_BOOK_BYTES",
+    "MAX_CELLS",
+    "RATING_BOOK_KEY",
+    "BookError",
+    "BookEstimates",
+    "Cell",
+    "Evidence",
+    "QualityBook",
+    "RatingLog",
+    "SequentialTest",
+    "TestOutcome",
+    "Trial",
+    "decode",
+    "encode",
+    "fold_ratings",
+    "later_book",
+]
--- /dev/null
+++ b/fuchsiaroute/quality/_codec.py
@@ -0,0 +1,173 @@
+"""The form in which a quality book is kept in the table service and sent to peers."""
+
+import msgspec
+
+from fuchsiaroute.ids import RequestClass, RolloutId, VersionId
+from fuchsiaroute.quality._book import QualityBook
+from fuchsiaroute.quality._cell import Cell
+from fuchsiaroute.quality._trial import Evidence, Trial
+
+#: Most bytes of an encoded book: 512 cells of at most 24 bytes each, and names of at
+#: most 64 bytes, with room for the trials.
+MAX_BOOK_BYTES = 64 * 1024
+#: Steps of a weighted count that are kept.
+_STEPS = 100
+
+
+class BookError(ValueError):
+    """Bytes that are not a quality book, or a book that is too large."""
+
+
+class _Cell(msgspec.Struct, array_like=True, frozen=True):
+    request_class: int
+    short_ratings: int
+    short_good: int
+    long_ratings: int
+    long_good: int
+    tick: int
+    is_changed: bool
+
+
+class _Evidence(msgspec.Struct, array_like=True, frozen=True):
+    request_class: int
+    target_ratings: int
+    target_bad: int
+    base_ratings: int
+    base_bad: int
+
+
+class _Trial(msgspec.Struct, array_like=True, frozen=True):
+    rollout: RolloutId
+    attempt: int
+    base: VersionId
+    target: VersionId
+    evidence: list[_Evidence]
+
+
+class _Book(msgspec.Struct, array_like=True, frozen=True):
+    cursor: str
+    total: int
+    classes: list[RequestClass]
+    ticks: list[int]
+    cells: dict[VersionId, list[_Cell]]
+    trials: list[_Trial]
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(_Book)
+
+
+def encode(book: QualityBook) -> bytes:
+    """Return the bytes of ``book``; raises ``BookError`` above the limit."""
+    names = _class_names(book)
+    index = {name: number for number, name in enumerate(names)}
+    encoded = _ENCODER.encode(
+        _Book(
+            cursor=book.cursor,
+            total=book.total,
+            classes=names,
+            ticks=[book.ticks.get(name, 0) for name in names],
+            cells={
+                version: [_pack_cell(index[name], cell) for name, cell in row.items()]
+                for version, row in book.cells.items()
+            },
+            trials=[_pack_trial(index, trial) for trial in book.trials.values()],
+        )
+    )
+    if len(encoded) > MAX_BOOK_BYTES:
+        raise BookError(f"a quality book of {len(encoded)} bytes is too large")
+    return encoded
+
+
+def decode(encoded: bytes) -> QualityBook:
+    """Return the book in ``encoded``; raises ``BookError`` if there is none."""
+    if len(encoded) > MAX_BOOK_BYTES:
+        raise BookError(f"a quality book of {len(encoded)} bytes is too large")
+    try:
+        packed = _DECODER.decode(encoded)
+        return _unpack(packed)
+    except (msgspec.MsgspecError, IndexError, ValueError) as error:
+        raise BookError(f"not a quality book: {error}") from error
+
+
+def _class_names(book: QualityBook) -> list[RequestClass]:
+    names = set(book.ticks)
+    for row in book.cells.values():
+        names.update(row)
+    for trial in book.trials.values():
+        names.update(trial.classes)
+    return sorted(names)
+
+
+def _pack_cell(request_class: int, cell: Cell) -> _Cell:
+    return _Cell(
+        request_class=request_class,
+        short_ratings=round(cell.short_ratings * _STEPS),
+        short_good=round(cell.short_good * _STEPS),
+        long_ratings=round(cell.long_ratings * _STEPS),
+        long_good=round(cell.long_good * _STEPS),
+        tick=cell.tick,
+        is_changed=cell.is_changed,
+    )
+
+
+def _pack_trial(index: dict[RequestClass, int], trial: Trial) -> _Trial:
+    return _Trial(
+        rollout=trial.rollout,
+        attempt=trial.attempt,
+        base=trial.base,
+        target=trial.target,
+        evidence=[
+            _Evidence(
+                request_class=index[name],
+                target_ratings=evidence.target_ratings,
+                target_bad=evidence.target_bad,
+                base_ratings=evidence.base_ratings,
+                base_bad=evidence.base_bad,
+            )
+            for name, evidence in trial.classes.items()
+        ],
+    )
+
+
+def _unpack(packed: _Book) -> QualityBook:
+    names = packed.classes
+    return QualityBook(
+        cursor=packed.cursor,
+        total=packed.total,
+        ticks=dict(zip(names, packed.ticks, strict=True)),
+        cells={
+            version: {names[cell.request_class]: _unpack_cell(cell) for cell in row}
+            for version, row in packed.cells.items()
+        },
+        trials={trial.rollout: _unpack_trial(names, trial) for trial in packed.trials},
+    )
+
+
+def _unpack_cell(cell: _Cell) -> Cell:
+    return Cell(
+        short_ratings=cell.short_ratings / _STEPS,
+        short_good=cell.short_good / _STEPS,
+        long_ratings=cell.long_ratings / _STEPS,
+        long_good=cell.long_good / _STEPS,
+        tick=cell.tick,
+        is_changed=cell.is_changed,
+    )
+
+
+def _unpack_trial(names: list[RequestClass], trial: _Trial) -> Trial:
+    return Trial(
+        rollout=trial.rollout,
+        attempt=trial.attempt,
+        base=trial.base,
+        target=trial.target,
+        classes={
+            names[item.request_class]: Evidence(
+                target_ratings=item.target_ratings,
+                target_bad=item.target_bad,
+                base_ratings=item.base_ratings,
+                base_bad=item.base_bad,
+            )
+            for item in trial.evidence
+        },
+    )
--- /dev/null
+++ b/fuchsiaroute/quality/_estimates.py
@@ -0,0 +1,56 @@
+"""Quality estimates from a book and the operators' declarations."""
+
+import math
+
+from fuchsiaroute.configuration import Version
+from fuchsiaroute.ids import RequestClass, VersionId
+from fuchsiaroute.quality._book import QualityBook
+from fuchsiaroute.quality._cell import Cell
+from fuchsiaroute.routing import Estimate
+
+#: Ratings that the declared quality is worth.
+PRIOR_RATINGS = 300.0
+#: The same after the ratings have shown a change.
+CHANGED_PRIOR_RATINGS = 5.0
+#: Standard deviations below the mean of the lower bound: one-sided 90%.
+LOWER_DEVIATIONS = 1.28
+
+
+class BookEstimates:
+    """Estimates of the newest book; implements ``routing.QualityEstimates``."""
+
+    def __init__(self, book: QualityBook | None = None) -> None:
+        self._book = book or QualityBook()
+        self._cache: dict[tuple[VersionId, RequestClass], tuple[float, Estimate]] = {}
+
+    @property
+    def book(self) -> QualityBook:
+        """Return the book in use."""
+        return self._book
+
+    def update(self, book: QualityBook) -> None:
+        """Use ``book`` from now on."""
+        if book is not self._book:
+            self._book = book
+            self._cache.clear()
+
+    def estimate(self, version: Version, request_class: RequestClass) -> Estimate:
+        """Return the estimate for ``version`` on ``request_class``."""
+        key = (version.id, request_class)
+        cached = self._cache.get(key)
+        if cached is not None and cached[0] == version.prior_quality:
+            return cached[1]
+        cell = self._book.cell(version.id, request_class)
+        estimate = _estimate(cell, version.prior_quality)
+        if version.id in self._book.cells:
+            self._cache[key] = (version.prior_quality, estimate)
+        return estimate
+
+
+def _estimate(cell: Cell, prior: float) -> Estimate:
+    weight = CHANGED_PRIOR_RATINGS if cell.is_changed else PRIOR_RATINGS
+    ratings = weight + cell.long_ratings
+    mean = (weight * prior + cell.long_good) / ratings
+    deviation = math.sqrt(mean * (1.0 - mean) / ratings)
+    lower = max(0.0, mean - LOWER_DEVIATIONS * deviation)
+    return Estimate(mean=mean, lower=lower)
--- /dev/null
+++ b/fuchsiaroute/quality/_rating_log.py
@@ -0,0 +1,106 @@
+"""The shared reading of the rating service's log."""
+
+from returns.result import Failure, Result, Success
+
+from fuchsiaroute.configuration import Configuration
+from fuchsiaroute.platform import (
+    Check,
+    Committed,
+    Put,
+    RatingService,
+    Record,
+    StoreError,
+    StoreErrorKind,
+    TableStore,
+    Transaction,
+)
+from fuchsiaroute.quality._book import QualityBook, fold_ratings, later_book
+from fuchsiaroute.quality._codec import BookError, decode, encode
+
+#: Key of the book in the table service.
+RATING_BOOK_KEY = "quality/book"
+#: Pages that one call reads at most.
+_MAX_PAGES = 20
+
+
+class RatingLog:
+    """
+    Reads ratings on behalf of all entries.
+
+    The book and the cursor it stands at are one record, written with a
+    compare-and-set: a rating counts once whichever entry reads it, and a fresh entry
+    goes on where the last one stopped. While the table service is down, an entry
+    reads on for itself; when it is back, the book that has read furthest is written.
+    """
+
+    def __init__(self, *, store: TableStore, service: RatingService) -> None:
+        self._store = store
+        self._service = service
+        self._book = QualityBook()
+
+    @property
+    def book(self) -> QualityBook:
+        """Return the furthest book that this entry knows."""
+        return self._book
+
+    def offer(self, book: QualityBook) -> None:
+        """Take a peer's book if it has read further than this entry's."""
+        self._book = later_book(self._book, book)
+
+    async def refresh(self) -> Result[None, StoreError]:
+        """Take the shared book if it has read further, without reading ratings."""
+        record = await self._load()
+        return record.map(lambda _: None)
+
+    async def advance(
+        self, configuration: Configuration
+    ) -> Result[QualityBook, StoreError]:
+        """
+        Read new ratings and return the furthest book known.
+
+        Fails if the rating service does not answer; the book then stays as it is.
+        """
+        loaded = await self._load()
+        folded = await self._read_on(configuration)
+        if isinstance(folded, Failure):
+            return folded
+        if isinstance(loaded, Success):
+            await self._save(loaded.unwrap())
+        return Success(self._book)
+
+    async def _load(self) -> Result[Record, StoreError]:
+        answer = await self._store.read((RATING_BOOK_KEY,))
+        if isinstance(answer, Failure):
+            return answer
+        (record,) = answer.unwrap()
+        if record.value:
+            try:
+                self.offer(decode(record.value))
+            except BookError as error:
+                return Failure(
+                    StoreError(kind=StoreErrorKind.REFUSED, message=str(error))
+                )
+        return Success(record)
+
+    async def _read_on(self, configuration: Configuration) -> Result[None, StoreError]:
+        for _ in range(_MAX_PAGES):
+            answer = await self._service.ratings(self._book.cursor)
+            if isinstance(answer, Failure):
+                return answer
+            page = answer.unwrap()
+            if not page.ratings:
+                break
+            self._book = fold_ratings(self._book, page, configuration)
+        return Success(None)
+
+    async def _save(self, record: Record) -> None:
+        """Write the book over ``record``; a conflict leaves it to the other entry."""
+        if record.value and decode(record.value).total >= self._book.total:
+            return
+        transaction = Transaction(
+            checks=(Check(key=record.key, version=record.version),),
+            puts=(Put(key=record.key, value=encode(self._book)),),
+        )
+        outcome = await self._store.commit(transaction)
+        if isinstance(outcome, Success) and not isinstance(outcome.unwrap(), Committed):
+            await self._load()
--- /dev/null
+++ b/fuchsiaroute/quality/tests/test_rating_log.py
@@ -0,0 +1,219 @@
+"""The shared book: each rating counts once, whatever fails."""
+
+from random import Random
+
+import pytest
+from returns.result import Failure, Success
+
+from fuchsiaroute.configuration import RolloutState, Version
+from fuchsiaroute.ids import RequestClass, RequestId, VersionId
+from fuchsiaroute.platform import (
+    MemoryTableStore,
+    Rating,
+    RatingPage,
+    StoreError,
+    StoreErrorKind,
+    StoreFault,
+)
+from fuchsiaroute.quality import (
+    MAX_BOOK_BYTES,
+    BookError,
+    BookEstimates,
+    Cell,
+    QualityBook,
+    RatingLog,
+    decode,
+    encode,
+    fold_ratings,
+    later_book,
+)
+from fuchsiaroute.routing.tests.deployment import (
+    QUESTION,
+    ROLLOUT,
+    S1,
+    S2,
+    make_configuration,
+    make_rollout,
+)
+
+RUNNING = make_configuration(rollouts=(make_rollout(),))
+
+
+class FakeRatings:
+    """A rating service whose log the tests extend."""
+
+    def __init__(self):
+        self.log = []
+        self.is_down = False
+
+    def add(self, count, *, version=S1, request_class=QUESTION, is_good=True):
+        for _ in range(count):
+            self.log.append(
+                Rating(
+                    request=RequestId(f"r{len(self.log)}"),
+                    version=version,
+                    request_class=request_class,
+                    is_good=is_good,
+                )
+            )
+
+    async def ratings(self, cursor):
+        if self.is_down:
+            return Failure(StoreError(kind=StoreErrorKind.REFUSED, message="down"))
+        start = int(cursor or 0)
+        page = tuple(self.log[start : start + 10])
+        return Success(RatingPage(ratings=page, cursor=str(start + len(page))))
+
+
+@pytest.fixture
+def store():
+    return MemoryTableStore()
+
+
+@pytest.fixture
+def service():
+    return FakeRatings()
+
+
+def evidence(book):
+    counts = book.trials[ROLLOUT].classes[QUESTION]
+    return counts.target_ratings, counts.target_bad, counts.base_ratings
+
+
+async def test_entries_that_take_turns_count_each_rating_once(store, service):
+    entries = [RatingLog(store=store, service=service) for _ in range(3)]
+    random = Random(5)
+    for _ in range(40):
+        service.add(random.randrange(25), version=random.choice((S1, S2)))
+        entry = random.randrange(3)
+        if random.random() < 0.2:  # A replacement that knows nothing.
+            entries[entry] = RatingLog(store=store, service=service)
+        await entries[entry].advance(RUNNING)
+    for entry in entries:
+        book = (await entry.advance(RUNNING)).unwrap()
+        assert book.total == len(service.log)
+        on_target = sum(rating.version == S2 for rating in service.log)
+        assert evidence(book) == (on_target, 0, len(service.log) - on_target)
+
+
+@pytest.mark.parametrize("fault", [StoreFault.DOWN, StoreFault.ANSWER_LOST])
+async def test_a_store_fault_neither_loses_nor_doubles_ratings(store, service, fault):
+    first = RatingLog(store=store, service=service)
+    second = RatingLog(store=store, service=service)
+    service.add(5, version=S2)
+    await first.advance(RUNNING)
+    store.fault = fault
+    service.add(7, version=S2)
+    assert (await first.advance(RUNNING)).unwrap().total == 12
+    service.add(8, version=S2)
+    assert (await second.advance(RUNNING)).unwrap().total == 20
+    store.fault = StoreFault.NONE
+    for entry in (first, second, RatingLog(store=store, service=service)):
+        assert evidence((await entry.advance(RUNNING)).unwrap()) == (20, 0, 0)
+
+
+async def test_a_book_from_a_peer_counts_once_in_any_order(store, service):
+    service.add(30, version=S2)
+    first = RatingLog(store=store, service=service)
+    early = (await first.advance(RUNNING)).unwrap()
+    service.add(5, version=S2)
+    late = (await first.advance(RUNNING)).unwrap()
+    peer = RatingLog(store=MemoryTableStore(), service=service)
+    for book in (late, early, late, early):
+        peer.offer(decode(encode(book)))
+    assert peer.book.total == 35
+    assert later_book(early, late) is late
+    assert later_book(late, early) is late
+    assert evidence((await peer.advance(RUNNING)).unwrap()) == (35, 0, 0)
+
+
+async def test_when_ratings_stop_the_book_stays(store, service):
+    service.add(10)
+    log = RatingLog(store=store, service=service)
+    await log.advance(RUNNING)
+    service.is_down = True
+    assert isinstance(await log.advance(RUNNING), Failure)
+    assert log.book.total == 10
+
+
+async def test_an_idle_log_writes_nothing(store, service):
+    log = RatingLog(store=store, service=service)
+    service.add(3)
+    await log.advance(RUNNING)
+    writes = store.writes
+    await log.advance(RUNNING)
+    assert store.writes == writes
+
+
+def test_a_resumed_rollout_starts_on_new_ratings():
+    page = RatingPage(
+        ratings=(
+            Rating(
+                request=RequestId("r"),
+                version=S2,
+                request_class=QUESTION,
+                is_good=False,
+            ),
+        ),
+        cursor="1",
+    )
+    book = fold_ratings(QualityBook(), page, RUNNING)
+    paused = make_configuration(rollouts=(make_rollout(RolloutState.PAUSED),))
+    book = fold_ratings(book, page, paused)
+    assert evidence(book) == (1, 1, 0)
+    rollout = make_rollout()
+    resumed = make_configuration(
+        rollouts=(type(rollout)(**{**vars(rollout), "attempt": 1}),)
+    )
+    assert evidence(fold_ratings(book, page, resumed)) == (1, 1, 0)
+    book = fold_ratings(fold_ratings(book, page, resumed), page, resumed)
+    assert evidence(book) == (2, 2, 0)
+    # An entry that still knows the former attempt adds nothing to the new one.
+    assert evidence(fold_ratings(book, page, RUNNING)) == (2, 2, 0)
+
+
+def test_undeclared_versions_and_classes_do_not_count(service):
+    service.add(3, version=VersionId("gone"))
+    service.add(3, request_class=RequestClass("gone"))
+    page = RatingPage(ratings=tuple(service.log), cursor="6")
+    book = fold_ratings(QualityBook(), page, RUNNING)
+    assert (book.total, book.cells) == (6, {})
+
+
+def test_a_book_of_the_target_size_has_bounded_bytes():
+    names = [RequestClass(f"class-{number:02}".ljust(64, "x")) for number in range(16)]
+    versions = [VersionId(f"v-{number:02}".ljust(64, "x")) for number in range(35)]
+    cell = Cell(
+        short_ratings=60.0,
+        short_good=59.99,
+        long_ratings=800.0,
+        long_good=799.99,
+        tick=10**9,
+        is_changed=True,
+    )
+    book = QualityBook(
+        cursor="c" * 64,
+        total=10**12,
+        ticks=dict.fromkeys(names, 10**9),
+        cells={version: dict.fromkeys(names[:14], cell) for version in versions},
+    )
+    encoded = encode(book)
+    assert len(encoded) <= MAX_BOOK_BYTES // 3
+    assert decode(encoded) == book
+
+
+@pytest.mark.parametrize("encoded", [b"", b"\xc1", b"\x90", b"x" * 100_000])
+def test_other_bytes_are_no_book(encoded):
+    with pytest.raises(BookError):
+        decode(encoded)
+
+
+def test_estimates_start_from_the_declaration_and_follow_ratings():
+    version = Version(id=S1, cost_per_1000_tokens=1, prior_quality=0.9)
+    estimates = BookEstimates()
+    assert estimates.estimate(version, QUESTION).mean == pytest.approx(0.9)
+    cell = Cell(long_ratings=800.0, long_good=400.0, is_changed=True)
+    estimates.update(QualityBook(cells={S1: {QUESTION: cell}}))
+    found = estimates.estimate(version, QUESTION)
+    assert found.mean == pytest.approx(0.5, abs=0.01)
+    assert found.lower < found.mean
--- /dev/null
+++ b/fuchsiaroute/quality/tests/test_sequential_test.py
@@ -0,0 +1,91 @@
+"""The sequential test: its false-alarm rate and what it finds."""
+
+from random import Random
+
+import pytest
+
+from fuchsiaroute.ids import RequestClass, RolloutId, VersionId
+from fuchsiaroute.quality import Evidence, SequentialTest, Trial
+
+BASE, TARGET = VersionId("v1"), VersionId("v2")
+QUESTION, REVIEW = RequestClass("question"), RequestClass("review")
+
+
+def ratings_until_bad(random, *, bad_base, bad_target, share, limit):
+    """Return the target's ratings at the alarm, or None if there was none."""
+    test = SequentialTest()
+    counts = [0, 0, 0, 0]
+    while counts[0] < limit:
+        is_target = random.random() < share
+        is_bad = random.random() < (bad_target if is_target else bad_base)
+        counts[0 if is_target else 2] += 1
+        counts[1 if is_target else 3] += is_bad
+        if not is_bad:
+            continue
+        evidence = Evidence(
+            target_ratings=counts[0],
+            target_bad=counts[1],
+            base_ratings=counts[2],
+            base_bad=counts[3],
+        )
+        if test.evaluate(make_trial({QUESTION: evidence})).is_bad:
+            return counts[0]
+    return None
+
+
+def make_trial(classes):
+    return Trial(rollout=RolloutId("r"), base=BASE, target=TARGET, classes=classes)
+
+
+@pytest.mark.parametrize("share", [0.05, 0.5])
+@pytest.mark.parametrize("bad", [0.03, 0.12])
+def test_false_alarms_stay_under_the_stated_rate(share, bad):
+    alarms = 0
+    for seed in range(100):
+        random = Random(seed)
+        found = ratings_until_bad(
+            random, bad_base=bad, bad_target=bad, share=share, limit=300
+        )
+        alarms += found is not None
+    # With a rate of 1%, more than 4 of 100 has a probability under 0.4%.
+    assert alarms <= 4
+
+
+@pytest.mark.parametrize(("drop", "limit"), [(0.05, 1_500), (0.10, 500), (0.30, 100)])
+def test_a_drop_is_found(drop, limit):
+    # About five times the ratings that the best test needs on average (seven for 30).
+    for seed in range(10):
+        assert ratings_until_bad(
+            Random(seed), bad_base=0.07, bad_target=0.07 + drop, share=0.05, limit=limit
+        )
+
+
+def test_a_drop_that_both_sides_share_is_no_evidence():
+    half = Evidence(target_ratings=500, target_bad=200, base_ratings=500, base_bad=200)
+    assert not SequentialTest().evaluate(make_trial({QUESTION: half})).is_bad
+
+
+def test_an_unequal_mix_of_classes_is_no_evidence():
+    # The target serves mostly the hard class; pooled, it looks three times as bad.
+    classes = {
+        QUESTION: Evidence(
+            target_ratings=100, target_bad=5, base_ratings=900, base_bad=45
+        ),
+        REVIEW: Evidence(
+            target_ratings=900, target_bad=180, base_ratings=100, base_bad=20
+        ),
+    }
+    assert not SequentialTest().evaluate(make_trial(classes)).is_bad
+
+
+@pytest.mark.parametrize("classes", [{}, {QUESTION: Evidence()}])
+def test_no_ratings_say_nothing(classes):
+    outcome = SequentialTest().evaluate(make_trial(classes))
+    assert (outcome.is_bad, outcome.target_ratings) == (False, 0)
+    assert outcome.log_evidence == pytest.approx(0.0)
+
+
+@pytest.mark.parametrize("rate", [0.0, 1.0, -0.5])
+def test_a_false_alarm_rate_is_a_probability(rate):
+    with pytest.raises(ValueError, match="false-alarm"):
+        SequentialTest(false_alarm_rate=rate)
--- a/fuchsiaroute/rollout/_transitions.py
+++ b/fuchsiaroute/rollout/_transitions.py
@@ -16,7 +16,7 @@
     ADVANCE = "advance"
     #: Give the new version no new sessions until resumed.
     PAUSE = "pause"
-    #: Go on in the stage that was paused.
+    #: Go on in the stage that was paused, on ratings from now on.
     RESUME = "resume"
     #: Give the new version no work at all, for good.
     ABORT = "abort"
@@ -79,6 +79,8 @@
     changed = replace(present, state=state)
     if action is RolloutAction.ADVANCE:
         changed = _advance(changed)
+    if action is RolloutAction.RESUME:
+        changed = replace(changed, attempt=present.attempt + 1)
     rollouts = tuple(
         changed if item.id == rollout else item for item in configuration.rollouts
     )
