--- a/fuchsiaroute/gateway/_render.py
+++ b/fuchsiaroute/gateway/_render.py
@@ -76,7 +76,8 @@
     return Stream(
         await _started(answer.chunks),
         status_code=answer.status,
-        media_type=answer.content_type,
+        # litestar adds the character set of text types itself.
+        media_type=answer.content_type.partition(";")[0],
         headers=headers,
     )
 
--- a/fuchsiaroute/serving/__init__.py
+++ b/fuchsiaroute/serving/__init__.py
@@ -1,6 +1,14 @@
 """A serving entry: its parts put together, started and stopped."""
 
 from fuchsiaroute.serving._compose import ComposedEntry, EntryOptions, compose_entry
+from fuchsiaroute.serving._run import EntryProcess, serve
 from fuchsiaroute.serving._server import HttpServer
 
-__all__ = ["ComposedEntry", "EntryOptions", "HttpServer", "compose_entry"]
+__all__ = [
+    "ComposedEntry",
+    "EntryOptions",
+    "EntryProcess",
+    "HttpServer",
+    "compose_entry",
+    "serve",
+]
