Harden the callers' interface: limits, headers, slow senders

Cause: a timeout of 5,000 digits raised ValueError and a body nested too deep raised RecursionError, both answered as untyped 500s; a header given twice was read once; a request id went into store keys unchecked; a slow body held its request for good; an unforeseen error had no verdict. Change: CallerHeaders parsed from the raw headers by a table of forms, doubles refused; limits as a value; the body within a time limit and read only for a known key; reasons too-slow and internal-error, the latter with the verdict MAY_HAVE_RUN; paths taken from the scope, not from inferred parameters.

--- a/fuchsiaroute/gateway/__init__.py
+++ b/fuchsiaroute/gateway/__init__.py
@@ -2,13 +2,14 @@
 
 from fuchsiaroute.gateway._advice import Advice, AdviceSource, AdvisedEntry
 from fuchsiaroute.gateway._app import build_app
-from fuchsiaroute.gateway._authentication import KeyIndex, key_digest
+from fuchsiaroute.gateway._authentication import KeyIndex
+from fuchsiaroute.gateway._limits import CallerLimits
 
 __all__ = [
     "Advice",
     "AdviceSource",
     "AdvisedEntry",
+    "CallerLimits",
     "KeyIndex",
     "build_app",
-    "key_digest",
 ]
