--- a/fuchsiaroute/entry/__init__.py
+++ b/fuchsiaroute/entry/__init__.py
@@ -2,8 +2,12 @@
 
 from fuchsiaroute.entry._admit import InFlightLimit
 from fuchsiaroute.entry._attempt import LeastInFlightAttempt
-from fuchsiaroute.entry._background import CONFIGURATION_KEY, ConfigurationPoll
-from fuchsiaroute.entry._bill import StoredLedger
+from fuchsiaroute.entry._background import (
+    CONFIGURATION_KEY,
+    Background,
+    ConfigurationPoll,
+)
+from fuchsiaroute.entry._bill import LedgerBills
 from fuchsiaroute.entry._call import (
     Answer,
     AttemptRecord,
@@ -13,7 +17,7 @@
     NoVersion,
     ServiceTarget,
 )
-from fuchsiaroute.entry._claim import StoredClaims
+from fuchsiaroute.entry._claim import BookClaims
 from fuchsiaroute.entry._current import NO_REVISION, CurrentConfiguration
 from fuchsiaroute.entry._pipeline import Pipeline
 from fuchsiaroute.entry._route import DeclaredQualityRoute
@@ -36,8 +40,10 @@
     "Attempt",
     "AttemptRecord",
     "AttemptStep",
+    "Background",
     "Bill",
     "BillStep",
+    "BookClaims",
     "Call",
     "ClaimStep",
     "ConfigurationPoll",
@@ -45,6 +51,7 @@
     "DeclaredQualityRoute",
     "InFlightLimit",
     "LeastInFlightAttempt",
+    "LedgerBills",
     "ModelTarget",
     "NoVersion",
     "Pipeline",
@@ -52,6 +59,4 @@
     "Routed",
     "ServiceTarget",
     "Steps",
-    "StoredClaims",
-    "StoredLedger",
 ]
--- a/fuchsiaroute/idempotency/_book.py
+++ b/fuchsiaroute/idempotency/_book.py
@@ -194,9 +194,10 @@
     def _open(
         self, request: Request, key: str, *, token: ClaimToken | None = None
     ) -> Claim:
-        drawn = ClaimToken(f"{self._rng.getrandbits(TOKEN_BITS):032x}")
+        drawn = self._rng.getrandbits(TOKEN_BITS)
+        fresh = ClaimToken(f"{self._instance}/{self._incarnation}/{drawn:032x}")
         record = ClaimRecord(
-            token=token or drawn,
+            token=token or fresh,
             instance=self._instance,
             incarnation=self._incarnation,
         )
