--- /dev/null
+++ b/fuchsiaroute/cascade/__init__.py
@@ -0,0 +1,29 @@
+"""Cascades: a cheap version first, a better one after a weak answer."""
+
+from fuchsiaroute.cascade._answer import (
+    DEFAULT_WEAK_BELOW,
+    Answer,
+    ConfidenceUnknown,
+    is_weak,
+    read_answer,
+)
+from fuchsiaroute.cascade._chooser import (
+    DEFAULT_EXPLORATION_RATE,
+    CascadeChooser,
+)
+from fuchsiaroute.cascade._plan import AnswerPlan, best_plan, plans_of
+from fuchsiaroute.cascade._weak_rates import WeakRates
+
+__all__ = [
+    "DEFAULT_EXPLORATION_RATE",
+    "DEFAULT_WEAK_BELOW",
+    "Answer",
+    "AnswerPlan",
+    "CascadeChooser",
+    "ConfidenceUnknown",
+    "WeakRates",
+    "best_plan",
+    "is_weak",
+    "plans_of",
+    "read_answer",
+]
--- /dev/null
+++ b/fuchsiaroute/cascade/tests/test_cascade.py
@@ -0,0 +1,180 @@
+"""Plans, weak answers, exploration and hysteresis."""
+
+from random import Random
+
+import pytest
+
+from fuchsiaroute.cascade import (
+    Answer,
+    CascadeChooser,
+    WeakRates,
+    is_weak,
+    plans_of,
+    read_answer,
+)
+from fuchsiaroute.configuration import Version
+from fuchsiaroute.ids import ModelId, RequestClass, VersionId
+from fuchsiaroute.request import Exclusion
+from fuchsiaroute.routing import Estimate, Option
+
+CLASS = RequestClass("question")
+#: Answers recorded for a version, enough to outweigh the rate assumed at first.
+ANSWERS = 2_000
+
+
+def option(name, cost, mean, lower=None):
+    return Option(
+        version=Version(
+            id=VersionId(name), cost_per_1000_tokens=cost, prior_quality=mean
+        ),
+        model=ModelId(name),
+        cost=cost,
+        estimate=Estimate(mean=mean, lower=mean if lower is None else lower),
+    )
+
+
+def choose(chooser, options, *, target, can_escalate=False, seed=1):
+    return chooser.order(
+        options,
+        request_class=CLASS,
+        quality_target=target,
+        can_escalate=can_escalate,
+        random=Random(seed),
+    )
+
+
+def names(ordered):
+    return tuple(item.version.id for item in ordered.chosen)
+
+
+def weak_rates(version, share, *, is_escalated=False):
+    rates = WeakRates()
+    for number in range(ANSWERS):
+        weak = number * 37 % 100 < share * 100
+        rates.record(
+            VersionId(version),
+            CLASS,
+            is_weak=weak,
+            is_escalated=weak and is_escalated,
+        )
+    return rates
+
+
+@pytest.mark.parametrize(
+    ("target", "weak_share", "can_escalate", "expected"),
+    [
+        (0.85, 0.1, True, ("a",)),
+        (0.90, 0.1, False, ("b",)),
+        (0.905, 0.5, True, ("a", "b")),
+        (0.905, 0.95, True, ("b",)),  # 10 + 0.95 * 100 is more than 100.
+        (0.99, 0.1, True, ("b",)),  # Nothing meets it: the best estimate.
+    ],
+)
+def test_the_cheapest_plan_that_meets_the_target(
+    target, weak_share, can_escalate, expected
+):
+    chooser = CascadeChooser(
+        weak_rates=weak_rates("a", weak_share), exploration_rate=0.0
+    )
+    options = [option("b", 100, 0.95), option("a", 10, 0.88)]
+    ordered = choose(chooser, options, target=target, can_escalate=can_escalate)
+    assert names(ordered) == expected
+    assert len(ordered.chosen) + len(ordered.rejected) == 2
+
+
+def test_the_cost_of_a_cascade_counts_both_calls():
+    plans = plans_of(
+        [option("a", 10, 0.88), option("b", 100, 0.95)],
+        request_class=CLASS,
+        weak_rates=weak_rates("a", 0.3),
+        quality_target=0.9,
+        can_escalate=True,
+    )
+    costs = {tuple(o.version.id for o in plan.options): plan.cost for plan in plans}
+    assert costs[("a",)] == 10
+    assert costs[("a", "b")] == pytest.approx(10 + 0.3 * 100, abs=2)
+
+
+def test_answers_that_were_replaced_count_as_wrong_for_a_version_alone():
+    chooser = CascadeChooser(
+        weak_rates=weak_rates("a", 0.2, is_escalated=True), exploration_rate=0.0
+    )
+    options = [option("a", 10, 0.95), option("b", 100, 0.96)]
+    assert names(choose(chooser, options, target=0.85)) == ("b",)
+
+
+def test_a_rejected_option_carries_its_rule():
+    options = [option("a", 10, 0.7), option("b", 20, 0.9), option("c", 30, 0.95)]
+    ordered = choose(CascadeChooser(exploration_rate=0.0), options, target=0.85)
+    rules = {item.version.id: why for item, why in ordered.rejected}
+    assert rules == {
+        "a": Exclusion.BELOW_QUALITY_TARGET,
+        "c": Exclusion.COSTLIER,
+    }
+
+
+@pytest.mark.parametrize(("mean", "least", "most"), [(0.84, 60, 140), (0.5, 0, 0)])
+def test_exploration_is_bounded_and_spares_hopeless_versions(mean, least, most):
+    chooser = CascadeChooser(exploration_rate=0.02)
+    options = [option("a", 10, mean), option("b", 100, 0.95)]
+    random = Random(3)
+    explored = sum(
+        names(
+            chooser.order(
+                options,
+                request_class=CLASS,
+                quality_target=0.85,
+                can_escalate=False,
+                random=random,
+            )
+        )
+        == ("a",)
+        for _ in range(5_000)
+    )
+    assert least <= explored <= most
+
+
+def test_a_trusted_version_is_kept_until_its_mean_misses_the_target():
+    chooser = CascadeChooser(exploration_rate=0.0)
+    dear = option("b", 100, 0.95)
+    path = [(0.86, 0.84, "b"), (0.87, 0.86, "a"), (0.86, 0.84, "a")]
+    path += [(0.849, 0.83, "b"), (0.86, 0.84, "b")]
+    for mean, lower, expected in path:
+        options = [option("a", 10, mean, lower), dear]
+        assert names(choose(chooser, options, target=0.85)) == (expected,)
+
+
+@pytest.mark.parametrize(
+    ("answer", "expected"),
+    [
+        (Answer(tokens=10), False),
+        (Answer(tokens=0), True),
+        (Answer(tokens=10, is_cut_off=True), True),
+        (Answer(tokens=10, confidence=0.4), True),
+        (Answer(tokens=10, confidence=0.5), False),
+    ],
+)
+def test_which_answers_are_weak(answer, expected):
+    assert is_weak(answer) is expected
+
+
+@pytest.mark.parametrize(
+    ("body", "expected"),
+    [
+        (b'{"choices":[{"finish_reason":"stop"}],"confidence":0.9}', False),
+        (b'{"choices":[{"finish_reason":"stop"}],"confidence":0.1}', True),
+        (b'{"choices":[{"finish_reason":"length"}]}', True),
+        (b'{"choices":[{}],"usage":{"completion_tokens":0}}', True),
+        (b'{"choices":[{}]}', False),
+        (b"data: not JSON", False),
+        (b"", True),
+    ],
+)
+def test_what_a_body_says_of_its_strength(body, expected):
+    assert is_weak(read_answer(body)) is expected
+
+
+def test_forgotten_versions_start_anew():
+    rates = weak_rates("a", 0.9)
+    rates.forget(frozenset({VersionId("b")}))
+    assert rates.weak_rate(VersionId("a"), CLASS) == pytest.approx(0.1)
