Route by permission, sessions, estimates and cost limits in the entry

Cause: the entry's routing step knew neither pins nor roll-outs, ratings or limits. Change: VersionRoute puts router, pins, cascade, estimates and allowances together; RatingPoll reads ratings and stops a bad roll-out in this entry at once, then in the stored configuration; MeteredBill settles true costs.

--- a/fuchsiaroute/cascade/_plan.py
+++ b/fuchsiaroute/cascade/_plan.py
@@ -105,7 +105,7 @@
 ) -> AnswerPlan:
     # The weak answers that escalation replaced are missing from the ratings; a
     # version that answers alone is taken to have got all of these wrong.
-    rated = 1.0 - weak_rates.escalated_rate(option.version.id, request_class)
+    rated = 1.0 - weak_rates.replaced_rate(option.version.id, request_class)
     return AnswerPlan(
         options=(option,),
         cost=float(option.cost),
--- a/fuchsiaroute/cascade/_weak_rates.py
+++ b/fuchsiaroute/cascade/_weak_rates.py
@@ -1,14 +1,29 @@
 """How often the answers of a version are weak."""
 
+from dataclasses import dataclass
+
 from fuchsiaroute.ids import RequestClass, VersionId
 
-#: Answers that the rate remembers.
+#: Answers that a rate remembers.
 _WINDOW = 500.0
+_KEPT = 1.0 - 1.0 / _WINDOW
 #: Rate before any answer, and the answers that it is worth.
 _PRIOR_RATE = 0.1
 _PRIOR_ANSWERS = 20.0
 
 
+@dataclass(slots=True)
+class _Counts:
+    """Exponentially weighted counts of one version on one class."""
+
+    #: Answers examined as the first of a cascade, and the weak ones among them.
+    examined: float = 0.0
+    weak: float = 0.0
+    #: All answers, and those that another version's answer replaced.
+    answers: float = 0.0
+    replaced: float = 0.0
+
+
 class WeakRates:
     """
     Share of weak answers per version and class, as this entry sees it.
@@ -18,39 +33,38 @@
     """
 
     def __init__(self) -> None:
-        self._answers: dict[tuple[VersionId, RequestClass], float] = {}
-        self._weak: dict[tuple[VersionId, RequestClass], float] = {}
-        self._escalated: dict[tuple[VersionId, RequestClass], float] = {}
-
-    def record(
-        self,
-        version: VersionId,
-        request_class: RequestClass,
-        *,
-        is_weak: bool,
-        is_escalated: bool,
+        self._counts: dict[tuple[VersionId, RequestClass], _Counts] = {}
+
+    def record_first(
+        self, version: VersionId, request_class: RequestClass, *, is_weak: bool
     ) -> None:
-        """Count one answer; ``is_escalated`` if another version's replaced it."""
-        key = (version, request_class)
-        kept = 1.0 - 1.0 / _WINDOW
-        self._answers[key] = self._answers.get(key, 0.0) * kept + 1.0
-        self._weak[key] = self._weak.get(key, 0.0) * kept + is_weak
-        self._escalated[key] = self._escalated.get(key, 0.0) * kept + is_escalated
+        """Count the first answer of a cascade; a weak one is replaced."""
+        counts = self._counts.setdefault((version, request_class), _Counts())
+        counts.examined = counts.examined * _KEPT + 1.0
+        counts.weak = counts.weak * _KEPT + is_weak
+        counts.answers = counts.answers * _KEPT + 1.0
+        counts.replaced = counts.replaced * _KEPT + is_weak
+
+    def record_alone(self, version: VersionId, request_class: RequestClass) -> None:
+        """Count an answer that the caller gets whatever it is."""
+        counts = self._counts.setdefault((version, request_class), _Counts())
+        counts.answers = counts.answers * _KEPT + 1.0
+        counts.replaced *= _KEPT
 
     def weak_rate(self, version: VersionId, request_class: RequestClass) -> float:
         """Return the estimated share of weak answers, from 0 to 1."""
-        key = (version, request_class)
-        weak = self._weak.get(key, 0.0) + _PRIOR_RATE * _PRIOR_ANSWERS
-        return weak / (self._answers.get(key, 0.0) + _PRIOR_ANSWERS)
+        counts = self._counts.get((version, request_class))
+        if counts is None:
+            return _PRIOR_RATE
+        weak = counts.weak + _PRIOR_RATE * _PRIOR_ANSWERS
+        return weak / (counts.examined + _PRIOR_ANSWERS)
 
-    def escalated_rate(self, version: VersionId, request_class: RequestClass) -> float:
+    def replaced_rate(self, version: VersionId, request_class: RequestClass) -> float:
         """Return the share of answers that were replaced and so never rated."""
-        key = (version, request_class)
-        answers = self._answers.get(key, 0.0)
-        return self._escalated.get(key, 0.0) / answers if answers else 0.0
+        counts = self._counts.get((version, request_class))
+        return counts.replaced / counts.answers if counts is not None else 0.0
 
     def forget(self, versions: frozenset[VersionId]) -> None:
         """Drop what is known of versions that are not in ``versions``."""
-        for counts in (self._answers, self._weak, self._escalated):
-            for key in [key for key in counts if key[0] not in versions]:
-                del counts[key]
+        for key in [key for key in self._counts if key[0] not in versions]:
+            del self._counts[key]
--- a/fuchsiaroute/cascade/tests/test_cascade.py
+++ b/fuchsiaroute/cascade/tests/test_cascade.py
@@ -47,16 +47,17 @@
     return tuple(item.version.id for item in ordered.chosen)
 
 
-def weak_rates(version, share, *, is_escalated=False):
+def weak_rates(version, share):
     rates = WeakRates()
     for number in range(ANSWERS):
         weak = number * 37 % 100 < share * 100
-        rates.record(
-            VersionId(version),
-            CLASS,
-            is_weak=weak,
-            is_escalated=weak and is_escalated,
-        )
+        rates.record_first(VersionId(version), CLASS, is_weak=weak)
+    return rates
+
+
+def with_answers_alone(rates, version):
+    for _ in range(3 * ANSWERS):
+        rates.record_alone(VersionId(version), CLASS)
     return rates
 
 
@@ -73,9 +74,8 @@
 def test_the_cheapest_plan_that_meets_the_target(
     target, weak_share, can_escalate, expected
 ):
-    chooser = CascadeChooser(
-        weak_rates=weak_rates("a", weak_share), exploration_rate=0.0
-    )
+    rates = with_answers_alone(weak_rates("a", weak_share), "a")
+    chooser = CascadeChooser(weak_rates=rates, exploration_rate=0.0)
     options = [option("b", 100, 0.95), option("a", 10, 0.88)]
     ordered = choose(chooser, options, target=target, can_escalate=can_escalate)
     assert names(ordered) == expected
@@ -96,11 +96,12 @@
 
 
 def test_answers_that_were_replaced_count_as_wrong_for_a_version_alone():
-    chooser = CascadeChooser(
-        weak_rates=weak_rates("a", 0.2, is_escalated=True), exploration_rate=0.0
-    )
+    rates = weak_rates("a", 0.2)
+    chooser = CascadeChooser(weak_rates=rates, exploration_rate=0.0)
     options = [option("a", 10, 0.95), option("b", 100, 0.96)]
     assert names(choose(chooser, options, target=0.85)) == ("b",)
+    with_answers_alone(rates, "a")
+    assert names(choose(chooser, options, target=0.85)) == ("a",)
 
 
 def test_a_rejected_option_carries_its_rule():
--- a/fuchsiaroute/demo/_deployment.py
+++ b/fuchsiaroute/demo/_deployment.py
@@ -26,6 +26,8 @@
 )
 from fuchsiaroute.standin import StandInEndpoint
 
+#: All entries of the demonstration sign session pins with this key.
+PIN_KEY = "demonstration-pin-key"
 HOST = "127.0.0.1"
 ANY_PORT = 0
 ENTRY_COUNT = 6
@@ -100,6 +102,7 @@
             instance=InstanceId(f"entry-{number}"),
             failure_domain=domains[number % len(domains)].id,
             seed=number,
+            pin_keys=(PIN_KEY,),
         )
         entry = compose_entry(
             options=options,
--- a/fuchsiaroute/entry/__init__.py
+++ b/fuchsiaroute/entry/__init__.py
@@ -15,8 +15,11 @@
 )
 from fuchsiaroute.entry._claim import StoredClaims
 from fuchsiaroute.entry._current import NO_REVISION, CurrentConfiguration
+from fuchsiaroute.entry._metered_bill import MeteredBill
 from fuchsiaroute.entry._pipeline import Pipeline
-from fuchsiaroute.entry._route import DeclaredQualityRoute
+from fuchsiaroute.entry._rating_poll import RatingPoll, RolloutPauser
+from fuchsiaroute.entry._rollout_pauser import StoredRolloutPauser
+from fuchsiaroute.entry._route import VersionRoute
 from fuchsiaroute.entry._steps import (
     AdmitStep,
     Attempt,
@@ -42,16 +45,20 @@
     "ClaimStep",
     "ConfigurationPoll",
     "CurrentConfiguration",
-    "DeclaredQualityRoute",
     "InFlightLimit",
     "LeastInFlightAttempt",
+    "MeteredBill",
     "ModelTarget",
     "NoVersion",
     "Pipeline",
+    "RatingPoll",
+    "RolloutPauser",
     "RouteStep",
     "Routed",
     "ServiceTarget",
     "Steps",
     "StoredClaims",
     "StoredLedger",
+    "StoredRolloutPauser",
+    "VersionRoute",
 ]
--- /dev/null
+++ b/fuchsiaroute/entry/_metered_bill.py
@@ -0,0 +1,19 @@
+"""Billing that also counts towards the organisations' cost limits."""
+
+from fuchsiaroute.costlimit import Allowances
+from fuchsiaroute.entry._call import Bill
+from fuchsiaroute.entry._steps import BillStep
+
+
+class MeteredBill:
+    """Settles the true cost of each bill, then passes it on; a ``BillStep``."""
+
+    def __init__(self, *, bill: BillStep, allowances: Allowances) -> None:
+        self._bill = bill
+        self._allowances = allowances
+
+    async def bill(self, bill: Bill) -> None:
+        """Settle and record the cost of one answered request."""
+        request = bill.request
+        self._allowances.settle(request.organisation, request.id, cost=bill.cost)
+        await self._bill.bill(bill)
--- a/fuchsiaroute/logs/__init__.py
+++ b/fuchsiaroute/logs/__init__.py
@@ -9,6 +9,8 @@
     InstanceStateChanged,
     PlacementDecided,
     RequestRefused,
+    RolloutPauseSubmitted,
+    RolloutSuspended,
     RouteDecided,
     route_decided,
 )
@@ -24,6 +26,8 @@
     "InstanceStateChanged",
     "PlacementDecided",
     "RequestRefused",
+    "RolloutPauseSubmitted",
+    "RolloutSuspended",
     "RouteDecided",
     "open_log",
     "record",
--- /dev/null
+++ b/fuchsiaroute/quality/_watch.py
@@ -0,0 +1,32 @@
+"""Which running roll-outs the ratings speak against."""
+
+from dataclasses import dataclass
+
+from fuchsiaroute.configuration import Configuration, Rollout, RolloutState
+from fuchsiaroute.quality._book import QualityBook
+from fuchsiaroute.quality._sequential_test import SequentialTest, TestOutcome
+
+
+@dataclass(frozen=True, kw_only=True)
+class Finding:
+    """A roll-out whose target is worse than its base."""
+
+    rollout: Rollout
+    outcome: TestOutcome
+
+
+def bad_rollouts(
+    book: QualityBook, configuration: Configuration, test: SequentialTest
+) -> tuple[Finding, ...]:
+    """Return the running roll-outs whose present attempt failed ``test``."""
+    findings: list[Finding] = []
+    for rollout in configuration.rollouts:
+        trial = book.trials.get(rollout.id)
+        if rollout.state is not RolloutState.RUNNING or trial is None:
+            continue
+        if trial.attempt != rollout.attempt:
+            continue
+        outcome = test.evaluate(trial)
+        if outcome.is_bad:
+            findings.append(Finding(rollout=rollout, outcome=outcome))
+    return tuple(findings)
--- a/fuchsiaroute/serving/_compose.py
+++ b/fuchsiaroute/serving/_compose.py
@@ -11,9 +11,9 @@
 from fuchsiaroute.entry import (
     ConfigurationPoll,
     CurrentConfiguration,
-    DeclaredQualityRoute,
     InFlightLimit,
     LeastInFlightAttempt,
+    MeteredBill,
     Pipeline,
     Steps,
     StoredClaims,
@@ -21,7 +21,8 @@
 )
 from fuchsiaroute.gateway import Advice, AdvisedEntry, build_app
 from fuchsiaroute.ids import FailureDomainId, InstanceId
-from fuchsiaroute.platform import InstanceList, TableStore
+from fuchsiaroute.platform import InstanceList, RatingService, TableStore
+from fuchsiaroute.serving._routing import NoRatings, RoutingParts, compose_routing
 
 #: How long a caller may keep an advice.
 ADVICE_LIFETIME = Milliseconds(5_000)
@@ -38,6 +39,8 @@
     failure_domain: FailureDomainId
     #: Seed of the entry's random choices.
     seed: int = 0
+    #: Keys of session pins, the same for all entries; the first one signs.
+    pin_keys: tuple[str, ...] = ()
 
 
 class ListedEntries:
@@ -65,6 +68,7 @@
     poll: ConfigurationPoll
     advice: ListedEntries
     client: httpx.AsyncClient
+    routing: RoutingParts
 
 
 def compose_entry(
@@ -73,6 +77,7 @@
     store: TableStore,
     instances: InstanceList,
     clock: Clock,
+    ratings: RatingService | None = None,
 ) -> ComposedEntry:
     """Return an entry whose parts use ``store`` and ``clock``."""
     current = CurrentConfiguration()
@@ -81,18 +86,28 @@
         limits=httpx.Limits(max_connections=MAXIMUM_CONNECTIONS),
         trust_env=False,
     )
+    advice = ListedEntries()
+    randomness = random.Random(options.seed)
+    routing = compose_routing(
+        current=current,
+        store=store,
+        rating_service=ratings or NoRatings(),
+        pin_keys=options.pin_keys,
+        clock=clock,
+        entry_count=lambda: len(advice.entries),
+        randomness=randomness,
+    )
     steps = Steps(
         admit=InFlightLimit(clock=clock, limit=MAXIMUM_IN_FLIGHT),
         claim=StoredClaims(store=store, clock=clock),
-        route=DeclaredQualityRoute(current=current),
+        route=routing.route,
         attempt=LeastInFlightAttempt(
             current=current,
             dispatcher=Dispatcher(client=client, clock=clock),
-            randomness=random.Random(options.seed),
+            randomness=randomness,
         ),
-        bill=StoredLedger(store=store),
+        bill=MeteredBill(bill=StoredLedger(store=store), allowances=routing.allowances),
     )
-    advice = ListedEntries()
     app = build_app(
         pipeline=Pipeline(steps=steps), current=current, advice=advice, clock=clock
     )
@@ -103,4 +118,5 @@
         poll=ConfigurationPoll(store=store, current=current, clock=clock),
         advice=advice,
         client=client,
+        routing=routing,
     )
--- /dev/null
+++ b/fuchsiaroute/serving/_routing.py
@@ -0,0 +1,82 @@
+"""The parts of an entry that choose versions."""
+
+import random
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from returns.result import Result, Success
+
+from fuchsiaroute.clock import Clock
+from fuchsiaroute.costlimit import Allowances, CostMeter
+from fuchsiaroute.entry import (
+    CurrentConfiguration,
+    RatingPoll,
+    StoredRolloutPauser,
+    VersionRoute,
+)
+from fuchsiaroute.platform import RatingPage, RatingService, StoreError, TableStore
+from fuchsiaroute.quality import BookEstimates, RatingLog
+from fuchsiaroute.session import PinSigner
+
+_RANDOM_KEY_BYTES = 32
+
+
+class NoRatings:
+    """A deployment without a rating service; implements ``RatingService``."""
+
+    async def ratings(self, cursor: str) -> Result[RatingPage, StoreError]:
+        """Return an empty page."""
+        return Success(RatingPage(ratings=(), cursor=cursor))
+
+
+@dataclass(frozen=True, kw_only=True)
+class RoutingParts:
+    """The routing step, its periodic task and the cost limits."""
+
+    route: VersionRoute
+    ratings: RatingPoll
+    allowances: Allowances
+
+
+def compose_routing(
+    *,
+    current: CurrentConfiguration,
+    store: TableStore,
+    rating_service: RatingService,
+    pin_keys: tuple[str, ...],
+    clock: Clock,
+    entry_count: Callable[[], int],
+    randomness: random.Random,
+) -> RoutingParts:
+    """
+    Return the parts for one entry.
+
+    Without ``pin_keys`` the entry makes a key of its own, and its pins are refused by
+    every other entry.
+    """
+    keys = pin_keys or (secrets.token_urlsafe(_RANDOM_KEY_BYTES),)
+    estimates = BookEstimates()
+    allowances = Allowances(
+        store=store,
+        meter=CostMeter(clock=clock),
+        clock=clock,
+        entry_count=entry_count,
+    )
+    route = VersionRoute(
+        current=current,
+        pins=PinSigner(keys=keys, clock=clock),
+        estimates=estimates,
+        allowances=allowances,
+        randomness=randomness,
+    )
+    ratings = RatingPoll(
+        log=RatingLog(store=store, service=rating_service),
+        estimates=estimates,
+        route=route,
+        pauser=StoredRolloutPauser(store=store),
+        current=current,
+        clock=clock,
+        randomness=randomness,
+    )
+    return RoutingParts(route=route, ratings=ratings, allowances=allowances)
--- a/fuchsiaroute/serving/_run.py
+++ b/fuchsiaroute/serving/_run.py
@@ -7,13 +7,15 @@
 from typing import Any
 
 import httpx
+from returns.result import Failure
 
 from fuchsiaroute.clock import Clock, Milliseconds, SystemClock
 from fuchsiaroute.gateway import AdvisedEntry
-from fuchsiaroute.platform import HttpInstanceList, HttpTableStore
+from fuchsiaroute.platform import HttpInstanceList, HttpRatingService, HttpTableStore
 from fuchsiaroute.serving._compose import ComposedEntry, EntryOptions, compose_entry
+from fuchsiaroute.serving._routing import NoRatings
 from fuchsiaroute.serving._server import HttpServer
-from fuchsiaroute.settings import Settings
+from fuchsiaroute.settings import Settings, read_secrets
 
 MILLISECONDS_PER_SECOND = 1_000
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -30,15 +32,23 @@
             timeout=_seconds(settings.platform.write_timeout),
             trust_env=False,
         )
+        has_ratings = bool(settings.platform.rating_url)
+        self._ratings = httpx.AsyncClient(
+            base_url=settings.platform.rating_url,
+            timeout=_seconds(settings.platform.read_timeout),
+            trust_env=False,
+        )
         options = EntryOptions(
             instance=settings.instance.id,
             failure_domain=settings.instance.failure_domain,
+            pin_keys=_pin_keys(settings),
         )
         self._entry = compose_entry(
             options=options,
             store=HttpTableStore(self._platform),
             instances=HttpInstanceList(self._platform),
             clock=clock,
+            ratings=HttpRatingService(self._ratings) if has_ratings else NoRatings(),
         )
         self._callers = HttpServer(
             app=self._entry.app,
@@ -60,6 +70,7 @@
     async def start(self) -> None:
         """Start periodic tasks, then accept callers."""
         self._start_task(self._entry.poll.run())
+        self._start_task(self._entry.routing.ratings.run())
         await self._callers.start()
         self._entry.advice.entries = (
             AdvisedEntry(
@@ -71,11 +82,13 @@
     async def stop(self) -> None:
         """Finish the open requests, then leave."""
         await self._callers.stop()
+        await self._entry.routing.allowances.give_back()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._entry.client.aclose()
         await self._platform.aclose()
+        await self._ratings.aclose()
 
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(work))
@@ -94,5 +107,13 @@
     await process.stop()
 
 
+def _pin_keys(settings: Settings) -> tuple[str, ...]:
+    """Return the keys of session pins; raises ``SecretError``."""
+    keys = read_secrets(settings.session.pin_key_files)
+    if isinstance(keys, Failure):
+        raise keys.failure()
+    return keys.unwrap()
+
+
 def _seconds(duration: Milliseconds) -> float:
     return duration / MILLISECONDS_PER_SECOND
