Put the claim book and the ledger into the path of requests

Cause: the thin steps wrote each claim and bill in a write of its own, and a claim whose answer was lost could not be told from another's.

Conclusion: tokens of claims come from the system's random source and name the incarnation, since two processes with one seed would have drawn the same tokens and each taken the other's claim for its own.

--- /dev/null
+++ b/fuchsiaroute/entry/_metered_bill.py
@@ -0,0 +1,26 @@
+"""Billing that also counts towards the organisations' cost limits."""
+
+from returns.result import Result
+
+from fuchsiaroute.costlimit import Allowances
+from fuchsiaroute.entry._call import Bill
+from fuchsiaroute.entry._steps import BillStep
+from fuchsiaroute.verdict import Refusal
+
+
+class MeteredBill:
+    """Settles the true cost of each bill, then passes it on; a ``BillStep``."""
+
+    def __init__(self, *, bill: BillStep, allowances: Allowances) -> None:
+        self._bill = bill
+        self._allowances = allowances
+
+    def check_room(self) -> Result[None, Refusal]:
+        """Refuse new requests that could not be billed."""
+        return self._bill.check_room()
+
+    async def bill(self, bill: Bill) -> None:
+        """Settle and record the cost of one answered request."""
+        request = bill.request
+        self._allowances.settle(request.organisation, request.id, cost=bill.cost)
+        await self._bill.bill(bill)
--- a/fuchsiaroute/idempotency/_book.py
+++ b/fuchsiaroute/idempotency/_book.py
@@ -82,6 +82,11 @@
         """Commit claims and outcomes until cancelled."""
         await self._commits.run()
 
+    async def drain(self, limit: Milliseconds) -> bool:
+        """Commit the outcomes; return whether the store had them within ``limit``."""
+        drained = await within(self._clock, limit, self._commits.drain())
+        return not isinstance(drained, TimedOut)
+
     async def claim(self, request: Request) -> Result[Claim | Replay, Refusal]:
         """
         Claim the non-idempotent ``request`` before its first dispatch.
--- a/fuchsiaroute/idempotency/_issued_ids.py
+++ b/fuchsiaroute/idempotency/_issued_ids.py
@@ -48,7 +48,9 @@
     ) -> None:
         self._clock = clock
         self._stem = f"{ISSUED_PREFIX}{instance}.{incarnation}"
-        self._signer = Signer(secret or secrets.token_bytes(SECRET_BYTES), sep=SEPARATOR)
+        self._signer = Signer(
+            secret or secrets.token_bytes(SECRET_BYTES), sep=SEPARATOR
+        )
         self._count = 0
 
     def issue(self, organisation: OrganisationId) -> RequestId:
--- /dev/null
+++ b/fuchsiaroute/serving/_lasting.py
@@ -0,0 +1,56 @@
+"""The parts of an entry that keep what must last: claims and the ledger."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from fuchsiaroute.billing import CopyHolder, Ledger, PeerCopies
+from fuchsiaroute.clock import Clock
+from fuchsiaroute.entry import BookClaims, LedgerBills
+from fuchsiaroute.idempotency import ClaimBook
+from fuchsiaroute.ids import Incarnation, InstanceId
+from fuchsiaroute.platform import StoreClient, StoreFunction, TableStore
+
+
+@dataclass(frozen=True, kw_only=True)
+class LastingParts:
+    """The claim and billing steps, and what they rest on."""
+
+    client: StoreClient
+    book: ClaimBook
+    claims: BookClaims
+    ledger: Ledger
+    bills: LedgerBills
+    #: Copies of other entries' records.
+    copy_holder: CopyHolder
+
+
+def compose_lasting(
+    *,
+    store: TableStore,
+    clock: Clock,
+    instance: InstanceId,
+    incarnation: Incarnation,
+    entry_count: Callable[[], int],
+    copies: PeerCopies | None = None,
+) -> LastingParts:
+    """Return the parts for one entry; ``copies`` sends ledger records to a peer."""
+    # Tokens of claims must differ between processes, whatever the entry's seed.
+    rng = random.SystemRandom()
+    client = StoreClient(store, clock=clock, rng=rng, entry_count=entry_count)
+    book = ClaimBook(
+        store=client.view(StoreFunction.CLAIMS),
+        clock=clock,
+        instance=instance,
+        incarnation=incarnation,
+        rng=rng,
+    )
+    ledger = Ledger(store=client.view(StoreFunction.LEDGER), clock=clock, copies=copies)
+    return LastingParts(
+        client=client,
+        book=book,
+        claims=BookClaims(book=book, clock=clock),
+        ledger=ledger,
+        bills=LedgerBills(ledger=ledger, clock=clock, instance=instance),
+        copy_holder=CopyHolder(),
+    )
