--- a/fuchsiaroute/platform/__init__.py
+++ b/fuchsiaroute/platform/__init__.py
@@ -1,5 +1,8 @@
 """The platform's services, each behind a small protocol class."""
 
+from fuchsiaroute.platform._budget import BUDGETS, Pacer, StoreBudget, StoreFunction
+from fuchsiaroute.platform._circuit import Circuit, CircuitState
+from fuchsiaroute.platform._client import StoreClient, StoreView, TimedOut, within
 from fuchsiaroute.platform._engine import EngineOrders, Order, OrderError, OrderKind
 from fuchsiaroute.platform._http import new_http_client
 from fuchsiaroute.platform._http_services import (
@@ -21,6 +24,11 @@
     MemoryTableStore,
     StoreFault,
 )
+from fuchsiaroute.platform._memory_engines import (
+    MemoryEngine,
+    MemoryEngineOrders,
+    OrderFault,
+)
 from fuchsiaroute.platform._object_store import ObjectStore
 from fuchsiaroute.platform._rating import Rating, RatingPage, RatingService
 from fuchsiaroute.platform._table_store import (
@@ -38,7 +46,10 @@
 
 __all__ = [
     "ABSENT",
+    "BUDGETS",
     "Check",
+    "Circuit",
+    "CircuitState",
     "Committed",
     "Conflict",
     "EngineOrders",
@@ -51,6 +62,8 @@
     "InstanceList",
     "InstanceRecord",
     "InstanceState",
+    "MemoryEngine",
+    "MemoryEngineOrders",
     "MemoryInstanceList",
     "MemoryObjectStore",
     "MemoryRatingService",
@@ -58,16 +71,24 @@
     "ObjectStore",
     "Order",
     "OrderError",
+    "OrderFault",
     "OrderKind",
+    "Pacer",
     "Put",
     "Rating",
     "RatingPage",
     "RatingService",
     "Record",
+    "StoreBudget",
+    "StoreClient",
     "StoreError",
     "StoreErrorKind",
     "StoreFault",
+    "StoreFunction",
+    "StoreView",
     "TableStore",
+    "TimedOut",
     "Transaction",
     "new_http_client",
+    "within",
 ]
