--- a/benches/bench_load.py
+++ b/benches/bench_load.py
@@ -233,6 +233,9 @@
 def main() -> None:
     """Run the parts named on the command line, or all of them."""
     parts = _chosen(sys.argv[1:])
+    if "decisions" in parts:
+        # First, so that the memory it adds shows in the peak of the process.
+        bench_decisions()
     for deployment in deployments():
         if "loads" in parts:
             bench_loads(*deployment, seeds=SEEDS, measured=120_000)
@@ -248,8 +251,6 @@
         scaled = ("one version's pool at the target", large, target, ENTRIES_AT_TARGET)
         bench_loads(*scaled, seeds=SEEDS[:1], measured=30_000)
         bench_cold(*scaled)
-    if "decisions" in parts:
-        bench_decisions()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/fuchsiaroute/advice/__init__.py
@@ -0,0 +1,17 @@
+"""Advice to callers on which entries to use."""
+
+from fuchsiaroute.advice._source import (
+    ADVICE_LIFETIME,
+    ADVICE_SIZE,
+    EntryAdvice,
+    EntryState,
+    KnownEntry,
+)
+
+__all__ = [
+    "ADVICE_LIFETIME",
+    "ADVICE_SIZE",
+    "EntryAdvice",
+    "EntryState",
+    "KnownEntry",
+]
--- /dev/null
+++ b/fuchsiaroute/advice/_source.py
@@ -0,0 +1,95 @@
+"""Which entries callers should use."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+from fuchsiaroute.balancing import rank
+from fuchsiaroute.clock import Milliseconds
+from fuchsiaroute.gateway import Advice, AdvisedEntry
+from fuchsiaroute.ids import FailureDomainId, InstanceId
+
+#: How long a caller may keep an advice.
+ADVICE_LIFETIME = Milliseconds(5_000)
+#: Entries in one advice: a caller needs a few to fall back on.
+ADVICE_SIZE = 4
+
+
+class EntryState(Enum):
+    """Whether callers should use an entry."""
+
+    HEALTHY = "healthy"
+    #: Not heard of lately; advised only when nothing better is left.
+    SUSPECT = "suspect"
+    #: Finishing its work; never advised.
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, kw_only=True)
+class KnownEntry:
+    """An entry as this one knows it."""
+
+    instance: InstanceId
+    #: Base URL for callers.
+    url: str
+    failure_domain: FailureDomainId
+    state: EntryState = EntryState.HEALTHY
+
+
+class EntryAdvice:
+    """
+    Advises entries in an order of its own for each caller.
+
+    Implements ``AdviceSource``. The order is a rendezvous hash of the caller and the
+    entries, so that callers spread, and one caller keeps its entry as others change.
+    """
+
+    def __init__(self) -> None:
+        self._entries: tuple[KnownEntry, ...] = ()
+        self._out: frozenset[FailureDomainId] = frozenset()
+
+    @property
+    def entries(self) -> tuple[KnownEntry, ...]:
+        """Return the known entries."""
+        return self._entries
+
+    def update(self, entries: Iterable[KnownEntry]) -> None:
+        """Take over the known entries, this one included."""
+        self._entries = tuple(entries)
+
+    def update_outages(self, domains: Iterable[FailureDomainId]) -> None:
+        """Take over the failure domains that operators have taken out."""
+        self._out = frozenset(domains)
+
+    def advise(self, *, caller: str, failure_domain: str) -> Advice:
+        """Return advice for ``caller``, preferring ``failure_domain`` if not empty."""
+        usable = [
+            entry for entry in self._entries if entry.state is not EntryState.LEAVING
+        ]
+
+        def order(entry: KnownEntry) -> tuple[bool, bool, bool, int]:
+            return (
+                entry.state is not EntryState.HEALTHY,
+                entry.failure_domain in self._out,
+                entry.failure_domain != failure_domain,
+                -rank(caller, entry.instance),
+            )
+
+        chosen = _with_other_domain(sorted(usable, key=order))
+        return Advice(
+            entries=tuple(
+                AdvisedEntry(url=entry.url, failure_domain=entry.failure_domain)
+                for entry in chosen
+            ),
+            lifetime=ADVICE_LIFETIME,
+        )
+
+
+def _with_other_domain(ordered: Sequence[KnownEntry]) -> Sequence[KnownEntry]:
+    """Return the first entries, among them one of another failure domain."""
+    chosen = list(ordered[:ADVICE_SIZE])
+    domains = {entry.failure_domain for entry in chosen}
+    others = [item for item in ordered if item.failure_domain not in domains]
+    if len(domains) == 1 and others and len(chosen) == ADVICE_SIZE:
+        chosen[-1] = others[0]
+    return chosen
--- a/fuchsiaroute/balancing/_chooser.py
+++ b/fuchsiaroute/balancing/_chooser.py
@@ -136,7 +136,9 @@
         if cold is not None:
             return Success(self._reserve(cold, target, ReservationKind.COLD_SLOT))
         if not usable:
-            return Failure(refusal_for(is_full=bool(warm), target=target))
+            return Failure(
+                refusal_for(is_full=_is_worth_waiting(records), target=target)
+            )
         chosen = select(usable, prefix_hash=request.prefix_hash, random=self._random)
         return Success(self._reserve(chosen.record, target, ReservationKind.WARM))
 
@@ -267,3 +269,11 @@
         )
         self._open[reservation.number] = reservation
         return reservation
+
+
+def _is_worth_waiting(records: Iterable[EndpointRecord]) -> bool:
+    """Return whether an endpoint serves or is about to."""
+    return any(
+        record.state is EndpointState.WARM or record.state in _COLD_STATES
+        for record in records
+    )
--- a/fuchsiaroute/balancing/_refusals.py
+++ b/fuchsiaroute/balancing/_refusals.py
@@ -16,12 +16,12 @@
         return Refusal(
             reason=RefusalReason.OVERLOADED,
             verdict=Verdict.NOT_RUN,
-            message=f"every endpoint of {target} that this entry uses is full",
+            message=f"every endpoint of {target} that this entry uses is full or cold",
             retry_after=FULL_RETRY_AFTER,
         )
     return Refusal(
         reason=RefusalReason.NO_ENDPOINT,
         verdict=Verdict.NOT_RUN,
-        message=f"no endpoint of {target} is ready for this entry",
+        message=f"no endpoint of {target} is in service",
         retry_after=ABSENT_RETRY_AFTER,
     )
--- /dev/null
+++ b/fuchsiaroute/retry/__init__.py
@@ -0,0 +1,18 @@
+"""Retries and hedges: only where safe, and within a budget."""
+
+from fuchsiaroute.retry._budget import RETRY_RATIO, RetryBudget
+from fuchsiaroute.retry._policy import (
+    MOST_ATTEMPTS,
+    MOST_REFUSED_ATTEMPTS,
+    RetryDecision,
+    RetryPolicy,
+)
+
+__all__ = [
+    "MOST_ATTEMPTS",
+    "MOST_REFUSED_ATTEMPTS",
+    "RETRY_RATIO",
+    "RetryBudget",
+    "RetryDecision",
+    "RetryPolicy",
+]
