Check each dispatch right before its first byte, and each connection

Cause: an endpoint that restarts unseen, a choice that is out of date, and a connection that is dead at one end were not told apart from a failed endpoint. Change: the incarnation is read on each new connection before the first byte leaves; the choice is asked again there; a silent old connection is replaced before the endpoint is blamed; pings find a request that the endpoint has lost.

--- /dev/null
+++ b/fuchsiaroute/dispatch/_chunks.py
@@ -0,0 +1,49 @@
+"""The bytes of an answer, and whether it is whole."""
+
+from collections.abc import AsyncIterator
+
+import httpx
+
+from fuchsiaroute.dispatch._call import DispatchOutcome, EndpointCall
+from fuchsiaroute.dispatch._connections import EndpointConnections
+from fuchsiaroute.dispatch._exceptions import BrokenAnswerError
+
+EVENT_STREAM = "text/event-stream"
+#: Last event of a whole streamed answer.
+STREAM_END = b"data: [DONE]"
+#: Bytes kept of the end of a stream, enough for its last event.
+TAIL_BYTES = 64
+
+
+async def whole_chunks(
+    call: EndpointCall,
+    response: httpx.Response,
+    connections: EndpointConnections,
+) -> AsyncIterator[bytes]:
+    """
+    Yield the bytes of ``response``; raise ``BrokenAnswerError`` if it is cut.
+
+    A generator closed before its end closes the connection, which cancels the
+    endpoint's stream.
+    """
+    outcome = DispatchOutcome.CANCELLED
+    tail = b""
+    try:
+        async for chunk in response.aiter_raw():
+            tail = (tail + chunk)[-TAIL_BYTES:]
+            yield chunk
+        is_stream = EVENT_STREAM in response.headers.get("content-type", "")
+        if is_stream and STREAM_END not in tail:
+            outcome = DispatchOutcome.TRUNCATED
+            raise BrokenAnswerError("stream ended before its last event")
+        outcome = DispatchOutcome.ANSWERED
+    except httpx.ReadTimeout as error:
+        outcome = DispatchOutcome.SILENT
+        raise BrokenAnswerError("no progress within the timeout") from error
+    except httpx.HTTPError as error:
+        outcome = DispatchOutcome.TRUNCATED
+        raise BrokenAnswerError(type(error).__name__) from error
+    finally:
+        call.on_end(outcome)
+        await response.aclose()
+        await connections.release()
--- /dev/null
+++ b/fuchsiaroute/dispatch/_status.py
@@ -0,0 +1,49 @@
+"""The status of an endpoint, read on a connection of its own."""
+
+import httpx
+import msgspec
+from returns.result import Failure, Result, Success
+
+from fuchsiaroute.clock import Milliseconds
+from fuchsiaroute.ids import Incarnation
+
+STATUS_PATH = "/status"
+INCARNATION_HEADER = "x-incarnation"
+#: Longest wait for a status.
+STATUS_TIMEOUT = Milliseconds(1_000)
+_MILLISECONDS_PER_SECOND = 1_000
+_HEADERS = {"connection": "close"}
+
+
+class EndpointStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """What an endpoint says of itself."""
+
+    #: 0 if it names none.
+    incarnation: Incarnation = Incarnation(0)
+    #: Requests running or queued; -1 if it does not say.
+    in_flight: int = -1
+
+
+async def read_status(
+    client: httpx.AsyncClient, url: str
+) -> Result[EndpointStatus, str]:
+    """Return the status; an endpoint that has no such page has an empty one."""
+    timeout = STATUS_TIMEOUT / _MILLISECONDS_PER_SECOND
+    try:
+        response = await client.get(
+            url + STATUS_PATH, timeout=timeout, headers=_HEADERS
+        )
+    except httpx.HTTPError as error:
+        return Failure(type(error).__name__)
+    if response.status_code != httpx.codes.OK:
+        return Success(EndpointStatus())
+    try:
+        return Success(msgspec.json.decode(response.content, type=EndpointStatus))
+    except msgspec.MsgspecError:
+        return Success(EndpointStatus())
+
+
+def named_incarnation(headers: httpx.Headers) -> Incarnation:
+    """Return the incarnation that an answer names; 0 if it names none."""
+    value = headers.get(INCARNATION_HEADER, "")
+    return Incarnation(int(value) if value.isascii() and value.isdigit() else 0)
