--- a/fuchsiaroute/serving/_compose.py
+++ b/fuchsiaroute/serving/_compose.py
@@ -22,12 +22,11 @@
 from fuchsiaroute.gateway import Advice, AdvisedEntry, build_app
 from fuchsiaroute.ids import FailureDomainId, InstanceId
 from fuchsiaroute.platform import InstanceList, TableStore
+from fuchsiaroute.transport import build_client
 
 #: How long a caller may keep an advice.
 ADVICE_LIFETIME = Milliseconds(5_000)
 MAXIMUM_IN_FLIGHT = 512
-CONNECT_TIMEOUT_SECONDS = 1.0
-MAXIMUM_CONNECTIONS = 1_024
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -76,11 +75,7 @@
 ) -> ComposedEntry:
     """Return an entry whose parts use ``store`` and ``clock``."""
     current = CurrentConfiguration()
-    client = httpx.AsyncClient(
-        timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_SECONDS),
-        limits=httpx.Limits(max_connections=MAXIMUM_CONNECTIONS),
-        trust_env=False,
-    )
+    client = build_client()
     steps = Steps(
         admit=InFlightLimit(clock=clock, limit=MAXIMUM_IN_FLIGHT),
         claim=StoredClaims(store=store, clock=clock),
--- a/fuchsiaroute/serving/_run.py
+++ b/fuchsiaroute/serving/_run.py
@@ -6,16 +6,14 @@
 from collections.abc import Coroutine
 from typing import Any
 
-import httpx
-
-from fuchsiaroute.clock import Clock, Milliseconds, SystemClock
+from fuchsiaroute.clock import Clock, SystemClock
 from fuchsiaroute.gateway import AdvisedEntry
 from fuchsiaroute.platform import HttpInstanceList, HttpTableStore
 from fuchsiaroute.serving._compose import ComposedEntry, EntryOptions, compose_entry
 from fuchsiaroute.serving._server import HttpServer
 from fuchsiaroute.settings import Settings
+from fuchsiaroute.transport import build_client
 
-MILLISECONDS_PER_SECOND = 1_000
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -25,10 +23,9 @@
     def __init__(self, *, settings: Settings, clock: Clock) -> None:
         self._settings = settings
         self._clock = clock
-        self._platform = httpx.AsyncClient(
+        self._platform = build_client(
             base_url=settings.platform.table_url,
-            timeout=_seconds(settings.platform.write_timeout),
-            trust_env=False,
+            read_timeout=settings.platform.write_timeout,
         )
         options = EntryOptions(
             instance=settings.instance.id,
@@ -92,7 +89,3 @@
     with contextlib.suppress(asyncio.CancelledError):
         await stopping.wait()
     await process.stop()
-
-
-def _seconds(duration: Milliseconds) -> float:
-    return duration / MILLISECONDS_PER_SECOND
--- a/fuchsiaroute/serving/_server.py
+++ b/fuchsiaroute/serving/_server.py
@@ -38,7 +38,7 @@
     def __init__(self, *, app: AsgiApp, host: str, port: int) -> None:
         self._socket = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
         config = uvicorn.Config(
-            app, log_config=None, access_log=False, lifespan="off", http="h11"
+            app, log_config=None, access_log=False, lifespan="off", http="httptools"
         )
         self._server = _EmbeddedServer(config)
         self._task: asyncio.Task[None] | None = None
