--- a/fuchsiaroute/serving/_compose.py
+++ b/fuchsiaroute/serving/_compose.py
@@ -23,12 +23,11 @@
 from fuchsiaroute.platform import InstanceList, RatingService, TableStore
 from fuchsiaroute.serving._lasting import LastingParts, compose_lasting
 from fuchsiaroute.serving._routing import NoRatings, RoutingParts, compose_routing
+from fuchsiaroute.transport import build_client
 
 #: How long a caller may keep an advice.
 ADVICE_LIFETIME = Milliseconds(5_000)
 MAXIMUM_IN_FLIGHT = 512
-CONNECT_TIMEOUT_SECONDS = 1.0
-MAXIMUM_CONNECTIONS = 1_024
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -84,11 +83,7 @@
 ) -> ComposedEntry:
     """Return an entry whose parts use ``store`` and ``clock``."""
     current = CurrentConfiguration()
-    client = httpx.AsyncClient(
-        timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_SECONDS),
-        limits=httpx.Limits(max_connections=MAXIMUM_CONNECTIONS),
-        trust_env=False,
-    )
+    client = build_client()
     advice = ListedEntries()
     randomness = random.Random(options.seed)
     routing = compose_routing(
--- a/fuchsiaroute/serving/_run.py
+++ b/fuchsiaroute/serving/_run.py
@@ -4,7 +4,6 @@
 import contextlib
 import signal
 
-import httpx
 from returns.result import Failure
 
 from fuchsiaroute.clock import Clock, Milliseconds, SystemClock
@@ -14,8 +13,8 @@
 from fuchsiaroute.serving._routing import NoRatings
 from fuchsiaroute.serving._server import HttpServer
 from fuchsiaroute.settings import Settings, read_secrets
+from fuchsiaroute.transport import build_client
 
-MILLISECONDS_PER_SECOND = 1_000
 #: Longest wait at a graceful stop for the store to take the ledger's records.
 DRAIN_LIMIT = Milliseconds(10_000)
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -27,16 +26,14 @@
     def __init__(self, *, settings: Settings, clock: Clock) -> None:
         self._settings = settings
         self._clock = clock
-        self._platform = httpx.AsyncClient(
+        self._platform = build_client(
             base_url=settings.platform.table_url,
-            timeout=_seconds(settings.platform.write_timeout),
-            trust_env=False,
+            read_timeout=settings.platform.write_timeout,
         )
         has_ratings = bool(settings.platform.rating_url)
-        self._ratings = httpx.AsyncClient(
+        self._ratings = build_client(
             base_url=settings.platform.rating_url,
-            timeout=_seconds(settings.platform.read_timeout),
-            trust_env=False,
+            read_timeout=settings.platform.read_timeout,
         )
         options = EntryOptions(
             instance=settings.instance.id,
@@ -108,7 +105,3 @@
     if isinstance(keys, Failure):
         raise keys.failure()
     return keys.unwrap()
-
-
-def _seconds(duration: Milliseconds) -> float:
-    return duration / MILLISECONDS_PER_SECOND
--- a/fuchsiaroute/standin/_engine.py
+++ b/fuchsiaroute/standin/_engine.py
@@ -1,7 +1,6 @@
 """A stand-in for a model engine and for a plain service."""
 
 import random
-from collections import Counter
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from typing import Any
@@ -28,12 +27,21 @@
 HTTP_OK = 200
 
 
+class _Message(msgspec.Struct):
+    content: str = ""
+
+
 class _Prompt(msgspec.Struct):
     model: str
+    messages: list[_Message] = []
     stream: bool = False
     max_tokens: int = 8
 
 
+class _ServiceBody(msgspec.Struct):
+    subject: str = ""
+
+
 class _Delta(msgspec.Struct):
     content: str
 
@@ -48,6 +56,17 @@
     choices: list[_Choice]
 
 
+class RunRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """One run of a request at a stand-in endpoint."""
+
+    #: Unix time in milliseconds.
+    at: int
+    #: Model version or path of a service call.
+    work: str
+    #: First message of a prompt, or the subject of a service call.
+    subject: str
+
+
 @dataclass(frozen=True, kw_only=True)
 class EngineBehaviour:
     """How a stand-in endpoint answers."""
@@ -85,8 +104,8 @@
         self._warm_at: Milliseconds | None = None
         #: Worst load while cold, divided by what it bears cold.
         self.worst_cold_ratio = 0.0
-        #: Runs by model version or by service path.
-        self.runs: Counter[str] = Counter()
+        #: Every run so far, oldest first.
+        self.runs: list[RunRecord] = []
 
     def build_app(self) -> Litestar:
         """Return the application that serves the endpoint."""
@@ -103,12 +122,20 @@
         async def call(request: AnyRequest, path: str) -> AnyResponse:
             return await self._call(request, path)
 
+        @get("/runs")
+        async def list_runs() -> AnyResponse:
+            return Response(content=msgspec.json.encode(self.runs), media_type=JSON)
+
         return Litestar(
-            route_handlers=[complete, call, status],
+            route_handlers=[complete, call, list_runs, status],
             openapi_config=None,
             logging_config=None,
         )
 
+    def _record(self, work: str, subject: str) -> None:
+        run = RunRecord(at=self._clock.wall(), work=work, subject=subject)
+        self.runs.append(run)
+
     def _status(self) -> AnyResponse:
         status = EndpointStatus(
             incarnation=self._incarnation, in_flight=self._in_flight
@@ -151,8 +178,11 @@
         refusal = self._take()
         if refusal:
             return _refuse(refusal)
-        self.runs[prompt.model] += 1
-        tokens = await _started(self._tokens(prompt))
+        subject = prompt.messages[0].content if prompt.messages else ""
+        self._record(prompt.model, subject)
+        tokens = self._tokens(prompt)
+        # A generator that never started would skip its end.
+        await anext(tokens)
         headers = self._headers(request)
         if prompt.stream:
             return Stream(tokens, media_type=EVENT_STREAM, headers=headers)
@@ -162,49 +192,41 @@
     async def _tokens(self, prompt: _Prompt) -> AsyncIterator[bytes]:
         is_cut = self._randomness.random() < self._behaviour.cut_share
         try:
+            yield b""
             await self._clock.sleep(self._behaviour.first_token)
             for number in range(prompt.max_tokens):
                 if is_cut and number > prompt.max_tokens // 2:
                     return
-                yield _event(prompt.model, number)
+                yield _event(prompt, number)
                 await self._clock.sleep(self._behaviour.between_tokens)
             yield b"data: [DONE]\n\n"
         finally:
             self._give_back()
 
     async def _call(self, request: AnyRequest, path: str) -> AnyResponse:
-        body = await request.body()
+        body = msgspec.json.decode(await request.body(), type=_ServiceBody)
         refusal = self._take()
         if refusal:
             return _refuse(refusal)
-        self.runs[path] += 1
+        self._record(path, body.subject)
         try:
             await self._clock.sleep(self._behaviour.first_token)
         finally:
             self._give_back()
-        return Response(content=body, media_type=JSON, headers=self._headers(request))
+        return Response(
+            content=await request.body(),
+            media_type=JSON,
+            headers=self._headers(request),
+        )
 
 
 def _refuse(reason: str) -> AnyResponse:
     return Response(content=b"", status_code=503, headers={REFUSAL_HEADER: reason})
 
 
-async def _started(tokens: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
-    """Return ``tokens`` with its first item taken, so that its end is never skipped."""
-    first = await anext(tokens, b"")
-
-    async def relay() -> AsyncIterator[bytes]:
-        try:
-            yield first
-            async for token in tokens:
-                yield token
-        finally:
-            await tokens.aclose()  # type: ignore[attr-defined]
-
-    return relay()
-
-
-def _event(model: str, number: int) -> bytes:
-    delta = _Delta(content=f"token-{number} ")
-    chunk = _Chunk(model=model, choices=[_Choice(delta=delta)])
+def _event(prompt: _Prompt, number: int) -> bytes:
+    """Return an event whose token names the prompt, so that callers can check it."""
+    subject = prompt.messages[0].content if prompt.messages else "token"
+    delta = _Delta(content=f"{subject}-{number} ")
+    chunk = _Chunk(model=prompt.model, choices=[_Choice(delta=delta)])
     return b"data: " + msgspec.json.encode(chunk) + b"\n\n"
