--- /dev/null
+++ b/benches/_processes.py
@@ -0,0 +1,156 @@
+"""Processes of a deployment on loopback, started and ended by a bench."""
+
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+
+import httpx
+import psutil
+
+from fuchsiaroute.configuration import Configuration
+from fuchsiaroute.declaration import encode
+from fuchsiaroute.entry import CONFIGURATION_KEY
+from fuchsiaroute.platform import (
+    ABSENT,
+    Check,
+    Committed,
+    HttpTableStore,
+    Put,
+    Transaction,
+)
+
+HOST = "127.0.0.1"
+READY_TIMEOUT_SECONDS = 20.0
+READY_POLL_SECONDS = 0.05
+
+
+def free_port() -> int:
+    """Return a TCP port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+@dataclass(kw_only=True)
+class Child:
+    """One process of the program that a bench has started."""
+
+    arguments: Sequence[str]
+    url: str
+    process: subprocess.Popen[bytes] = field(init=False)
+
+    def start(self) -> None:
+        """Start the process."""
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "fuchsiaroute", *self.arguments],
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        self.process.send_signal(number)
+
+    def stop(self) -> int:
+        """Ask the process to stop, wait for it, and return its exit status."""
+        if self.process.poll() is None:
+            self.process.terminate()
+        return self.process.wait(timeout=READY_TIMEOUT_SECONDS)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.process.kill()
+        self.process.wait()
+
+    def cpu_seconds(self) -> float:
+        """Return the processor time that the process has used."""
+        times = psutil.Process(self.process.pid).cpu_times()
+        return float(times.user + times.system)
+
+    def resident_bytes(self) -> int:
+        """Return the resident memory of the process."""
+        return int(psutil.Process(self.process.pid).memory_info().rss)
+
+
+def platform_child() -> Child:
+    """Return a stand-in for the platform on a free port."""
+    port = free_port()
+    return Child(
+        arguments=("standin", "platform", "--port", str(port)),
+        url=f"http://{HOST}:{port}",
+    )
+
+
+def endpoint_child(*, first_token: int = 20, between_tokens: int = 2) -> Child:
+    """Return a stand-in endpoint on a free port; times in milliseconds."""
+    port = free_port()
+    return Child(
+        arguments=(
+            "standin",
+            "endpoint",
+            "--port",
+            str(port),
+            "--first-token",
+            str(first_token),
+            "--between-tokens",
+            str(between_tokens),
+        ),
+        url=f"http://{HOST}:{port}",
+    )
+
+
+def entry_child(
+    *, number: int, failure_domain: str, platform_url: str, directory: Path
+) -> Child:
+    """Return an entry whose settings are written into ``directory``."""
+    ports = [free_port() for _ in range(3)]
+    path = directory / f"entry-{number}.ini"
+    path.write_text(
+        f"[instance]\nid = entry-{number}\nfailure_domain = {failure_domain}\n"
+        f"[callers]\nport = {ports[0]}\n"
+        f"[operators]\nport = {ports[1]}\n"
+        f"[peers]\nport = {ports[2]}\n"
+        f"[platform]\ntable_url = {platform_url}\n"
+        f"[log]\npath = {directory / f'entry-{number}.log'}\n"
+    )
+    return Child(arguments=("serve", str(path)), url=f"http://{HOST}:{ports[0]}")
+
+
+def wait_until_ready(url: str) -> None:
+    """Return once ``url`` answers anything at all; raise ``TimeoutError`` if not."""
+    deadline = time.monotonic() + READY_TIMEOUT_SECONDS
+    while time.monotonic() < deadline:
+        try:
+            httpx.get(f"{url}/v1/entries", trust_env=False)
+        except httpx.HTTPError:
+            time.sleep(READY_POLL_SECONDS)
+        else:
+            return
+    raise TimeoutError(f"nothing answered on {url}")
+
+
+def with_endpoint_urls(declared: Configuration, urls: Sequence[str]) -> Configuration:
+    """Return ``declared`` with the URLs of its endpoints in order; extra ones go."""
+    endpoints = tuple(
+        replace(endpoint, url=url)
+        for endpoint, url in zip(declared.endpoints, urls, strict=False)
+    )
+    return replace(declared, endpoints=endpoints)
+
+
+async def store_configuration(platform_url: str, declared: Configuration) -> None:
+    """Store the first configuration as the operators' ``apply`` does."""
+    transaction = Transaction(
+        checks=(Check(key=CONFIGURATION_KEY, version=ABSENT),),
+        puts=(Put(key=CONFIGURATION_KEY, value=encode(declared)),),
+    )
+    async with httpx.AsyncClient(base_url=platform_url, trust_env=False) as client:
+        outcome = await HttpTableStore(client).commit(transaction)
+    if not isinstance(outcome.unwrap(), Committed):
+        raise RuntimeError("the platform already holds a configuration")
