Explain streamed requests, which cannot escalate

Cause: an explanation assumed that every request may escalate, while a streamed one is answered by the first version. Change: a question says whether the answer is streamed. Figures: the case of a whole answer gives two versions, a streamed one gives one. Conclusion: the explanation is the decision that the entry would take.

--- a/fuchsiaroute/operators/_explain.py
+++ b/fuchsiaroute/operators/_explain.py
@@ -28,8 +28,7 @@
 ) -> Explanation:
     """Return how ``router`` would route the request in ``question``."""
     request = _request(question, view)
-    decided = router.route(request, view, can_escalate=True)
-    match decided:
+    match router.route(request, view, can_escalate=not question.is_streamed):
         case Success(decision):
             return _permitted(decision)
         case Failure(refusal):
--- a/fuchsiaroute/operators/_messages.py
+++ b/fuchsiaroute/operators/_messages.py
@@ -107,6 +107,8 @@
     model: str = "auto"
     #: Empty for a request without a session.
     session: SessionId = SessionId("")
+    #: Whether the answer is streamed, which leaves no room for an escalation.
+    is_streamed: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/fuchsiaroute/operators/tests/test_explain.py
+++ b/fuchsiaroute/operators/tests/test_explain.py
@@ -37,10 +37,16 @@
     [
         (
             BASE,
-            {"request_class": RequestClass("stand-lookup")},
+            {"request_class": RequestClass("stand-lookup"), "is_streamed": True},
             (SMALL,),
             {MEDIUM: Exclusion.NOT_PERMITTED, LARGE: Exclusion.COSTLIER},
         ),
+        (
+            BASE,
+            {"request_class": RequestClass("stand-lookup")},
+            (SMALL, LARGE),
+            {MEDIUM: Exclusion.NOT_PERMITTED},
+        ),
         (
             BASE,
             {"request_class": RequestClass("cutting-report")},
