Let a stand-in endpoint say what it ran

Cause: at most once and whole answers can only be checked from the endpoints' side. Change: GET /runs lists each run with time and subject; tokens name their prompt. Conclusion: a check can compare what callers saw with what endpoints did.

--- a/benches/_token_path.py
+++ b/benches/_token_path.py
@@ -31,7 +31,7 @@
 
 class _Body(msgspec.Struct):
     max_tokens: int
-    messages: list[str] = []
+    messages: list[dict[str, str]] = []
     model: str = "auto"
     stream: bool = True
 
--- a/fuchsiaroute/standin/__init__.py
+++ b/fuchsiaroute/standin/__init__.py
@@ -1,10 +1,11 @@
 """Stand-ins for systems outside the router, for demonstrations and tests."""
 
-from fuchsiaroute.standin._engine import EngineBehaviour, StandInEndpoint
+from fuchsiaroute.standin._engine import EngineBehaviour, RunRecord, StandInEndpoint
 from fuchsiaroute.standin._platform import StandInPlatform, build_platform_app
 
 __all__ = [
     "EngineBehaviour",
+    "RunRecord",
     "StandInEndpoint",
     "StandInPlatform",
     "build_platform_app",
--- a/fuchsiaroute/standin/_engine.py
+++ b/fuchsiaroute/standin/_engine.py
@@ -1,13 +1,12 @@
 """A stand-in for a model engine and for a plain service."""
 
 import random
-from collections import Counter
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from typing import Any
 
 import msgspec
-from litestar import Litestar, Request, Response, post
+from litestar import Litestar, Request, Response, get, post
 from litestar.response import Stream
 
 from fuchsiaroute.clock import Clock, Milliseconds
@@ -19,12 +18,21 @@
 HTTP_OK = 200
 
 
+class _Message(msgspec.Struct):
+    content: str = ""
+
+
 class _Prompt(msgspec.Struct):
     model: str
+    messages: list[_Message] = []
     stream: bool = False
     max_tokens: int = 8
 
 
+class _ServiceBody(msgspec.Struct):
+    subject: str = ""
+
+
 class _Delta(msgspec.Struct):
     content: str
 
@@ -39,6 +47,17 @@
     choices: list[_Choice]
 
 
+class RunRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """One run of a request at a stand-in endpoint."""
+
+    #: Unix time in milliseconds.
+    at: int
+    #: Model version or path of a service call.
+    work: str
+    #: First message of a prompt, or the subject of a service call.
+    subject: str
+
+
 @dataclass(frozen=True, kw_only=True)
 class EngineBehaviour:
     """How a stand-in endpoint answers."""
@@ -67,8 +86,8 @@
         self._behaviour = behaviour or EngineBehaviour()
         self._randomness = random.Random(seed)
         self._in_flight = 0
-        #: Runs by model version or by service path.
-        self.runs: Counter[str] = Counter()
+        #: Every run so far, oldest first.
+        self.runs: list[RunRecord] = []
 
     def build_app(self) -> Litestar:
         """Return the application that serves the endpoint."""
@@ -81,17 +100,28 @@
         async def call(request: AnyRequest, path: str) -> AnyResponse:
             return await self._call(request, path)
 
+        @get("/runs")
+        async def list_runs() -> AnyResponse:
+            return Response(content=msgspec.json.encode(self.runs), media_type=JSON)
+
         return Litestar(
-            route_handlers=[complete, call], openapi_config=None, logging_config=None
+            route_handlers=[complete, call, list_runs],
+            openapi_config=None,
+            logging_config=None,
         )
 
+    def _record(self, work: str, subject: str) -> None:
+        run = RunRecord(at=self._clock.wall(), work=work, subject=subject)
+        self.runs.append(run)
+
     async def _complete(self, request: AnyRequest) -> AnyResponse:
         if self._in_flight >= self._behaviour.capacity:
             return Response(
                 content=b"", status_code=503, headers={REFUSAL_HEADER: "full"}
             )
         prompt = msgspec.json.decode(await request.body(), type=_Prompt)
-        self.runs[prompt.model] += 1
+        subject = prompt.messages[0].content if prompt.messages else ""
+        self._record(prompt.model, subject)
         headers = {NONCE_HEADER: request.headers.get(NONCE_HEADER, "")}
         if prompt.stream:
             return Stream(
@@ -108,20 +138,23 @@
             for number in range(prompt.max_tokens):
                 if is_cut and number > prompt.max_tokens // 2:
                     return
-                yield _event(prompt.model, number)
+                yield _event(prompt, number)
                 await self._clock.sleep(self._behaviour.between_tokens)
             yield b"data: [DONE]\n\n"
         finally:
             self._in_flight -= 1
 
     async def _call(self, request: AnyRequest, path: str) -> AnyResponse:
-        self.runs[path] += 1
+        body = msgspec.json.decode(await request.body(), type=_ServiceBody)
+        self._record(path, body.subject)
         await self._clock.sleep(self._behaviour.first_token)
         headers = {NONCE_HEADER: request.headers.get(NONCE_HEADER, "")}
         return Response(content=await request.body(), media_type=JSON, headers=headers)
 
 
-def _event(model: str, number: int) -> bytes:
-    delta = _Delta(content=f"token-{number} ")
-    chunk = _Chunk(model=model, choices=[_Choice(delta=delta)])
+def _event(prompt: _Prompt, number: int) -> bytes:
+    """Return an event whose token names the prompt, so that callers can check it."""
+    subject = prompt.messages[0].content if prompt.messages else "token"
+    delta = _Delta(content=f"{subject}-{number} ")
+    chunk = _Chunk(model=prompt.model, choices=[_Choice(delta=delta)])
     return b"data: " + msgspec.json.encode(chunk) + b"\n\n"
