Give the entry its own connections to each endpoint

Cause: the dispatcher opens connections by endpoint, so that a suspected set can be replaced alone. Conclusion: compose passes Connections in place of one client.

--- a/fuchsiaroute/serving/_compose.py
+++ b/fuchsiaroute/serving/_compose.py
@@ -3,11 +3,10 @@
 import random
 from dataclasses import dataclass
 
-import httpx
 from litestar import Litestar
 
 from fuchsiaroute.clock import Clock, Milliseconds
-from fuchsiaroute.dispatch import Dispatcher
+from fuchsiaroute.dispatch import Connections, Dispatcher
 from fuchsiaroute.entry import (
     Background,
     ConfigurationPoll,
@@ -23,7 +22,6 @@
 from fuchsiaroute.platform import InstanceList, RatingService, TableStore
 from fuchsiaroute.serving._lasting import LastingParts, compose_lasting
 from fuchsiaroute.serving._routing import NoRatings, RoutingParts, compose_routing
-from fuchsiaroute.transport import build_client
 
 #: How long a caller may keep an advice.
 ADVICE_LIFETIME = Milliseconds(5_000)
@@ -66,7 +64,8 @@
     current: CurrentConfiguration
     poll: ConfigurationPoll
     advice: ListedEntries
-    client: httpx.AsyncClient
+    #: Connections to endpoints.
+    client: Connections
     routing: RoutingParts
     lasting: LastingParts
     #: Every periodic task of the entry.
@@ -83,7 +82,7 @@
 ) -> ComposedEntry:
     """Return an entry whose parts use ``store`` and ``clock``."""
     current = CurrentConfiguration()
-    client = build_client()
+    client = Connections()
     advice = ListedEntries()
     randomness = random.Random(options.seed)
     routing = compose_routing(
@@ -108,7 +107,7 @@
         route=routing.route,
         attempt=LeastInFlightAttempt(
             current=current,
-            dispatcher=Dispatcher(client=client, clock=clock),
+            dispatcher=Dispatcher(connections=client, clock=clock),
             randomness=randomness,
         ),
         bill=MeteredBill(bill=lasting.bills, allowances=routing.allowances),
