--- /dev/null
+++ b/fuchsiaroute/configuration/_reader.py
@@ -0,0 +1,90 @@
+"""The entries' side of the configuration: reads what has been accepted."""
+
+from enum import Enum
+
+from returns.result import Failure, Result, Success
+
+from fuchsiaroute.configuration._change import (
+    DELTA_SLOTS,
+    HEAD_KEY,
+    AcceptedChange,
+    NoChange,
+    body_key,
+    decode_change,
+    delta_key,
+    digest_of,
+)
+from fuchsiaroute.configuration._delta import apply_delta, decode_delta
+from fuchsiaroute.configuration._snapshot import (
+    Snapshot,
+    SnapshotError,
+    make_snapshot,
+)
+from fuchsiaroute.ids import Revision
+from fuchsiaroute.platform import Record, StoreError, TableStore
+
+
+class NoSnapshot(Enum):
+    """Sentinel: no configuration is held."""
+
+    TOKEN = "no-snapshot"
+
+
+LoadError = StoreError | SnapshotError
+
+
+class ConfigurationReader:
+    """Reads the head record, and bodies by difference where that is possible."""
+
+    def __init__(self, store: TableStore) -> None:
+        self._store = store
+
+    async def head(self) -> Result[AcceptedChange | NoChange, StoreError]:
+        """Return the change in force; one read of one small record."""
+        found = await self._store.read([HEAD_KEY])
+        return found.map(lambda records: decode_change(records[0].value))
+
+    async def load(
+        self, change: AcceptedChange, held: Snapshot | NoSnapshot
+    ) -> Result[Snapshot, LoadError]:
+        """
+        Return the configuration of ``change``, starting from the one held.
+
+        An error means that the store did not answer, or that later changes have
+        overwritten the slot; reading the head again gives the later change.
+        """
+        if isinstance(held, Snapshot) and _is_in_reach(held, change):
+            deltas = await self._store.read(_delta_keys(held, change))
+            match deltas:
+                case Success(records):
+                    body = _replay(held.body, records)
+                    if digest_of(body) == change.digest:
+                        return make_snapshot(change, body)
+                case Failure(error):
+                    return Failure(error)
+        return await self._load_whole(change)
+
+    async def _load_whole(self, change: AcceptedChange) -> Result[Snapshot, LoadError]:
+        match await self._store.read([body_key(change.revision)]):
+            case Success((record,)):
+                return make_snapshot(change, record.value)
+            case Failure(error):
+                return Failure(error)
+            case _:
+                message = "the store returned another number of records"
+                return Failure(SnapshotError(message=message))
+
+
+def _is_in_reach(held: Snapshot, change: AcceptedChange) -> bool:
+    return 0 < change.revision - held.change.revision < DELTA_SLOTS
+
+
+def _delta_keys(held: Snapshot, change: AcceptedChange) -> list[str]:
+    revisions = range(held.change.revision + 1, change.revision + 1)
+    return [delta_key(Revision(revision)) for revision in revisions]
+
+
+def _replay(body: bytes, records: tuple[Record, ...]) -> bytes:
+    for record in records:
+        body = apply_delta(body, decode_delta(record.value))
+    return body
