--- a/fuchsiaroute/balancing/__init__.py
+++ b/fuchsiaroute/balancing/__init__.py
@@ -4,13 +4,11 @@
 from fuchsiaroute.balancing._cold_slots import PAUSE_BOUND, ColdSlot, ColdSlots
 from fuchsiaroute.balancing._departures import DEPARTURE_DELAY, Departures, SlotOwner
 from fuchsiaroute.balancing._ownership import ColdSlotKeeper
-from fuchsiaroute.balancing._peer_group import LARGEST_PEER_GROUP
 from fuchsiaroute.balancing._reservation import Reservation, ReservationKind, Target
 from fuchsiaroute.balancing._subset import SUBSET_SIZE, by_rank, rank, subset
 
 __all__ = [
     "DEPARTURE_DELAY",
-    "LARGEST_PEER_GROUP",
     "PAUSE_BOUND",
     "SUBSET_SIZE",
     "ColdSlot",
--- a/fuchsiaroute/balancing/_chooser.py
+++ b/fuchsiaroute/balancing/_chooser.py
@@ -1,14 +1,13 @@
 """The choice of an endpoint for a request."""
 
 import itertools
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 from random import Random
 
 from returns.result import Failure, Result, Success
 
 from fuchsiaroute.balancing._cold_slots import ColdSlots
 from fuchsiaroute.balancing._estimate import LoadEstimate
-from fuchsiaroute.balancing._peer_group import PeerGroup
 from fuchsiaroute.balancing._refusals import refusal_for
 from fuchsiaroute.balancing._reservation import Reservation, ReservationKind, Target
 from fuchsiaroute.balancing._selection import LoadedEndpoint, select
@@ -33,7 +32,7 @@
 #: Time over which the capacity in use grows from cold to full once warm.
 RAMP = Milliseconds(10_000)
 #: Largest estimated load at which an endpoint gets more, relative to its capacity.
-LARGEST_UTILISATION = 1.1
+LARGEST_UTILISATION = 1.25
 #: Utilisation of warm endpoints above which warming ones are used beside them.
 RELIEF_UTILISATION = 0.8
 #: Longest time between a choice and the first byte of its dispatch.
@@ -59,7 +58,7 @@
         self._estimates: dict[EndpointId, LoadEstimate] = {}
         self._open: dict[int, Reservation] = {}
         self._targets = TargetIndex(entry)
-        self._peers = PeerGroup(entry=entry, clock=clock)
+        self._entry_count = 1
         #: The life cycles.
         self.table = EndpointTable(clock)
         #: The slots of cold endpoints that this entry owns.
@@ -78,23 +77,7 @@
 
     def update_members(self, entries: Sequence[InstanceId]) -> None:
         """Take over the entries that are alive, this one included."""
-        alive = self._peers.update(entries)
-        for estimate in self._estimates.values():
-            estimate.forget_peers(alive)
-
-    def own_loads(self) -> dict[EndpointId, int]:
-        """Return this entry's requests in flight, for the other entries."""
-        return {
-            name: estimate.own
-            for name, estimate in self._estimates.items()
-            if estimate.own
-        }
-
-    def peer_loads(self, peer: InstanceId, loads: Mapping[EndpointId, int]) -> None:
-        """Take over the requests that another entry has at each endpoint."""
-        if self._peers.heard(peer):
-            for name, estimate in self._estimates.items():
-                estimate.peer(peer, loads.get(name, 0))
+        self._entry_count = max(len(entries), 1)
 
     def report(self, report: LoadReport) -> None:
         """Take over a load report of an endpoint."""
@@ -136,9 +119,7 @@
         if cold is not None:
             return Success(self._reserve(cold, target, ReservationKind.COLD_SLOT))
         if not usable:
-            return Failure(
-                refusal_for(is_full=_is_worth_waiting(records), target=target)
-            )
+            return Failure(refusal_for(is_full=bool(warm), target=target))
         chosen = select(usable, prefix_hash=request.prefix_hash, random=self._random)
         return Success(self._reserve(chosen.record, target, ReservationKind.WARM))
 
@@ -196,11 +177,8 @@
         if since_warm < RAMP:
             growth = (capacity - endpoint.cold_capacity) * since_warm / RAMP
             capacity = max(endpoint.cold_capacity + growth, 1.0)
-        sharing = self._peers.size * self._targets.share
-        load = self._estimates[endpoint.id].total(
-            sharing, is_peer_group_known=self._peers.is_known()
-        )
-        return load / capacity
+        sharing = self._entry_count * self._targets.share
+        return self._estimates[endpoint.id].total(sharing) / capacity
 
     def _trial(
         self, records: Iterable[EndpointRecord], request: Request
@@ -269,11 +247,3 @@
         )
         self._open[reservation.number] = reservation
         return reservation
-
-
-def _is_worth_waiting(records: Iterable[EndpointRecord]) -> bool:
-    """Return whether an endpoint serves or is about to."""
-    return any(
-        record.state is EndpointState.WARM or record.state in _COLD_STATES
-        for record in records
-    )
--- a/fuchsiaroute/balancing/_estimate.py
+++ b/fuchsiaroute/balancing/_estimate.py
@@ -4,7 +4,6 @@
 
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.endpoints import LoadReport
-from fuchsiaroute.ids import InstanceId
 
 #: Age at which a load report says nothing about the present.
 REPORT_LIFETIME = Milliseconds(5_000)
@@ -18,7 +17,6 @@
         self._changes: deque[tuple[Milliseconds, int]] = deque()
         self._others = 0
         self._taken_at = Milliseconds(-REPORT_LIFETIME)
-        self._peers: dict[InstanceId, int] = {}
         #: Requests of this entry that the endpoint is working on.
         self.own = 0
 
@@ -40,27 +38,14 @@
         )
         self._others = max(0, report.in_flight - own_then)
 
-    def peer(self, entry: InstanceId, in_flight: int) -> None:
-        """Take over the number of requests that another entry has here."""
-        self._peers[entry] = in_flight
-
-    def forget_peers(self, alive: frozenset[InstanceId]) -> None:
-        """Drop what entries outside ``alive`` have said."""
-        self._peers = {
-            entry: count for entry, count in self._peers.items() if entry in alive
-        }
-
-    def total(self, sharing_entries: float, *, is_peer_group_known: bool) -> float:
+    def total(self, sharing_entries: float) -> float:
         """
         Return the estimated number of requests at the endpoint.
 
-        Own requests are counted exactly. Those of other entries come from what they
-        say themselves, if all of them do, else from the endpoint's latest report.
-        With no fresh report they are taken to be like the own ones, of
+        Own requests are counted exactly. Those of other entries come from the latest
+        report; with no fresh report they are taken to be like the own ones, of
         ``sharing_entries`` entries that use the endpoint.
         """
-        if is_peer_group_known:
-            return self.own + sum(self._peers.values())
         if self._clock.wall() - self._taken_at < REPORT_LIFETIME:
             return self.own + self._others
         return self.own * max(sharing_entries, 1.0)
--- a/fuchsiaroute/balancing/_ownership.py
+++ b/fuchsiaroute/balancing/_ownership.py
@@ -7,7 +7,7 @@
 
 from fuchsiaroute.balancing._cold_slots import ColdSlot, ColdSlots
 from fuchsiaroute.balancing._departures import Departures, SlotOwner
-from fuchsiaroute.balancing._subset import HashRing
+from fuchsiaroute.balancing._subset import by_rank
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.configuration import Endpoint
 from fuchsiaroute.ids import InstanceId
@@ -106,14 +106,13 @@
     ) -> list[ColdSlot]:
         # The preference only saves conflicts. Views of the members may differ: what
         # decides is the record in the store.
-        ring = HashRing((*members, self._owner.instance))
-        wanted = {
-            slot
-            for endpoint in endpoints
-            for slot in _slots(endpoint)
-            if ring.owner(_key(slot)) == self._owner.instance
-        }
-        return sorted(wanted | self._claimed)
+        wanted = set(self._claimed)
+        for endpoint in endpoints:
+            preferred = by_rank(endpoint.id, {*members, self._owner.instance})
+            for number in range(endpoint.cold_capacity):
+                if preferred[number % len(preferred)] == self._owner.instance:
+                    wanted.add(ColdSlot(endpoint=endpoint.id, number=number))
+        return sorted(wanted)
 
     async def _claim(
         self, wanted: Sequence[ColdSlot]
@@ -157,11 +156,6 @@
         return owner != self._owner and self._departures.has_departed(owner)
 
 
-def _slots(endpoint: Endpoint) -> Iterable[ColdSlot]:
-    for number in range(endpoint.cold_capacity):
-        yield ColdSlot(endpoint=endpoint.id, number=number)
-
-
 def _key(slot: ColdSlot) -> str:
     return f"{_KEY_PREFIX}{slot.endpoint}/{slot.number}"
 
--- a/fuchsiaroute/balancing/_refusals.py
+++ b/fuchsiaroute/balancing/_refusals.py
@@ -16,12 +16,12 @@
         return Refusal(
             reason=RefusalReason.OVERLOADED,
             verdict=Verdict.NOT_RUN,
-            message=f"every endpoint of {target} that this entry uses is full or cold",
+            message=f"every endpoint of {target} that this entry uses is full",
             retry_after=FULL_RETRY_AFTER,
         )
     return Refusal(
         reason=RefusalReason.NO_ENDPOINT,
         verdict=Verdict.NOT_RUN,
-        message=f"no endpoint of {target} is in service",
+        message=f"no endpoint of {target} is ready for this entry",
         retry_after=ABSENT_RETRY_AFTER,
     )
--- a/fuchsiaroute/balancing/_selection.py
+++ b/fuchsiaroute/balancing/_selection.py
@@ -1,4 +1,4 @@
-"""Selection of one warm endpoint by prefix affinity and power of a few choices."""
+"""Selection of one warm endpoint by prefix affinity and power of two choices."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -14,7 +14,7 @@
 #: Largest utilisation at which affinity still decides.
 AFFINITY_UTILISATION = 0.8
 #: Endpoints compared for each request.
-CHOICES = 3
+CHOICES = 2
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/fuchsiaroute/balancing/_subset.py
+++ b/fuchsiaroute/balancing/_subset.py
@@ -1,6 +1,5 @@
 """Deterministic subsets of endpoints and orders of preference."""
 
-import bisect
 from collections.abc import Iterable, Sequence
 from typing import TypeVar
 
@@ -11,8 +10,6 @@
 #: Endpoints of one target that an entry uses; more would spread too few requests
 #: over too many connections.
 SUBSET_SIZE = 20
-#: Places of each name on a hash ring.
-RING_PLACES = 32
 
 _Name = TypeVar("_Name", bound=str)
 
@@ -27,22 +24,6 @@
     return sorted(names, key=lambda name: (-rank(key, name), name))
 
 
-class HashRing:
-    """Names on a ring of hashes, each in several places; cheap for many keys."""
-
-    def __init__(self, names: Iterable[str]) -> None:
-        self._places = sorted(
-            (rank(str(place), name), name)
-            for name in set(names)
-            for place in range(RING_PLACES)
-        )
-
-    def owner(self, key: str) -> str:
-        """Return the name that follows ``key`` on the ring."""
-        position = bisect.bisect_left(self._places, (rank("", key), ""))
-        return self._places[position % len(self._places)][1]
-
-
 def subset(
     key: str, endpoints: Sequence[Endpoint], size: int = SUBSET_SIZE
 ) -> list[Endpoint]:
--- a/fuchsiaroute/configuration/__init__.py
+++ b/fuchsiaroute/configuration/__init__.py
@@ -1,16 +1,5 @@
-"""The configuration: accepted, distributed and in force, as typed values."""
+"""The configuration that is in force, as typed values."""
 
-from fuchsiaroute.configuration._change import (
-    NO_REVISION,
-    Accepted,
-    AcceptedChange,
-    ChangeError,
-    ChangeErrorKind,
-    NoChange,
-    digest_of,
-)
-from fuchsiaroute.configuration._in_force import InForce, StoreWord
-from fuchsiaroute.configuration._log import ConfigurationLog
 from fuchsiaroute.configuration._model import (
     Configuration,
     ConfiguredCall,
@@ -27,63 +16,20 @@
     Version,
     VersionState,
 )
-from fuchsiaroute.configuration._poller import (
-    ConfigurationPoller,
-    ConfigurationSource,
-    PollOutcome,
-    poll_interval,
-)
-from fuchsiaroute.configuration._reader import ConfigurationReader, NoSnapshot
-from fuchsiaroute.configuration._readiness import (
-    FRESH_BOUND,
-    OUTAGE_BOUND,
-    Readiness,
-    Situation,
-    readiness_in,
-)
-from fuchsiaroute.configuration._snapshot import (
-    Snapshot,
-    SnapshotError,
-    make_snapshot,
-)
 
 __all__ = [
-    "FRESH_BOUND",
-    "NO_REVISION",
-    "OUTAGE_BOUND",
-    "Accepted",
-    "AcceptedChange",
-    "ChangeError",
-    "ChangeErrorKind",
     "Configuration",
-    "ConfigurationLog",
-    "ConfigurationPoller",
-    "ConfigurationReader",
-    "ConfigurationSource",
     "ConfiguredCall",
     "Endpoint",
     "FailureDomain",
-    "InForce",
     "Model",
-    "NoChange",
-    "NoSnapshot",
     "Organisation",
     "Outage",
-    "PollOutcome",
     "Product",
-    "Readiness",
     "RequestClassSpec",
     "Rollout",
     "RolloutState",
     "Service",
-    "Situation",
-    "Snapshot",
-    "SnapshotError",
-    "StoreWord",
     "Version",
     "VersionState",
-    "digest_of",
-    "make_snapshot",
-    "poll_interval",
-    "readiness_in",
 ]
--- a/fuchsiaroute/demo/_deployment.py
+++ b/fuchsiaroute/demo/_deployment.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
 
-from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.clock import Clock
 from fuchsiaroute.configuration import Configuration
 from fuchsiaroute.declaration import encode
 from fuchsiaroute.entry import CONFIGURATION_KEY
@@ -26,11 +26,8 @@
 )
 from fuchsiaroute.standin import StandInEndpoint
 
-#: All entries of the demonstration sign session pins with this key.
-PIN_KEY = "demonstration-pin-key"
 HOST = "127.0.0.1"
 ANY_PORT = 0
-DRAIN_LIMIT = Milliseconds(10_000)
 ENTRY_COUNT = 6
 
 
@@ -44,17 +41,15 @@
     servers: list[HttpServer] = field(default_factory=list)
     #: Base URLs of the entries.
     urls: list[str] = field(default_factory=list)
-
-    async def drain(self) -> None:
-        """Wait until the store has every ledger record."""
-        for entry in self.entries:
-            await entry.lasting.ledger.drain(DRAIN_LIMIT)
+    polls: list[asyncio.Task[None]] = field(default_factory=list)
 
     async def stop(self) -> None:
         """Stop the entries, then the stand-ins."""
+        for poll in self.polls:
+            poll.cancel()
+        await asyncio.gather(*self.polls, return_exceptions=True)
         await asyncio.gather(*(server.stop() for server in self.servers))
         for entry in self.entries:
-            await entry.background.stop()
             await entry.client.aclose()
 
 
@@ -105,7 +100,6 @@
             instance=InstanceId(f"entry-{number}"),
             failure_domain=domains[number % len(domains)].id,
             seed=number,
-            pin_keys=(PIN_KEY,),
         )
         entry = compose_entry(
             options=options,
@@ -114,7 +108,7 @@
             clock=clock,
         )
         await entry.poll.poll()
-        entry.background.start()
+        deployment.polls.append(asyncio.create_task(entry.poll.run()))
         server = HttpServer(app=entry.app, host=HOST, port=ANY_PORT)
         await server.start()
         deployment.entries.append(entry)
--- a/fuchsiaroute/demo/_report.py
+++ b/fuchsiaroute/demo/_report.py
@@ -5,13 +5,14 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+import msgspec
 from returns.result import Success
 
-from fuchsiaroute.billing import KEY_PREFIX, decode_record
 from fuchsiaroute.clock import Milliseconds
 from fuchsiaroute.demo._caller import Exchange
 from fuchsiaroute.demo._deployment import RunningDeployment
 
+LEDGER_PREFIX = "ledger/"
 LEDGER_LIMIT = 100_000
 HTTP_ERROR = 400
 QUANTILES = 20
@@ -67,9 +68,9 @@
 
 
 async def _ledger_costs(deployment: RunningDeployment) -> list[int]:
-    match await deployment.store.scan(KEY_PREFIX, limit=LEDGER_LIMIT):
+    match await deployment.store.scan(LEDGER_PREFIX, limit=LEDGER_LIMIT):
         case Success(records):
-            return [decode_record(record.value).cost for record in records]
+            return [msgspec.json.decode(record.value, type=int) for record in records]
     return []
 
 
--- a/fuchsiaroute/demo/_run.py
+++ b/fuchsiaroute/demo/_run.py
@@ -24,7 +24,6 @@
     deployment = await start_deployment(declared, clock=clock)
     try:
         exchanges = await _exchange(deployment, key_of=key_of, clock=clock, seed=seed)
-        await deployment.drain()
         return await summarise(deployment, exchanges)
     finally:
         await deployment.stop()
--- a/fuchsiaroute/dispatch/_client.py
+++ b/fuchsiaroute/dispatch/_client.py
@@ -1,37 +1,99 @@
 """One call to one endpoint, and what its failure says about the request."""
 
 import asyncio
-from collections import Counter
-from typing import NoReturn
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from enum import Enum
 
 import httpx
 from returns.result import Failure, Result, Success
 
 from fuchsiaroute.clock import Clock, Milliseconds
-from fuchsiaroute.dispatch._call import (
-    UNKNOWN_INCARNATION,
-    DispatchFailure,
-    DispatchOutcome,
-    EndpointCall,
-    OpenAnswer,
-)
-from fuchsiaroute.dispatch._chunks import whole_chunks
-from fuchsiaroute.dispatch._connections import Connections, EndpointConnections
-from fuchsiaroute.dispatch._sending import NotSentError, Sending
-from fuchsiaroute.dispatch._status import named_incarnation, read_status
-from fuchsiaroute.ids import Incarnation
+from fuchsiaroute.dispatch._exceptions import BrokenAnswerError
+from fuchsiaroute.ids import Nonce
+from fuchsiaroute.verdict import Verdict
 
 NONCE_HEADER = "x-request-id"
-#: Header by which an endpoint says that it did not run a request.
-REFUSAL_HEADER = "x-not-run"
-#: Longest silence before and within an answer.
+EVENT_STREAM = "text/event-stream"
+#: Last event of a whole streamed answer.
+STREAM_END = b"data: [DONE]"
+#: Bytes kept of the end of a stream, enough for its last event.
+TAIL_BYTES = 64
+#: Longest silence within an answer before its endpoint counts as lost.
 PROGRESS_TIMEOUT = Milliseconds(10_000)
-#: Time between two looks at an endpoint whose answer has not begun.
-PING_INTERVAL = Milliseconds(2_000)
-#: Looks in a row that must find the endpoint silent or without the request.
-PINGS_UNTIL_LOST = 2
 MILLISECONDS_PER_SECOND = 1_000
 
+
+class DispatchOutcome(Enum):
+    """How a call ended, as far as the endpoint's health is concerned."""
+
+    ANSWERED = "answered"
+    #: The endpoint said that it is starting and did not run the request.
+    REFUSED_COLD = "refused-cold"
+    #: The endpoint said that it is full and did not run the request.
+    REFUSED_FULL = "refused-full"
+    #: No connection could be made; no byte of the request left.
+    NOT_SENT = "not-sent"
+    #: The call failed after bytes of the request may have left.
+    FAILED = "failed"
+    #: No progress within the timeout.
+    SILENT = "silent"
+    #: The answer ended before its end.
+    TRUNCATED = "truncated"
+    #: The answer belongs to another dispatch.
+    CROSSED = "crossed"
+    #: The caller went away.
+    CANCELLED = "cancelled"
+
+
+_VERDICTS = {
+    DispatchOutcome.ANSWERED: Verdict.RUN,
+    DispatchOutcome.REFUSED_COLD: Verdict.NOT_RUN,
+    DispatchOutcome.REFUSED_FULL: Verdict.NOT_RUN,
+    DispatchOutcome.NOT_SENT: Verdict.NOT_RUN,
+}
+
+
+@dataclass(frozen=True, kw_only=True)
+class EndpointCall:
+    """A call to one endpoint."""
+
+    #: Base URL of the endpoint.
+    url: str
+    #: Path of the call.
+    path: str
+    #: JSON body.
+    body: bytes
+    #: Random value that the answer must carry.
+    nonce: Nonce
+    #: Unix time in milliseconds after which the answer is of no use.
+    deadline: Milliseconds
+
+
+@dataclass(frozen=True, kw_only=True)
+class OpenAnswer:
+    """An answer whose head has arrived; ``chunks`` raises ``BrokenAnswerError``."""
+
+    status: int
+    content_type: str
+    chunks: AsyncIterator[bytes]
+
+
+@dataclass(frozen=True, kw_only=True)
+class DispatchFailure:
+    """A call without an answer."""
+
+    outcome: DispatchOutcome
+    message: str
+
+    @property
+    def verdict(self) -> Verdict:
+        """Return whether the endpoint may have run the request."""
+        return _VERDICTS.get(self.outcome, Verdict.MAY_HAVE_RUN)
+
+
+#: Values of the header by which an endpoint says that it did not run a request.
+REFUSAL_HEADER = "x-not-run"
 _REFUSALS = {
     "cold": DispatchOutcome.REFUSED_COLD,
     "full": DispatchOutcome.REFUSED_FULL,
@@ -41,203 +103,75 @@
 class Dispatcher:
     """Sends calls to endpoints and checks that answers are whole and their own."""
 
-    def __init__(
-        self,
-        *,
-        connections: Connections,
-        clock: Clock,
-        progress_timeout: Milliseconds = PROGRESS_TIMEOUT,
-        ping_interval: Milliseconds = PING_INTERVAL,
-    ) -> None:
-        self._connections = connections
+    def __init__(self, *, client: httpx.AsyncClient, clock: Clock) -> None:
+        self._client = client
         self._clock = clock
-        self._progress_timeout = progress_timeout
-        self._ping_interval = ping_interval
-        #: Calls that got no answer, by outcome.
-        self.failures: Counter[DispatchOutcome] = Counter()
 
     async def open(self, call: EndpointCall) -> Result[OpenAnswer, DispatchFailure]:
         """Send ``call`` and wait for the head of the answer."""
-        connections = self._connections.acquire(call.url)
-        is_open = False
-        try:
-            result = await self._opened(call, connections)
-            is_open = isinstance(result, Success)
-        finally:
-            # An open answer releases the connections itself, at its end.
-            if not is_open:
-                await connections.release()
-        if isinstance(result, Failure):
-            self.failures[result.failure().outcome] += 1
-        return result
-
-    async def _opened(
-        self, call: EndpointCall, connections: EndpointConnections
-    ) -> Result[OpenAnswer, DispatchFailure]:
         remaining = call.deadline - self._clock.wall()
         if remaining <= 0:
             return _failure(DispatchOutcome.NOT_SENT, "deadline passed")
-        sending = Sending(call=call, client=connections.client)
-        try:
-            response = await self._head(call, sending, connections, remaining)
-        except NotSentError as error:
-            return _failure(error.outcome, str(error), sending.status.incarnation)
-        except (TimeoutError, httpx.HTTPError, _LostError) as error:
-            return await self._failed(call, sending, connections, error)
-        return await self._checked(call, response, connections)
-
-    async def _head(
-        self,
-        call: EndpointCall,
-        sending: Sending,
-        connections: EndpointConnections,
-        remaining: int,
-    ) -> httpx.Response:
-        """Return the response; raises what keeps its head from arriving."""
-        request = self._request(call, sending, connections.client)
-        limit = (
-            min(remaining, self._progress_timeout) if call.is_streamed else remaining
-        )
-        async with asyncio.timeout(limit / MILLISECONDS_PER_SECOND):
-            response = await self._send_watched(call, sending, request, connections)
-        # From now on the answer has to go on; its head could take longer.
-        timeouts = request.extensions["timeout"]
-        timeouts["read"] = self._progress_timeout / MILLISECONDS_PER_SECOND
-        return response
-
-    async def _send_watched(
-        self,
-        call: EndpointCall,
-        sending: Sending,
-        request: httpx.Request,
-        connections: EndpointConnections,
-    ) -> httpx.Response:
-        send = asyncio.create_task(connections.client.send(request, stream=True))
-        interval = self._ping_interval / MILLISECONDS_PER_SECOND
+        request = self._request(call)
         try:
-            done, _ = await asyncio.wait([send], timeout=interval)
-            if not done:
-                await self._watch(call, send, connections)
-            return await send
-        except BaseException:
-            await _abandon(send)
-            raise
-
-    async def _watch(
-        self,
-        call: EndpointCall,
-        send: "asyncio.Task[httpx.Response]",
-        connections: EndpointConnections,
-    ) -> None:
-        """Return once ``send`` is done; raises ``_LostError`` if it never will be."""
-        interval = self._ping_interval / MILLISECONDS_PER_SECOND
-        misses = 0
-        while not send.done():
-            status = await read_status(connections.client, call.url)
-            is_missed = not isinstance(status, Success)
-            # An idle endpoint has not got the request, or has lost it.
-            is_idle = not is_missed and status.unwrap().in_flight == 0
-            misses = misses + 1 if is_missed or is_idle else 0
-            if misses >= PINGS_UNTIL_LOST and not send.done():
-                _raise_lost(is_endpoint_alive=is_idle)
-            await asyncio.wait([send], timeout=interval)
-
-    async def _failed(
-        self,
-        call: EndpointCall,
-        sending: Sending,
-        connections: EndpointConnections,
-        error: Exception,
-    ) -> Result[OpenAnswer, DispatchFailure]:
-        name = type(error).__name__
-        if not sending.is_sent:
-            return _failure(DispatchOutcome.NOT_SENT, name)
-        is_silent = isinstance(
-            error, TimeoutError | httpx.TimeoutException | _LostError
-        )
-        if sending.is_new_connection and not isinstance(error, _LostError):
-            outcome = DispatchOutcome.SILENT if is_silent else DispatchOutcome.FAILED
-            return _failure(outcome, name, sending.status.incarnation)
-        # Something between the ends may have forgotten the old connections. The
-        # endpoint is blamed only if it does not answer on a new one either.
-        await self._connections.retire(call.url, connections)
-        status = await self._status_on_new_connection(call.url)
-        if isinstance(status, Success):
-            incarnation = status.unwrap().incarnation
-            return _failure(DispatchOutcome.CONNECTION_LOST, name, incarnation)
-        outcome = DispatchOutcome.SILENT if is_silent else DispatchOutcome.FAILED
-        return _failure(outcome, name)
-
-    async def _status_on_new_connection(self, url: str) -> Result[object, str]:
-        fresh = self._connections.acquire(url)
-        try:
-            return await read_status(fresh.client, url)
-        finally:
-            await fresh.release()
-
-    def _request(
-        self, call: EndpointCall, sending: Sending, client: httpx.AsyncClient
-    ) -> httpx.Request:
-        return client.build_request(
+            async with asyncio.timeout(remaining / MILLISECONDS_PER_SECOND):
+                response = await self._client.send(request, stream=True)
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+            return _failure(DispatchOutcome.NOT_SENT, type(error).__name__)
+        except (TimeoutError, httpx.ReadTimeout) as error:
+            return _failure(DispatchOutcome.SILENT, type(error).__name__)
+        except httpx.HTTPError as error:
+            return _failure(DispatchOutcome.FAILED, type(error).__name__)
+        return await self._checked(call, response)
+
+    def _request(self, call: EndpointCall) -> httpx.Request:
+        return self._client.build_request(
             "POST",
             call.url + call.path,
             content=call.body,
             headers={"content-type": "application/json", NONCE_HEADER: call.nonce},
-            extensions={"trace": sending.trace},
         )
 
     async def _checked(
-        self,
-        call: EndpointCall,
-        response: httpx.Response,
-        connections: EndpointConnections,
+        self, call: EndpointCall, response: httpx.Response
     ) -> Result[OpenAnswer, DispatchFailure]:
-        incarnation = named_incarnation(response.headers)
-        found = _fault(call, response)
-        if found is not None:
+        refusal = _REFUSALS.get(response.headers.get(REFUSAL_HEADER, ""))
+        if refusal is not None:
+            await response.aclose()
+            return _failure(refusal, f"endpoint refused with {response.status_code}")
+        if response.headers.get(NONCE_HEADER) != call.nonce:
             await response.aclose()
-            return _failure(found, f"status {response.status_code}", incarnation)
+            return _failure(DispatchOutcome.CROSSED, "answer to another dispatch")
+        if response.status_code >= httpx.codes.INTERNAL_SERVER_ERROR:
+            await response.aclose()
+            return _failure(DispatchOutcome.FAILED, f"status {response.status_code}")
+        content_type = response.headers.get("content-type", "")
         answer = OpenAnswer(
             status=response.status_code,
-            content_type=response.headers.get("content-type", ""),
-            incarnation=incarnation,
-            chunks=whole_chunks(call, response, connections),
+            content_type=content_type,
+            chunks=_whole_chunks(response, is_stream=EVENT_STREAM in content_type),
         )
         return Success(answer)
 
 
-class _LostError(Exception):
-    """The endpoint is silent, or idle while a request should run there."""
-
-
-def _raise_lost(*, is_endpoint_alive: bool) -> NoReturn:
-    raise _LostError("idle" if is_endpoint_alive else "silent")
-
-
-def _fault(call: EndpointCall, response: httpx.Response) -> DispatchOutcome | None:
-    refusal = _REFUSALS.get(response.headers.get(REFUSAL_HEADER, ""))
-    if refusal is not None:
-        return refusal
-    if response.headers.get(NONCE_HEADER) != call.nonce:
-        return DispatchOutcome.CROSSED
-    if response.status_code >= httpx.codes.INTERNAL_SERVER_ERROR:
-        return DispatchOutcome.FAILED
-    return None
-
-
-async def _abandon(send: "asyncio.Task[httpx.Response]") -> None:
-    """End ``send`` and close the response that nobody will read."""
-    send.cancel()
-    await asyncio.wait([send])
-    if not send.cancelled() and send.exception() is None:
-        await send.result().aclose()
+async def _whole_chunks(
+    response: httpx.Response, *, is_stream: bool
+) -> AsyncIterator[bytes]:
+    """Yield the bytes of ``response``; raise ``BrokenAnswerError`` if it is cut."""
+    tail = b""
+    try:
+        async for chunk in response.aiter_raw():
+            tail = (tail + chunk)[-TAIL_BYTES:]
+            yield chunk
+    except httpx.HTTPError as error:
+        raise BrokenAnswerError(type(error).__name__) from error
+    finally:
+        await response.aclose()
+    if is_stream and STREAM_END not in tail:
+        raise BrokenAnswerError("stream ended before its last event")
 
 
 def _failure(
-    outcome: DispatchOutcome,
-    message: str,
-    incarnation: Incarnation = UNKNOWN_INCARNATION,
+    outcome: DispatchOutcome, message: str
 ) -> Result[OpenAnswer, DispatchFailure]:
-    return Failure(
-        DispatchFailure(outcome=outcome, message=message, incarnation=incarnation)
-    )
+    return Failure(DispatchFailure(outcome=outcome, message=message))
--- a/fuchsiaroute/entry/__init__.py
+++ b/fuchsiaroute/entry/__init__.py
@@ -2,12 +2,8 @@
 
 from fuchsiaroute.entry._admit import InFlightLimit
 from fuchsiaroute.entry._attempt import LeastInFlightAttempt
-from fuchsiaroute.entry._background import (
-    CONFIGURATION_KEY,
-    Background,
-    ConfigurationPoll,
-)
-from fuchsiaroute.entry._bill import LedgerBills
+from fuchsiaroute.entry._background import CONFIGURATION_KEY, ConfigurationPoll
+from fuchsiaroute.entry._bill import StoredLedger
 from fuchsiaroute.entry._call import (
     Answer,
     AttemptRecord,
@@ -17,13 +13,10 @@
     NoVersion,
     ServiceTarget,
 )
-from fuchsiaroute.entry._claim import BookClaims
+from fuchsiaroute.entry._claim import StoredClaims
 from fuchsiaroute.entry._current import NO_REVISION, CurrentConfiguration
-from fuchsiaroute.entry._metered_bill import MeteredBill
 from fuchsiaroute.entry._pipeline import Pipeline
-from fuchsiaroute.entry._rating_poll import RatingPoll, RolloutPauser
-from fuchsiaroute.entry._rollout_pauser import StoredRolloutPauser
-from fuchsiaroute.entry._route import VersionRoute
+from fuchsiaroute.entry._route import DeclaredQualityRoute
 from fuchsiaroute.entry._steps import (
     AdmitStep,
     Attempt,
@@ -43,27 +36,22 @@
     "Attempt",
     "AttemptRecord",
     "AttemptStep",
-    "Background",
     "Bill",
     "BillStep",
-    "BookClaims",
     "Call",
     "ClaimStep",
     "ConfigurationPoll",
     "CurrentConfiguration",
+    "DeclaredQualityRoute",
     "InFlightLimit",
     "LeastInFlightAttempt",
-    "LedgerBills",
-    "MeteredBill",
     "ModelTarget",
     "NoVersion",
     "Pipeline",
-    "RatingPoll",
-    "RolloutPauser",
     "RouteStep",
     "Routed",
     "ServiceTarget",
     "Steps",
-    "StoredRolloutPauser",
-    "VersionRoute",
+    "StoredClaims",
+    "StoredLedger",
 ]
--- a/fuchsiaroute/entry/_bill.py
+++ b/fuchsiaroute/entry/_bill.py
@@ -1,53 +1,22 @@
 """Billing: one ledger record for each answered request."""
 
-from returns.result import Failure, Result, Success
+import msgspec
 
-from fuchsiaroute.billing import AttemptCost, Ledger, LedgerRecord
-from fuchsiaroute.clock import Clock, Milliseconds
-from fuchsiaroute.entry._call import AttemptRecord, Bill, NoVersion
-from fuchsiaroute.ids import InstanceId, VersionId
-from fuchsiaroute.verdict import Refusal, RefusalReason, Verdict
+from fuchsiaroute.entry._call import Bill
+from fuchsiaroute.platform import ABSENT, Check, Put, TableStore, Transaction
 
-#: Advice to a caller of an entry that could not bill the request.
-RETRY_AFTER_FULL = Milliseconds(1_000)
 
+class StoredLedger:
+    """Writes each bill to the table service at once; implements ``BillStep``."""
 
-class LedgerBills:
-    """Appends bills to the ledger; implements ``BillStep``."""
-
-    def __init__(self, *, ledger: Ledger, clock: Clock, instance: InstanceId) -> None:
-        self._ledger = ledger
-        self._clock = clock
-        self._instance = instance
-
-    def check_room(self) -> Result[None, Refusal]:
-        """Refuse new requests once the ledger could not bill them."""
-        if not self._ledger.is_full:
-            return Success(None)
-        refusal = Refusal(
-            reason=RefusalReason.STORE_UNAVAILABLE,
-            verdict=Verdict.NOT_RUN,
-            message="the ledger is full; another entry may have room",
-            retry_after=RETRY_AFTER_FULL,
-        )
-        return Failure(refusal)
+    def __init__(self, *, store: TableStore) -> None:
+        self._store = store
 
     async def bill(self, bill: Bill) -> None:
         """Record the cost of one answered request, unless it has been recorded."""
-        record = LedgerRecord(
-            organisation=bill.request.organisation,
-            request=bill.request.id,
-            product=bill.request.product,
-            request_class=bill.request.request_class,
-            attempts=tuple(_attempt(item) for item in bill.attempts),
-            instance=self._instance,
-            ended_at=self._clock.wall(),
+        key = f"ledger/{bill.request.organisation}/{bill.request.id}"
+        transaction = Transaction(
+            checks=(Check(key=key, version=ABSENT),),
+            puts=(Put(key=key, value=msgspec.json.encode(bill.cost)),),
         )
-        await self._ledger.append(record)
-
-
-def _attempt(attempt: AttemptRecord) -> AttemptCost:
-    version = attempt.version
-    if isinstance(version, NoVersion):
-        version = VersionId("")
-    return AttemptCost(version=version, endpoint=attempt.endpoint, cost=attempt.cost)
+        await self._store.commit(transaction)
--- a/fuchsiaroute/entry/_claim.py
+++ b/fuchsiaroute/entry/_claim.py
@@ -1,70 +1,68 @@
 """Claims: a non-idempotent request runs at most once."""
 
+from dataclasses import replace
+
 from returns.result import Failure, Result, Success
 
 from fuchsiaroute.clock import Clock
-from fuchsiaroute.idempotency import Answer, Claim, ClaimBook, Outcome, Replay
-from fuchsiaroute.ids import OrganisationId, RequestId
+from fuchsiaroute.platform import ABSENT, Check, Conflict, Put, TableStore, Transaction
 from fuchsiaroute.request import Request
 from fuchsiaroute.verdict import Refusal, RefusalReason, Verdict
 
 
-class BookClaims:
-    """Claims of a claim book; implements ``ClaimStep``."""
+class StoredClaims:
+    """Claims written to the table service; implements ``ClaimStep``."""
 
-    def __init__(self, *, book: ClaimBook, clock: Clock) -> None:
-        self._book = book
+    def __init__(self, *, store: TableStore, clock: Clock) -> None:
+        self._store = store
         self._clock = clock
-        self._held: dict[tuple[OrganisationId, RequestId], Claim] = {}
-
-    async def claim(self, request: Request) -> Result[Answer | None, Refusal]:
-        """
-        Claim ``request`` before its dispatch; idempotent ones need no claim.
 
-        Success holds the recorded answer of a repeated id, or None to dispatch it.
-        """
+    async def claim(self, request: Request) -> Result[None, Refusal]:
+        """Claim ``request`` before its dispatch; idempotent ones need no claim."""
         if request.is_idempotent:
             return Success(None)
-        match await self._book.claim(request):
-            case Success(Replay(answer=answer)):
-                return Success(answer)
-            case Success(claim):
-                self._held[_key(request)] = claim
+        key = _key(request)
+        transaction = Transaction(
+            checks=(Check(key=key, version=ABSENT),), puts=(Put(key=key, value=b"1"),)
+        )
+        match await self._store.commit(transaction):
+            case Success(Conflict()):
+                return Failure(_refusal(RefusalReason.DUPLICATE, "id was used before"))
+            case Success(_):
                 return Success(None)
-            case Failure(refusal):
-                return Failure(refusal)
-        raise AssertionError("a Result is a Success or a Failure")
+        return Failure(_refusal(RefusalReason.STORE_UNAVAILABLE, "claim not written"))
 
     def check_dispatch(self, request: Request) -> Result[None, Refusal]:
-        """Check right before a dispatch that deadline and claim still allow it."""
-        now = self._clock.wall()
-        if now > request.deadline:
-            return Failure(_too_late())
-        if request.is_idempotent:
+        """Check right before a dispatch that the deadline has not passed."""
+        if request.deadline > self._clock.wall():
             return Success(None)
-        claim = self._held.get(_key(request))
-        if claim is None or not claim.may_dispatch(now):
-            return Failure(_too_late())
-        return Success(None)
+        refusal = Refusal(
+            reason=RefusalReason.DEADLINE,
+            verdict=Verdict.NOT_RUN,
+            message="the deadline passed before the dispatch",
+        )
+        return Failure(refusal)
 
-    async def record(self, request: Request, outcome: Outcome) -> None:
-        """Record how the claimed ``request`` ended; it is not dispatched again."""
-        claim = self._held.pop(_key(request), None)
-        if claim is not None:
-            self._book.record(claim, outcome)
+    async def record(self, request: Request, verdict: Verdict) -> None:
+        """Record how the claimed ``request`` ended."""
+        if request.is_idempotent:
+            return
+        put = Put(key=_key(request), value=verdict.value.encode())
+        await self._store.commit(Transaction(puts=(put,)))
 
     async def confirm_refusal(self, request: Request, refusal: Refusal) -> Refusal:
         """Return ``refusal`` with a verdict that is true of the whole request."""
-        return await self._book.refuse(request, refusal)
+        if request.is_idempotent or refusal.verdict is not Verdict.NOT_RUN:
+            return refusal
+        match await self._store.read([_key(request)]):
+            case Success((record,)) if record.version == ABSENT:
+                return refusal
+        return replace(refusal, verdict=Verdict.MAY_HAVE_RUN)
 
 
-def _key(request: Request) -> tuple[OrganisationId, RequestId]:
-    return request.organisation, request.id
+def _key(request: Request) -> str:
+    return f"claim/{request.organisation}/{request.id}"
 
 
-def _too_late() -> Refusal:
-    return Refusal(
-        reason=RefusalReason.DEADLINE,
-        verdict=Verdict.NOT_RUN,
-        message="the deadline passed before the dispatch",
-    )
+def _refusal(reason: RefusalReason, message: str) -> Refusal:
+    return Refusal(reason=reason, verdict=Verdict.MAY_HAVE_RUN, message=message)
--- a/fuchsiaroute/entry/_pipeline.py
+++ b/fuchsiaroute/entry/_pipeline.py
@@ -15,8 +15,7 @@
     ServiceTarget,
 )
 from fuchsiaroute.entry._steps import Attempt, Routed, Steps
-from fuchsiaroute.idempotency import MAX_KEPT_ANSWER, Answer as KeptAnswer, Outcome
-from fuchsiaroute.ids import EndpointId, VersionId
+from fuchsiaroute.ids import VersionId
 from fuchsiaroute.verdict import Refusal, RefusalReason, Verdict, combine_verdicts
 
 
@@ -41,7 +40,7 @@
 
     async def handle(self, call: Call) -> Result[Answer, Refusal]:
         """Return the answer of ``call``, or why there is none."""
-        match await self._billable(call):
+        match await self._admitted(call):
             case Failure(refusal):
                 return Failure(
                     await self._steps.claim.confirm_refusal(call.request, refusal)
@@ -50,12 +49,6 @@
                 return Success(answer)
         raise AssertionError("a Result is a Success or a Failure")
 
-    async def _billable(self, call: Call) -> Result[Answer, Refusal]:
-        match self._steps.bill.check_room():
-            case Failure(refusal):
-                return Failure(refusal)
-        return await self._admitted(call)
-
     async def _admitted(self, call: Call) -> Result[Answer, Refusal]:
         match await self._steps.admit.admit(call.request):
             case Failure(refusal):
@@ -82,38 +75,12 @@
         match await self._steps.claim.claim(call.request):
             case Failure(refusal):
                 return Failure(refusal)
-            case Success(KeptAnswer() as kept):
-                return Success(self._repeated(call, kept))
-        ended = Outcome(verdict=Verdict.MAY_HAVE_RUN, message="the entry broke off")
-        is_answered = False
-        try:
-            result = await self._attempted(call, routed, _Progress())
-            match result:
-                case Success(_):
-                    is_answered = True
-                case Failure(refusal):
-                    ended = Outcome(verdict=refusal.verdict, message=refusal.message)
-            return result
-        finally:
-            # An answer ends the claim itself, once its stream has ended.
-            if not is_answered:
-                await self._steps.claim.record(call.request, ended)
-
-    def _repeated(self, call: Call, kept: KeptAnswer) -> Answer:
-        """Return the answer that the request's id got before."""
-        return Answer(
-            status=kept.status,
-            content_type=kept.media_type,
-            chunks=self._replay(call, kept.body),
-            version=NoVersion.TOKEN,
-            endpoint=EndpointId(""),
-        )
-
-    async def _replay(self, call: Call, body: bytes) -> AsyncIterator[bytes]:
-        try:
-            yield body
-        finally:
-            self._steps.admit.release(call.request)
+        progress = _Progress()
+        result = await self._attempted(call, routed, progress)
+        match result:
+            case Failure(refusal):
+                await self._steps.claim.record(call.request, refusal.verdict)
+        return result
 
     async def _attempted(
         self, call: Call, routed: Routed, progress: _Progress
@@ -208,23 +175,21 @@
     ) -> AsyncIterator[bytes]:
         """Yield the answer; the request is billed before the caller has its end."""
         size = 0
+        is_billed = False
         verdict = Verdict.MAY_HAVE_RUN
-        kept = _AnswerKeeper(call, attempt)
         try:
             async for chunk in attempt.chunks:
                 size += len(chunk)
-                kept.add(chunk)
                 if STREAM_END in chunk:
                     await self._bill(call, version, attempt, progress, size)
-                    verdict = Verdict.RUN
+                    is_billed = True
                 yield chunk
-            if verdict is not Verdict.RUN:
+            if not is_billed:
                 await self._bill(call, version, attempt, progress, size)
-                verdict = Verdict.RUN
-            kept.is_whole = True
+            verdict = Verdict.RUN
         finally:
             self._steps.admit.release(call.request)
-            await self._steps.claim.record(call.request, kept.outcome(verdict))
+            await self._steps.claim.record(call.request, verdict)
 
     async def _bill(
         self,
@@ -243,37 +208,6 @@
         await self._steps.bill.bill(Bill(request=call.request, attempts=attempts))
 
 
-class _AnswerKeeper:
-    """Keeps the answer of a non-idempotent request if it is whole and small."""
-
-    def __init__(self, call: Call, attempt: Attempt) -> None:
-        self._is_wanted = not call.request.is_idempotent
-        self._attempt = attempt
-        self._body = b""
-        #: Whether the last chunk has been added.
-        self.is_whole = False
-
-    def add(self, chunk: bytes) -> None:
-        """Keep ``chunk``, unless the answer has grown too large."""
-        if not self._is_wanted:
-            return
-        self._body += chunk
-        if len(self._body) > MAX_KEPT_ANSWER:
-            self._is_wanted = False
-            self._body = b""
-
-    def outcome(self, verdict: Verdict) -> Outcome:
-        """Return the outcome to record for the request."""
-        if not (self._is_wanted and self.is_whole):
-            return Outcome(verdict=verdict)
-        answer = KeptAnswer(
-            status=self._attempt.status,
-            media_type=self._attempt.content_type,
-            body=self._body,
-        )
-        return Outcome(verdict=verdict, answer=answer)
-
-
 async def _single(body: bytes) -> AsyncIterator[bytes]:
     yield body
 
--- a/fuchsiaroute/entry/_route.py
+++ b/fuchsiaroute/entry/_route.py
@@ -1,180 +1,136 @@
-"""Routing: which versions may answer a request, in order."""
-
-import random
+"""Routing: which versions may answer a request, cheapest first."""
 
 from returns.result import Failure, Result, Success
 
-from fuchsiaroute.cascade import CascadeChooser, is_weak, read_answer
-from fuchsiaroute.configuration import Configuration, Organisation
-from fuchsiaroute.costlimit import Allowances
+from fuchsiaroute.configuration import Configuration, Organisation, VersionState
 from fuchsiaroute.entry._call import Call, ModelTarget
-from fuchsiaroute.entry._current import NO_REVISION, CurrentConfiguration
+from fuchsiaroute.entry._current import CurrentConfiguration
 from fuchsiaroute.entry._steps import Routed
-from fuchsiaroute.ids import Revision, RolloutId, VersionId
-from fuchsiaroute.logs import record, route_decided
-from fuchsiaroute.quality import BookEstimates
-from fuchsiaroute.request import Decision, Exclusion, NoSession, Request
-from fuchsiaroute.rollout import RolloutAction, apply_action
-from fuchsiaroute.routing import (
-    ConfigurationView,
-    VersionRouter,
-    check_dispatch,
-    expected_cost,
-)
-from fuchsiaroute.session import PinSigner
-from fuchsiaroute.verdict import Refusal
+from fuchsiaroute.ids import VersionId
+from fuchsiaroute.request import AnyModel, Candidate, Decision, Exclusion, Request
+from fuchsiaroute.verdict import Refusal, RefusalReason, Verdict
 
 #: Bytes of a streamed answer for each token, for cost estimates.
 BYTES_PER_TOKEN = 64
+TOKENS_PER_PRICE = 1_000
 
 
-class VersionRoute:
-    """
-    Routes by permission, sessions, roll-outs, estimates and cost limits.
-
-    Implements ``RouteStep``. A roll-out that ``suspend`` names counts as paused in
-    this entry until the configuration says so or starts a new attempt.
-    """
-
-    def __init__(
-        self,
-        *,
-        current: CurrentConfiguration,
-        pins: PinSigner,
-        estimates: BookEstimates,
-        allowances: Allowances,
-        randomness: random.Random,
-    ) -> None:
-        self._pins = pins
-        self._allowances = allowances
-        self._chooser = CascadeChooser()
-        self._router = VersionRouter(
-            pins=pins, random=randomness, estimates=estimates, chooser=self._chooser
-        )
-        self._suspended: dict[RolloutId, int] = {}
+class DeclaredQualityRoute:
+    """Chooses by the operators' own quality estimates; implements ``RouteStep``."""
+
+    def __init__(self, *, current: CurrentConfiguration) -> None:
         self._current = current
-        self._view = ConfigurationView(current.configuration, NO_REVISION)
-        current.subscribe(self._apply)
-
-    @property
-    def view(self) -> ConfigurationView:
-        """Return the view of the configuration in force, with suspended roll-outs."""
-        return self._view
-
-    def suspend(self, rollout: RolloutId, *, attempt: int) -> bool:
-        """Pause an attempt of a roll-out in this entry; say if it was not yet."""
-        if self._suspended.get(rollout) == attempt:
-            return False
-        self._suspended[rollout] = attempt
-        self._apply(self._current.revision, self._current.configuration)
-        return True
 
     async def decide(self, call: Call) -> Result[Routed, Refusal]:
         """Choose the versions to try; none for a plain service."""
         request = call.request
-        view = self._view
-        budget = await self._budget(call, view)
-        decided = self._router.route(
-            request, view, budget=budget, can_escalate=_can_escalate(call)
+        if not isinstance(call.target, ModelTarget):
+            decision = Decision(
+                revision=self._current.revision, versions=(), candidates=()
+            )
+            return Success(Routed(decision=decision))
+        candidates = self._candidates(request)
+        usable = [item for item in candidates if item.exclusion is Exclusion.NONE]
+        if not usable:
+            return Failure(_not_permitted())
+        chosen = min(usable, key=lambda item: item.cost)
+        decision = Decision(
+            revision=self._current.revision,
+            versions=(chosen.version,),
+            candidates=candidates,
         )
-        match decided:
-            case Failure(refusal):
-                return Failure(refusal)
-            case Success(decision):
-                return Success(self._routed(request, decision))
-        raise AssertionError("a Result is a Success or a Failure")
+        return Success(Routed(decision=decision))
 
     def check_dispatch(
         self, request: Request, version: VersionId
     ) -> Result[None, Refusal]:
         """Check permission again, against the revision in force now."""
-        return check_dispatch(request, version, self._view)
+        for candidate in self._candidates(request):
+            if candidate.version == version and candidate.exclusion is Exclusion.NONE:
+                return Success(None)
+        return Failure(_not_permitted())
 
     def should_escalate(
         self, request: Request, version: VersionId, answer: bytes
     ) -> bool:
-        """Return whether ``answer`` is too weak to be the request's answer."""
-        weak = is_weak(read_answer(answer))
-        self._chooser.weak_rates.record_first(
-            version, request.request_class, is_weak=weak
-        )
-        return weak
+        """Return False: one version is chosen for each request."""
+        return False
 
     def cost(self, version: VersionId, answer_bytes: int) -> int:
         """Return the cost in micro-units of an answer of that many bytes."""
-        declared = self._view.version(version)
-        if declared is None:
-            return 0
-        return expected_cost(declared, answer_bytes // BYTES_PER_TOKEN)
-
-    def _routed(self, request: Request, decision: Decision) -> Routed:
-        record(route_decided(request, decision))
-        cost = sum(
-            candidate.cost
-            for candidate in decision.candidates
-            if candidate.exclusion is Exclusion.NONE
-        )
-        organisation = self._view.organisation(request.organisation)
-        if organisation is not None and organisation.daily_cost_limit:
-            self._allowances.reserve(request, cost=cost)
-        if len(decision.versions) == 1:
-            self._chooser.weak_rates.record_alone(
-                decision.versions[0], request.request_class
-            )
-        return Routed(decision=decision, pin=self._pin(request, decision))
+        tokens = answer_bytes // BYTES_PER_TOKEN
+        for model in self._current.configuration.models:
+            for item in model.versions:
+                if item.id == version:
+                    return item.cost_per_1000_tokens * tokens // TOKENS_PER_PRICE
+        return 0
 
-    def _pin(self, request: Request, decision: Decision) -> str:
-        if request.session is NoSession.TOKEN or not decision.versions:
-            return ""
-        return self._pins.issue(
-            request.organisation, request.session, decision.versions[0]
+    def _candidates(self, request: Request) -> tuple[Candidate, ...]:
+        configuration = self._current.configuration
+        organisation = _organisation(configuration, request)
+        target = _quality_target(configuration, request)
+        return tuple(
+            Candidate(
+                version=version.id,
+                model=model.id,
+                exclusion=_exclusion(
+                    request=request,
+                    is_permitted=model.id in organisation.permitted_models,
+                    is_requested=request.model
+                    in (AnyModel.TOKEN, model.id, version.id),
+                    is_active=version.state is VersionState.ACTIVE,
+                    is_good_enough=version.prior_quality >= target,
+                ),
+                cost=version.cost_per_1000_tokens
+                * request.expected_tokens
+                // TOKENS_PER_PRICE,
+                quality=version.prior_quality,
+            )
+            for model in configuration.models
+            for version in model.versions
         )
 
-    async def _budget(self, call: Call, view: ConfigurationView) -> int:
-        organisation = view.organisation(call.request.organisation)
-        if organisation is None:
-            return 0
-        cost = _greatest_cost(organisation, call, view)
-        return await self._allowances.budget(organisation, cost=cost)
-
-    def _apply(self, revision: Revision, configuration: Configuration) -> None:
-        attempts = {item.id: item.attempt for item in configuration.rollouts}
-        self._suspended = {
-            rollout: attempt
-            for rollout, attempt in self._suspended.items()
-            if attempts.get(rollout) == attempt
-        }
-        for rollout in self._suspended:
-            paused = apply_action(configuration, rollout, RolloutAction.PAUSE)
-            configuration = paused.value_or(configuration)
-        self._view = ConfigurationView(configuration, revision)
-        declared = frozenset(
-            version.id for model in configuration.models for version in model.versions
-        )
-        self._chooser.weak_rates.forget(declared)
 
+def _exclusion(
+    *,
+    request: Request,
+    is_permitted: bool,
+    is_requested: bool,
+    is_active: bool,
+    is_good_enough: bool,
+) -> Exclusion:
+    rules = (
+        (is_permitted, Exclusion.NOT_PERMITTED),
+        (is_requested, Exclusion.NOT_REQUESTED),
+        (is_active, Exclusion.WITHDRAWN),
+        (
+            is_good_enough or request.model is not AnyModel.TOKEN,
+            Exclusion.BELOW_QUALITY_TARGET,
+        ),
+    )
+    return next((rule for holds, rule in rules if not holds), Exclusion.NONE)
 
-def _can_escalate(call: Call) -> bool:
-    """Return whether a second version may answer: nothing has left by then."""
-    request = call.request
-    return request.is_idempotent and not request.is_streamed
 
+def _organisation(configuration: Configuration, request: Request) -> Organisation:
+    return next(
+        item for item in configuration.organisations if item.id == request.organisation
+    )
 
-def _greatest_cost(
-    organisation: Organisation, call: Call, view: ConfigurationView
-) -> int:
-    """Return the cost of the dearest version that the organisation may get."""
-    if organisation.daily_cost_limit == 0:
-        return 0
-    if not isinstance(call.target, ModelTarget):
-        return call.target.cost
-    models = (view.model(model) for model in organisation.permitted_models)
-    return max(
-        (
-            expected_cost(version, call.request.expected_tokens)
-            for model in models
-            if model is not None
-            for version in model.versions
-        ),
-        default=0,
+
+def _quality_target(configuration: Configuration, request: Request) -> float:
+    targets = (
+        spec.quality_target
+        for product in configuration.products
+        if product.id == request.product
+        for spec in product.classes
+        if spec.id == request.request_class
+    )
+    return next(targets, 0.0)
+
+
+def _not_permitted() -> Refusal:
+    return Refusal(
+        reason=RefusalReason.NOT_PERMITTED,
+        verdict=Verdict.NOT_RUN,
+        message="no permitted model matches the request",
     )
--- a/fuchsiaroute/entry/_steps.py
+++ b/fuchsiaroute/entry/_steps.py
@@ -7,10 +7,9 @@
 from returns.result import Result
 
 from fuchsiaroute.entry._call import Bill, Call, NoVersion
-from fuchsiaroute.idempotency import Answer as KeptAnswer, Outcome
 from fuchsiaroute.ids import EndpointId, VersionId
 from fuchsiaroute.request import Decision, Request
-from fuchsiaroute.verdict import Refusal
+from fuchsiaroute.verdict import Refusal, Verdict
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -46,17 +45,13 @@
 class ClaimStep(Protocol):
     """At most one run of a non-idempotent request."""
 
-    async def claim(self, request: Request) -> Result[KeptAnswer | None, Refusal]:
-        """
-        Claim ``request`` before its dispatch.
-
-        Success holds the recorded answer of a repeated id, or None to dispatch it.
-        """
+    async def claim(self, request: Request) -> Result[None, Refusal]:
+        """Claim ``request`` before its dispatch."""
 
     def check_dispatch(self, request: Request) -> Result[None, Refusal]:
         """Check right before a dispatch that the claim still allows it."""
 
-    async def record(self, request: Request, outcome: Outcome) -> None:
+    async def record(self, request: Request, verdict: Verdict) -> None:
         """Record how the claimed ``request`` ended."""
 
     async def confirm_refusal(self, request: Request, refusal: Refusal) -> Refusal:
@@ -95,9 +90,6 @@
 class BillStep(Protocol):
     """The ledger."""
 
-    def check_room(self) -> Result[None, Refusal]:
-        """Refuse new requests that could not be billed."""
-
     async def bill(self, bill: Bill) -> None:
         """Record the cost of one answered request, once."""
 
--- a/fuchsiaroute/gateway/__init__.py
+++ b/fuchsiaroute/gateway/__init__.py
@@ -2,16 +2,13 @@
 
 from fuchsiaroute.gateway._advice import Advice, AdviceSource, AdvisedEntry
 from fuchsiaroute.gateway._app import build_app
-from fuchsiaroute.gateway._authentication import KeyIndex
-from fuchsiaroute.gateway._limits import CallerLimits
-from fuchsiaroute.gateway._render import encode_refusal
+from fuchsiaroute.gateway._authentication import KeyIndex, key_digest
 
 __all__ = [
     "Advice",
     "AdviceSource",
     "AdvisedEntry",
-    "CallerLimits",
     "KeyIndex",
     "build_app",
-    "encode_refusal",
+    "key_digest",
 ]
--- a/fuchsiaroute/gateway/_app.py
+++ b/fuchsiaroute/gateway/_app.py
@@ -1,8 +1,5 @@
 """Routes of the callers' interface."""
 
-import logging
-from dataclasses import dataclass
-from http import HTTPStatus
 from typing import Any
 
 import msgspec
@@ -15,15 +12,11 @@
 from fuchsiaroute.entry import Call, CurrentConfiguration, Pipeline
 from fuchsiaroute.gateway._advice import AdviceSource
 from fuchsiaroute.gateway._authentication import KeyIndex
-from fuchsiaroute.gateway._body import read_within
-from fuchsiaroute.gateway._headers import CallerHeaders, parse_headers, parse_key
-from fuchsiaroute.gateway._limits import CallerLimits
 from fuchsiaroute.gateway._parse import (
     ServicePath,
     parse_completion,
     parse_service_call,
 )
-from fuchsiaroute.gateway._refusals import refuse
 from fuchsiaroute.gateway._render import render_answer, render_refusal
 from fuchsiaroute.ids import ServiceId
 from fuchsiaroute.verdict import Refusal, RefusalReason, Verdict
@@ -31,20 +24,9 @@
 AnyRequest = HttpRequest[Any, Any, Any]
 AnyResponse = Response[Any]
 
-DEFAULT_LIMITS = CallerLimits()
-
-
-_LOGGER = logging.getLogger(__name__)
-_REASON_OF_STATUS = {413: RefusalReason.TOO_LARGE}
-
-
-@dataclass(frozen=True, kw_only=True)
-class _Received:
-    """A request of a known caller, with its whole body."""
-
-    organisation: Organisation
-    headers: CallerHeaders
-    body: bytes
+BEARER = "Bearer "
+#: Largest body of a caller's request, in bytes.
+MAXIMUM_BODY_BYTES = 1 << 20
 
 
 class _Routes:
@@ -57,78 +39,43 @@
         current: CurrentConfiguration,
         keys: KeyIndex,
         clock: Clock,
-        limits: CallerLimits,
     ) -> None:
         self._pipeline = pipeline
         self._current = current
         self._keys = keys
         self._clock = clock
-        self._limits = limits
 
     async def complete(self, request: AnyRequest) -> AnyResponse:
         """Answer a chat-completions request."""
-        match await self._receive(request):
-            case Success(received):
-                parsed = parse_completion(
-                    body=received.body,
-                    headers=received.headers,
-                    organisation=received.organisation,
-                    configuration=self._current.configuration,
-                    clock=self._clock,
-                )
-                return await self._answer(parsed)
-            case Failure(refusal):
-                return render_refusal(refusal)
-        raise AssertionError("a Result is a Success or a Failure")
+        organisation = self._organisation(request)
+        if isinstance(organisation, Refusal):
+            return render_refusal(organisation)
+        call = parse_completion(
+            body=await request.body(),
+            headers=request.headers,
+            organisation=organisation,
+            configuration=self._current.configuration,
+            clock=self._clock,
+        )
+        return await self._answer(call)
 
     async def call_service(
         self, request: AnyRequest, service: ServiceId, path: ServicePath
     ) -> AnyResponse:
         """Answer a call of a plain service."""
-        match await self._receive(request):
-            case Success(received):
-                parsed = parse_service_call(
-                    service=service,
-                    path=path,
-                    body=received.body,
-                    headers=received.headers,
-                    organisation=received.organisation,
-                    configuration=self._current.configuration,
-                    clock=self._clock,
-                )
-                return await self._answer(parsed)
-            case Failure(refusal):
-                return render_refusal(refusal)
-        raise AssertionError("a Result is a Success or a Failure")
-
-    async def _receive(self, request: AnyRequest) -> Result[_Received, Refusal]:
-        """Return the request; the body of an unknown caller is not read."""
-        raw = request.scope["headers"]
-        organisation = parse_key(raw).bind(self._organisation)
-        if isinstance(organisation, Failure):
-            return organisation
-        headers = parse_headers(raw, limits=self._limits)
-        if isinstance(headers, Failure):
-            return headers
-        body = await read_within(
-            request.body(), clock=self._clock, limit=self._limits.body_timeout
-        )
-        return body.map(
-            lambda content: _Received(
-                organisation=organisation.unwrap(),
-                headers=headers.unwrap(),
-                body=content,
-            )
+        organisation = self._organisation(request)
+        if isinstance(organisation, Refusal):
+            return render_refusal(organisation)
+        call = parse_service_call(
+            service=service,
+            path=path,
+            body=await request.body(),
+            headers=request.headers,
+            organisation=organisation,
+            configuration=self._current.configuration,
+            clock=self._clock,
         )
-
-    def _organisation(self, key: str) -> Result[Organisation, Refusal]:
-        if not self._current.is_ready:
-            message = "no configuration is in force"
-            return Failure(refuse(RefusalReason.NOT_READY, message))
-        organisation = self._keys.find(key)
-        if organisation is None:
-            return Failure(refuse(RefusalReason.UNAUTHENTICATED, "the key is unknown"))
-        return Success(organisation)
+        return await self._answer(call)
 
     async def _answer(self, parsed: Result[Call, Refusal]) -> AnyResponse:
         match parsed:
@@ -142,6 +89,17 @@
                 return render_refusal(refusal)
         raise AssertionError("a Result is a Success or a Failure")
 
+    def _organisation(self, request: AnyRequest) -> Organisation | Refusal:
+        if not self._current.is_ready:
+            return _refusal(RefusalReason.NOT_READY, "no configuration is in force")
+        authorization = request.headers.get("authorization", "")
+        if not authorization.startswith(BEARER):
+            return _refusal(RefusalReason.UNAUTHENTICATED, "a bearer key is required")
+        organisation = self._keys.find(authorization.removeprefix(BEARER))
+        if organisation is None:
+            return _refusal(RefusalReason.UNAUTHENTICATED, "the key is unknown")
+        return organisation
+
 
 def build_app(
     *,
@@ -149,28 +107,24 @@
     current: CurrentConfiguration,
     advice: AdviceSource,
     clock: Clock,
-    limits: CallerLimits = DEFAULT_LIMITS,
 ) -> Litestar:
     """Return the application that serves callers."""
     keys = KeyIndex()
     current.subscribe(keys.update)
-    routes = _Routes(
-        pipeline=pipeline, current=current, keys=keys, clock=clock, limits=limits
-    )
+    routes = _Routes(pipeline=pipeline, current=current, keys=keys, clock=clock)
 
     @post("/v1/chat/completions")
     async def complete(request: AnyRequest) -> AnyResponse:
         return await routes.complete(request)
 
     @post("/v1/services/{service:str}/{path:path}")
-    async def call_service(request: AnyRequest) -> AnyResponse:
-        service = ServiceId(request.path_params["service"])
-        path = str(request.path_params["path"]).lstrip("/")
-        return await routes.call_service(request, service, ServicePath(f"/{path}"))
+    async def call_service(request: AnyRequest, service: str, path: str) -> AnyResponse:
+        return await routes.call_service(
+            request, ServiceId(service), ServicePath(f"/{path.lstrip('/')}")
+        )
 
     @get("/v1/entries")
-    async def entries(request: AnyRequest) -> AnyResponse:
-        failure_domain = request.query_params.get("failure_domain", "")
+    async def entries(request: AnyRequest, failure_domain: str = "") -> AnyResponse:
         caller = request.client.host if request.client else ""
         advised = advice.advise(caller=caller, failure_domain=failure_domain)
         return Response(
@@ -179,11 +133,8 @@
 
     return Litestar(
         route_handlers=[complete, call_service, entries],
-        request_max_body_size=limits.max_body,
-        exception_handlers={
-            HTTPException: _render_http_error,
-            Exception: _render_unforeseen,
-        },
+        request_max_body_size=MAXIMUM_BODY_BYTES,
+        exception_handlers={HTTPException: _render_http_error},
         openapi_config=None,
         logging_config=None,
     )
@@ -191,18 +142,15 @@
 
 def _render_http_error(request: AnyRequest, error: HTTPException) -> AnyResponse:
     """Return a typed error for what litestar itself refused."""
-    reason = _REASON_OF_STATUS.get(error.status_code, RefusalReason.INVALID_REQUEST)
-    response = render_refusal(refuse(reason, HTTPStatus(error.status_code).phrase))
+    reason = (
+        RefusalReason.TOO_LARGE
+        if error.status_code == 413
+        else RefusalReason.INVALID_REQUEST
+    )
+    response = render_refusal(_refusal(reason, str(error.detail)))
     response.status_code = error.status_code
     return response
 
 
-def _render_unforeseen(request: AnyRequest, error: Exception) -> AnyResponse:
-    """Return a typed error for a defect; the request may have been dispatched."""
-    _LOGGER.error("unforeseen %s", type(error).__name__, exc_info=error)
-    refusal = Refusal(
-        reason=RefusalReason.INTERNAL,
-        verdict=Verdict.MAY_HAVE_RUN,
-        message="the entry failed",
-    )
-    return render_refusal(refusal)
+def _refusal(reason: RefusalReason, message: str) -> Refusal:
+    return Refusal(reason=reason, verdict=Verdict.NOT_RUN, message=message)
--- a/fuchsiaroute/gateway/_authentication.py
+++ b/fuchsiaroute/gateway/_authentication.py
@@ -1,9 +1,17 @@
 """Organisations are known by the keys that their callers send."""
 
+import hashlib
+
 from fuchsiaroute.configuration import Configuration, Organisation
-from fuchsiaroute.declaration import key_digest
 from fuchsiaroute.ids import Revision
 
+DIGEST_BYTES = 32
+
+
+def key_digest(key: str) -> str:
+    """Return the BLAKE2b-256 digest of an API key, in hexadecimal."""
+    return hashlib.blake2b(key.encode(), digest_size=DIGEST_BYTES).hexdigest()
+
 
 class KeyIndex:
     """Organisations by the digests of their keys."""
--- a/fuchsiaroute/gateway/_parse.py
+++ b/fuchsiaroute/gateway/_parse.py
@@ -1,6 +1,7 @@
 """Callers' HTTP requests become calls."""
 
-import re
+import secrets
+from collections.abc import Mapping
 from typing import NewType
 
 import msgspec
@@ -10,18 +11,27 @@
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.configuration import Configuration, Organisation, RequestClassSpec
 from fuchsiaroute.entry import Call, ModelTarget, ServiceTarget
-from fuchsiaroute.gateway._headers import CallerHeaders
-from fuchsiaroute.gateway._refusals import invalid, refuse
 from fuchsiaroute.ids import (
     ModelId,
     RequestClass,
+    RequestId,
     ServiceId,
+    SessionId,
 )
-from fuchsiaroute.request import AnyModel, ModelChoice, Request
-from fuchsiaroute.verdict import Refusal, RefusalReason
+from fuchsiaroute.request import AnyModel, ModelChoice, NoSession, Request
+from fuchsiaroute.verdict import Refusal, RefusalReason, Verdict
 
+Headers = Mapping[str, str]
 ServicePath = NewType("ServicePath", str)
 
+REQUEST_ID_HEADER = "x-request-id"
+REQUEST_CLASS_HEADER = "x-request-class"
+SESSION_HEADER = "x-session-id"
+PIN_HEADER = "x-session-pin"
+TIMEOUT_HEADER = "x-timeout-ms"
+DEFAULT_TIMEOUT = Milliseconds(60_000)
+MAXIMUM_TIMEOUT = Milliseconds(600_000)
+REQUEST_ID_BYTES = 16
 #: Bytes of the messages that identify a shared prompt prefix.
 PREFIX_BYTES = 512
 
@@ -34,17 +44,14 @@
     stream: bool = False
 
 
-_TARGET = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}", re.ASCII)
 _COMPLETION = msgspec.json.Decoder(_Completion)
-# Bodies nested too deeply and numbers too long end in the other two.
-_DECODE_ERRORS = (msgspec.MsgspecError, RecursionError, ValueError)
 _ANY_OBJECT = msgspec.json.Decoder(dict[str, msgspec.Raw])
 
 
 def parse_completion(
     *,
     body: bytes,
-    headers: CallerHeaders,
+    headers: Headers,
     organisation: Organisation,
     configuration: Configuration,
     clock: Clock,
@@ -52,24 +59,24 @@
     """Return the call in a chat-completions request."""
     try:
         completion = _COMPLETION.decode(body)
-    except _DECODE_ERRORS as error:
-        return Failure(invalid(f"the body is malformed: {error}"))
-    if not _is_list_with_items(completion.messages):
-        return Failure(invalid("messages must be a list with at least one item"))
-    if _TARGET.fullmatch(completion.model) is None:
-        return Failure(invalid("model is malformed"))
+    except msgspec.MsgspecError as error:
+        return _invalid(str(error))
+    deadline = _deadline(headers, clock)
+    if isinstance(deadline, Refusal):
+        return Failure(deadline)
     spec = _request_class(headers, organisation, configuration)
     if spec is None:
-        return Failure(invalid("the product has no such request class"))
+        return _invalid("the product has no such request class")
+    session = headers.get(SESSION_HEADER, "")
     request = Request(
-        id=headers.request_id,
+        id=_request_id(headers),
         organisation=organisation.id,
         product=organisation.product,
         request_class=spec.id,
         model=_model(completion.model),
-        session=headers.session,
-        pin=headers.pin,
-        deadline=_deadline(headers, clock),
+        session=SessionId(session) if session else NoSession.TOKEN,
+        pin=headers.get(PIN_HEADER, ""),
+        deadline=deadline,
         prefix_hash=xxhash.xxh3_64_intdigest(bytes(completion.messages)[:PREFIX_BYTES]),
         expected_tokens=spec.expected_tokens,
         is_streamed=completion.stream,
@@ -82,7 +89,7 @@
     service: ServiceId,
     path: ServicePath,
     body: bytes,
-    headers: CallerHeaders,
+    headers: Headers,
     organisation: Organisation,
     configuration: Configuration,
     clock: Clock,
@@ -90,8 +97,11 @@
     """Return the call of a plain service."""
     try:
         _ANY_OBJECT.decode(body)
-    except _DECODE_ERRORS as error:
-        return Failure(invalid(f"the body is malformed: {error}"))
+    except msgspec.MsgspecError as error:
+        return _invalid(str(error))
+    deadline = _deadline(headers, clock)
+    if isinstance(deadline, Refusal):
+        return Failure(deadline)
     declared = [
         (item, call)
         for item in configuration.services
@@ -100,38 +110,40 @@
         if call.path == path
     ]
     if not declared:
-        return Failure(
-            refuse(RefusalReason.NOT_PERMITTED, "no permitted service matches")
-        )
+        return _refuse(RefusalReason.NOT_PERMITTED, "no permitted service matches")
     item, call = declared[0]
     request = Request(
-        id=headers.request_id,
+        id=_request_id(headers),
         organisation=organisation.id,
         product=organisation.product,
         request_class=RequestClass(""),
         model=service,
         is_idempotent=call.is_idempotent,
-        deadline=_deadline(headers, clock),
+        deadline=deadline,
     )
     target = ServiceTarget(service=service, path=path, cost=item.cost_per_call)
     return Success(Call(request=request, target=target, body=body))
 
 
-def _is_list_with_items(raw: msgspec.Raw) -> bool:
-    text = bytes(raw)
-    return text.startswith(b"[") and text[1:-1].strip() != b""
+def _request_id(headers: Headers) -> RequestId:
+    given = headers.get(REQUEST_ID_HEADER, "")
+    return RequestId(given or secrets.token_hex(REQUEST_ID_BYTES))
 
 
 def _model(name: str) -> ModelChoice:
     return AnyModel.TOKEN if name == AnyModel.TOKEN.value else ModelId(name)
 
 
-def _deadline(headers: CallerHeaders, clock: Clock) -> Milliseconds:
-    return Milliseconds(clock.wall() + headers.timeout)
+def _deadline(headers: Headers, clock: Clock) -> Milliseconds | Refusal:
+    text = headers.get(TIMEOUT_HEADER, str(DEFAULT_TIMEOUT))
+    if not text.isascii() or not text.isdigit():
+        return _refusal(RefusalReason.INVALID_REQUEST, "the timeout is no number")
+    timeout = min(int(text), MAXIMUM_TIMEOUT)
+    return Milliseconds(clock.wall() + timeout)
 
 
 def _request_class(
-    headers: CallerHeaders, organisation: Organisation, configuration: Configuration
+    headers: Headers, organisation: Organisation, configuration: Configuration
 ) -> RequestClassSpec | None:
     """Return the class named, or the product's most demanding one if none is."""
     specs = [
@@ -140,7 +152,19 @@
         if product.id == organisation.product
         for spec in product.classes
     ]
-    if not headers.request_class:
+    name = headers.get(REQUEST_CLASS_HEADER, "")
+    if not name:
         return max(specs, key=lambda spec: spec.quality_target, default=None)
-    named = (spec for spec in specs if spec.id == headers.request_class)
-    return next(named, None)
+    return next((spec for spec in specs if spec.id == name), None)
+
+
+def _refusal(reason: RefusalReason, message: str) -> Refusal:
+    return Refusal(reason=reason, verdict=Verdict.NOT_RUN, message=message)
+
+
+def _refuse(reason: RefusalReason, message: str) -> Result[Call, Refusal]:
+    return Failure(_refusal(reason, message))
+
+
+def _invalid(message: str) -> Result[Call, Refusal]:
+    return _refuse(RefusalReason.INVALID_REQUEST, message)
--- a/fuchsiaroute/gateway/_render.py
+++ b/fuchsiaroute/gateway/_render.py
@@ -7,7 +7,7 @@
 from litestar.response import Stream
 
 from fuchsiaroute.entry import Answer, NoVersion
-from fuchsiaroute.gateway._headers import PIN_HEADER, REQUEST_ID_HEADER
+from fuchsiaroute.gateway._parse import PIN_HEADER, REQUEST_ID_HEADER
 from fuchsiaroute.ids import RequestId
 from fuchsiaroute.verdict import Refusal, RefusalReason
 
@@ -17,7 +17,6 @@
 _STATUS = {
     RefusalReason.INVALID_REQUEST: 400,
     RefusalReason.TOO_LARGE: 413,
-    RefusalReason.TOO_SLOW: 408,
     RefusalReason.UNAUTHENTICATED: 401,
     RefusalReason.NOT_PERMITTED: 403,
     RefusalReason.VERSION_WITHDRAWN: 410,
@@ -30,12 +29,8 @@
     RefusalReason.NOT_READY: 503,
     RefusalReason.STORE_UNAVAILABLE: 503,
     RefusalReason.ENDPOINT_FAILED: 502,
-    RefusalReason.INTERNAL: 500,
 }
 
-#: Refusals after which the rest of the request is not read.
-_CLOSING = frozenset({RefusalReason.TOO_LARGE, RefusalReason.TOO_SLOW})
-
 
 class _ErrorBody(msgspec.Struct):
     reason: str
@@ -48,8 +43,8 @@
     error: _ErrorBody
 
 
-def encode_refusal(refusal: Refusal) -> bytes:
-    """Return the JSON of ``refusal``."""
+def render_refusal(refusal: Refusal) -> Response[bytes]:
+    """Return the typed error of ``refusal``."""
     error = _Error(
         error=_ErrorBody(
             reason=refusal.reason.value,
@@ -58,20 +53,13 @@
             retry_after_ms=refusal.retry_after,
         )
     )
-    return msgspec.json.encode(error)
-
-
-def render_refusal(refusal: Refusal) -> Response[bytes]:
-    """Return the typed error of ``refusal``."""
     headers = {}
     if refusal.retry_after:
         # Retry-After counts whole seconds; rounding up keeps the advice true.
         seconds = -(-refusal.retry_after // MILLISECONDS_PER_SECOND)
         headers["retry-after"] = str(seconds)
-    if refusal.reason in _CLOSING:
-        headers["connection"] = "close"
     return Response(
-        content=encode_refusal(refusal),
+        content=msgspec.json.encode(error),
         status_code=_STATUS[refusal.reason],
         media_type="application/json",
         headers=headers,
--- a/fuchsiaroute/idempotency/__init__.py
+++ b/fuchsiaroute/idempotency/__init__.py
@@ -4,15 +4,9 @@
 from fuchsiaroute.idempotency._book import ClaimBook
 from fuchsiaroute.idempotency._claim import Claim, ClaimState
 from fuchsiaroute.idempotency._issued_ids import IdIssuer, IssuedIdState
-from fuchsiaroute.idempotency._record import (
-    MAX_KEPT_ANSWER,
-    Answer,
-    ClaimRecord,
-    Outcome,
-)
+from fuchsiaroute.idempotency._record import Answer, ClaimRecord, Outcome
 
 __all__ = [
-    "MAX_KEPT_ANSWER",
     "Answer",
     "Claim",
     "ClaimBook",
--- a/fuchsiaroute/idempotency/_book.py
+++ b/fuchsiaroute/idempotency/_book.py
@@ -82,11 +82,6 @@
         """Commit claims and outcomes until cancelled."""
         await self._commits.run()
 
-    async def drain(self, limit: Milliseconds) -> bool:
-        """Commit the outcomes; return whether the store had them within ``limit``."""
-        drained = await within(self._clock, limit, self._commits.drain())
-        return not isinstance(drained, TimedOut)
-
     async def claim(self, request: Request) -> Result[Claim | Replay, Refusal]:
         """
         Claim the non-idempotent ``request`` before its first dispatch.
@@ -199,10 +194,9 @@
     def _open(
         self, request: Request, key: str, *, token: ClaimToken | None = None
     ) -> Claim:
-        drawn = self._rng.getrandbits(TOKEN_BITS)
-        fresh = ClaimToken(f"{self._instance}/{self._incarnation}/{drawn:032x}")
+        drawn = ClaimToken(f"{self._rng.getrandbits(TOKEN_BITS):032x}")
         record = ClaimRecord(
-            token=token or fresh,
+            token=token or drawn,
             instance=self._instance,
             incarnation=self._incarnation,
         )
--- a/fuchsiaroute/idempotency/_group_commit.py
+++ b/fuchsiaroute/idempotency/_group_commit.py
@@ -115,11 +115,6 @@
             if self._claims or self._outcomes:
                 self._wake.set()
 
-    async def drain(self) -> None:
-        """Wait until every outcome is in the store."""
-        while self._outcomes:
-            await self._clock.sleep(RETRY_PAUSE)
-
     async def commit_batch(self) -> bool:
         """Commit one batch; return whether the store answered."""
         claims = self._take_claims()
--- a/fuchsiaroute/idempotency/_issued_ids.py
+++ b/fuchsiaroute/idempotency/_issued_ids.py
@@ -13,8 +13,6 @@
 #: Time in which an issued id may be used.
 ISSUED_LIFETIME = Milliseconds(600_000)
 SECRET_BYTES = 32
-#: Between an id and its signature.
-SEPARATOR = ":"
 
 
 class IssuedIdState(Enum):
@@ -48,9 +46,7 @@
     ) -> None:
         self._clock = clock
         self._stem = f"{ISSUED_PREFIX}{instance}.{incarnation}"
-        self._signer = Signer(
-            secret or secrets.token_bytes(SECRET_BYTES), sep=SEPARATOR
-        )
+        self._signer = Signer(secret or secrets.token_bytes(SECRET_BYTES), sep="~")
         self._count = 0
 
     def issue(self, organisation: OrganisationId) -> RequestId:
@@ -58,7 +54,7 @@
         self._count += 1
         stem = f"{self._stem}.{self._clock.now()}.{self._count}"
         signature = self._signature(organisation, stem)
-        return RequestId(f"{stem}{SEPARATOR}{signature}")
+        return RequestId(f"{stem}~{signature}")
 
     def examine(
         self, organisation: OrganisationId, request: RequestId
@@ -66,7 +62,7 @@
         """Return what the form of ``request`` says about it."""
         if not request.startswith(ISSUED_PREFIX):
             return IssuedIdState.CALLER_CHOSEN
-        stem, _, signature = request.rpartition(SEPARATOR)
+        stem, _, signature = request.rpartition("~")
         if not self._is_signed(organisation, stem, signature):
             return IssuedIdState.FOREIGN
         issued_at = int(stem.split(".")[-2])
@@ -81,7 +77,7 @@
         self, organisation: OrganisationId, stem: str, signature: str
     ) -> bool:
         try:
-            self._signer.unsign(f"{organisation}/{stem}{SEPARATOR}{signature}")
+            self._signer.unsign(f"{organisation}/{stem}~{signature}")
         except BadSignature:
             return False
         return True
--- a/fuchsiaroute/logs/__init__.py
+++ b/fuchsiaroute/logs/__init__.py
@@ -9,8 +9,6 @@
     InstanceStateChanged,
     PlacementDecided,
     RequestRefused,
-    RolloutPauseSubmitted,
-    RolloutSuspended,
     RouteDecided,
     route_decided,
 )
@@ -26,8 +24,6 @@
     "InstanceStateChanged",
     "PlacementDecided",
     "RequestRefused",
-    "RolloutPauseSubmitted",
-    "RolloutSuspended",
     "RouteDecided",
     "open_log",
     "record",
--- a/fuchsiaroute/logs/_events.py
+++ b/fuchsiaroute/logs/_events.py
@@ -13,7 +13,6 @@
     RequestClass,
     RequestId,
     Revision,
-    RolloutId,
     VersionId,
 )
 from fuchsiaroute.platform import OrderKind
@@ -154,27 +153,3 @@
     instance: InstanceId
     state: str
     reason: str = ""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class RolloutSuspended(Event):
-    """The ratings show that a roll-out's target is worse than its base."""
-
-    message_type: ClassVar[str] = "rollout:suspended"
-    rollout: RolloutId
-    base: VersionId
-    target: VersionId
-    #: Natural logarithm of the evidence against the target.
-    log_evidence: float
-    #: Ratings of the target that it rests on.
-    target_ratings: int
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class RolloutPauseSubmitted(Event):
-    """An entry asked for the pause of a roll-out in the configuration."""
-
-    message_type: ClassVar[str] = "rollout:pause-submitted"
-    rollout: RolloutId
-    #: ``accepted`` or ``not-accepted``; the latter is tried again.
-    outcome: str
--- a/fuchsiaroute/platform/__init__.py
+++ b/fuchsiaroute/platform/__init__.py
@@ -24,11 +24,6 @@
     MemoryTableStore,
     StoreFault,
 )
-from fuchsiaroute.platform._memory_engines import (
-    MemoryEngine,
-    MemoryEngineOrders,
-    OrderFault,
-)
 from fuchsiaroute.platform._object_store import ObjectStore
 from fuchsiaroute.platform._rating import Rating, RatingPage, RatingService
 from fuchsiaroute.platform._table_store import (
@@ -62,8 +57,6 @@
     "InstanceList",
     "InstanceRecord",
     "InstanceState",
-    "MemoryEngine",
-    "MemoryEngineOrders",
     "MemoryInstanceList",
     "MemoryObjectStore",
     "MemoryRatingService",
@@ -71,7 +64,6 @@
     "ObjectStore",
     "Order",
     "OrderError",
-    "OrderFault",
     "OrderKind",
     "Pacer",
     "Put",
--- a/fuchsiaroute/quality/__init__.py
+++ b/fuchsiaroute/quality/__init__.py
@@ -16,7 +16,6 @@
     TestOutcome,
 )
 from fuchsiaroute.quality._trial import Evidence, Trial
-from fuchsiaroute.quality._watch import Finding, bad_rollouts
 
 __all__ = [
     "DEFAULT_FALSE_ALARM_RATE",
@@ -27,13 +26,11 @@
     "BookEstimates",
     "Cell",
     "Evidence",
-    "Finding",
     "QualityBook",
     "RatingLog",
     "SequentialTest",
     "TestOutcome",
     "Trial",
-    "bad_rollouts",
     "decode",
     "encode",
     "fold_ratings",
--- a/fuchsiaroute/quality/_rating_log.py
+++ b/fuchsiaroute/quality/_rating_log.py
@@ -47,21 +47,20 @@
         """Take a peer's book if it has read further than this entry's."""
         self._book = later_book(self._book, book)
 
+    async def refresh(self) -> Result[None, StoreError]:
+        """Take the shared book if it has read further, without reading ratings."""
+        record = await self._load()
+        return record.map(lambda _: None)
+
     async def advance(
         self, configuration: Configuration
     ) -> Result[QualityBook, StoreError]:
         """
         Read new ratings and return the furthest book known.
 
-        When another entry has read on since the last call, its book is taken and the
-        rating service is left alone, so that all entries together read about as often
-        as one. Fails if the rating service does not answer; the book then stays as it
-        is.
+        Fails if the rating service does not answer; the book then stays as it is.
         """
-        known = self._book
         loaded = await self._load()
-        if self._book is not known and isinstance(loaded, Success):
-            return Success(self._book)
         folded = await self._read_on(configuration)
         if isinstance(folded, Failure):
             return folded
--- a/fuchsiaroute/serving/__init__.py
+++ b/fuchsiaroute/serving/__init__.py
@@ -1,13 +1,11 @@
 """A serving entry: its parts put together, started and stopped."""
 
 from fuchsiaroute.serving._compose import ComposedEntry, EntryOptions, compose_entry
-from fuchsiaroute.serving._protocol import ConnectionLimits
 from fuchsiaroute.serving._run import EntryProcess, serve
 from fuchsiaroute.serving._server import HttpServer
 
 __all__ = [
     "ComposedEntry",
-    "ConnectionLimits",
     "EntryOptions",
     "EntryProcess",
     "HttpServer",
--- a/fuchsiaroute/serving/_compose.py
+++ b/fuchsiaroute/serving/_compose.py
@@ -3,25 +3,26 @@
 import random
 from dataclasses import dataclass
 
+import httpx
 from litestar import Litestar
 
 from fuchsiaroute.clock import Clock, Milliseconds
-from fuchsiaroute.dispatch import Connections, Dispatcher
+from fuchsiaroute.dispatch import Dispatcher
 from fuchsiaroute.entry import (
-    Background,
     ConfigurationPoll,
     CurrentConfiguration,
+    DeclaredQualityRoute,
     InFlightLimit,
     LeastInFlightAttempt,
-    MeteredBill,
     Pipeline,
     Steps,
+    StoredClaims,
+    StoredLedger,
 )
 from fuchsiaroute.gateway import Advice, AdvisedEntry, build_app
-from fuchsiaroute.ids import FailureDomainId, Incarnation, InstanceId
-from fuchsiaroute.platform import InstanceList, RatingService, TableStore
-from fuchsiaroute.serving._lasting import LastingParts, compose_lasting
-from fuchsiaroute.serving._routing import NoRatings, RoutingParts, compose_routing
+from fuchsiaroute.ids import FailureDomainId, InstanceId
+from fuchsiaroute.platform import InstanceList, TableStore
+from fuchsiaroute.transport import build_client
 
 #: How long a caller may keep an advice.
 ADVICE_LIFETIME = Milliseconds(5_000)
@@ -36,8 +37,6 @@
     failure_domain: FailureDomainId
     #: Seed of the entry's random choices.
     seed: int = 0
-    #: Keys of session pins, the same for all entries; the first one signs.
-    pin_keys: tuple[str, ...] = ()
 
 
 class ListedEntries:
@@ -64,12 +63,7 @@
     current: CurrentConfiguration
     poll: ConfigurationPoll
     advice: ListedEntries
-    #: Connections to endpoints.
-    client: Connections
-    routing: RoutingParts
-    lasting: LastingParts
-    #: Every periodic task of the entry.
-    background: Background
+    client: httpx.AsyncClient
 
 
 def compose_entry(
@@ -78,57 +72,30 @@
     store: TableStore,
     instances: InstanceList,
     clock: Clock,
-    ratings: RatingService | None = None,
 ) -> ComposedEntry:
     """Return an entry whose parts use ``store`` and ``clock``."""
     current = CurrentConfiguration()
-    client = Connections()
-    advice = ListedEntries()
-    randomness = random.Random(options.seed)
-    routing = compose_routing(
-        current=current,
-        store=store,
-        rating_service=ratings or NoRatings(),
-        pin_keys=options.pin_keys,
-        clock=clock,
-        entry_count=lambda: len(advice.entries),
-        randomness=randomness,
-    )
-    lasting = compose_lasting(
-        store=store,
-        clock=clock,
-        instance=options.instance,
-        incarnation=Incarnation(clock.wall()),
-        entry_count=lambda: len(advice.entries),
-    )
+    client = build_client()
     steps = Steps(
         admit=InFlightLimit(clock=clock, limit=MAXIMUM_IN_FLIGHT),
-        claim=lasting.claims,
-        route=routing.route,
+        claim=StoredClaims(store=store, clock=clock),
+        route=DeclaredQualityRoute(current=current),
         attempt=LeastInFlightAttempt(
             current=current,
-            dispatcher=Dispatcher(connections=client, clock=clock),
-            randomness=randomness,
+            dispatcher=Dispatcher(client=client, clock=clock),
+            randomness=random.Random(options.seed),
         ),
-        bill=MeteredBill(bill=lasting.bills, allowances=routing.allowances),
+        bill=StoredLedger(store=store),
     )
+    advice = ListedEntries()
     app = build_app(
         pipeline=Pipeline(steps=steps), current=current, advice=advice, clock=clock
     )
-    poll = ConfigurationPoll(store=store, current=current, clock=clock)
-    background = Background()
-    background.add("configuration", poll.run)
-    background.add("ratings", routing.ratings.run)
-    background.add("claims", lasting.book.run)
-    background.add("ledger", lasting.ledger.run)
     return ComposedEntry(
         options=options,
         app=app,
         current=current,
-        poll=poll,
+        poll=ConfigurationPoll(store=store, current=current, clock=clock),
         advice=advice,
         client=client,
-        routing=routing,
-        lasting=lasting,
-        background=background,
     )
--- a/fuchsiaroute/serving/_run.py
+++ b/fuchsiaroute/serving/_run.py
@@ -3,20 +3,17 @@
 import asyncio
 import contextlib
 import signal
+from collections.abc import Coroutine
+from typing import Any
 
-from returns.result import Failure
-
-from fuchsiaroute.clock import Clock, Milliseconds, SystemClock
+from fuchsiaroute.clock import Clock, SystemClock
 from fuchsiaroute.gateway import AdvisedEntry
-from fuchsiaroute.platform import HttpInstanceList, HttpRatingService, HttpTableStore
+from fuchsiaroute.platform import HttpInstanceList, HttpTableStore
 from fuchsiaroute.serving._compose import ComposedEntry, EntryOptions, compose_entry
-from fuchsiaroute.serving._routing import NoRatings
 from fuchsiaroute.serving._server import HttpServer
-from fuchsiaroute.settings import Settings, read_secrets
+from fuchsiaroute.settings import Settings
 from fuchsiaroute.transport import build_client
 
-#: Longest wait at a graceful stop for the store to take the ledger's records.
-DRAIN_LIMIT = Milliseconds(10_000)
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -30,28 +27,22 @@
             base_url=settings.platform.table_url,
             read_timeout=settings.platform.write_timeout,
         )
-        has_ratings = bool(settings.platform.rating_url)
-        self._ratings = build_client(
-            base_url=settings.platform.rating_url,
-            read_timeout=settings.platform.read_timeout,
-        )
         options = EntryOptions(
             instance=settings.instance.id,
             failure_domain=settings.instance.failure_domain,
-            pin_keys=_pin_keys(settings),
         )
         self._entry = compose_entry(
             options=options,
             store=HttpTableStore(self._platform),
             instances=HttpInstanceList(self._platform),
             clock=clock,
-            ratings=HttpRatingService(self._ratings) if has_ratings else NoRatings(),
         )
         self._callers = HttpServer(
             app=self._entry.app,
             host=settings.callers.host,
             port=settings.callers.port,
         )
+        self._tasks: list[asyncio.Task[None]] = []
 
     @property
     def entry(self) -> ComposedEntry:
@@ -65,7 +56,7 @@
 
     async def start(self) -> None:
         """Start periodic tasks, then accept callers."""
-        self._entry.background.start()
+        self._start_task(self._entry.poll.run())
         await self._callers.start()
         self._entry.advice.entries = (
             AdvisedEntry(
@@ -77,13 +68,14 @@
     async def stop(self) -> None:
         """Finish the open requests, then leave."""
         await self._callers.stop()
-        await self._entry.routing.allowances.give_back()
-        await self._entry.lasting.book.drain(DRAIN_LIMIT)
-        await self._entry.lasting.ledger.drain(DRAIN_LIMIT)
-        await self._entry.background.stop()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._entry.client.aclose()
         await self._platform.aclose()
-        await self._ratings.aclose()
+
+    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.create_task(work))
 
 
 async def serve(settings: Settings) -> None:
@@ -97,11 +89,3 @@
     with contextlib.suppress(asyncio.CancelledError):
         await stopping.wait()
     await process.stop()
-
-
-def _pin_keys(settings: Settings) -> tuple[str, ...]:
-    """Return the keys of session pins; raises ``SecretError``."""
-    keys = read_secrets(settings.session.pin_key_files)
-    if isinstance(keys, Failure):
-        raise keys.failure()
-    return keys.unwrap()
--- a/fuchsiaroute/serving/_server.py
+++ b/fuchsiaroute/serving/_server.py
@@ -4,21 +4,13 @@
 import contextlib
 import socket
 from collections.abc import Awaitable, Callable, Iterator
-from functools import partial
 from typing import Any
 
 import uvicorn
 
-from fuchsiaroute.serving._protocol import (
-    MILLISECONDS_PER_SECOND,
-    ConnectionLimits,
-    LimitedProtocol,
-)
-
 AsgiApp = Callable[[Any, Any, Any], Awaitable[None]]
 
 LISTEN_BACKLOG = 512
-DEFAULT_LIMITS = ConnectionLimits()
 
 
 class _EmbeddedServer(uvicorn.Server):
@@ -43,25 +35,10 @@
 class HttpServer:
     """Serves an ASGI application on one address; port 0 takes a free one."""
 
-    def __init__(
-        self,
-        *,
-        app: AsgiApp,
-        host: str,
-        port: int,
-        limits: ConnectionLimits = DEFAULT_LIMITS,
-    ) -> None:
+    def __init__(self, *, app: AsgiApp, host: str, port: int) -> None:
         self._socket = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
         config = uvicorn.Config(
-            app,
-            log_config=None,
-            access_log=False,
-            lifespan="off",
-            # The library takes any callable that makes a protocol.
-            http=partial(LimitedProtocol, limits=limits),  # type: ignore[arg-type]
-            ws="none",
-            h11_max_incomplete_event_size=limits.max_head,
-            timeout_keep_alive=limits.idle_timeout // MILLISECONDS_PER_SECOND,
+            app, log_config=None, access_log=False, lifespan="off", http="httptools"
         )
         self._server = _EmbeddedServer(config)
         self._task: asyncio.Task[None] | None = None
--- a/fuchsiaroute/session/_pin.py
+++ b/fuchsiaroute/session/_pin.py
@@ -42,9 +42,10 @@
     """
     Issues and verifies session pins.
 
-    The first of ``keys`` signs and all of them verify. To rotate, add the new key in
-    last place on every entry, then move it to the first place on every entry, and
-    drop the former key after the lifetime of a pin.
+    ``keys`` are in order of age: the last one signs and all of them verify. To
+    rotate, append a new key on every entry, and drop the oldest one after the
+    lifetime of a pin. A key that not all entries know yet must not come last, so
+    it is first rolled out in front of the signing key.
     """
 
     def __init__(
@@ -59,8 +60,7 @@
         self._clock = clock
         self._lifetime = lifetime
         self._serializer = URLSafeSerializer(
-            # The library signs with the last key of its list.
-            list(reversed(keys)),
+            list(keys),
             salt=_SALT,
             signer_kwargs={
                 "key_derivation": "hmac",
--- a/fuchsiaroute/verdict/_refusal.py
+++ b/fuchsiaroute/verdict/_refusal.py
@@ -14,8 +14,6 @@
     INVALID_REQUEST = "invalid-request"
     #: The request exceeds a size limit.
     TOO_LARGE = "too-large"
-    #: The request did not arrive within the time limit.
-    TOO_SLOW = "too-slow"
     #: The caller's key is unknown.
     UNAUTHENTICATED = "unauthenticated"
     #: No permitted model or service matches the request.
@@ -40,8 +38,6 @@
     STORE_UNAVAILABLE = "store-unavailable"
     #: The endpoint failed, fell silent or broke off its answer.
     ENDPOINT_FAILED = "endpoint-failed"
-    #: The entry failed in a way that it does not foresee.
-    INTERNAL = "internal-error"
 
 
 @dataclass(frozen=True, kw_only=True)
