--- a/benches/bench_capacity.py
+++ b/benches/bench_capacity.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from benches._control_path import measure_control
 from benches._fit import fit_line
 from benches._token_path import measure_relay
 
@@ -10,6 +11,10 @@
 TARGET_TOKENS_PER_SECOND = 2_400_000
 TARGET_NODES = 390
 FAILURE_DOMAINS = 8
+ENDPOINT_COUNTS = (260, 525, 1_050, 2_100)
+TARGET_ENDPOINTS = 2_100
+TARGET_CONTROL_CPU_PERCENT = 3.6
+TARGET_CONTROL_MEGABYTES = 64
 
 
 def _token_path() -> None:
@@ -36,9 +41,31 @@
     )
 
 
+def _control_path() -> None:
+    costs = asyncio.run(measure_control(endpoints=ENDPOINT_COUNTS))
+    sizes = [cost.endpoints for cost in costs]
+    print("## Control path: an entry without requests")
+    print("endpoints  configuration KB  % of a core  MB resident")
+    for cost in costs:
+        print(
+            f"{cost.endpoints:9} {cost.configuration_bytes / 1e3:17.0f}"
+            f" {cost.cpu_share * 100:12.2f} {cost.resident_bytes / 1e6:12.1f}"
+        )
+    cpu = fit_line(sizes, [cost.cpu_share * 100 for cost in costs])
+    memory = fit_line(sizes, [cost.resident_bytes / 1e6 for cost in costs])
+    print(
+        f"fit at {TARGET_ENDPOINTS}: {cpu.at(TARGET_ENDPOINTS):.2f}% of a core"
+        f" (r2 {cpu.r_squared:.2f}; target {TARGET_CONTROL_CPU_PERCENT}%),"
+        f" {memory.at(TARGET_ENDPOINTS):.1f} MB"
+        f" ({memory.slope * 1e3:.1f} KB an endpoint, r2 {memory.r_squared:.2f};"
+        f" target {TARGET_CONTROL_MEGABYTES} MB)"
+    )
+
+
 def main() -> None:
     """Print every section."""
     _token_path()
+    _control_path()
 
 
 if __name__ == "__main__":
