--- a/fuchsiaroute/billing/_ledger.py
+++ b/fuchsiaroute/billing/_ledger.py
@@ -95,6 +95,15 @@
         """Return whether the entry must take no new requests."""
         return len(self._waiting) >= self._max_buffered
 
+    @property
+    def uncopied(self) -> int:
+        """Return the number of records of which no present holder has a copy."""
+        holder = self._copies.holder()
+        if holder == NO_HOLDER:
+            return len(self._waiting)
+        items = self._waiting.values()
+        return sum(item.copied_to != holder for item in items)
+
     async def append(self, record: LedgerRecord) -> None:
         """
         Take ``record`` and wait shortly for its copy at a peer.
@@ -225,10 +234,7 @@
         return BatchNumber(min(needed) - 1)
 
     def _has_uncopied(self) -> bool:
-        holder = self._copies.holder()
-        if holder == NO_HOLDER:
-            return False
-        return any(item.copied_to != holder for item in self._waiting.values())
+        return self._copies.holder() != NO_HOLDER and self.uncopied > 0
 
 
 def _transaction(batch: list[_Waiting]) -> Transaction:
--- a/fuchsiaroute/idempotency/_book.py
+++ b/fuchsiaroute/idempotency/_book.py
@@ -152,6 +152,9 @@
     async def _claim_in_store(
         self, request: Request, key: str, known: Claim | None
     ) -> Result[Claim | Replay, Refusal]:
+        if self._store.retry_after > 0:
+            # A store that is known to fail is no reason to keep the caller waiting.
+            return Failure(refuse_unresolved(self._store.retry_after))
         if known is None and not self._make_room():
             return Failure(refuse_unresolved(Milliseconds(0)))
         claim = self._open(request, key, token=known.token if known else None)
--- a/fuchsiaroute/idempotency/_group_commit.py
+++ b/fuchsiaroute/idempotency/_group_commit.py
@@ -111,7 +111,8 @@
             self._wake.clear()
             is_done = await self.commit_batch()
             if not is_done:
-                await self._clock.sleep(RETRY_PAUSE)
+                pause = max(RETRY_PAUSE, self._store.retry_after)
+                await self._clock.sleep(Milliseconds(pause))
             if self._claims or self._outcomes:
                 self._wake.set()
 
--- /dev/null
+++ b/fuchsiaroute/placement/tests/test_lease_histories.py
@@ -0,0 +1,340 @@
+"""Seeded histories of several placers: pauses, lost answers and late orders."""
+
+import asyncio
+import random
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    rule,
+    run_state_machine_as_test,
+)
+
+from fuchsiaroute.clock import ManualClock
+from fuchsiaroute.configuration import VersionState
+from fuchsiaroute.ids import FencingNumber
+from fuchsiaroute.placement import Lease, Placer, WeightStoreLimit, _lease
+from fuchsiaroute.placement.tests.test_placement import (
+    CHECKING,
+    DOMAIN,
+    IGNORING,
+    UNLOAD_DELAY,
+    configuration,
+)
+from fuchsiaroute.platform import (
+    MemoryEngine,
+    MemoryEngineOrders,
+    MemoryTableStore,
+    OrderFault,
+    StoreFault,
+)
+
+ENTRIES = 3
+DURATIONS = (0, 500, 2_000, 5_000, 12_000, 20_000)
+#: Rounds after the last rule, each with a renewal of every lease.
+SETTLING_ROUNDS = UNLOAD_DELAY // 5_000 + 40
+SETTINGS = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=60,
+    stateful_step_count=30,
+    suppress_health_check=list(HealthCheck),
+)
+MUTATION_SETTINGS = settings(
+    SETTINGS, max_examples=400, phases=(Phase.generate,), report_multiple_bugs=False
+)
+entries = st.integers(0, ENTRIES - 1)
+
+
+class SlowStore:
+    """A store whose next commit waits until it is let go, before or after it."""
+
+    def __init__(self, store):
+        self._store = store
+        self.is_held_back = False
+        self.go = asyncio.Event()
+
+    async def read(self, keys):
+        return await self._store.read(keys)
+
+    async def commit(self, transaction):
+        answer = await self._store.commit(transaction)
+        if self.is_held_back:
+            await self.go.wait()
+        return answer
+
+
+class WatchedOrders:
+    """Orders of one entry, which notes who sent them and who held the lease."""
+
+    def __init__(self, machine, number):
+        self._machine = machine
+        self._number = number
+
+    async def send(self, order):
+        self._machine.note_sent(self._number, order)
+        return await self._machine.orders.send(order)
+
+    async def loaded(self, endpoint):
+        return await self._machine.orders.loaded(endpoint)
+
+
+class Histories(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.clock = ManualClock()
+        self.store = MemoryTableStore(clock=self.clock)
+        self.engines = {
+            CHECKING: MemoryEngine(is_fencing_checked=True),
+            IGNORING: MemoryEngine(is_fencing_checked=False),
+        }
+        self.orders = MemoryEngineOrders(self.engines)
+        self.configuration = configuration()
+        self.senders = {}
+        self.stores = []
+        self.steps = {}
+        self.leases = []
+        self.placers = []
+        for number in range(ENTRIES):
+            self.add_entry(number)
+
+    def add_entry(self, number):
+        store = SlowStore(self.store)
+        lease = Lease(
+            DOMAIN,
+            store=store,
+            clock=self.clock,
+            instance=f"entry-{number}",
+            incarnation=1,
+            rng=random.Random(number),
+        )
+        placer = Placer(
+            DOMAIN,
+            lease=lease,
+            orders=WatchedOrders(self, number),
+            configuration=lambda: self.configuration,
+            clock=self.clock,
+            limit=WeightStoreLimit(clock=self.clock, loads_per_minute=6_000),
+        )
+        self.stores.append(store)
+        self.leases.append(lease)
+        self.placers.append(placer)
+
+    def note_sent(self, number, order):
+        sender = self.senders.setdefault(order.fencing, number)
+        assert sender == number, "two holders under one fencing number"
+        others = (lease for lease in self.leases if lease is not self.leases[number])
+        assert not any(lease.is_held for lease in others), "sent under a lapsed lease"
+
+    def run(self, work):
+        return self.loop.run_until_complete(work)
+
+    @rule(entry=entries)
+    def renew(self, entry):
+        """Step the lease, unless an earlier step still waits for its answer."""
+        if entry not in self.steps:
+            self.run(self.leases[entry].step())
+
+    @rule(entry=entries)
+    def begin_renewal(self, entry):
+        """Step the lease and pause once the write has taken effect."""
+        if entry in self.steps:
+            return
+
+        async def begin():
+            self.stores[entry].is_held_back = True
+            self.stores[entry].go.clear()
+            self.steps[entry] = asyncio.ensure_future(self.leases[entry].step())
+            await asyncio.sleep(0)
+
+        self.run(begin())
+
+    @rule(entry=entries)
+    def end_renewal(self, entry):
+        if entry not in self.steps:
+            return
+
+        async def end():
+            self.stores[entry].is_held_back = False
+            self.stores[entry].go.set()
+            await self.steps.pop(entry)
+
+        self.run(end())
+
+    @rule(entry=entries)
+    def give_orders(self, entry):
+        self.run(self.placers[entry].run_round())
+
+    @rule(entry=entries)
+    def release(self, entry):
+        if entry not in self.steps:
+            self.run(self.leases[entry].release())
+
+    @rule(duration=st.sampled_from(DURATIONS))
+    def advance(self, duration):
+        self.clock.tick(duration)
+
+    @rule(entry=entries, duration=st.sampled_from(DURATIONS))
+    def work(self, entry, duration):
+        """Let one entry renew and order, as it does when it is not paused."""
+        self.renew(entry)
+        self.give_orders(entry)
+        self.advance(duration)
+
+    @rule()
+    def restart_engines(self):
+        """Let the engines lose what they had loaded."""
+        for engine in self.engines.values():
+            engine.loaded.clear()
+
+    @rule(entry=entries, other=entries)
+    def order_after_pause(self, entry, other):
+        """Pause a holder between its orders until another has taken over."""
+        self.renew(entry)
+        self.take_over(other)
+        self.restart_engines()
+        self.give_orders(entry)
+
+    @rule(entry=entries, other=entries)
+    def order_after_pause_in_renewal(self, entry, other):
+        """Pause a holder between its renewal and the store's answer."""
+        self.renew(entry)
+        self.advance(12_000)
+        self.begin_renewal(entry)
+        self.renew(other)
+        self.advance(12_000)
+        self.end_renewal(entry)
+        self.advance(5_000)
+        self.renew(other)
+        self.restart_engines()
+        self.give_orders(entry)
+
+    @rule(entry=entries, other=entries)
+    def deliver_after_take_over(self, entry, other):
+        """Let orders of a holder arrive after those of the next one."""
+        self.restart_engines()
+        self.orders.upcoming.extend([OrderFault.DELAYED] * 2)
+        self.give_orders(entry)
+        self.take_over(other)
+        self.work(other, 2_000)
+        self.give_orders(other)
+        self.orders.deliver_delayed()
+
+    def take_over(self, entry):
+        """Renew until the lease of another holder has lapsed and been taken."""
+        for _ in range(5):
+            self.renew(entry)
+            self.advance(5_000)
+
+    @rule(fault=st.sampled_from([StoreFault.DOWN, StoreFault.NONE]))
+    def switch_store(self, fault):
+        self.store.fault = fault
+
+    @rule(fault=st.sampled_from([StoreFault.ANSWER_LOST, StoreFault.LATE]))
+    def lose_an_answer(self, fault):
+        self.store.switch.upcoming.extend([StoreFault.NONE, fault])
+
+    @rule()
+    def land_late_writes(self):
+        self.store.land_late()
+
+    @rule(faults=st.lists(st.sampled_from(list(OrderFault)), max_size=4))
+    def fail_orders(self, faults):
+        self.orders.upcoming.extend(faults)
+
+    @rule()
+    def deliver_delayed_orders(self):
+        self.orders.deliver_delayed()
+
+    @rule(target_state=st.sampled_from([VersionState.ACTIVE, VersionState.WITHDRAWN]))
+    def change_configuration(self, target_state):
+        self.configuration = configuration(target=target_state)
+
+    def teardown(self):
+        self.store.fault = StoreFault.NONE
+        self.store.switch.upcoming.clear()
+        self.orders.upcoming.clear()
+        for entry in list(self.steps):
+            self.end_renewal(entry)
+        self.store.land_late()
+        self.orders.deliver_delayed()
+        for number in range(SETTLING_ROUNDS):
+            self.work(number % ENTRIES, 5_000)
+        self.loop.close()
+        self.check()
+
+    def check(self):
+        fencing = [order.fencing for order in self.engines[CHECKING].effective]
+        assert fencing == sorted(fencing), "an old order took effect"
+        wanted = {
+            version.id
+            for version in self.configuration.models[0].versions
+            if version.state is not VersionState.WITHDRAWN
+        }
+        for name, engine in self.engines.items():
+            assert engine.loaded == wanted, f"not repaired: {name}"
+
+
+def test_histories():
+    run_state_machine_as_test(Histories, settings=SETTINGS)
+
+
+def always_over(lease, current):
+    return True
+
+
+def hold_from_answer(lease, record, sent_at, version):
+    REAL_HOLD(lease, record, lease._clock.now(), version)
+
+
+def accept_any_order(engine, order):
+    engine.is_fencing_checked = False
+    return REAL_APPLY(engine, order)
+
+
+REAL_HOLD = Lease._hold
+REAL_APPLY = MemoryEngine.apply
+
+MUTATIONS = {
+    "a lease is waited out": (
+        Lease,
+        "_is_over",
+        always_over,
+        "sent under a lapsed lease|not repaired",
+    ),
+    "a holder counts from before it sent its renewal": (
+        Lease,
+        "_hold",
+        hold_from_answer,
+        "sent under a lapsed lease",
+    ),
+    "the lease is checked right before an order": (
+        Lease,
+        "is_held",
+        property(lambda lease: lease._record is not None),
+        "sent under a lapsed lease",
+    ),
+    "each holder has a number of its own": (
+        _lease,
+        "FencingNumber",
+        lambda number: FencingNumber(1),
+        "two holders under one fencing number",
+    ),
+    "engines check the number": (
+        MemoryEngine,
+        "apply",
+        accept_any_order,
+        "an old order took effect",
+    ),
+}
+
+
+@pytest.mark.parametrize("safeguard", MUTATIONS)
+def test_histories_fail_without(monkeypatch, safeguard):
+    owner, name, replacement, failure = MUTATIONS[safeguard]
+    monkeypatch.setattr(owner, name, replacement)
+    with pytest.raises(AssertionError, match=failure):
+        run_state_machine_as_test(Histories, settings=MUTATION_SETTINGS)
