Keep the limits on connections with the faster parser

Cause: connection limits were written for h11, which costs several times the processor time of httptools on each token. With httptools the library writes its refusal of a faulty pipelined request into the middle of the answer under way, and bounds no head. Change: LimitedProtocol on httptools; what it refuses waits for the answers before it; heads are bounded in size and time; a second host header is refused.

--- a/fuchsiaroute/gateway/_render.py
+++ b/fuchsiaroute/gateway/_render.py
@@ -34,7 +34,15 @@
 }
 
 #: Refusals after which the rest of the request is not read.
-_CLOSING = frozenset({RefusalReason.TOO_LARGE, RefusalReason.TOO_SLOW})
+_CLOSING = frozenset(
+    {
+        RefusalReason.INVALID_REQUEST,
+        RefusalReason.TOO_LARGE,
+        RefusalReason.TOO_SLOW,
+        RefusalReason.UNAUTHENTICATED,
+        RefusalReason.NOT_READY,
+    }
+)
 
 
 class _ErrorBody(msgspec.Struct):
--- a/fuchsiaroute/serving/_server.py
+++ b/fuchsiaroute/serving/_server.py
@@ -60,7 +60,6 @@
             # The library takes any callable that makes a protocol.
             http=partial(LimitedProtocol, limits=limits),  # type: ignore[arg-type]
             ws="none",
-            h11_max_incomplete_event_size=limits.max_head,
             timeout_keep_alive=limits.idle_timeout // MILLISECONDS_PER_SECOND,
         )
         self._server = _EmbeddedServer(config)
--- a/fuchsiaroute/serving/tests/test_protocol.py
+++ b/fuchsiaroute/serving/tests/test_protocol.py
@@ -48,7 +48,20 @@
     ("limits", "sent", "status", "reason"),
     [
         (LIMITS, b"nonsense\r\n\r\n", 400, "invalid-request"),
-        (LIMITS, b"GET / HTTP/1.1\r\nx: " + b"y" * 2_000, 400, "invalid-request"),
+        (LIMITS, b"GET / HTTP/1.1\r\nx: " + b"y" * 2_000, 431, "too-large"),
+        (
+            LIMITS,
+            b"GET / HTTP/1.1\r\nx: " + b"y" * 2_000 + b"\r\n\r\n",
+            400,
+            "invalid-request",
+        ),
+        (
+            LIMITS,
+            b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n"
+            b"transfer-encoding: chunked\r\n\r\n",
+            400,
+            "invalid-request",
+        ),
         (LIMITS, b"GET / HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n", 400, None),
         (
             LIMITS,
@@ -88,6 +101,20 @@
         assert b"HTTP/1.1 408" in answer
 
 
+async def test_faulty_request_does_not_disturb_the_answer_before_it():
+    async def answer_in_two_parts(scope, receive, send):
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        await send({"type": "http.response.body", "body": b"one", "more_body": True})
+        await asyncio.sleep(0)
+        await send({"type": "http.response.body", "body": b"two"})
+
+    async with serving(answer_in_two_parts, LIMITS) as server:
+        answer = await exchange(server, REQUEST + b"nonsense\r\n\r\n")
+    good, _, refused = answer.partition(b"0\r\n\r\n")
+    assert good.endswith(b"3\r\none\r\n3\r\ntwo\r\n")
+    assert refused.startswith(b"HTTP/1.1 400")
+
+
 async def test_connections_above_the_limit_are_refused():
     async with serving(answer_when_the_body_has_arrived, LIMITS) as server:
         held = [
