--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SHELL := /bin/bash
 
 .PHONY: setup demo test format lint types binary ci \
-        bench-cost bench-load bench-state bench-capacity plots
+        bench-cost bench-load bench-state bench-capacity bench-failures plots
 
 # The stamp is newer than the lock once everything the lock names is installed.
 $(VENV)/.installed: requirements/dev.lock
@@ -34,7 +34,7 @@
 binary: setup
 	bash scripts/build-binary $(PYTHON)
 
-bench-cost bench-load bench-state bench-capacity: setup
+bench-cost bench-load bench-state bench-capacity bench-failures: setup
 	$(PYTHON) -m benches.$(subst -,_,$@)
 
 plots: setup
--- a/benches/_processes.py
+++ b/benches/_processes.py
@@ -5,7 +5,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 
@@ -13,7 +13,7 @@
 import psutil
 
 from fuchsiaroute.configuration import Configuration
-from fuchsiaroute.declaration import encode
+from fuchsiaroute.declaration import decode, encode
 from fuchsiaroute.entry import CONFIGURATION_KEY
 from fuchsiaroute.platform import (
     ABSENT,
@@ -154,3 +154,24 @@
         outcome = await HttpTableStore(client).commit(transaction)
     if not isinstance(outcome.unwrap(), Committed):
         raise RuntimeError("the platform already holds a configuration")
+
+
+async def change_configuration(
+    platform_url: str, change: Callable[[Configuration], Configuration]
+) -> None:
+    """Accept a changed configuration as an operator does."""
+    async with httpx.AsyncClient(base_url=platform_url, trust_env=False) as client:
+        store = HttpTableStore(client)
+        (record,) = (await store.read([CONFIGURATION_KEY])).unwrap()
+        transaction = Transaction(
+            checks=(Check(key=CONFIGURATION_KEY, version=record.version),),
+            puts=(
+                Put(
+                    key=CONFIGURATION_KEY,
+                    value=encode(change(decode(record.value))),
+                ),
+            ),
+        )
+        outcome = await store.commit(transaction)
+    if not isinstance(outcome.unwrap(), Committed):
+        raise RuntimeError("another change was accepted first")
--- /dev/null
+++ b/benches/bench_failures.py
@@ -0,0 +1,304 @@
+"""
+The whole system as separate processes, under failures, checked from outside.
+
+Six entries, five model endpoints, three service endpoints and the platform's
+stand-in run on loopback. Callers of every organisation send requests while
+entries are killed, frozen and stopped, an endpoint is killed, the table service
+goes down and loses answers, a failure domain leaves and returns, and a version is
+withdrawn. Exits with 1 if a promise is broken.
+"""
+
+import asyncio
+import random
+import signal
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import httpx
+import msgspec
+
+from benches._failure_checks import (
+    CheckResult,
+    check_at_most_once,
+    check_billed_once,
+    check_not_run,
+    check_sessions,
+    check_stopped,
+    check_typed,
+)
+from benches._failure_traffic import Story, TrafficCaller
+from benches._processes import (
+    Child,
+    change_configuration,
+    endpoint_child,
+    entry_child,
+    platform_child,
+    store_configuration,
+    wait_until_ready,
+    with_endpoint_urls,
+)
+from examples import timberline
+from fuchsiaroute.billing import KEY_PREFIX
+from fuchsiaroute.configuration import Outage, VersionState
+from fuchsiaroute.ids import FailureDomainId, VersionId
+from fuchsiaroute.platform import HttpTableStore
+from fuchsiaroute.standin import RunRecord
+
+SEED = 1
+ENTRY_COUNT = 6
+DURATION_SECONDS = 60.0
+SETTLE_SECONDS = 12.0
+WITHDRAWN = VersionId("sapling-1")
+TAKEN_OUT = FailureDomainId("lakes-b")
+LEDGER_LIMIT = 100_000
+SHOWN_VIOLATIONS = 8
+
+
+@dataclass(kw_only=True)
+class Deployment:
+    """The processes, and when operators' changes were accepted."""
+
+    platform: Child
+    endpoints: list[Child]
+    entries: list[Child]
+    #: Unix time in milliseconds of each operators' change, by name.
+    changes: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def children(self) -> list[Child]:
+        """Return every process."""
+        return [self.platform, *self.endpoints, *self.entries]
+
+    async def fault(self, fault: str) -> None:
+        """Switch the table service to ``fault``."""
+        async with httpx.AsyncClient(trust_env=False) as client:
+            reply = await client.post(
+                f"{self.platform.url}/faults",
+                json={"service": "table", "fault": fault},
+            )
+            reply.raise_for_status()
+
+    def note(self, name: str) -> None:
+        """Remember that a change is accepted now."""
+        self.changes[name] = time.time_ns() // 1_000_000
+
+
+Step = Callable[[Deployment], Awaitable[None]]
+
+
+async def _kill_entry(deployment: Deployment) -> None:
+    deployment.entries[1].kill()
+
+
+async def _restart_entry(deployment: Deployment) -> None:
+    deployment.entries[1].start()
+
+
+async def _freeze_entry(deployment: Deployment) -> None:
+    deployment.entries[2].signal(signal.SIGSTOP)
+
+
+async def _thaw_entry(deployment: Deployment) -> None:
+    deployment.entries[2].signal(signal.SIGCONT)
+
+
+async def _stop_entry(deployment: Deployment) -> None:
+    deployment.entries[3].signal(signal.SIGTERM)
+
+
+async def _freeze_endpoint(deployment: Deployment) -> None:
+    deployment.endpoints[3].signal(signal.SIGSTOP)
+
+
+async def _thaw_endpoint(deployment: Deployment) -> None:
+    deployment.endpoints[3].signal(signal.SIGCONT)
+
+
+async def _store_down(deployment: Deployment) -> None:
+    await deployment.fault("down")
+
+
+async def _store_loses_answers(deployment: Deployment) -> None:
+    await deployment.fault("answer-lost")
+
+
+async def _store_back(deployment: Deployment) -> None:
+    await deployment.fault("none")
+
+
+async def _begin_outage(deployment: Deployment) -> None:
+    outage = Outage(failure_domain=TAKEN_OUT)
+    await change_configuration(
+        deployment.platform.url, lambda present: present.with_outages((outage,))
+    )
+    deployment.note("outage")
+
+
+async def _end_outage(deployment: Deployment) -> None:
+    await change_configuration(
+        deployment.platform.url, lambda present: present.with_outages(())
+    )
+    deployment.note("return")
+
+
+async def _withdraw(deployment: Deployment) -> None:
+    await change_configuration(
+        deployment.platform.url,
+        lambda present: present.with_version_state(WITHDRAWN, VersionState.WITHDRAWN),
+    )
+    deployment.note("withdrawal")
+
+
+#: What happens, by seconds after the start.
+SCHEDULE: tuple[tuple[float, Step], ...] = (
+    (4, _kill_entry),
+    (8, _restart_entry),
+    (10, _freeze_entry),
+    (16, _thaw_entry),
+    (18, _freeze_endpoint),
+    (24, _thaw_endpoint),
+    (26, _store_down),
+    (34, _store_back),
+    (36, _begin_outage),
+    (42, _end_outage),
+    (43, _store_loses_answers),
+    (46, _store_back),
+    (48, _stop_entry),
+    (50, _withdraw),
+)
+
+
+async def _follow(deployment: Deployment) -> None:
+    started = time.monotonic()
+    for instant, step in SCHEDULE:
+        await asyncio.sleep(max(0.0, started + instant - time.monotonic()))
+        print(f"{instant:5.1f} s {step.__name__.strip('_')}", flush=True)
+        await step(deployment)
+
+
+async def _traffic(deployment: Deployment) -> list[Story]:
+    callers = [
+        TrafficCaller(
+            organisation=organisation.id,
+            entry_urls=[entry.url for entry in deployment.entries],
+            randomness=random.Random(f"{SEED}-{organisation.id}"),
+        )
+        for organisation in timberline.declare().organisations
+    ]
+    until = time.monotonic() + DURATION_SECONDS
+    await asyncio.gather(
+        _follow(deployment), *(caller.run(until) for caller in callers)
+    )
+    return [story for caller in callers for story in caller.stories]
+
+
+async def _runs(endpoint: Child) -> list[RunRecord]:
+    async with httpx.AsyncClient(trust_env=False) as client:
+        reply = await client.get(f"{endpoint.url}/runs")
+    return msgspec.json.decode(reply.content, type=list[RunRecord])
+
+
+async def _ledger(deployment: Deployment) -> Counter[tuple[str, str]]:
+    """Return the number of ledger records of each organisation and request."""
+    async with httpx.AsyncClient(
+        base_url=deployment.platform.url, trust_env=False
+    ) as client:
+        found = await HttpTableStore(client).scan(KEY_PREFIX, limit=LEDGER_LIMIT)
+    keys = [record.key.removeprefix(KEY_PREFIX) for record in found.unwrap()]
+    return Counter(_split(key) for key in keys)
+
+
+def _split(key: str) -> tuple[str, str]:
+    organisation, _, request = key.partition("/")
+    return organisation, request
+
+
+async def _run(directory: Path) -> list[CheckResult]:
+    declared = timberline.declare()
+    deployment = Deployment(
+        platform=platform_child(),
+        endpoints=[endpoint_child() for _ in declared.endpoints],
+        entries=[],
+    )
+    domains = declared.failure_domains
+    deployment.entries = [
+        entry_child(
+            number=number,
+            failure_domain=domains[number % len(domains)].id,
+            platform_url=deployment.platform.url,
+            directory=directory,
+        )
+        for number in range(ENTRY_COUNT)
+    ]
+    for child in deployment.children:
+        child.start()
+    try:
+        for child in deployment.children:
+            wait_until_ready(child.url)
+        urls = [child.url for child in deployment.endpoints]
+        await store_configuration(
+            deployment.platform.url, with_endpoint_urls(declared, urls)
+        )
+        await asyncio.sleep(2)
+        stories = await _traffic(deployment)
+        await asyncio.sleep(SETTLE_SECONDS)
+        return await _check(deployment, stories)
+    finally:
+        for child in deployment.children:
+            child.signal(signal.SIGCONT)
+            child.kill()
+
+
+async def _check(deployment: Deployment, stories: list[Story]) -> list[CheckResult]:
+    runs = [await _runs(endpoint) for endpoint in deployment.endpoints]
+    every_run = [run for of_endpoint in runs for run in of_endpoint]
+    taken_out = [
+        run
+        for endpoint, of_endpoint in zip(
+            timberline.declare().endpoints, runs, strict=True
+        )
+        if endpoint.failure_domain == TAKEN_OUT
+        for run in of_endpoint
+    ]
+    answered = sum(story.is_answered for story in stories)
+    print(f"{answered} of {len(stories)} requests answered, {len(every_run)} runs")
+    return [
+        check_at_most_once(stories, every_run),
+        check_not_run(stories, every_run),
+        check_billed_once(stories, await _ledger(deployment)),
+        check_sessions(stories),
+        check_typed(stories),
+        check_stopped(
+            promise="no new work in a failure domain that is out",
+            runs=taken_out,
+            accepted_at=deployment.changes["outage"],
+            until=deployment.changes["return"],
+        ),
+        check_stopped(
+            promise="no new work on a withdrawn version",
+            runs=[run for run in every_run if run.work == WITHDRAWN],
+            accepted_at=deployment.changes["withdrawal"],
+            until=deployment.changes["withdrawal"] + 10**9,
+        ),
+    ]
+
+
+def main() -> None:
+    """Run the schedule and print what held."""
+    with tempfile.TemporaryDirectory() as directory:
+        results = asyncio.run(_run(Path(directory)))
+    for result in results:
+        verdict = "held" if not result.violations else "BROKEN"
+        print(f"{verdict:6} {result.promise} ({result.cases} cases)")
+        for violation in result.violations[:SHOWN_VIOLATIONS]:
+            print(f"       {violation}")
+    sys.exit(any(result.violations for result in results))
+
+
+if __name__ == "__main__":
+    main()
--- a/fuchsiaroute/logs/_events.py
+++ b/fuchsiaroute/logs/_events.py
@@ -137,6 +137,9 @@
 
     message_type: ClassVar[str] = "configuration:submitted"
     change: ChangeId
+    #: Name of the operator's key.
+    author: str
+    #: Revision that the change replaces.
     base: Revision
     #: ``accepted``, ``conflict`` or ``unknown``.
     outcome: str
--- a/fuchsiaroute/logs/tests/test_logs.py
+++ b/fuchsiaroute/logs/tests/test_logs.py
@@ -97,7 +97,9 @@
         reason="rollout",
     ),
     ConfigurationApplied(revision=Revision(7), source="peer"),
-    ChangeSubmitted(change=ChangeId("c"), base=Revision(6), outcome="accepted"),
+    ChangeSubmitted(
+        change=ChangeId("c"), author="ops", base=Revision(6), outcome="accepted"
+    ),
     InstanceStateChanged(instance=InstanceId("entry-1"), state="ready"),
 ]
 
--- /dev/null
+++ b/fuchsiaroute/operators/tests/test_operators.py
@@ -0,0 +1,257 @@
+import asyncio
+from dataclasses import replace
+
+import httpx
+import msgspec
+import pytest
+
+from examples import timberline
+from fuchsiaroute.clock import ManualClock, Milliseconds
+from fuchsiaroute.configuration import VersionState
+from fuchsiaroute.declaration import encode
+from fuchsiaroute.ids import ChangeId, OrganisationId, RequestClass, Revision, VersionId
+from fuchsiaroute.metrics import Metrics
+from fuchsiaroute.operators import (
+    ChangeOutcome,
+    ClientErrorKind,
+    EntryStatus,
+    Explanation,
+    InForce,
+    OperatorClient,
+    OperatorKey,
+    OperatorKeys,
+    Question,
+    StoredChanges,
+    SubmittedChange,
+    build_operators_app,
+    load_keys,
+)
+from fuchsiaroute.platform import MemoryTableStore, StoreFault
+
+KEYS = (
+    OperatorKey(name="ana", secret="ana-0123456789abcdef"),
+    OperatorKey(name="rotated", secret="new-0123456789abcdef"),
+)
+CONFIGURATION = timberline.declare()
+CHANGED = CONFIGURATION.with_version_state(
+    VersionId("timber-4"), VersionState.WITHDRAWN
+)
+
+
+class FakeView:
+    def status(self):
+        return EntryStatus(
+            instance="entry-0",
+            failure_domain="lakes-a",
+            deployment="timberline",
+            is_ready=False,
+            revision=Revision(3),
+            rollouts=(),
+            outages=(),
+            draining=(),
+            withdrawn=(),
+            endpoints=(),
+        )
+
+    def in_force(self):
+        return InForce(revision=Revision(3), configuration=CONFIGURATION)
+
+    def explain(self, question):
+        return Explanation(
+            revision=Revision(3),
+            is_permitted=False,
+            versions=(),
+            candidates=(),
+            refusal=question.organisation,
+        )
+
+
+class Interface:
+    """The operators' application over a store in memory."""
+
+    def __init__(self, keys=KEYS):
+        self.store = MemoryTableStore()
+        self.clock = ManualClock()
+        app = build_operators_app(
+            view=FakeView(),
+            changes=StoredChanges(store=self.store, head_key="head"),
+            keys=OperatorKeys(keys),
+            metrics=Metrics(),
+        )
+        self.http = httpx.AsyncClient(
+            transport=httpx.ASGITransport(app), base_url="http://127.0.0.1"
+        )
+
+    def client(self, key=KEYS[0].secret):
+        return OperatorClient(self.http, clock=self.clock, key=key)
+
+
+def change(*, name="c-1", base=0, configuration=CONFIGURATION):
+    return SubmittedChange(
+        change=ChangeId(name),
+        base=Revision(base),
+        summary="test",
+        configuration=configuration,
+    )
+
+
+@pytest.mark.parametrize(
+    ("method", "path"),
+    [
+        ("POST", "/v1/changes"),
+        ("GET", "/v1/changes/c-1"),
+        ("GET", "/v1/configuration"),
+        ("POST", "/v1/explain"),
+    ],
+)
+@pytest.mark.parametrize(
+    ("keys", "headers"),
+    [
+        (KEYS, []),
+        (KEYS, [("authorization", "Bearer wrong")]),
+        (KEYS, [("authorization", KEYS[0].secret)]),
+        (KEYS, [("authorization", f"Bearer {KEYS[0].secret}")] * 2),
+        (KEYS, [("authorization", f"Bearer {timberline.example_key('county-00')}")]),
+        ((), [("authorization", "Bearer ")]),
+        ((), [("authorization", f"Bearer {KEYS[0].secret}")]),
+    ],
+)
+async def test_nothing_is_done_or_shown_without_a_key(method, path, keys, headers):
+    interface = Interface(keys)
+    body = msgspec.json.encode(change())
+    response = await interface.http.request(method, path, content=body, headers=headers)
+    assert response.status_code == 401
+    assert "county" not in response.text
+    assert interface.store.writes == 0
+
+
+@pytest.mark.parametrize("key", [key.secret for key in KEYS])
+async def test_every_key_in_rotation_is_accepted(key):
+    reply = (await Interface().client(key).submit(change())).unwrap()
+    assert reply.outcome is ChangeOutcome.ACCEPTED
+    assert reply.revision == 1
+
+
+@pytest.mark.parametrize(
+    ("path", "status", "text"),
+    [
+        ("/v1/status", 200, '"revision":3'),
+        ("/v1/ready", 503, "false"),
+        ("/metrics", 200, "fuchsiaroute_first_token_seconds"),
+        ("/v1/chat/completions", 404, "message"),
+    ],
+)
+async def test_open_pages_hold_no_secret(path, status, text):
+    response = await Interface().http.get(path)
+    assert response.status_code == status
+    assert text in response.text
+    assert CONFIGURATION.organisations[0].key_digest not in response.text
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "outcome"),
+    [
+        (change(), change(), ChangeOutcome.ACCEPTED),
+        (change(), change(name="c-2"), ChangeOutcome.CONFLICT),
+        (change(), change(name="c-2", base=1), ChangeOutcome.ACCEPTED),
+        (change(), change(name="c-2", base=2), ChangeOutcome.CONFLICT),
+        (change(), change(configuration=CHANGED), ChangeOutcome.CHANGE_ID_REUSED),
+    ],
+)
+async def test_second_change_is_told_what_came_first(first, second, outcome):
+    client = Interface().client()
+    assert (await client.submit(first)).unwrap().outcome is ChangeOutcome.ACCEPTED
+    assert (await client.submit(second)).unwrap().outcome is outcome
+
+
+async def test_racing_operators_leave_one_accepted_change():
+    client = Interface().client()
+    results = await asyncio.gather(
+        *(client.submit(change(name=f"c-{number}")) for number in range(5))
+    )
+    outcomes = [result.unwrap().outcome for result in results]
+    assert outcomes.count(ChangeOutcome.ACCEPTED) == 1
+    assert outcomes.count(ChangeOutcome.CONFLICT) == 4
+
+
+async def test_lost_answer_is_resolved_by_the_same_change():
+    interface = Interface()
+    interface.store.fault = StoreFault.ANSWER_LOST
+    submitting = asyncio.create_task(interface.client().submit(change()))
+    await interface.clock.advance(Milliseconds(1))
+    assert not submitting.done()
+    interface.store.fault = StoreFault.NONE
+    await interface.clock.advance(Milliseconds(10_000))
+    assert (await submitting).unwrap().outcome is ChangeOutcome.ACCEPTED
+    head = (await interface.store.read(["head"])).unwrap()[0]
+    assert (head.version, head.value) == (1, encode(CONFIGURATION))
+
+
+@pytest.mark.parametrize(
+    ("fault", "outcome"),
+    [
+        (StoreFault.DOWN, ChangeOutcome.NOT_WRITTEN),
+        (StoreFault.ANSWER_LOST, ChangeOutcome.UNKNOWN),
+    ],
+)
+async def test_outcome_that_is_not_known_is_said_so(fault, outcome):
+    interface = Interface()
+    interface.store.fault = fault
+    submitting = asyncio.create_task(interface.client().submit(change()))
+    await interface.clock.advance(Milliseconds(60_000))
+    reply = (await submitting).unwrap()
+    assert reply.outcome is outcome
+
+
+async def test_configuration_with_errors_is_refused_with_all_of_them():
+    interface = Interface()
+    broken = replace(CONFIGURATION, products=())
+    reply = (await interface.client().submit(change(configuration=broken))).unwrap()
+    assert reply.outcome is ChangeOutcome.INVALID
+    assert len(reply.faults) == len(CONFIGURATION.organisations)
+    assert reply.faults[3].place == "organisations[3].product"
+    assert interface.store.writes == 0
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b"{}", b"[" * 5_000])
+async def test_malformed_message_is_refused(body):
+    response = await Interface().http.post(
+        "/v1/changes",
+        content=body,
+        headers={"authorization": f"Bearer {KEYS[0].secret}"},
+    )
+    assert response.status_code == 400
+
+
+async def test_client_reads_what_the_interface_writes():
+    client = Interface().client()
+    assert (await client.in_force()).unwrap().configuration == CONFIGURATION
+    assert (await client.status()).unwrap().instance == "entry-0"
+    question = Question(
+        organisation=OrganisationId("county-00"),
+        request_class=RequestClass("stand-lookup"),
+    )
+    assert (await client.explain(question)).unwrap().refusal == "county-00"
+
+
+async def test_client_tells_a_refusal_from_a_missing_answer():
+    refused = await Interface().client(key="wrong").in_force()
+    assert refused.failure().kind is ClientErrorKind.REFUSED
+
+    def fail(request):
+        raise httpx.ReadTimeout("late")
+
+    http = httpx.AsyncClient(
+        transport=httpx.MockTransport(fail), base_url="http://127.0.0.1"
+    )
+    client = OperatorClient(http, clock=ManualClock())
+    assert (await client.status()).failure().kind is ClientErrorKind.NO_ANSWER
+
+
+def test_key_is_named_by_its_file_and_never_shown(tmp_path):
+    path = tmp_path / "ana.key"
+    path.write_text("0123456789abcdef\n")
+    (key,) = load_keys([path]).unwrap()
+    assert key == OperatorKey(name="ana", secret="0123456789abcdef")
+    assert key.secret not in repr(key)
+    assert load_keys([tmp_path / "missing"]).failure()
--- a/fuchsiaroute/routing/__init__.py
+++ b/fuchsiaroute/routing/__init__.py
@@ -13,6 +13,7 @@
     PriorEstimates,
     QualityEstimates,
 )
+from fuchsiaroute.routing._plan import make_plan
 from fuchsiaroute.routing._rules import Rule, version_rule
 from fuchsiaroute.routing._version_router import NO_LIMIT, VersionRouter
 from fuchsiaroute.routing._view import ConfigurationView
@@ -31,5 +32,6 @@
     "VersionRouter",
     "check_dispatch",
     "expected_cost",
+    "make_plan",
     "version_rule",
 ]
