--- a/fuchsiaroute/serving/_compose.py
+++ b/fuchsiaroute/serving/_compose.py
@@ -3,11 +3,10 @@
 import random
 from dataclasses import dataclass
 
-import httpx
 from litestar import Litestar
 
 from fuchsiaroute.clock import Clock, Milliseconds
-from fuchsiaroute.dispatch import Dispatcher
+from fuchsiaroute.dispatch import Connections, Dispatcher
 from fuchsiaroute.entry import (
     Background,
     ConfigurationPoll,
@@ -27,8 +26,6 @@
 #: How long a caller may keep an advice.
 ADVICE_LIFETIME = Milliseconds(5_000)
 MAXIMUM_IN_FLIGHT = 512
-CONNECT_TIMEOUT_SECONDS = 1.0
-MAXIMUM_CONNECTIONS = 1_024
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -67,7 +64,8 @@
     current: CurrentConfiguration
     poll: ConfigurationPoll
     advice: ListedEntries
-    client: httpx.AsyncClient
+    #: Connections to endpoints.
+    client: Connections
     routing: RoutingParts
     lasting: LastingParts
     #: Every periodic task of the entry.
@@ -84,11 +82,7 @@
 ) -> ComposedEntry:
     """Return an entry whose parts use ``store`` and ``clock``."""
     current = CurrentConfiguration()
-    client = httpx.AsyncClient(
-        timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_SECONDS),
-        limits=httpx.Limits(max_connections=MAXIMUM_CONNECTIONS),
-        trust_env=False,
-    )
+    client = Connections()
     advice = ListedEntries()
     randomness = random.Random(options.seed)
     routing = compose_routing(
@@ -113,7 +107,7 @@
         route=routing.route,
         attempt=LeastInFlightAttempt(
             current=current,
-            dispatcher=Dispatcher(client=client, clock=clock),
+            dispatcher=Dispatcher(connections=client, clock=clock),
             randomness=randomness,
         ),
         bill=MeteredBill(bill=lasting.bills, allowances=routing.allowances),
