--- a/fuchsiaroute/entry/_metered_bill.py
+++ b/fuchsiaroute/entry/_metered_bill.py
@@ -1,8 +1,11 @@
 """Billing that also counts towards the organisations' cost limits."""
 
+from returns.result import Result
+
 from fuchsiaroute.costlimit import Allowances
 from fuchsiaroute.entry._call import Bill
 from fuchsiaroute.entry._steps import BillStep
+from fuchsiaroute.verdict import Refusal
 
 
 class MeteredBill:
@@ -12,6 +15,10 @@
         self._bill = bill
         self._allowances = allowances
 
+    def check_room(self) -> Result[None, Refusal]:
+        """Refuse new requests that could not be billed."""
+        return self._bill.check_room()
+
     async def bill(self, bill: Bill) -> None:
         """Settle and record the cost of one answered request."""
         request = bill.request
--- a/fuchsiaroute/idempotency/_book.py
+++ b/fuchsiaroute/idempotency/_book.py
@@ -59,13 +59,16 @@
         instance: InstanceId,
         incarnation: Incarnation,
         rng: random.Random,
+        secret: bytes | None = None,
     ) -> None:
         self._store = store
         self._clock = clock
         self._instance = instance
         self._incarnation = incarnation
         self._rng = rng
-        self._issuer = IdIssuer(clock=clock, instance=instance, incarnation=incarnation)
+        self._issuer = IdIssuer(
+            clock=clock, instance=instance, incarnation=incarnation, secret=secret
+        )
         self._commits = GroupCommit(store=store, clock=clock)
         self._claims: OrderedDict[str, Claim] = OrderedDict()
 
@@ -82,6 +85,11 @@
         """Commit claims and outcomes until cancelled."""
         await self._commits.run()
 
+    async def drain(self, limit: Milliseconds) -> bool:
+        """Commit the outcomes; return whether the store had them within ``limit``."""
+        drained = await within(self._clock, limit, self._commits.drain())
+        return not isinstance(drained, TimedOut)
+
     async def claim(self, request: Request) -> Result[Claim | Replay, Refusal]:
         """
         Claim the non-idempotent ``request`` before its first dispatch.
@@ -147,6 +155,9 @@
     async def _claim_in_store(
         self, request: Request, key: str, known: Claim | None
     ) -> Result[Claim | Replay, Refusal]:
+        if self._store.retry_after > 0:
+            # A store that is known to fail is no reason to keep the caller waiting.
+            return Failure(refuse_unresolved(self._store.retry_after))
         if known is None and not self._make_room():
             return Failure(refuse_unresolved(Milliseconds(0)))
         claim = self._open(request, key, token=known.token if known else None)
@@ -194,9 +205,10 @@
     def _open(
         self, request: Request, key: str, *, token: ClaimToken | None = None
     ) -> Claim:
-        drawn = ClaimToken(f"{self._rng.getrandbits(TOKEN_BITS):032x}")
+        drawn = self._rng.getrandbits(TOKEN_BITS)
+        fresh = ClaimToken(f"{self._instance}/{self._incarnation}/{drawn:032x}")
         record = ClaimRecord(
-            token=token or drawn,
+            token=token or fresh,
             instance=self._instance,
             incarnation=self._incarnation,
         )
--- a/fuchsiaroute/serving/_compose.py
+++ b/fuchsiaroute/serving/_compose.py
@@ -3,12 +3,12 @@
 import random
 from dataclasses import dataclass
 
-import httpx
 from litestar import Litestar
 
 from fuchsiaroute.clock import Clock, Milliseconds
-from fuchsiaroute.dispatch import Dispatcher
+from fuchsiaroute.dispatch import Connections, Dispatcher
 from fuchsiaroute.entry import (
+    Background,
     ConfigurationPoll,
     CurrentConfiguration,
     InFlightLimit,
@@ -16,19 +16,16 @@
     MeteredBill,
     Pipeline,
     Steps,
-    StoredClaims,
-    StoredLedger,
 )
 from fuchsiaroute.gateway import Advice, AdvisedEntry, build_app
-from fuchsiaroute.ids import FailureDomainId, InstanceId
+from fuchsiaroute.ids import FailureDomainId, Incarnation, InstanceId
 from fuchsiaroute.platform import InstanceList, RatingService, TableStore
+from fuchsiaroute.serving._lasting import LastingParts, compose_lasting
 from fuchsiaroute.serving._routing import NoRatings, RoutingParts, compose_routing
 
 #: How long a caller may keep an advice.
 ADVICE_LIFETIME = Milliseconds(5_000)
 MAXIMUM_IN_FLIGHT = 512
-CONNECT_TIMEOUT_SECONDS = 1.0
-MAXIMUM_CONNECTIONS = 1_024
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -67,8 +64,12 @@
     current: CurrentConfiguration
     poll: ConfigurationPoll
     advice: ListedEntries
-    client: httpx.AsyncClient
+    #: Connections to endpoints.
+    client: Connections
     routing: RoutingParts
+    lasting: LastingParts
+    #: Every periodic task of the entry.
+    background: Background
 
 
 def compose_entry(
@@ -81,11 +82,7 @@
 ) -> ComposedEntry:
     """Return an entry whose parts use ``store`` and ``clock``."""
     current = CurrentConfiguration()
-    client = httpx.AsyncClient(
-        timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_SECONDS),
-        limits=httpx.Limits(max_connections=MAXIMUM_CONNECTIONS),
-        trust_env=False,
-    )
+    client = Connections()
     advice = ListedEntries()
     randomness = random.Random(options.seed)
     routing = compose_routing(
@@ -97,26 +94,41 @@
         entry_count=lambda: len(advice.entries),
         randomness=randomness,
     )
+    lasting = compose_lasting(
+        store=store,
+        clock=clock,
+        instance=options.instance,
+        incarnation=Incarnation(clock.wall()),
+        entry_count=lambda: len(advice.entries),
+    )
     steps = Steps(
         admit=InFlightLimit(clock=clock, limit=MAXIMUM_IN_FLIGHT),
-        claim=StoredClaims(store=store, clock=clock),
+        claim=lasting.claims,
         route=routing.route,
         attempt=LeastInFlightAttempt(
             current=current,
-            dispatcher=Dispatcher(client=client, clock=clock),
+            dispatcher=Dispatcher(connections=client, clock=clock),
             randomness=randomness,
         ),
-        bill=MeteredBill(bill=StoredLedger(store=store), allowances=routing.allowances),
+        bill=MeteredBill(bill=lasting.bills, allowances=routing.allowances),
     )
     app = build_app(
         pipeline=Pipeline(steps=steps), current=current, advice=advice, clock=clock
     )
+    poll = ConfigurationPoll(store=store, current=current, clock=clock)
+    background = Background()
+    background.add("configuration", poll.run)
+    background.add("ratings", routing.ratings.run)
+    background.add("claims", lasting.book.run)
+    background.add("ledger", lasting.ledger.run)
     return ComposedEntry(
         options=options,
         app=app,
         current=current,
-        poll=ConfigurationPoll(store=store, current=current, clock=clock),
+        poll=poll,
         advice=advice,
         client=client,
         routing=routing,
+        lasting=lasting,
+        background=background,
     )
--- a/fuchsiaroute/serving/_run.py
+++ b/fuchsiaroute/serving/_run.py
@@ -3,10 +3,7 @@
 import asyncio
 import contextlib
 import signal
-from collections.abc import Coroutine
-from typing import Any
 
-import httpx
 from returns.result import Failure
 
 from fuchsiaroute.clock import Clock, Milliseconds, SystemClock
@@ -16,8 +13,10 @@
 from fuchsiaroute.serving._routing import NoRatings
 from fuchsiaroute.serving._server import HttpServer
 from fuchsiaroute.settings import Settings, read_secrets
+from fuchsiaroute.transport import build_client
 
-MILLISECONDS_PER_SECOND = 1_000
+#: Longest wait at a graceful stop for the store to take the ledger's records.
+DRAIN_LIMIT = Milliseconds(10_000)
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -27,16 +26,14 @@
     def __init__(self, *, settings: Settings, clock: Clock) -> None:
         self._settings = settings
         self._clock = clock
-        self._platform = httpx.AsyncClient(
+        self._platform = build_client(
             base_url=settings.platform.table_url,
-            timeout=_seconds(settings.platform.write_timeout),
-            trust_env=False,
+            read_timeout=settings.platform.write_timeout,
         )
         has_ratings = bool(settings.platform.rating_url)
-        self._ratings = httpx.AsyncClient(
+        self._ratings = build_client(
             base_url=settings.platform.rating_url,
-            timeout=_seconds(settings.platform.read_timeout),
-            trust_env=False,
+            read_timeout=settings.platform.read_timeout,
         )
         options = EntryOptions(
             instance=settings.instance.id,
@@ -55,7 +52,6 @@
             host=settings.callers.host,
             port=settings.callers.port,
         )
-        self._tasks: list[asyncio.Task[None]] = []
 
     @property
     def entry(self) -> ComposedEntry:
@@ -69,8 +65,7 @@
 
     async def start(self) -> None:
         """Start periodic tasks, then accept callers."""
-        self._start_task(self._entry.poll.run())
-        self._start_task(self._entry.routing.ratings.run())
+        self._entry.background.start()
         await self._callers.start()
         self._entry.advice.entries = (
             AdvisedEntry(
@@ -83,16 +78,13 @@
         """Finish the open requests, then leave."""
         await self._callers.stop()
         await self._entry.routing.allowances.give_back()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._entry.lasting.book.drain(DRAIN_LIMIT)
+        await self._entry.lasting.ledger.drain(DRAIN_LIMIT)
+        await self._entry.background.stop()
         await self._entry.client.aclose()
         await self._platform.aclose()
         await self._ratings.aclose()
 
-    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.create_task(work))
-
 
 async def serve(settings: Settings) -> None:
     """Serve callers until the process is told to stop."""
@@ -113,7 +105,3 @@
     if isinstance(keys, Failure):
         raise keys.failure()
     return keys.unwrap()
-
-
-def _seconds(duration: Milliseconds) -> float:
-    return duration / MILLISECONDS_PER_SECOND
