--- a/fuchsiaroute/idempotency/_group_commit.py
+++ b/fuchsiaroute/idempotency/_group_commit.py
@@ -111,10 +111,16 @@
             self._wake.clear()
             is_done = await self.commit_batch()
             if not is_done:
-                await self._clock.sleep(RETRY_PAUSE)
+                pause = max(RETRY_PAUSE, self._store.retry_after)
+                await self._clock.sleep(Milliseconds(pause))
             if self._claims or self._outcomes:
                 self._wake.set()
 
+    async def drain(self) -> None:
+        """Wait until every outcome is in the store."""
+        while self._outcomes:
+            await self._clock.sleep(RETRY_PAUSE)
+
     async def commit_batch(self) -> bool:
         """Commit one batch; return whether the store answered."""
         claims = self._take_claims()
