Print what callers had through a run under failures

Cause: the promises held while callers had few answers, and nothing showed why. Change: refusals by reason and whole answers by time; entries share keys, as in a real deployment, so that a session pin holds at every entry.

--- a/benches/_processes.py
+++ b/benches/_processes.py
@@ -27,6 +27,8 @@
 HOST = "127.0.0.1"
 READY_TIMEOUT_SECONDS = 20.0
 READY_POLL_SECONDS = 0.05
+#: Key of operators, peers and session pins on loopback; protects nothing.
+SHARED_KEY = "bench-key-of-at-least-thirty-two-characters"
 
 
 def free_port() -> int:
@@ -110,12 +112,15 @@
 ) -> Child:
     """Return an entry whose settings are written into ``directory``."""
     ports = [free_port() for _ in range(3)]
+    key = directory / "shared.key"
+    key.write_text(SHARED_KEY)
     path = directory / f"entry-{number}.ini"
     path.write_text(
         f"[instance]\nid = entry-{number}\nfailure_domain = {failure_domain}\n"
         f"[callers]\nport = {ports[0]}\n"
-        f"[operators]\nport = {ports[1]}\n"
-        f"[peers]\nport = {ports[2]}\n"
+        f"[operators]\nport = {ports[1]}\nkey_files = {key}\n"
+        f"[peers]\nport = {ports[2]}\nkey_files = {key}\n"
+        f"[session]\npin_key_files = {key}\n"
         f"[platform]\ntable_url = {platform_url}\n"
         f"[log]\npath = {directory / f'entry-{number}.log'}\n"
     )
--- a/benches/bench_failures.py
+++ b/benches/bench_failures.py
@@ -57,6 +57,8 @@
 TAKEN_OUT = FailureDomainId("lakes-b")
 LEDGER_LIMIT = 100_000
 SHOWN_VIOLATIONS = 8
+SHOWN_REASONS = 12
+BIN_MILLISECONDS = 2_000
 
 
 @dataclass(kw_only=True)
@@ -265,6 +267,7 @@
         if endpoint.failure_domain == TAKEN_OUT
         for run in of_endpoint
     ]
+    _print_service(stories)
     answered = sum(story.is_answered for story in stories)
     print(f"{answered} of {len(stories)} requests answered, {len(every_run)} runs")
     return [
@@ -288,6 +291,26 @@
     ]
 
 
+def _print_service(stories: list[Story]) -> None:
+    """Print what callers had, and how much of it, through the run."""
+    responses = [response for story in stories for response in story.responses]
+    reasons = Counter(
+        (response.status, response.reason, response.verdict)
+        for response in responses
+        if not response.is_whole
+    )
+    for (status, reason, verdict), count in reasons.most_common(SHOWN_REASONS):
+        print(f"  {count:6} x status {status} {reason} {verdict}")
+    start = min(response.at for response in responses)
+    whole = Counter(
+        (response.at - start) // BIN_MILLISECONDS
+        for response in responses
+        if response.is_whole
+    )
+    bins = [whole[number] for number in range(max(whole) + 1)]
+    print(f"  whole answers by {BIN_MILLISECONDS // 1000} s: {bins}")
+
+
 def main() -> None:
     """Run the schedule and print what held."""
     with tempfile.TemporaryDirectory() as directory:
