--- a/fuchsiaroute/operators/__init__.py
+++ b/fuchsiaroute/operators/__init__.py
@@ -13,6 +13,7 @@
 )
 from fuchsiaroute.operators._explain import explain
 from fuchsiaroute.operators._interfaces import ChangeLog, EntryView
+from fuchsiaroute.operators._logged_changes import LoggedChanges
 from fuchsiaroute.operators._messages import (
     ChangeOutcome,
     ChangeReply,
@@ -24,7 +25,6 @@
     Question,
     SubmittedChange,
 )
-from fuchsiaroute.operators._stored_changes import StoredChanges
 
 __all__ = [
     "ChangeLog",
@@ -37,12 +37,12 @@
     "EntryView",
     "Explanation",
     "InForce",
+    "LoggedChanges",
     "OperatorClient",
     "OperatorError",
     "OperatorKey",
     "OperatorKeys",
     "Question",
-    "StoredChanges",
     "SubmittedChange",
     "build_operators_app",
     "explain",
--- a/fuchsiaroute/operators/_client.py
+++ b/fuchsiaroute/operators/_client.py
@@ -1,6 +1,6 @@
 """Client of the operators' interface, for the command line and for programs."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import TypeVar
 
@@ -76,6 +76,7 @@
         """
         body = msgspec.json.encode(change)
         backoff = FIRST_BACKOFF
+        is_in_doubt = False
         for attempt in range(SUBMIT_ATTEMPTS):
             if attempt:
                 await self._clock.sleep(backoff)
@@ -83,7 +84,8 @@
             result = await self._call("POST", "/v1/changes", ChangeReply, body=body)
             if _is_settled(result):
                 return result
-        return result
+            is_in_doubt = is_in_doubt or _is_in_doubt(result)
+        return result.map(_doubtful) if is_in_doubt else result
 
     async def _call(
         self, method: str, path: str, message: type[_Message], *, body: bytes = b""
@@ -109,6 +111,21 @@
     return False
 
 
+def _is_in_doubt(result: Result[ChangeReply, ClientError]) -> bool:
+    """Return whether an attempt that ended like this may have taken effect."""
+    match result:
+        case Success(reply):
+            return reply.outcome is ChangeOutcome.UNKNOWN
+        case Failure(ClientError(kind=kind)):
+            return kind is ClientErrorKind.NO_ANSWER
+    return True
+
+
+def _doubtful(reply: ChangeReply) -> ChangeReply:
+    """Return the last reply as one on all attempts, of which one is in doubt."""
+    return replace(reply, outcome=ChangeOutcome.UNKNOWN)
+
+
 def _error(response: httpx.Response) -> ClientError:
     try:
         error = msgspec.json.decode(response.content, type=OperatorError)
