--- a/fuchsiaroute/idempotency/_book.py
+++ b/fuchsiaroute/idempotency/_book.py
@@ -59,13 +59,16 @@
         instance: InstanceId,
         incarnation: Incarnation,
         rng: random.Random,
+        secret: bytes | None = None,
     ) -> None:
         self._store = store
         self._clock = clock
         self._instance = instance
         self._incarnation = incarnation
         self._rng = rng
-        self._issuer = IdIssuer(clock=clock, instance=instance, incarnation=incarnation)
+        self._issuer = IdIssuer(
+            clock=clock, instance=instance, incarnation=incarnation, secret=secret
+        )
         self._commits = GroupCommit(store=store, clock=clock)
         self._claims: OrderedDict[str, Claim] = OrderedDict()
 
@@ -152,6 +155,9 @@
     async def _claim_in_store(
         self, request: Request, key: str, known: Claim | None
     ) -> Result[Claim | Replay, Refusal]:
+        if self._store.retry_after > 0:
+            # A store that is known to fail is no reason to keep the caller waiting.
+            return Failure(refuse_unresolved(self._store.retry_after))
         if known is None and not self._make_room():
             return Failure(refuse_unresolved(Milliseconds(0)))
         claim = self._open(request, key, token=known.token if known else None)
