Give operators a command line with documented exit codes

Cause: only serve, demo and version existed, and a serving process loaded rich, click and pygments through the HTTP client's own command line.

--- a/fuchsiaroute/cli/_app.py
+++ b/fuchsiaroute/cli/_app.py
@@ -1,13 +1,53 @@
-"""Commands and their arguments."""
+"""The commands, each loaded only when it runs, so that serving stays small."""
 
 import sys
-from pathlib import Path
 
-from cyclopts import App
+from cyclopts import App, CycloptsError
 
 import fuchsiaroute
+from fuchsiaroute.cli._exit import ExitCode
+from fuchsiaroute.cli._lean import leave_out_unused_imports
+
+_EPILOGUE = """
+Exit codes: 0 done, valid or permitted; 1 refused or no answer; 2 faulty arguments,
+settings or declaration; 3 a change may be in force (repeat it with its change id).
+"""
+
+app = App(
+    name="fuchsiaroute",
+    help="Model-aware router for versions and cascades.",
+    help_epilogue=_EPILOGUE,
+    version=fuchsiaroute.__version__,
+)
+outage = App(name="outage", help="Take a failure domain out and bring it back.")
+rollout = App(name="rollout", help="Change a model's version step by step.")
+standin = App(name="standin", help="Stand-ins for systems outside the router.")
 
-app = App(name="fuchsiaroute", version=fuchsiaroute.__version__)
+_COMMANDS = (
+    (app, "serve", "_serve:serve", "Serve callers as one entry."),
+    (app, "demo", "_demo:demo", "Serve both example deployments on stand-ins."),
+    (app, "check", "_check:check", "Check a settings file or a declaration."),
+    (app, "plan", "_apply:plan", "Compare a declaration with what is in force."),
+    (app, "apply", "_apply:apply", "Put a declaration in force."),
+    (app, "status", "_status:status", "Show entries and what they enforce."),
+    (app, "explain", "_explain:explain", "Show how a request would be routed."),
+    (app, "withdraw", "_edits:withdraw", "Give a version no new work."),
+    (app, "reinstate", "_edits:reinstate", "Give a version new work again."),
+    (outage, "begin", "_edits:outage_begin", "Take a failure domain out."),
+    (outage, "end", "_edits:outage_end", "Bring a failure domain back."),
+    (rollout, "start", "_edits:rollout_start", "Start a roll-out."),
+    (rollout, "advance", "_edits:rollout_advance", "Go on to the next stage."),
+    (rollout, "pause", "_edits:rollout_pause", "Give the target no new sessions."),
+    (rollout, "resume", "_edits:rollout_resume", "Go on after a pause."),
+    (rollout, "abort", "_edits:rollout_abort", "Give the target no work, for good."),
+    (standin, "platform", "_serve:platform", "Stand in for the platform."),
+    (standin, "endpoint", "_serve:endpoint", "Stand in for an endpoint."),
+)
+
+for _group in (outage, rollout, standin):
+    app.command(_group)
+for _app, _name, _target, _help in _COMMANDS:
+    _app.command(f"fuchsiaroute.cli.{_target}", name=_name, help=_help)
 
 
 @app.command
@@ -16,54 +56,11 @@
     print(fuchsiaroute.__version__)
 
 
-@app.command
-def demo() -> None:
-    """Serve both example deployments on embedded stand-ins and print the totals."""
-    # Imported here because the other commands need neither servers nor examples.
-    from fuchsiaroute.cli._demo import run_demo
-
-    sys.exit(0 if run_demo() else 1)
-
-
-@app.command
-def serve(settings: Path) -> None:
-    """Serve callers as one entry, with the settings in an INI file."""
-    from fuchsiaroute.cli._serve import run_entry
-
-    run_entry(settings)
-
-
-standin = App(name="standin", help="Stand-ins for systems outside the router.")
-app.command(standin)
-
-
-@standin.command
-def platform(*, host: str = "127.0.0.1", port: int = 9000) -> None:
-    """Serve a stand-in for the platform's services, in memory."""
-    from fuchsiaroute.cli._serve import run_stand_in_platform
-
-    run_stand_in_platform(host=host, port=port)
-
-
-@standin.command
-def endpoint(
-    *,
-    host: str = "127.0.0.1",
-    port: int = 9101,
-    first_token: int = 20,
-    between_tokens: int = 2,
-) -> None:
-    """Serve a stand-in for a model engine or a plain service; times in ms."""
-    from fuchsiaroute.cli._serve import run_stand_in_endpoint
-
-    run_stand_in_endpoint(
-        host=host,
-        port=port,
-        first_token=first_token,
-        between_tokens=between_tokens,
-    )
-
-
 def main() -> None:
-    """Run the command named on the command line."""
-    app()
+    """Run the command named on the command line and exit with its code."""
+    leave_out_unused_imports()
+    try:
+        code = app(sys.argv[1:], exit_on_error=False, result_action="return_value")
+    except CycloptsError:
+        sys.exit(ExitCode.FAULTY_INPUT)
+    sys.exit(code or ExitCode.OK)
--- a/fuchsiaroute/cli/_demo.py
+++ b/fuchsiaroute/cli/_demo.py
@@ -3,12 +3,18 @@
 import asyncio
 
 from examples import hanbit, timberline
+from fuchsiaroute.cli._exit import ExitCode
 from fuchsiaroute.clock import SystemClock
 from fuchsiaroute.demo import format_report, run_deployment
 
 SEED = 1
 
 
+def demo() -> ExitCode:
+    """Serve both example deployments on embedded stand-ins and print the totals."""
+    return ExitCode.OK if run_demo() else ExitCode.REFUSED
+
+
 def run_demo() -> bool:
     """Run both deployments; return whether every answer was billed once."""
     is_whole = True
--- /dev/null
+++ b/fuchsiaroute/cli/_lean.py
@@ -0,0 +1,19 @@
+"""Imports that a serving entry does without."""
+
+import sys
+from types import ModuleType
+
+#: Command line of the HTTP client library, which loads three more libraries.
+HTTP_CLIENT_COMMAND_LINE = "httpx._main"
+
+
+def leave_out_unused_imports() -> None:
+    """
+    Keep the command line of the HTTP client library from being loaded.
+
+    It takes 3 MB of the 64 MB that control may have on an instance, and nothing here
+    calls it. The library itself treats its absence as ordinary.
+    """
+    stub = ModuleType(HTTP_CLIENT_COMMAND_LINE)
+    stub.main = None  # type: ignore[attr-defined]
+    sys.modules.setdefault(HTTP_CLIENT_COMMAND_LINE, stub)
--- a/fuchsiaroute/cli/_serve.py
+++ b/fuchsiaroute/cli/_serve.py
@@ -1,48 +1,67 @@
 """The long-running commands: an entry, and the stand-ins around it."""
 
 import asyncio
-import sys
 from pathlib import Path
 
 from returns.result import Failure, Success
 
+from fuchsiaroute.cli._exit import ExitCode
+from fuchsiaroute.cli._output import print_error, print_errors
 from fuchsiaroute.clock import Milliseconds, SystemClock
-from fuchsiaroute.serving import HttpServer, serve
-from fuchsiaroute.settings import load
+from fuchsiaroute.serving import HttpServer, serve as serve_entry
+from fuchsiaroute.settings import SecretError, load
 
-EXIT_SETTINGS = 2
 
+def serve(settings: Path) -> ExitCode:
+    """
+    Serve callers as one entry until told to stop by SIGTERM or SIGINT.
 
-def run_entry(path: Path) -> None:
-    """Serve with the settings in ``path``; exit with 2 if they have faults."""
-    match load(path):
-        case Success(settings):
-            asyncio.run(serve(settings))
+    Parameters
+    ----------
+    settings
+        The entry's settings, an INI file.
+
+    """
+    match load(settings):
         case Failure(faults):
-            for fault in faults:
-                print(fault, file=sys.stderr)
-            sys.exit(EXIT_SETTINGS)
+            print_errors(f"{settings}: {fault}" for fault in faults)
+            return ExitCode.FAULTY_INPUT
+        case Success(loaded):
+            try:
+                asyncio.run(serve_entry(loaded))
+            except SecretError as error:
+                print_error(error)
+                return ExitCode.FAULTY_INPUT
+            except OSError as error:
+                # An address in use, or a log file that cannot be opened.
+                print_error(error)
+                return ExitCode.REFUSED
+    return ExitCode.OK
 
 
-def run_stand_in_platform(*, host: str, port: int) -> None:
-    """Serve the stand-in for the platform's services."""
+def platform(*, host: str = "127.0.0.1", port: int = 9000) -> None:
+    """Serve a stand-in for the platform's services, in memory."""
     from fuchsiaroute.standin import build_platform_app
 
     asyncio.run(_serve_app(build_platform_app(), host=host, port=port))
 
 
-def run_stand_in_endpoint(
-    *, host: str, port: int, first_token: int, between_tokens: int
+def endpoint(
+    *,
+    host: str = "127.0.0.1",
+    port: int = 9101,
+    first_token: int = 20,
+    between_tokens: int = 2,
 ) -> None:
-    """Serve the stand-in for a model engine or a plain service."""
+    """Serve a stand-in for a model engine or a plain service; times in ms."""
     from fuchsiaroute.standin import EngineBehaviour, StandInEndpoint
 
     behaviour = EngineBehaviour(
         first_token=Milliseconds(first_token),
         between_tokens=Milliseconds(between_tokens),
     )
-    endpoint = StandInEndpoint(clock=SystemClock(), behaviour=behaviour)
-    asyncio.run(_serve_app(endpoint.build_app(), host=host, port=port))
+    standin = StandInEndpoint(clock=SystemClock(), behaviour=behaviour)
+    asyncio.run(_serve_app(standin.build_app(), host=host, port=port))
 
 
 async def _serve_app(app: object, *, host: str, port: int) -> None:
--- a/fuchsiaroute/operators/_client.py
+++ b/fuchsiaroute/operators/_client.py
@@ -34,6 +34,8 @@
 
     #: The entry refused the call; it had no effect.
     REFUSED = "refused"
+    #: The call never left; it had no effect.
+    UNREACHABLE = "unreachable"
     #: No whole answer arrived; a change may have taken effect.
     NO_ANSWER = "no-answer"
 
@@ -85,7 +87,7 @@
             if _is_settled(result):
                 return result
             is_in_doubt = is_in_doubt or _is_in_doubt(result)
-        return result.map(_doubtful) if is_in_doubt else result
+        return result.map(_doubtful).alt(_doubtful_error) if is_in_doubt else result
 
     async def _call(
         self, method: str, path: str, message: type[_Message], *, body: bytes = b""
@@ -94,6 +96,9 @@
             response = await self._http.request(
                 method, path, content=body, headers=self._headers
             )
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            kind = ClientErrorKind.UNREACHABLE
+            return Failure(ClientError(kind=kind, message=str(error)))
         except httpx.HTTPError as error:
             return Failure(_no_answer(f"{type(error).__name__}: {error}"))
         try:
@@ -126,6 +131,10 @@
     return replace(reply, outcome=ChangeOutcome.UNKNOWN)
 
 
+def _doubtful_error(error: ClientError) -> ClientError:
+    return replace(error, kind=ClientErrorKind.NO_ANSWER)
+
+
 def _error(response: httpx.Response) -> ClientError:
     try:
         error = msgspec.json.decode(response.content, type=OperatorError)
--- a/fuchsiaroute/operators/tests/test_operators.py
+++ b/fuchsiaroute/operators/tests/test_operators.py
@@ -246,18 +246,37 @@
     assert (await client.explain(question)).unwrap().refusal == "county-00"
 
 
-async def test_client_tells_a_refusal_from_a_missing_answer():
+async def test_refused_call_is_no_missing_answer():
     refused = await Interface().client(key="wrong").in_force()
     assert refused.failure().kind is ClientErrorKind.REFUSED
 
+
+LATE, APART = httpx.ReadTimeout("late"), httpx.ConnectError("apart")
+
+
+@pytest.mark.parametrize(
+    ("errors", "kind"),
+    [
+        ([APART] * 5, ClientErrorKind.UNREACHABLE),
+        ([LATE] * 5, ClientErrorKind.NO_ANSWER),
+        ([LATE] + [APART] * 4, ClientErrorKind.NO_ANSWER),
+    ],
+)
+async def test_attempt_without_an_answer_leaves_the_change_in_doubt(errors, kind):
+    left = list(errors)
+
     def fail(request):
-        raise httpx.ReadTimeout("late")
+        raise left.pop(0)
 
     http = httpx.AsyncClient(
         transport=httpx.MockTransport(fail), base_url="http://127.0.0.1"
     )
-    client = OperatorClient(http, clock=ManualClock())
-    assert (await client.status()).failure().kind is ClientErrorKind.NO_ANSWER
+    clock = ManualClock()
+    client = OperatorClient(http, clock=clock)
+    submitting = asyncio.create_task(client.submit(change()))
+    await clock.advance(Milliseconds(60_000))
+    assert (await submitting).failure().kind is kind
+    assert left == []
 
 
 def test_key_is_named_by_its_file_and_never_shown(tmp_path):
