Place versions from every entry; keep each function within its store budget

Cause: placement was not part of an entry, and cost limits, ratings and configuration used the store without timeout, circuit or budget, so that a slow store stood in the path of idempotent requests.

Change: each entry runs the placement supervisor with orders over HTTP and hands its leases over at a graceful stop; every function uses its view of the one store client; stand-in engines take orders and check the fencing number.

Conclusion: the circuit is shared, so the poll of the configuration finds a failing store before a request does.

--- a/fuchsiaroute/demo/_deployment.py
+++ b/fuchsiaroute/demo/_deployment.py
@@ -55,7 +55,7 @@
         await asyncio.gather(*(server.stop() for server in self.servers))
         for entry in self.entries:
             await entry.background.stop()
-            await entry.client.aclose()
+            await entry.aclose()
 
 
 async def start_deployment(
--- a/fuchsiaroute/entry/_current.py
+++ b/fuchsiaroute/entry/_current.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from fuchsiaroute.configuration import Configuration
-from fuchsiaroute.ids import Revision
+from fuchsiaroute.ids import EndpointId, Revision
 
 #: Revision of an entry that has not yet learned any configuration.
 NO_REVISION = Revision(0)
@@ -42,6 +42,11 @@
         """Return whether any configuration is in force."""
         return self._revision > NO_REVISION
 
+    def endpoint_url(self, endpoint: EndpointId) -> str | None:
+        """Return the base URL of ``endpoint``, or None if it is not declared."""
+        declared = self._configuration.endpoints
+        return next((item.url for item in declared if item.id == endpoint), None)
+
     def subscribe(self, listener: Listener) -> None:
         """Call ``listener`` for the present and each later configuration."""
         self._listeners.append(listener)
--- a/fuchsiaroute/serving/_compose.py
+++ b/fuchsiaroute/serving/_compose.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import dataclass
 
+import httpx
 from litestar import Litestar
 
 from fuchsiaroute.clock import Clock, Milliseconds
@@ -19,13 +20,22 @@
 )
 from fuchsiaroute.gateway import Advice, AdvisedEntry, build_app
 from fuchsiaroute.ids import FailureDomainId, Incarnation, InstanceId
-from fuchsiaroute.platform import InstanceList, RatingService, TableStore
+from fuchsiaroute.platform import (
+    HttpEngineOrders,
+    InstanceList,
+    RatingService,
+    StoreFunction,
+    TableStore,
+)
 from fuchsiaroute.serving._lasting import LastingParts, compose_lasting
 from fuchsiaroute.serving._routing import NoRatings, RoutingParts, compose_routing
+from fuchsiaroute.transport import build_client
 
 #: How long a caller may keep an advice.
 ADVICE_LIFETIME = Milliseconds(5_000)
 MAXIMUM_IN_FLIGHT = 512
+#: Longest wait for an engine to confirm an order.
+ORDER_TIMEOUT = Milliseconds(5_000)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -66,11 +76,18 @@
     advice: ListedEntries
     #: Connections to endpoints.
     client: Connections
+    #: Connections to engines for orders.
+    orders_client: httpx.AsyncClient
     routing: RoutingParts
     lasting: LastingParts
     #: Every periodic task of the entry.
     background: Background
 
+    async def aclose(self) -> None:
+        """Close the connections to endpoints and engines."""
+        await self.client.aclose()
+        await self.orders_client.aclose()
+
 
 def compose_entry(
     *,
@@ -85,22 +102,26 @@
     client = Connections()
     advice = ListedEntries()
     randomness = random.Random(options.seed)
+    orders_client = build_client(read_timeout=ORDER_TIMEOUT)
+    lasting = compose_lasting(
+        store=store,
+        clock=clock,
+        instance=options.instance,
+        incarnation=Incarnation(clock.wall()),
+        entry_count=lambda: len(advice.entries),
+        configuration=lambda: current.configuration,
+        orders=HttpEngineOrders(orders_client, current.endpoint_url),
+    )
     routing = compose_routing(
         current=current,
-        store=store,
+        store=lasting.client.view(StoreFunction.SPENDING),
+        quality_store=lasting.client.view(StoreFunction.QUALITY),
         rating_service=ratings or NoRatings(),
         pin_keys=options.pin_keys,
         clock=clock,
         entry_count=lambda: len(advice.entries),
         randomness=randomness,
     )
-    lasting = compose_lasting(
-        store=store,
-        clock=clock,
-        instance=options.instance,
-        incarnation=Incarnation(clock.wall()),
-        entry_count=lambda: len(advice.entries),
-    )
     steps = Steps(
         admit=InFlightLimit(clock=clock, limit=MAXIMUM_IN_FLIGHT),
         claim=lasting.claims,
@@ -115,12 +136,14 @@
     app = build_app(
         pipeline=Pipeline(steps=steps), current=current, advice=advice, clock=clock
     )
-    poll = ConfigurationPoll(store=store, current=current, clock=clock)
+    configuration_store = lasting.client.view(StoreFunction.CONFIGURATION)
+    poll = ConfigurationPoll(store=configuration_store, current=current, clock=clock)
     background = Background()
     background.add("configuration", poll.run)
     background.add("ratings", routing.ratings.run)
     background.add("claims", lasting.book.run)
     background.add("ledger", lasting.ledger.run)
+    background.add("placement", lasting.placement.run)
     return ComposedEntry(
         options=options,
         app=app,
@@ -128,6 +151,7 @@
         poll=poll,
         advice=advice,
         client=client,
+        orders_client=orders_client,
         routing=routing,
         lasting=lasting,
         background=background,
--- a/fuchsiaroute/serving/_lasting.py
+++ b/fuchsiaroute/serving/_lasting.py
@@ -1,4 +1,4 @@
-"""The parts of an entry that keep what must last: claims and the ledger."""
+"""The parts of an entry that keep what must last: claims, ledger, placement."""
 
 import random
 from collections.abc import Callable
@@ -6,15 +6,17 @@
 
 from fuchsiaroute.billing import CopyHolder, Ledger, PeerCopies
 from fuchsiaroute.clock import Clock
+from fuchsiaroute.configuration import Configuration
 from fuchsiaroute.entry import BookClaims, LedgerBills
 from fuchsiaroute.idempotency import ClaimBook
 from fuchsiaroute.ids import Incarnation, InstanceId
-from fuchsiaroute.platform import StoreClient, StoreFunction, TableStore
+from fuchsiaroute.placement import PlacementSupervisor
+from fuchsiaroute.platform import EngineOrders, StoreClient, StoreFunction, TableStore
 
 
 @dataclass(frozen=True, kw_only=True)
 class LastingParts:
-    """The claim and billing steps, and what they rest on."""
+    """The claim and billing steps, orders to engines, and what they rest on."""
 
     client: StoreClient
     book: ClaimBook
@@ -23,6 +25,7 @@
     bills: LedgerBills
     #: Copies of other entries' records.
     copy_holder: CopyHolder
+    placement: PlacementSupervisor
 
 
 def compose_lasting(
@@ -32,6 +35,8 @@
     instance: InstanceId,
     incarnation: Incarnation,
     entry_count: Callable[[], int],
+    configuration: Callable[[], Configuration],
+    orders: EngineOrders,
     copies: PeerCopies | None = None,
 ) -> LastingParts:
     """Return the parts for one entry; ``copies`` sends ledger records to a peer."""
@@ -53,4 +58,14 @@
         ledger=ledger,
         bills=LedgerBills(ledger=ledger, clock=clock, instance=instance),
         copy_holder=CopyHolder(),
+        placement=PlacementSupervisor(
+            store=client.view(StoreFunction.PLACEMENT),
+            orders=orders,
+            configuration=configuration,
+            clock=clock,
+            instance=instance,
+            incarnation=incarnation,
+            rng=rng,
+            entry_count=entry_count,
+        ),
     )
--- a/fuchsiaroute/serving/_routing.py
+++ b/fuchsiaroute/serving/_routing.py
@@ -43,6 +43,7 @@
     *,
     current: CurrentConfiguration,
     store: TableStore,
+    quality_store: TableStore,
     rating_service: RatingService,
     pin_keys: tuple[str, ...],
     clock: Clock,
@@ -52,6 +53,8 @@
     """
     Return the parts for one entry.
 
+    ``store`` serves the cost limits, ``quality_store`` ratings and roll-outs.
+
     Without ``pin_keys`` the entry makes a key of its own, and its pins are refused by
     every other entry.
     """
@@ -71,10 +74,10 @@
         randomness=randomness,
     )
     ratings = RatingPoll(
-        log=RatingLog(store=store, service=rating_service),
+        log=RatingLog(store=quality_store, service=rating_service),
         estimates=estimates,
         route=route,
-        pauser=StoredRolloutPauser(store=store),
+        pauser=StoredRolloutPauser(store=quality_store),
         current=current,
         clock=clock,
         randomness=randomness,
--- a/fuchsiaroute/serving/_run.py
+++ b/fuchsiaroute/serving/_run.py
@@ -81,7 +81,8 @@
         await self._entry.lasting.book.drain(DRAIN_LIMIT)
         await self._entry.lasting.ledger.drain(DRAIN_LIMIT)
         await self._entry.background.stop()
-        await self._entry.client.aclose()
+        await self._entry.lasting.placement.release()
+        await self._entry.aclose()
         await self._platform.aclose()
         await self._ratings.aclose()
 
--- a/fuchsiaroute/standin/_engine.py
+++ b/fuchsiaroute/standin/_engine.py
@@ -19,6 +19,8 @@
     EndpointStatus,
 )
 from fuchsiaroute.ids import Incarnation
+from fuchsiaroute.platform import MemoryEngine
+from fuchsiaroute.standin._orders import build_order_handlers
 
 AnyRequest = Request[Any, Any, Any]
 AnyResponse = Response[Any]
@@ -104,6 +106,8 @@
         self._warm_at: Milliseconds | None = None
         #: Worst load while cold, divided by what it bears cold.
         self.worst_cold_ratio = 0.0
+        #: What orders have loaded; answers don't depend on it.
+        self.engine = MemoryEngine()
         #: Every run so far, oldest first.
         self.runs: list[RunRecord] = []
 
@@ -127,7 +131,13 @@
             return Response(content=msgspec.json.encode(self.runs), media_type=JSON)
 
         return Litestar(
-            route_handlers=[complete, call, list_runs, status],
+            route_handlers=[
+                complete,
+                call,
+                list_runs,
+                status,
+                *build_order_handlers(self.engine),
+            ],
             openapi_config=None,
             logging_config=None,
         )
