Issue request ids to callers, for calls that may not be repeated

Cause: a claim of a caller's own id needs the store; during an outage such a call could only be refused.

Change: POST /v1/request-ids issues ids that this incarnation alone dispatches, without the store; a non-idempotent call without an id gets one.

Conclusion: a caller that fetches its id first can repeat a call at the same entry after a lost answer, also while the store is down.

--- a/fuchsiaroute/gateway/_app.py
+++ b/fuchsiaroute/gateway/_app.py
@@ -1,7 +1,7 @@
 """Routes of the callers' interface."""
 
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 from typing import Any
 
@@ -23,8 +23,9 @@
     parse_completion,
     parse_service_call,
 )
-from fuchsiaroute.gateway._refusals import refuse
+from fuchsiaroute.gateway._refusals import invalid, refuse
 from fuchsiaroute.gateway._render import render_answer, render_refusal
+from fuchsiaroute.gateway._request_ids import RequestIds, issue_ids
 from fuchsiaroute.ids import ServiceId
 from fuchsiaroute.verdict import Refusal, RefusalReason, Verdict
 
@@ -58,12 +59,14 @@
         keys: KeyIndex,
         clock: Clock,
         limits: CallerLimits,
+        request_ids: RequestIds | None,
     ) -> None:
         self._pipeline = pipeline
         self._current = current
         self._keys = keys
         self._clock = clock
         self._limits = limits
+        self._request_ids = request_ids
 
     async def complete(self, request: AnyRequest) -> AnyResponse:
         """Answer a chat-completions request."""
@@ -96,11 +99,37 @@
                     configuration=self._current.configuration,
                     clock=self._clock,
                 )
+                if not received.headers.is_id_chosen:
+                    parsed = parsed.map(self._with_issued_id)
                 return await self._answer(parsed)
             case Failure(refusal):
                 return render_refusal(refusal)
         raise AssertionError("a Result is a Success or a Failure")
 
+    def issue_ids(self, request: AnyRequest) -> AnyResponse:
+        """Issue ids of requests that this entry alone dispatches."""
+        organisation = parse_key(request.scope["headers"]).bind(self._organisation)
+        if isinstance(organisation, Failure):
+            return render_refusal(organisation.failure())
+        if self._request_ids is None:
+            return render_refusal(invalid("this entry issues no request ids"))
+        count = request.query_params.get("count", "1")
+        match issue_ids(self._request_ids, organisation.unwrap().id, count):
+            case Success(issued):
+                return Response(
+                    content=msgspec.json.encode(issued), media_type="application/json"
+                )
+            case Failure(refusal):
+                return render_refusal(refusal)
+        raise AssertionError("a Result is a Success or a Failure")
+
+    def _with_issued_id(self, call: Call) -> Call:
+        """Return ``call`` with an id that needs no claim in the store."""
+        if call.request.is_idempotent or self._request_ids is None:
+            return call
+        issued = self._request_ids.issue(call.request.organisation)
+        return replace(call, request=replace(call.request, id=issued))
+
     async def _receive(self, request: AnyRequest) -> Result[_Received, Refusal]:
         """Return the request; the body of an unknown caller is not read."""
         raw = request.scope["headers"]
@@ -150,12 +179,18 @@
     advice: AdviceSource,
     clock: Clock,
     limits: CallerLimits = DEFAULT_LIMITS,
+    request_ids: RequestIds | None = None,
 ) -> Litestar:
     """Return the application that serves callers."""
     keys = KeyIndex()
     current.subscribe(keys.update)
     routes = _Routes(
-        pipeline=pipeline, current=current, keys=keys, clock=clock, limits=limits
+        pipeline=pipeline,
+        current=current,
+        keys=keys,
+        clock=clock,
+        limits=limits,
+        request_ids=request_ids,
     )
 
     @post("/v1/chat/completions")
@@ -168,6 +203,10 @@
         path = str(request.path_params["path"]).lstrip("/")
         return await routes.call_service(request, service, ServicePath(f"/{path}"))
 
+    @post("/v1/request-ids", status_code=HTTPStatus.OK)
+    async def request_ids_route(request: AnyRequest) -> AnyResponse:
+        return routes.issue_ids(request)
+
     @get("/v1/entries")
     async def entries(request: AnyRequest) -> AnyResponse:
         failure_domain = request.query_params.get("failure_domain", "")
@@ -178,7 +217,7 @@
         )
 
     return Litestar(
-        route_handlers=[complete, call_service, entries],
+        route_handlers=[complete, call_service, request_ids_route, entries],
         request_max_body_size=limits.max_body,
         exception_handlers={
             HTTPException: _render_http_error,
--- a/fuchsiaroute/gateway/_headers.py
+++ b/fuchsiaroute/gateway/_headers.py
@@ -43,6 +43,8 @@
 
     #: Chosen by the caller, or by this entry if the caller names none.
     request_id: RequestId
+    #: Whether the caller chose the id.
+    is_id_chosen: bool = False
     #: Empty if the caller names none.
     request_class: RequestClass = RequestClass("")
     session: SessionChoice = NoSession.TOKEN
@@ -82,6 +84,7 @@
             request_id=RequestId(
                 values.get(REQUEST_ID_HEADER) or secrets.token_hex(REQUEST_ID_BYTES)
             ),
+            is_id_chosen=REQUEST_ID_HEADER in values,
             request_class=RequestClass(values.get(REQUEST_CLASS_HEADER, "")),
             session=SessionId(session) if session else NoSession.TOKEN,
             pin=values.get(PIN_HEADER, ""),
--- a/fuchsiaroute/idempotency/_book.py
+++ b/fuchsiaroute/idempotency/_book.py
@@ -21,7 +21,11 @@
     ClaimWriteState,
     GroupCommit,
 )
-from fuchsiaroute.idempotency._issued_ids import IdIssuer, IssuedIdState
+from fuchsiaroute.idempotency._issued_ids import (
+    ISSUED_LIFETIME,
+    IdIssuer,
+    IssuedIdState,
+)
 from fuchsiaroute.idempotency._record import (
     ClaimRecord,
     ClaimToken,
@@ -77,6 +81,11 @@
         """Return the number of outcomes that are not in the store yet."""
         return self._commits.waiting_outcomes
 
+    @property
+    def issued_lifetime(self) -> Milliseconds:
+        """Return the time in which an issued id may be used."""
+        return ISSUED_LIFETIME
+
     def issue(self, organisation: OrganisationId) -> RequestId:
         """Return an id that this incarnation alone dispatches, without the store."""
         return self._issuer.issue(organisation)
--- a/fuchsiaroute/serving/_compose.py
+++ b/fuchsiaroute/serving/_compose.py
@@ -145,7 +145,11 @@
         bill=MeteredBill(bill=lasting.bills, allowances=routing.allowances),
     )
     app = build_app(
-        pipeline=Pipeline(steps=steps), current=current, advice=advice, clock=clock
+        pipeline=Pipeline(steps=steps),
+        current=current,
+        advice=advice,
+        clock=clock,
+        request_ids=lasting.book,
     )
     configuration_store = lasting.client.view(StoreFunction.CONFIGURATION)
     poll = ConfigurationPoll(store=configuration_store, current=current, clock=clock)
