--- a/benches/_processes.py
+++ b/benches/_processes.py
@@ -12,17 +12,9 @@
 import httpx
 import psutil
 
-from fuchsiaroute.configuration import Configuration
-from fuchsiaroute.declaration import encode
-from fuchsiaroute.entry import CONFIGURATION_KEY
-from fuchsiaroute.platform import (
-    ABSENT,
-    Check,
-    Committed,
-    HttpTableStore,
-    Put,
-    Transaction,
-)
+from fuchsiaroute.clock import SystemClock
+from fuchsiaroute.configuration import Configuration, accept_first
+from fuchsiaroute.platform import HttpTableStore
 
 HOST = "127.0.0.1"
 READY_TIMEOUT_SECONDS = 20.0
@@ -145,12 +137,8 @@
 
 
 async def store_configuration(platform_url: str, declared: Configuration) -> None:
-    """Store the first configuration as the operators' ``apply`` does."""
-    transaction = Transaction(
-        checks=(Check(key=CONFIGURATION_KEY, version=ABSENT),),
-        puts=(Put(key=CONFIGURATION_KEY, value=encode(declared)),),
-    )
+    """Accept the first configuration as the operators' ``apply`` does."""
     async with httpx.AsyncClient(base_url=platform_url, trust_env=False) as client:
-        outcome = await HttpTableStore(client).commit(transaction)
-    if not isinstance(outcome.unwrap(), Committed):
-        raise RuntimeError("the platform already holds a configuration")
+        store = HttpTableStore(client)
+        outcome = await accept_first(store, SystemClock(), declared, author="bench")
+    outcome.unwrap()
--- a/fuchsiaroute/configuration/__init__.py
+++ b/fuchsiaroute/configuration/__init__.py
@@ -9,8 +9,8 @@
     NoChange,
     digest_of,
 )
-from fuchsiaroute.configuration._in_force import InForce, StoreWord
-from fuchsiaroute.configuration._log import ConfigurationLog
+from fuchsiaroute.configuration._in_force import READY_STATES, InForce, StoreWord
+from fuchsiaroute.configuration._log import ConfigurationLog, accept_first
 from fuchsiaroute.configuration._model import (
     Configuration,
     ConfiguredCall,
@@ -51,6 +51,7 @@
     "FRESH_BOUND",
     "NO_REVISION",
     "OUTAGE_BOUND",
+    "READY_STATES",
     "Accepted",
     "AcceptedChange",
     "ChangeError",
@@ -82,6 +83,7 @@
     "StoreWord",
     "Version",
     "VersionState",
+    "accept_first",
     "digest_of",
     "make_snapshot",
     "poll_interval",
--- a/fuchsiaroute/configuration/_in_force.py
+++ b/fuchsiaroute/configuration/_in_force.py
@@ -27,7 +27,7 @@
 
 READY_STATES = frozenset({Readiness.READY, Readiness.READY_IN_OUTAGE})
 
-Listener = Callable[[Snapshot], None]
+Listener = Callable[[Snapshot], object]
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/fuchsiaroute/configuration/_log.py
+++ b/fuchsiaroute/configuration/_log.py
@@ -40,6 +40,9 @@
 #: Wait before the first repeated commit; doubled before each further one.
 FIRST_BACKOFF = Milliseconds(100)
 
+#: Change id of a deployment's first configuration.
+FIRST_CHANGE = ChangeId("first")
+
 ChangeResult = Result[Accepted, ChangeError]
 
 
@@ -136,6 +139,19 @@
         return Failure(_unknown("the store's answer to the commit was lost"))
 
 
+async def accept_first(
+    store: TableStore, clock: Clock, configuration: Configuration, *, author: str
+) -> ChangeResult:
+    """Put the first configuration of a deployment in force."""
+    return await ConfigurationLog(store, clock).accept(
+        configuration,
+        change_id=FIRST_CHANGE,
+        expected_revision=NO_REVISION,
+        author=author,
+        summary="first configuration",
+    )
+
+
 def _transaction(
     change: AcceptedChange, body: bytes, head: Record, base: Record
 ) -> Transaction:
--- /dev/null
+++ b/fuchsiaroute/configuration/tests/test_in_force.py
@@ -0,0 +1,179 @@
+import pytest
+from returns.result import Failure, Success
+
+from examples.timberline import declare
+from fuchsiaroute.clock import ManualClock, Milliseconds
+from fuchsiaroute.configuration import (
+    FRESH_BOUND,
+    NO_REVISION,
+    OUTAGE_BOUND,
+    ConfigurationLog,
+    ConfigurationPoller,
+    ConfigurationReader,
+    InForce,
+    NoChange,
+    NoSnapshot,
+    Outage,
+    PollOutcome,
+    Readiness,
+    Situation,
+    StoreWord,
+    VersionState,
+    poll_interval,
+    readiness_in,
+)
+from fuchsiaroute.ids import ChangeId, FailureDomainId, Revision, VersionId
+from fuchsiaroute.platform import MemoryTableStore, StoreFault
+from fuchsiaroute.verdict import Verdict
+
+BASE = declare()
+LAKES_A = (Outage(failure_domain=FailureDomainId("lakes-a")),)
+CHANGES = (
+    BASE,
+    BASE.with_outages(LAKES_A),
+    BASE.with_version_state(VersionId("timber-4"), VersionState.WITHDRAWN),
+    BASE,
+)
+
+
+class Cluster:
+    """A store and an entry's configuration over it."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.store = MemoryTableStore()
+        self.log = ConfigurationLog(self.store, self.clock)
+        self.accepted = 0
+
+    def entry(self):
+        in_force = InForce(self.clock)
+        reader = ConfigurationReader(self.store)
+        return in_force, ConfigurationPoller(reader, in_force, self.clock)
+
+    async def accept(self, configuration):
+        outcome = await self.log.accept(
+            configuration,
+            change_id=ChangeId(f"change-{self.accepted}"),
+            expected_revision=Revision(self.accepted),
+            author="operator",
+            summary="",
+        )
+        self.accepted += 1
+        return outcome.unwrap()
+
+
+class PeerWith:
+    def __init__(self, snapshot):
+        self.snapshot = snapshot
+
+    async def fetch_configuration(self, known):
+        if isinstance(self.snapshot, NoSnapshot):
+            return NoChange.TOKEN
+        is_higher = self.snapshot.change.revision > known
+        return self.snapshot if is_higher else NoChange.TOKEN
+
+
+@pytest.mark.parametrize("missed", [1, 2, 3, 70])
+async def test_entry_that_missed_changes_gets_the_present_one(missed):
+    cluster = Cluster()
+    in_force, poller = cluster.entry()
+    await cluster.accept(BASE)
+    assert await poller.poll() is PollOutcome.APPLIED
+    for number in range(missed):
+        await cluster.accept(CHANGES[number % len(CHANGES)])
+    assert await poller.poll() is PollOutcome.APPLIED
+    expected = CHANGES[(missed - 1) % len(CHANGES)]
+    assert in_force.current().unwrap().configuration == expected
+    assert await poller.poll() is PollOutcome.UNCHANGED
+
+
+async def test_a_lower_revision_is_never_applied():
+    cluster = Cluster()
+    old, old_poller = cluster.entry()
+    await cluster.accept(BASE)
+    await old_poller.poll()
+    await cluster.accept(CHANGES[1])
+    new, new_poller = cluster.entry()
+    await new_poller.poll()
+    assert not new.offer(old.snapshot)
+    assert new.revision == 2
+    assert old.offer(new.snapshot)
+
+
+async def test_fresh_entry_takes_the_highest_revision_of_its_peers():
+    cluster = Cluster()
+    first, first_poller = cluster.entry()
+    second, second_poller = cluster.entry()
+    await cluster.accept(BASE)
+    await first_poller.poll()
+    await cluster.accept(CHANGES[1])
+    await second_poller.poll()
+    cluster.store.fault = StoreFault.DOWN
+    fresh, poller = cluster.entry()
+    peers = [PeerWith(first.snapshot), PeerWith(second.snapshot)]
+    assert await poller.poll() is PollOutcome.STORE_SILENT
+    assert await poller.catch_up(peers) is PollOutcome.APPLIED
+    assert fresh.revision == 2
+    word = StoreWord(revision=Revision(2), instant=cluster.clock.now())
+    fresh.note_word(word)
+    assert isinstance(fresh.current(), Success)
+
+
+async def test_entry_without_any_source_refuses_with_not_run():
+    cluster = Cluster()
+    cluster.store.fault = StoreFault.DOWN
+    in_force, poller = cluster.entry()
+    in_force.note_majority(True)
+    await poller.catch_up([PeerWith(NoSnapshot.TOKEN)])
+    refusal = in_force.current().failure()
+    assert refusal.verdict is Verdict.NOT_RUN
+    assert in_force.readiness is Readiness.NO_CONFIGURATION
+
+
+async def test_entry_that_knows_of_a_higher_revision_stops_new_work():
+    cluster = Cluster()
+    in_force, poller = cluster.entry()
+    await cluster.accept(BASE)
+    await poller.poll()
+    in_force.note_revision(Revision(2))
+    assert isinstance(in_force.current(), Success)
+    cluster.clock.tick(Milliseconds(2_001))
+    assert in_force.readiness is Readiness.BEHIND
+    assert isinstance(in_force.current(), Failure)
+    await cluster.accept(CHANGES[1])
+    await poller.poll()
+    assert in_force.readiness is Readiness.READY
+
+
+@pytest.mark.parametrize(
+    ("has_configuration", "is_behind", "age", "majority", "expected"),
+    [
+        (False, False, 0, True, Readiness.NO_CONFIGURATION),
+        (True, True, 0, True, Readiness.BEHIND),
+        (True, False, FRESH_BOUND, False, Readiness.READY),
+        (True, False, FRESH_BOUND + 1, False, Readiness.ISOLATED),
+        (True, False, FRESH_BOUND + 1, True, Readiness.READY_IN_OUTAGE),
+        (True, False, 600_000, True, Readiness.READY_IN_OUTAGE),
+        (True, False, OUTAGE_BOUND, True, Readiness.READY_IN_OUTAGE),
+        (True, False, OUTAGE_BOUND + 1, True, Readiness.ISOLATED),
+    ],
+)
+def test_readiness(has_configuration, is_behind, age, majority, expected):
+    situation = Situation(
+        has_configuration=has_configuration,
+        is_behind=is_behind,
+        age=Milliseconds(age),
+        hears_majority=majority,
+    )
+    assert readiness_in(situation) is expected
+
+
+@pytest.mark.parametrize(
+    ("entries", "interval"), [(1, 1_000), (8, 1_000), (390, 1_950), (4_000, 2_000)]
+)
+def test_poll_interval_keeps_to_the_read_budget(entries, interval):
+    assert poll_interval(entries) == interval
+
+
+def test_a_fresh_process_has_no_revision():
+    assert InForce(ManualClock()).revision == NO_REVISION
--- a/fuchsiaroute/demo/_deployment.py
+++ b/fuchsiaroute/demo/_deployment.py
@@ -4,20 +4,11 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
 
-from fuchsiaroute.clock import Clock
-from fuchsiaroute.configuration import Configuration
-from fuchsiaroute.declaration import encode
-from fuchsiaroute.entry import CONFIGURATION_KEY
+from fuchsiaroute.clock import Clock, SystemClock
+from fuchsiaroute.configuration import Configuration, accept_first
 from fuchsiaroute.gateway import AdvisedEntry
 from fuchsiaroute.ids import InstanceId
-from fuchsiaroute.platform import (
-    ABSENT,
-    Check,
-    MemoryInstanceList,
-    MemoryTableStore,
-    Put,
-    Transaction,
-)
+from fuchsiaroute.platform import MemoryInstanceList, MemoryTableStore
 from fuchsiaroute.serving import (
     ComposedEntry,
     EntryOptions,
@@ -85,12 +76,11 @@
 
 
 async def _apply(deployment: RunningDeployment) -> None:
-    """Store the configuration as the operators' ``apply`` does."""
-    transaction = Transaction(
-        checks=(Check(key=CONFIGURATION_KEY, version=ABSENT),),
-        puts=(Put(key=CONFIGURATION_KEY, value=encode(deployment.configuration)),),
+    """Accept the configuration as the operators' ``apply`` does."""
+    outcome = await accept_first(
+        deployment.store, SystemClock(), deployment.configuration, author="demo"
     )
-    await deployment.store.commit(transaction)
+    outcome.unwrap()
 
 
 async def _start_entries(deployment: RunningDeployment, *, clock: Clock) -> None:
--- a/fuchsiaroute/entry/__init__.py
+++ b/fuchsiaroute/entry/__init__.py
@@ -2,7 +2,7 @@
 
 from fuchsiaroute.entry._admit import InFlightLimit
 from fuchsiaroute.entry._attempt import LeastInFlightAttempt
-from fuchsiaroute.entry._background import CONFIGURATION_KEY, ConfigurationPoll
+from fuchsiaroute.entry._background import ConfigurationPoll
 from fuchsiaroute.entry._bill import StoredLedger
 from fuchsiaroute.entry._call import (
     Answer,
@@ -29,7 +29,6 @@
 )
 
 __all__ = [
-    "CONFIGURATION_KEY",
     "NO_REVISION",
     "AdmitStep",
     "Answer",
--- a/fuchsiaroute/entry/_background.py
+++ b/fuchsiaroute/entry/_background.py
@@ -1,36 +1,40 @@
 """Periodic tasks of an entry."""
 
-from returns.result import Success
+from collections.abc import Callable
 
 from fuchsiaroute.clock import Clock, Milliseconds
-from fuchsiaroute.declaration import decode
-from fuchsiaroute.entry._current import CurrentConfiguration
-from fuchsiaroute.ids import Revision
-from fuchsiaroute.platform import ABSENT, TableStore
+from fuchsiaroute.configuration import ConfigurationPoller, poll_interval
 
-#: Record that holds the accepted configuration; its version is the revision.
-CONFIGURATION_KEY = "configuration/head"
-CONFIGURATION_POLL_INTERVAL = Milliseconds(1_000)
+EntryCount = Callable[[], int]
+
+
+def _one_entry() -> int:
+    return 1
 
 
 class ConfigurationPoll:
     """Reads the accepted configuration again and again."""
 
     def __init__(
-        self, *, store: TableStore, current: CurrentConfiguration, clock: Clock
+        self,
+        *,
+        poller: ConfigurationPoller,
+        clock: Clock,
+        entry_count: EntryCount = _one_entry,
     ) -> None:
-        self._store = store
-        self._current = current
+        self._poller = poller
         self._clock = clock
+        self._entry_count = entry_count
 
     async def run(self) -> None:
-        """Poll until cancelled."""
+        """Poll until cancelled, less often the more entries share the store."""
         while True:
             await self.poll()
-            await self._clock.sleep(CONFIGURATION_POLL_INTERVAL)
+            await self._clock.sleep(self._interval())
 
     async def poll(self) -> None:
         """Read the accepted configuration once and put it in force."""
-        match await self._store.read([CONFIGURATION_KEY]):
-            case Success((record,)) if record.version != ABSENT:
-                self._current.apply(Revision(record.version), decode(record.value))
+        await self._poller.poll()
+
+    def _interval(self) -> Milliseconds:
+        return poll_interval(self._entry_count())
--- a/fuchsiaroute/entry/_current.py
+++ b/fuchsiaroute/entry/_current.py
@@ -17,12 +17,19 @@
 )
 
 Listener = Callable[[Revision, Configuration], None]
+#: Says whether the entry knows enough to take new work.
+ReadinessSource = Callable[[], bool]
+
+
+def _always() -> bool:
+    return True
 
 
 class CurrentConfiguration:
     """Holds the highest revision seen and tells listeners of each change."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, may_serve: ReadinessSource = _always) -> None:
+        self._may_serve = may_serve
         self._revision = NO_REVISION
         self._configuration = _EMPTY
         self._listeners: list[Listener] = []
@@ -39,13 +46,13 @@
 
     @property
     def is_ready(self) -> bool:
-        """Return whether any configuration is in force."""
-        return self._revision > NO_REVISION
+        """Return whether new work may be taken under the configuration held."""
+        return self._revision > NO_REVISION and self._may_serve()
 
     def subscribe(self, listener: Listener) -> None:
         """Call ``listener`` for the present and each later configuration."""
         self._listeners.append(listener)
-        if self.is_ready:
+        if self._revision > NO_REVISION:
             listener(self._revision, self._configuration)
 
     def apply(self, revision: Revision, configuration: Configuration) -> bool:
--- /dev/null
+++ b/fuchsiaroute/peer/__init__.py
@@ -0,0 +1,1 @@
+"""The inner protocol: messages between the entries of one deployment."""
--- a/fuchsiaroute/serving/_compose.py
+++ b/fuchsiaroute/serving/_compose.py
@@ -7,6 +7,12 @@
 from litestar import Litestar
 
 from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.configuration import (
+    READY_STATES,
+    ConfigurationPoller,
+    ConfigurationReader,
+    InForce,
+)
 from fuchsiaroute.dispatch import Dispatcher
 from fuchsiaroute.entry import (
     ConfigurationPoll,
@@ -62,6 +68,7 @@
     app: Litestar
     current: CurrentConfiguration
     poll: ConfigurationPoll
+    in_force: InForce
     advice: ListedEntries
     client: httpx.AsyncClient
 
@@ -74,7 +81,12 @@
     clock: Clock,
 ) -> ComposedEntry:
     """Return an entry whose parts use ``store`` and ``clock``."""
-    current = CurrentConfiguration()
+    in_force = InForce(clock)
+    in_force.note_majority(hears_majority=True)
+    current = CurrentConfiguration(may_serve=lambda: in_force.readiness in READY_STATES)
+    in_force.subscribe(
+        lambda held: current.apply(held.change.revision, held.configuration)
+    )
     client = build_client()
     steps = Steps(
         admit=InFlightLimit(clock=clock, limit=MAXIMUM_IN_FLIGHT),
@@ -95,7 +107,11 @@
         options=options,
         app=app,
         current=current,
-        poll=ConfigurationPoll(store=store, current=current, clock=clock),
+        poll=ConfigurationPoll(
+            poller=ConfigurationPoller(ConfigurationReader(store), in_force, clock),
+            clock=clock,
+        ),
+        in_force=in_force,
         advice=advice,
         client=client,
     )
