--- a/fuchsiaroute/configuration/_log.py
+++ b/fuchsiaroute/configuration/_log.py
@@ -69,10 +69,13 @@
         expected_revision: Revision,
         author: str,
         summary: str,
+        attempts: int = COMMIT_ATTEMPTS,
     ) -> ChangeResult:
         """
         Put ``configuration`` in force after revision ``expected_revision``.
 
+        A commit whose answer is lost is sent again, ``attempts`` times in all.
+
         Calling it again with the same arguments gives the same answer. Errors
         tell a conflict, which is final, from an outcome that is not known.
         """
@@ -93,7 +96,7 @@
                 if refused is not None:
                     return refused
                 transaction = _transaction(change, body, head, base)
-                return await self._commit(change, transaction)
+                return await self._commit(change, transaction, attempts)
             case _:
                 return Failure(_not_written(found.failure().message))
 
@@ -119,11 +122,11 @@
         return found.map(lambda records: decode_change(records[0].value))
 
     async def _commit(
-        self, change: AcceptedChange, transaction: Transaction
+        self, change: AcceptedChange, transaction: Transaction, attempts: int
     ) -> ChangeResult:
         in_doubt = False
         backoff = FIRST_BACKOFF
-        for attempt in range(COMMIT_ATTEMPTS):
+        for attempt in range(attempts):
             if attempt:
                 await self._clock.sleep(backoff)
                 backoff = Milliseconds(2 * backoff)
--- a/fuchsiaroute/configuration/_reader.py
+++ b/fuchsiaroute/configuration/_reader.py
@@ -44,6 +44,16 @@
         found = await self._store.read([HEAD_KEY])
         return found.map(lambda records: decode_change(records[0].value))
 
+    async def latest(self) -> Result[Snapshot | NoSnapshot, LoadError]:
+        """Return the configuration in force, read as a whole."""
+        match await self.head():
+            case Success(AcceptedChange() as change):
+                return await self._load_whole(change)
+            case Success(_):
+                return Success(NoSnapshot.TOKEN)
+            case found:
+                return Failure(found.failure())
+
     async def load(
         self, change: AcceptedChange, held: Snapshot | NoSnapshot
     ) -> Result[Snapshot, LoadError]:
--- a/fuchsiaroute/entry/_background.py
+++ b/fuchsiaroute/entry/_background.py
@@ -1,6 +1,8 @@
 """Periodic tasks of an entry."""
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.configuration import ConfigurationPoller, poll_interval
@@ -38,3 +40,32 @@
 
     def _interval(self) -> Milliseconds:
         return poll_interval(self._entry_count())
+
+
+class Background:
+    """Tasks that run beside the requests of an entry."""
+
+    def __init__(self) -> None:
+        self._work: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Return the names of the tasks."""
+        return tuple(self._work)
+
+    def add(self, name: str, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Have ``work`` run from ``start`` to ``stop``."""
+        self._work[name] = work
+
+    def start(self) -> None:
+        """Start every task."""
+        self._tasks = [
+            asyncio.create_task(work(), name=name) for name, work in self._work.items()
+        ]
+
+    async def stop(self) -> None:
+        """Cancel every task and wait for its end."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
--- /dev/null
+++ b/fuchsiaroute/entry/_rollout_pauser.py
@@ -0,0 +1,55 @@
+"""The pause of a roll-out as a change of the accepted configuration."""
+
+from returns.result import Failure, Success
+
+from fuchsiaroute.clock import Clock
+from fuchsiaroute.configuration import (
+    ConfigurationLog,
+    ConfigurationReader,
+    Snapshot,
+)
+from fuchsiaroute.ids import ChangeId, RolloutId
+from fuchsiaroute.platform import TableStore
+from fuchsiaroute.rollout import RolloutAction, apply_action
+
+_MAX_TRIES = 3
+_AUTHOR = "sequential test of ratings"
+
+
+class StoredRolloutPauser:
+    """Pauses by an accepted change, as an operator would."""
+
+    def __init__(self, *, store: TableStore, clock: Clock) -> None:
+        self._reader = ConfigurationReader(store)
+        self._log = ConfigurationLog(store, clock)
+
+    async def pause(self, rollout: RolloutId) -> bool:
+        """Return whether the accepted configuration has the roll-out stopped."""
+        for _ in range(_MAX_TRIES):
+            latest = await self._reader.latest()
+            if not isinstance(latest, Success):
+                return False
+            snapshot = latest.unwrap()
+            if not isinstance(snapshot, Snapshot):
+                return False
+            changed = apply_action(snapshot.configuration, rollout, RolloutAction.PAUSE)
+            if (
+                isinstance(changed, Failure)
+                or changed.unwrap() == snapshot.configuration
+            ):
+                # It has ended, or another entry or an operator has paused it.
+                return True
+            # Entries that find the same thing submit the same change.
+            change_id = f"pause-{rollout}-after-{snapshot.change.revision}"
+            outcome = await self._log.accept(
+                changed.unwrap(),
+                change_id=ChangeId(change_id),
+                expected_revision=snapshot.change.revision,
+                author=_AUTHOR,
+                summary=f"pause roll-out {rollout}",
+                # The next poll of ratings asks again under the same change id.
+                attempts=1,
+            )
+            if isinstance(outcome, Success):
+                return True
+        return False
--- a/fuchsiaroute/idempotency/_book.py
+++ b/fuchsiaroute/idempotency/_book.py
@@ -82,6 +82,11 @@
         """Commit claims and outcomes until cancelled."""
         await self._commits.run()
 
+    async def drain(self, limit: Milliseconds) -> bool:
+        """Commit the outcomes; return whether the store had them within ``limit``."""
+        drained = await within(self._clock, limit, self._commits.drain())
+        return not isinstance(drained, TimedOut)
+
     async def claim(self, request: Request) -> Result[Claim | Replay, Refusal]:
         """
         Claim the non-idempotent ``request`` before its first dispatch.
@@ -194,9 +199,10 @@
     def _open(
         self, request: Request, key: str, *, token: ClaimToken | None = None
     ) -> Claim:
-        drawn = ClaimToken(f"{self._rng.getrandbits(TOKEN_BITS):032x}")
+        drawn = self._rng.getrandbits(TOKEN_BITS)
+        fresh = ClaimToken(f"{self._instance}/{self._incarnation}/{drawn:032x}")
         record = ClaimRecord(
-            token=token or drawn,
+            token=token or fresh,
             instance=self._instance,
             incarnation=self._incarnation,
         )
--- a/fuchsiaroute/serving/_compose.py
+++ b/fuchsiaroute/serving/_compose.py
@@ -3,32 +3,26 @@
 import random
 from dataclasses import dataclass
 
-import httpx
 from litestar import Litestar
 
 from fuchsiaroute.clock import Clock, Milliseconds
-from fuchsiaroute.configuration import (
-    READY_STATES,
-    ConfigurationPoller,
-    ConfigurationReader,
-    InForce,
-)
-from fuchsiaroute.dispatch import Dispatcher
+from fuchsiaroute.dispatch import Connections, Dispatcher
 from fuchsiaroute.entry import (
+    Background,
     ConfigurationPoll,
     CurrentConfiguration,
-    DeclaredQualityRoute,
     InFlightLimit,
     LeastInFlightAttempt,
+    MeteredBill,
     Pipeline,
     Steps,
-    StoredClaims,
-    StoredLedger,
 )
 from fuchsiaroute.gateway import Advice, AdvisedEntry, build_app
-from fuchsiaroute.ids import FailureDomainId, InstanceId
-from fuchsiaroute.platform import InstanceList, TableStore
-from fuchsiaroute.transport import build_client
+from fuchsiaroute.ids import FailureDomainId, Incarnation, InstanceId
+from fuchsiaroute.platform import InstanceList, RatingService, TableStore
+from fuchsiaroute.serving._agreement import AgreementParts, compose_agreement
+from fuchsiaroute.serving._lasting import LastingParts, compose_lasting
+from fuchsiaroute.serving._routing import NoRatings, RoutingParts, compose_routing
 
 #: How long a caller may keep an advice.
 ADVICE_LIFETIME = Milliseconds(5_000)
@@ -43,6 +37,8 @@
     failure_domain: FailureDomainId
     #: Seed of the entry's random choices.
     seed: int = 0
+    #: Keys of session pins, the same for all entries; the first one signs.
+    pin_keys: tuple[str, ...] = ()
 
 
 class ListedEntries:
@@ -68,9 +64,14 @@
     app: Litestar
     current: CurrentConfiguration
     poll: ConfigurationPoll
-    in_force: InForce
+    agreement: AgreementParts
     advice: ListedEntries
-    client: httpx.AsyncClient
+    #: Connections to endpoints.
+    client: Connections
+    routing: RoutingParts
+    lasting: LastingParts
+    #: Every periodic task of the entry.
+    background: Background
 
 
 def compose_entry(
@@ -79,39 +80,60 @@
     store: TableStore,
     instances: InstanceList,
     clock: Clock,
+    ratings: RatingService | None = None,
 ) -> ComposedEntry:
     """Return an entry whose parts use ``store`` and ``clock``."""
-    in_force = InForce(clock)
-    in_force.note_majority(hears_majority=True)
-    current = CurrentConfiguration(may_serve=lambda: in_force.readiness in READY_STATES)
-    in_force.subscribe(
-        lambda held: current.apply(held.change.revision, held.configuration)
+    client = Connections()
+    advice = ListedEntries()
+    agreement = compose_agreement(
+        store=store, clock=clock, entry_count=lambda: len(advice.entries)
+    )
+    current = agreement.current
+    randomness = random.Random(options.seed)
+    routing = compose_routing(
+        current=current,
+        store=store,
+        rating_service=ratings or NoRatings(),
+        pin_keys=options.pin_keys,
+        clock=clock,
+        entry_count=lambda: len(advice.entries),
+        randomness=randomness,
+    )
+    lasting = compose_lasting(
+        store=store,
+        clock=clock,
+        instance=options.instance,
+        incarnation=Incarnation(clock.wall()),
+        entry_count=lambda: len(advice.entries),
     )
-    client = build_client()
     steps = Steps(
         admit=InFlightLimit(clock=clock, limit=MAXIMUM_IN_FLIGHT),
-        claim=StoredClaims(store=store, clock=clock),
-        route=DeclaredQualityRoute(current=current),
+        claim=lasting.claims,
+        route=routing.route,
         attempt=LeastInFlightAttempt(
             current=current,
-            dispatcher=Dispatcher(client=client, clock=clock),
-            randomness=random.Random(options.seed),
+            dispatcher=Dispatcher(connections=client, clock=clock),
+            randomness=randomness,
         ),
-        bill=StoredLedger(store=store),
+        bill=MeteredBill(bill=lasting.bills, allowances=routing.allowances),
     )
-    advice = ListedEntries()
     app = build_app(
         pipeline=Pipeline(steps=steps), current=current, advice=advice, clock=clock
     )
+    background = Background()
+    background.add("configuration", agreement.poll.run)
+    background.add("ratings", routing.ratings.run)
+    background.add("claims", lasting.book.run)
+    background.add("ledger", lasting.ledger.run)
     return ComposedEntry(
         options=options,
         app=app,
         current=current,
-        poll=ConfigurationPoll(
-            poller=ConfigurationPoller(ConfigurationReader(store), in_force, clock),
-            clock=clock,
-        ),
-        in_force=in_force,
+        poll=agreement.poll,
+        agreement=agreement,
         advice=advice,
         client=client,
+        routing=routing,
+        lasting=lasting,
+        background=background,
     )
