--- a/benches/_processes.py
+++ b/benches/_processes.py
@@ -5,7 +5,8 @@
 import subprocess
 import sys
 import time
-from collections.abc import Sequence
+import uuid
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 
@@ -13,7 +14,14 @@
 import psutil
 
 from fuchsiaroute.clock import SystemClock
-from fuchsiaroute.configuration import Configuration, accept_first
+from fuchsiaroute.configuration import (
+    Configuration,
+    ConfigurationLog,
+    ConfigurationReader,
+    Snapshot,
+    accept_first,
+)
+from fuchsiaroute.ids import ChangeId
 from fuchsiaroute.platform import HttpTableStore
 
 HOST = "127.0.0.1"
@@ -142,3 +150,22 @@
         store = HttpTableStore(client)
         outcome = await accept_first(store, SystemClock(), declared, author="bench")
     outcome.unwrap()
+
+
+async def change_configuration(
+    platform_url: str, change: Callable[[Configuration], Configuration]
+) -> None:
+    """Accept a changed configuration as an operator does."""
+    async with httpx.AsyncClient(base_url=platform_url, trust_env=False) as client:
+        store = HttpTableStore(client)
+        held = (await ConfigurationReader(store).latest()).unwrap()
+        if not isinstance(held, Snapshot):
+            raise RuntimeError("no configuration has been accepted")
+        outcome = await ConfigurationLog(store, SystemClock()).accept(
+            change(held.configuration),
+            change_id=ChangeId(uuid.uuid4().hex),
+            expected_revision=held.change.revision,
+            author="bench",
+            summary="change of a bench",
+        )
+    outcome.unwrap()
