--- a/benches/_processes.py
+++ b/benches/_processes.py
@@ -158,7 +158,7 @@
     """Accept a changed configuration as an operator does."""
     async with httpx.AsyncClient(base_url=platform_url, trust_env=False) as client:
         store = HttpTableStore(client)
-        held = (await ConfigurationReader(store).latest()).unwrap()
+        held = (await ConfigurationReader(store, SystemClock()).latest()).unwrap()
         if not isinstance(held, Snapshot):
             raise RuntimeError("no configuration has been accepted")
         outcome = await ConfigurationLog(store, SystemClock()).accept(
--- a/fuchsiaroute/configuration/tests/test_in_force.py
+++ b/fuchsiaroute/configuration/tests/test_in_force.py
@@ -47,7 +47,7 @@
 
     def entry(self):
         in_force = InForce(self.clock)
-        reader = ConfigurationReader(self.store)
+        reader = ConfigurationReader(self.store, self.clock)
         return in_force, ConfigurationPoller(reader, in_force, self.clock)
 
     async def accept(self, configuration):
--- a/fuchsiaroute/entry/_rollout_pauser.py
+++ b/fuchsiaroute/entry/_rollout_pauser.py
@@ -20,7 +20,7 @@
     """Pauses by an accepted change, as an operator would."""
 
     def __init__(self, *, store: TableStore, clock: Clock) -> None:
-        self._reader = ConfigurationReader(store)
+        self._reader = ConfigurationReader(store, clock)
         self._log = ConfigurationLog(store, clock)
 
     async def pause(self, rollout: RolloutId) -> bool:
--- a/fuchsiaroute/entry/tests/test_routing_step.py
+++ b/fuchsiaroute/entry/tests/test_routing_step.py
@@ -144,12 +144,12 @@
         outcome.unwrap()
 
     async def revision(self):
-        latest = (await ConfigurationReader(self.store).latest()).unwrap()
+        latest = (await ConfigurationReader(self.store, self.clock).latest()).unwrap()
         is_first = isinstance(latest, NoSnapshot)
         return NO_REVISION if is_first else latest.change.revision
 
     async def accepted(self):
-        latest = (await ConfigurationReader(self.store).latest()).unwrap()
+        latest = (await ConfigurationReader(self.store, self.clock).latest()).unwrap()
         return latest.change.revision, latest.configuration
 
     async def start_entry(self):
--- a/fuchsiaroute/serving/_agreement.py
+++ b/fuchsiaroute/serving/_agreement.py
@@ -35,7 +35,7 @@
     in_force.subscribe(
         lambda held: current.apply(held.change.revision, held.configuration)
     )
-    poller = ConfigurationPoller(ConfigurationReader(store), in_force, clock)
+    poller = ConfigurationPoller(ConfigurationReader(store, clock), in_force, clock)
     return AgreementParts(
         in_force=in_force,
         current=current,
--- a/fuchsiaroute/serving/_compose.py
+++ b/fuchsiaroute/serving/_compose.py
@@ -3,11 +3,12 @@
 import random
 from dataclasses import dataclass
 
+import httpx
 from litestar import Litestar
 from returns.result import Result
 
 from fuchsiaroute.advice import EntryAdvice
-from fuchsiaroute.clock import Clock
+from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.configuration import Configuration
 from fuchsiaroute.dispatch import Connections
 from fuchsiaroute.entry import (
@@ -23,6 +24,7 @@
 from fuchsiaroute.gateway import build_app
 from fuchsiaroute.ids import FailureDomainId, Incarnation, InstanceId, VersionId
 from fuchsiaroute.platform import (
+    HttpEngineOrders,
     InstanceList,
     RatingService,
     StoreFunction,
@@ -36,8 +38,12 @@
 )
 from fuchsiaroute.serving._lasting import LastingParts, compose_lasting
 from fuchsiaroute.serving._routing import NoRatings, RoutingParts, compose_routing
+from fuchsiaroute.transport import build_client
 from fuchsiaroute.verdict import Refusal
 
+#: Longest wait for an engine to confirm an order.
+ORDER_TIMEOUT = Milliseconds(5_000)
+
 
 @dataclass(frozen=True, kw_only=True)
 class EntryOptions:
@@ -63,12 +69,19 @@
     advice: EntryAdvice
     #: Connections to endpoints.
     client: Connections
+    #: Connections to engines for orders.
+    orders_client: httpx.AsyncClient
     routing: RoutingParts
     lasting: LastingParts
     balancing: BalancingParts
     #: Every periodic task of the entry.
     background: Background
 
+    async def aclose(self) -> None:
+        """Close the connections to endpoints and engines."""
+        await self.client.aclose()
+        await self.orders_client.aclose()
+
 
 def compose_entry(
     *,
@@ -87,22 +100,27 @@
     )
     current = agreement.current
     randomness = random.Random(options.seed)
+    orders_client = build_client(read_timeout=ORDER_TIMEOUT)
+    lasting = compose_lasting(
+        store=store,
+        clock=clock,
+        instance=options.instance,
+        incarnation=incarnation,
+        entry_count=lambda: len(advice.entries),
+        configuration=lambda: current.configuration,
+        orders=HttpEngineOrders(orders_client, current.endpoint_url),
+    )
     routing = compose_routing(
         current=current,
-        store=store,
+        store=lasting.client.view(StoreFunction.SPENDING),
+        configuration_store=lasting.client.view(StoreFunction.CONFIGURATION),
+        quality_store=lasting.client.view(StoreFunction.QUALITY),
         rating_service=ratings or NoRatings(),
         pin_keys=options.pin_keys,
         clock=clock,
         entry_count=lambda: len(advice.entries),
         randomness=randomness,
     )
-    lasting = compose_lasting(
-        store=store,
-        clock=clock,
-        instance=options.instance,
-        incarnation=incarnation,
-        entry_count=lambda: len(advice.entries),
-    )
 
     def check(call: Call, version: VersionId | NoVersion) -> Result[None, Refusal]:
         claimed = lasting.claims.check_dispatch(call.request)
@@ -140,6 +158,7 @@
     background.add("ratings", routing.ratings.run)
     background.add("claims", lasting.book.run)
     background.add("ledger", lasting.ledger.run)
+    background.add("placement", lasting.placement.run)
     background.add("instances", balancing.upkeep.read_lists)
     background.add("cold slots", balancing.upkeep.keep_slots)
     background.add("admission", balancing.upkeep.wake_waiting)
@@ -151,6 +170,7 @@
         agreement=agreement,
         advice=advice,
         client=client,
+        orders_client=orders_client,
         routing=routing,
         lasting=lasting,
         balancing=balancing,
