--- a/fuchsiaroute/configuration/_log.py
+++ b/fuchsiaroute/configuration/_log.py
@@ -40,6 +40,9 @@
 #: Wait before the first repeated commit; doubled before each further one.
 FIRST_BACKOFF = Milliseconds(100)
 
+#: Change id of a deployment's first configuration.
+FIRST_CHANGE = ChangeId("first")
+
 ChangeResult = Result[Accepted, ChangeError]
 
 
@@ -66,10 +69,13 @@
         expected_revision: Revision,
         author: str,
         summary: str,
+        attempts: int = COMMIT_ATTEMPTS,
     ) -> ChangeResult:
         """
         Put ``configuration`` in force after revision ``expected_revision``.
 
+        A commit whose answer is lost is sent again, ``attempts`` times in all.
+
         Calling it again with the same arguments gives the same answer. Errors
         tell a conflict, which is final, from an outcome that is not known.
         """
@@ -90,7 +96,7 @@
                 if refused is not None:
                     return refused
                 transaction = _transaction(change, body, head, base)
-                return await self._commit(change, transaction)
+                return await self._commit(change, transaction, attempts)
             case _:
                 return Failure(_not_written(found.failure().message))
 
@@ -116,11 +122,11 @@
         return found.map(lambda records: decode_change(records[0].value))
 
     async def _commit(
-        self, change: AcceptedChange, transaction: Transaction
+        self, change: AcceptedChange, transaction: Transaction, attempts: int
     ) -> ChangeResult:
         in_doubt = False
         backoff = FIRST_BACKOFF
-        for attempt in range(COMMIT_ATTEMPTS):
+        for attempt in range(attempts):
             if attempt:
                 await self._clock.sleep(backoff)
                 backoff = Milliseconds(2 * backoff)
@@ -136,6 +142,19 @@
         return Failure(_unknown("the store's answer to the commit was lost"))
 
 
+async def accept_first(
+    store: TableStore, clock: Clock, configuration: Configuration, *, author: str
+) -> ChangeResult:
+    """Put the first configuration of a deployment in force."""
+    return await ConfigurationLog(store, clock).accept(
+        configuration,
+        change_id=FIRST_CHANGE,
+        expected_revision=NO_REVISION,
+        author=author,
+        summary="first configuration",
+    )
+
+
 def _transaction(
     change: AcceptedChange, body: bytes, head: Record, base: Record
 ) -> Transaction:
--- a/fuchsiaroute/serving/_compose.py
+++ b/fuchsiaroute/serving/_compose.py
@@ -30,6 +30,7 @@
     StoreFunction,
     TableStore,
 )
+from fuchsiaroute.serving._agreement import AgreementParts, compose_agreement
 from fuchsiaroute.serving._balancing import (
     BalancingParts,
     advise_listed,
@@ -64,6 +65,7 @@
     app: Litestar
     current: CurrentConfiguration
     poll: ConfigurationPoll
+    agreement: AgreementParts
     advice: EntryAdvice
     #: Connections to endpoints.
     client: Connections
@@ -90,10 +92,13 @@
     ratings: RatingService | None = None,
 ) -> ComposedEntry:
     """Return an entry whose parts use ``store`` and ``clock``."""
-    current = CurrentConfiguration()
     client = Connections()
     incarnation = Incarnation(clock.wall())
     advice = EntryAdvice()
+    agreement = compose_agreement(
+        store=store, clock=clock, entry_count=lambda: len(advice.entries)
+    )
+    current = agreement.current
     randomness = random.Random(options.seed)
     orders_client = build_client(read_timeout=ORDER_TIMEOUT)
     lasting = compose_lasting(
@@ -108,6 +113,7 @@
     routing = compose_routing(
         current=current,
         store=lasting.client.view(StoreFunction.SPENDING),
+        configuration_store=lasting.client.view(StoreFunction.CONFIGURATION),
         quality_store=lasting.client.view(StoreFunction.QUALITY),
         rating_service=ratings or NoRatings(),
         pin_keys=options.pin_keys,
@@ -151,10 +157,8 @@
         clock=clock,
         request_ids=lasting.book,
     )
-    configuration_store = lasting.client.view(StoreFunction.CONFIGURATION)
-    poll = ConfigurationPoll(store=configuration_store, current=current, clock=clock)
     background = Background()
-    background.add("configuration", poll.run)
+    background.add("configuration", agreement.poll.run)
     background.add("ratings", routing.ratings.run)
     background.add("claims", lasting.book.run)
     background.add("ledger", lasting.ledger.run)
@@ -166,7 +170,8 @@
         options=options,
         app=app,
         current=current,
-        poll=poll,
+        poll=agreement.poll,
+        agreement=agreement,
         advice=advice,
         client=client,
         orders_client=orders_client,
