--- a/benches/_processes.py
+++ b/benches/_processes.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 import time
+import uuid
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 from pathlib import Path
@@ -12,17 +13,16 @@
 import httpx
 import psutil
 
-from fuchsiaroute.configuration import Configuration
-from fuchsiaroute.declaration import decode, encode
-from fuchsiaroute.entry import CONFIGURATION_KEY
-from fuchsiaroute.platform import (
-    ABSENT,
-    Check,
-    Committed,
-    HttpTableStore,
-    Put,
-    Transaction,
+from fuchsiaroute.clock import SystemClock
+from fuchsiaroute.configuration import (
+    Configuration,
+    ConfigurationLog,
+    ConfigurationReader,
+    Snapshot,
+    accept_first,
 )
+from fuchsiaroute.ids import ChangeId
+from fuchsiaroute.platform import HttpTableStore
 
 HOST = "127.0.0.1"
 READY_TIMEOUT_SECONDS = 20.0
@@ -145,15 +145,11 @@
 
 
 async def store_configuration(platform_url: str, declared: Configuration) -> None:
-    """Store the first configuration as the operators' ``apply`` does."""
-    transaction = Transaction(
-        checks=(Check(key=CONFIGURATION_KEY, version=ABSENT),),
-        puts=(Put(key=CONFIGURATION_KEY, value=encode(declared)),),
-    )
+    """Accept the first configuration as the operators' ``apply`` does."""
     async with httpx.AsyncClient(base_url=platform_url, trust_env=False) as client:
-        outcome = await HttpTableStore(client).commit(transaction)
-    if not isinstance(outcome.unwrap(), Committed):
-        raise RuntimeError("the platform already holds a configuration")
+        store = HttpTableStore(client)
+        outcome = await accept_first(store, SystemClock(), declared, author="bench")
+    outcome.unwrap()
 
 
 async def change_configuration(
@@ -162,16 +158,14 @@
     """Accept a changed configuration as an operator does."""
     async with httpx.AsyncClient(base_url=platform_url, trust_env=False) as client:
         store = HttpTableStore(client)
-        (record,) = (await store.read([CONFIGURATION_KEY])).unwrap()
-        transaction = Transaction(
-            checks=(Check(key=CONFIGURATION_KEY, version=record.version),),
-            puts=(
-                Put(
-                    key=CONFIGURATION_KEY,
-                    value=encode(change(decode(record.value))),
-                ),
-            ),
+        held = (await ConfigurationReader(store, SystemClock()).latest()).unwrap()
+        if not isinstance(held, Snapshot):
+            raise RuntimeError("no configuration has been accepted")
+        outcome = await ConfigurationLog(store, SystemClock()).accept(
+            change(held.configuration),
+            change_id=ChangeId(uuid.uuid4().hex),
+            expected_revision=held.change.revision,
+            author="bench",
+            summary="change of a bench",
         )
-        outcome = await store.commit(transaction)
-    if not isinstance(outcome.unwrap(), Committed):
-        raise RuntimeError("another change was accepted first")
+    outcome.unwrap()
--- a/fuchsiaroute/configuration/_reader.py
+++ b/fuchsiaroute/configuration/_reader.py
@@ -1,9 +1,11 @@
 """The entries' side of the configuration: reads what has been accepted."""
 
+from collections.abc import Sequence
 from enum import Enum
 
 from returns.result import Failure, Result, Success
 
+from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.configuration._change import (
     DELTA_SLOTS,
     HEAD_KEY,
@@ -21,7 +23,17 @@
     make_snapshot,
 )
 from fuchsiaroute.ids import Revision
-from fuchsiaroute.platform import Record, StoreError, TableStore
+from fuchsiaroute.platform import (
+    Record,
+    StoreError,
+    StoreErrorKind,
+    TableStore,
+    TimedOut,
+    within,
+)
+
+#: Longest wait for the answer to one read.
+READ_TIMEOUT = Milliseconds(1_000)
 
 
 class NoSnapshot(Enum):
@@ -36,14 +48,25 @@
 class ConfigurationReader:
     """Reads the head record, and bodies by difference where that is possible."""
 
-    def __init__(self, store: TableStore) -> None:
+    def __init__(self, store: TableStore, clock: Clock) -> None:
         self._store = store
+        self._clock = clock
 
     async def head(self) -> Result[AcceptedChange | NoChange, StoreError]:
         """Return the change in force; one read of one small record."""
-        found = await self._store.read([HEAD_KEY])
+        found = await self._read([HEAD_KEY])
         return found.map(lambda records: decode_change(records[0].value))
 
+    async def latest(self) -> Result[Snapshot | NoSnapshot, LoadError]:
+        """Return the configuration in force, read as a whole."""
+        match await self.head():
+            case Success(AcceptedChange() as change):
+                return await self._load_whole(change)
+            case Success(_):
+                return Success(NoSnapshot.TOKEN)
+            case found:
+                return Failure(found.failure())
+
     async def load(
         self, change: AcceptedChange, held: Snapshot | NoSnapshot
     ) -> Result[Snapshot, LoadError]:
@@ -54,7 +77,7 @@
         overwritten the slot; reading the head again gives the later change.
         """
         if isinstance(held, Snapshot) and _is_in_reach(held, change):
-            deltas = await self._store.read(_delta_keys(held, change))
+            deltas = await self._read(_delta_keys(held, change))
             match deltas:
                 case Success(records):
                     body = _replay(held.body, records)
@@ -65,7 +88,7 @@
         return await self._load_whole(change)
 
     async def _load_whole(self, change: AcceptedChange) -> Result[Snapshot, LoadError]:
-        match await self._store.read([body_key(change.revision)]):
+        match await self._read([body_key(change.revision)]):
             case Success((record,)):
                 return make_snapshot(change, record.value)
             case Failure(error):
@@ -74,6 +97,17 @@
                 message = "the store returned another number of records"
                 return Failure(SnapshotError(message=message))
 
+    async def _read(
+        self, keys: Sequence[str]
+    ) -> Result[tuple[Record, ...], StoreError]:
+        # These few small reads have a timeout of their own and pass no circuit:
+        # one that slow writes have opened must not hold up the news of an outage.
+        answer = await within(self._clock, READ_TIMEOUT, self._store.read(keys))
+        if isinstance(answer, TimedOut):
+            message = "no answer in time"
+            return Failure(StoreError(kind=StoreErrorKind.UNKNOWN, message=message))
+        return answer
+
 
 def _is_in_reach(held: Snapshot, change: AcceptedChange) -> bool:
     return 0 < change.revision - held.change.revision < DELTA_SLOTS
