--- a/fuchsiaroute/entry/__init__.py
+++ b/fuchsiaroute/entry/__init__.py
@@ -2,11 +2,7 @@
 
 from fuchsiaroute.entry._admit import GatedAdmission
 from fuchsiaroute.entry._attempt import BalancedAttempt, DispatchCheck
-from fuchsiaroute.entry._background import (
-    CONFIGURATION_KEY,
-    Background,
-    ConfigurationPoll,
-)
+from fuchsiaroute.entry._background import Background, ConfigurationPoll
 from fuchsiaroute.entry._bill import LedgerBills
 from fuchsiaroute.entry._call import (
     Answer,
@@ -42,7 +38,6 @@
     "EndpointUpkeep",
     "EntriesListener",
     "GatedAdmission",
-    "CONFIGURATION_KEY",
     "NO_REVISION",
     "AdmitStep",
     "Answer",
