Measure cost, exposure and decision time

Cause: nothing measured the decisions. Change: make bench-cost prints policies side by side on both deployments' mixes, with and without drift, exposure against fixed windows whose size is the smallest with at most 1% false alarms, and the time of a decision.

--- /dev/null
+++ b/benches/bench_cost.py
@@ -0,0 +1,209 @@
+"""
+Cost at the quality target, exposure to bad versions, and decision time.
+
+Run with ``make bench-cost``. The seeds are fixed, so that all but the decision time
+is the same in every run.
+"""
+
+import sys
+from collections.abc import Callable
+from random import Random
+
+from benches._cost_policies import (
+    CheapestPolicy,
+    HindsightPolicy,
+    NaivePolicy,
+    Policy,
+    ProjectPolicy,
+    RandomPolicy,
+    StrongestPolicy,
+)
+from benches._cost_world import (
+    WEAK_IF_BAD,
+    WEAK_IF_GOOD,
+    CostWorld,
+    Outcome,
+    Work,
+)
+from benches._decision_time import decision_microseconds
+from benches._exposure import (
+    FALSE_ALARM_TARGET,
+    GOOD_ROLLOUTS,
+    calibrated_window,
+    false_alarms,
+    mean_exposure,
+    sequential_rule,
+    window_rule,
+)
+from examples import hanbit, timberline
+from fuchsiaroute.configuration import Version
+from fuchsiaroute.ids import VersionId
+from fuchsiaroute.routing import expected_cost
+
+REQUESTS = 300_000
+#: Requests between two readings of ratings.
+READING_INTERVAL = 500
+SEED = 20
+COST_OVER_HINDSIGHT_TARGET = 1.15
+COST_OVER_STRONGEST_TARGET = 0.5
+EXPOSURE_RATIO_TARGET = 0.5
+DECISION_P99_TARGET_MICROSECONDS = 100.0
+BASE_BAD_RATES = (0.07, 0.03, 0.12)
+DROPS = (0.05, 0.10, 0.30)
+VERSION_COUNTS = (10, 35)
+DEPLOYMENTS = {"timberline": timberline.declare, "hanbit": hanbit.declare}
+POLICIES: dict[str, Callable[[CostWorld], Policy]] = {
+    "always-strongest": StrongestPolicy,
+    "always-cheapest": CheapestPolicy,
+    "random": RandomPolicy,
+    "naive router": NaivePolicy,
+    "project": ProjectPolicy,
+    "hindsight": HindsightPolicy,
+}
+
+
+def run_policy(world: CostWorld, policy: Policy) -> Outcome:
+    """Return what ``policy`` costs on the requests of ``world``."""
+    versions = {
+        version.id: version
+        for model in world.configuration.models
+        for version in model.versions
+    }
+    outcome = Outcome()
+    for number, work in enumerate(world.work()):
+        _answer(world, policy, versions, outcome, number, work)
+        if number % READING_INTERVAL == 0:
+            ratings = world.arrived(number)
+            if ratings:
+                policy.saw_ratings(ratings)
+    return outcome
+
+
+def _answer(
+    world: CostWorld,
+    policy: Policy,
+    versions: dict[VersionId, Version],
+    outcome: Outcome,
+    number: int,
+    work: Work,
+) -> None:
+    tried = policy.choose(work)
+    cost = 0
+    is_good = False
+    version = tried[0]
+    for position, version in enumerate(tried):
+        cost += expected_cost(versions[version], work.request.expected_tokens)
+        is_good = world.random.random() < world.quality(work, version)
+        if position + 1 == len(tried):
+            break
+        weak_rate = WEAK_IF_GOOD if is_good else WEAK_IF_BAD
+        is_weak = world.random.random() < weak_rate
+        policy.saw_first(work, version, is_weak=is_weak)
+        if not is_weak:
+            break
+    outcome.add(work.request.request_class, cost=cost, is_good=is_good)
+    world.rate(number, work, version, is_good)
+
+
+def report_cost(name: str, *, has_drift: bool) -> bool:
+    """Print the table of one deployment; return whether the targets are met."""
+    outcomes: dict[str, Outcome] = {}
+    classes = DEPLOYMENTS[name]().products[0].classes
+    kind = "with a drifting model" if has_drift else "without drift"
+    print(f"\n{name}, {REQUESTS:,} requests, {kind}")
+    targets = "".join(f"{spec.id:>20}" for spec in classes)
+    print(f"{'policy':<18}{'cost/request':>14}{targets}{'met':>6}")
+    for label, make in POLICIES.items():
+        world = CostWorld(
+            configuration=DEPLOYMENTS[name](),
+            requests=REQUESTS,
+            has_drift=has_drift,
+            random=Random(SEED),
+        )
+        outcome = run_policy(world, make(world))
+        outcomes[label] = outcome
+        qualities = [outcome.quality(spec.id) for spec in classes]
+        met = sum(
+            quality >= spec.quality_target
+            for quality, spec in zip(qualities, classes, strict=True)
+        )
+        cells = "".join(f"{quality:>20.4f}" for quality in qualities)
+        print(f"{label:<18}{outcome.cost_per_request:>14.1f}{cells}{met:>4}/3")
+    wanted = "".join(f"{spec.quality_target:>20.4f}" for spec in classes)
+    print(f"{'target':<32}{wanted}")
+    project = outcomes["project"]
+    over_hindsight = project.cost / outcomes["hindsight"].cost
+    over_strongest = project.cost / outcomes["always-strongest"].cost
+    has_quality = all(
+        project.quality(spec.id) >= spec.quality_target for spec in classes
+    )
+    return all(
+        (
+            _line("cost / hindsight", over_hindsight, COST_OVER_HINDSIGHT_TARGET),
+            _line("cost / strongest", over_strongest, COST_OVER_STRONGEST_TARGET),
+            _verdict("target met in every class", has_quality),
+        )
+    )
+
+
+def report_exposure(bad: float) -> bool:
+    """Print exposures for one rate of bad answers of the base."""
+    size = calibrated_window(bad=bad, seed=1)
+    baseline = window_rule(size)
+    print(
+        f"\nexposure, base with {bad:.0%} bad answers; baseline: windows of {size} "
+        f"ratings, 5 points below the base"
+    )
+    limit = int(GOOD_ROLLOUTS * FALSE_ALARM_TARGET)
+    alarms = false_alarms(sequential_rule, bad=bad, seed=2)
+    others = false_alarms(baseline, bad=bad, seed=2)
+    print(f"false alarms of {GOOD_ROLLOUTS}: baseline {others}, project {alarms}")
+    is_met = _line("false alarms", alarms, limit)
+    for drop in DROPS:
+        theirs = mean_exposure(baseline, bad=bad, drop=drop, seed=3)
+        ours = mean_exposure(sequential_rule, bad=bad, drop=drop, seed=3)
+        print(f"drop {drop:.0%}: baseline {theirs:,.0f} requests, project {ours:,.0f}")
+        is_met &= _line("project / baseline", ours / theirs, EXPOSURE_RATIO_TARGET)
+    return is_met
+
+
+def report_decision_time() -> bool:
+    """Print the time of a decision and its slope."""
+    print("\ndecision time in microseconds")
+    medians: list[float] = []
+    is_met = True
+    for count in VERSION_COUNTS:
+        median, high = decision_microseconds(count)
+        medians.append(median)
+        print(f"{count} versions: median {median:.1f}, p99 {high:.1f}")
+        is_met &= _line("p99", high, DECISION_P99_TARGET_MICROSECONDS)
+    slope = (medians[1] - medians[0]) / (VERSION_COUNTS[1] - VERSION_COUNTS[0])
+    print(f"slope of the median: {slope:.2f} microseconds per version")
+    return is_met
+
+
+def _line(name: str, measured: float, target: float) -> bool:
+    is_met = measured <= target
+    state = "met" if is_met else "MISSED"
+    print(f"    {name}: {measured:.3f}, target at most {target:g}: {state}")
+    return is_met
+
+
+def _verdict(name: str, is_met: bool) -> bool:
+    print(f"    {name}: {'met' if is_met else 'MISSED'}")
+    return is_met
+
+
+def main() -> int:
+    """Print all tables; return 0 if every target is met."""
+    results = [report_decision_time()]
+    results += [report_exposure(bad) for bad in BASE_BAD_RATES]
+    for name in DEPLOYMENTS:
+        for has_drift in (False, True):
+            results.append(report_cost(name, has_drift=has_drift))
+    print(f"\n{sum(results)} of {len(results)} tables meet all their targets")
+    return 0 if all(results) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
