Keep the hindsight policy from asking the same version twice

Cause: the best choice in hindsight on drafts was the small model twice, because the world draws a repeated answer anew; a version fails again where it failed before. Change: hindsight weighs cascades of two different versions.

--- a/benches/_cost_policies.py
+++ b/benches/_cost_policies.py
@@ -124,6 +124,9 @@
                 continue
             weak = quality * WEAK_IF_GOOD + (1 - quality) * WEAK_IF_BAD
             for second in versions:
+                if second.id == first.id:
+                    # A version fails again where it failed before.
+                    continue
                 both = quality * (1 - WEAK_IF_GOOD)
                 both += weak * self._world.quality(work, second.id)
                 extra = weak * expected_cost(second, work.request.expected_tokens)
