--- a/fuchsiaroute/demo/_deployment.py
+++ b/fuchsiaroute/demo/_deployment.py
@@ -4,27 +4,19 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
 
-from fuchsiaroute.clock import Clock, Milliseconds
-from fuchsiaroute.configuration import Configuration
-from fuchsiaroute.declaration import encode
-from fuchsiaroute.entry import CONFIGURATION_KEY
-from fuchsiaroute.gateway import AdvisedEntry
+from fuchsiaroute.advice import KnownEntry
+from fuchsiaroute.clock import Clock, Milliseconds, SystemClock
+from fuchsiaroute.configuration import Configuration, accept_first
+from fuchsiaroute.endpoints import Warmth, WarmthFact
 from fuchsiaroute.ids import InstanceId
-from fuchsiaroute.platform import (
-    ABSENT,
-    Check,
-    MemoryInstanceList,
-    MemoryTableStore,
-    Put,
-    Transaction,
-)
+from fuchsiaroute.platform import MemoryInstanceList, MemoryTableStore
 from fuchsiaroute.serving import (
     ComposedEntry,
     EntryOptions,
     HttpServer,
     compose_entry,
 )
-from fuchsiaroute.standin import StandInEndpoint
+from fuchsiaroute.standin import FIRST_INCARNATION, StandInEndpoint
 
 #: All entries of the demonstration sign session pins with this key.
 PIN_KEY = "demonstration-pin-key"
@@ -55,7 +47,7 @@
         await asyncio.gather(*(server.stop() for server in self.servers))
         for entry in self.entries:
             await entry.background.stop()
-            await entry.client.aclose()
+            await entry.aclose()
 
 
 async def start_deployment(
@@ -90,12 +82,11 @@
 
 
 async def _apply(deployment: RunningDeployment) -> None:
-    """Store the configuration as the operators' ``apply`` does."""
-    transaction = Transaction(
-        checks=(Check(key=CONFIGURATION_KEY, version=ABSENT),),
-        puts=(Put(key=CONFIGURATION_KEY, value=encode(deployment.configuration)),),
+    """Accept the configuration as the operators' ``apply`` does."""
+    outcome = await accept_first(
+        deployment.store, SystemClock(), deployment.configuration, author="demo"
     )
-    await deployment.store.commit(transaction)
+    outcome.unwrap()
 
 
 async def _start_entries(deployment: RunningDeployment, *, clock: Clock) -> None:
@@ -114,6 +105,7 @@
             clock=clock,
         )
         await entry.poll.poll()
+        entry.balancing.chooser.learn(_warmth(deployment.configuration))
         entry.background.start()
         server = HttpServer(app=entry.app, host=HOST, port=ANY_PORT)
         await server.start()
@@ -124,9 +116,22 @@
 
 
 def _advise(entries: Sequence[ComposedEntry], urls: Sequence[str]) -> None:
-    advised = tuple(
-        AdvisedEntry(url=url, failure_domain=entry.options.failure_domain)
+    known = tuple(
+        KnownEntry(
+            instance=entry.options.instance,
+            url=url,
+            failure_domain=entry.options.failure_domain,
+        )
         for entry, url in zip(entries, urls, strict=True)
     )
     for entry in entries:
-        entry.advice.entries = advised
+        entry.advice.update(known)
+
+
+def _warmth(configuration: Configuration) -> tuple[WarmthFact, ...]:
+    """Return what entries would know: the stand-ins are warm from their start."""
+    warmth = Warmth(incarnation=FIRST_INCARNATION, is_warm=True)
+    return tuple(
+        WarmthFact(endpoint=endpoint.id, warmth=warmth)
+        for endpoint in configuration.endpoints
+    )
