Know the other entries by heartbeats; carry the inner protocol by grpclib

Cause: the platform's list lags, and one entry's silence does not tell a dead peer from a paused, restarted or half-connected one. Change: up to 12 entries form a mesh of heartbeats, more of them three random rings. Reports of unreachable members spread as news; a member that no chain of answered heartbeats leads to is dead, one that only this entry cannot reach is half-connected. Connections that fall silent are replaced once before the peer is blamed. Shared keys rotate; TLS is mutual. Before: no membership. Conclusion: the state table tells the five states apart in meshes and rings.

--- a/fuchsiaroute/configuration/__init__.py
+++ b/fuchsiaroute/configuration/__init__.py
@@ -7,7 +7,9 @@
     ChangeError,
     ChangeErrorKind,
     NoChange,
+    decode_change,
     digest_of,
+    encode_change,
 )
 from fuchsiaroute.configuration._in_force import READY_STATES, InForce, StoreWord
 from fuchsiaroute.configuration._log import ConfigurationLog, accept_first
@@ -84,7 +86,9 @@
     "Version",
     "VersionState",
     "accept_first",
+    "decode_change",
     "digest_of",
+    "encode_change",
     "make_snapshot",
     "poll_interval",
     "readiness_in",
--- /dev/null
+++ b/fuchsiaroute/membership/__init__.py
@@ -0,0 +1,26 @@
+"""Which entries there are, and in what state each of them is."""
+
+from fuchsiaroute.membership._membership import Membership
+from fuchsiaroute.membership._messages import Announcement, News, Report
+from fuchsiaroute.membership._states import (
+    Contact,
+    MemberEvent,
+    MemberState,
+    MemberView,
+    member_state,
+)
+from fuchsiaroute.membership._topology import Topology, heartbeat_interval
+
+__all__ = [
+    "Announcement",
+    "Contact",
+    "MemberEvent",
+    "MemberState",
+    "MemberView",
+    "Membership",
+    "News",
+    "Report",
+    "Topology",
+    "heartbeat_interval",
+    "member_state",
+]
--- /dev/null
+++ b/fuchsiaroute/membership/tests/test_membership.py
@@ -0,0 +1,187 @@
+import random
+
+import pytest
+
+from fuchsiaroute.ids import InstanceId
+from fuchsiaroute.membership import Contact, MemberEvent, MemberState, member_state
+from fuchsiaroute.membership._topology import RING_COUNT, Topology
+from fuchsiaroute.membership.tests.cluster import Cluster, name_of
+
+SIZES = (3, 8, 40)
+#: Seconds until a change is known everywhere, in a mesh and in rings.
+MESH_SETTLING, RING_SETTLING = 10, 45
+
+
+def settling(count):
+    return MESH_SETTLING if count <= 12 else RING_SETTLING
+
+
+@pytest.mark.parametrize(
+    ("contact", "is_connected", "is_leaving", "expected"),
+    [
+        (Contact.ANSWERING, True, False, MemberState.ALIVE),
+        (Contact.ANSWERING, True, True, MemberState.LEAVING),
+        (Contact.LATE, True, False, MemberState.SUSPECT),
+        (Contact.SILENT, True, False, MemberState.HALF_CONNECTED),
+        (Contact.SILENT, False, False, MemberState.DEAD),
+        (Contact.SILENT, False, True, MemberState.DEAD),
+        (Contact.NOT_PROBED, False, False, MemberState.DEAD),
+        (Contact.NOT_PROBED, True, False, MemberState.ALIVE),
+    ],
+)
+def test_member_state(contact, is_connected, is_leaving, expected):
+    state = member_state(contact, is_connected=is_connected, is_leaving=is_leaving)
+    assert state is expected
+
+
+@pytest.mark.parametrize("count", SIZES)
+def test_entries_that_answer_are_alive(count):
+    cluster = Cluster(count)
+    cluster.run(settling(count))
+    for number in range(count):
+        assert set(cluster.states(number).values()) == {MemberState.ALIVE}
+        assert cluster.cores[number].hears_majority
+
+
+@pytest.mark.parametrize("count", SIZES)
+def test_stopped_entry_is_dead_everywhere_and_a_restart_is_told_from_a_pause(count):
+    cluster = Cluster(count)
+    cluster.run(5)
+    cluster.stopped.add(1)
+    cluster.run(settling(count))
+    assert cluster.all_see(1, MemberState.DEAD)
+    for core in cluster.cores.values():
+        core.drain_events()
+    cluster.stopped.discard(1)
+    cluster.run(settling(count))
+    assert cluster.all_see(1, MemberState.ALIVE)
+    assert (name_of(1), MemberEvent.RESUMED) in cluster.cores[0].drain_events()
+    cluster.stopped.add(1)
+    cluster.run(settling(count))
+    for core in cluster.cores.values():
+        core.drain_events()
+    cluster.restart(1)
+    cluster.run(settling(count))
+    assert cluster.all_see(1, MemberState.ALIVE)
+    assert (name_of(1), MemberEvent.RESTARTED) in cluster.cores[0].drain_events()
+    (member,) = (
+        item for item in cluster.cores[0].members() if item.instance == name_of(1)
+    )
+    assert member.incarnation == 2
+
+
+def test_a_cut_link_makes_its_ends_half_connected_for_each_other_only():
+    cluster = Cluster(8)
+    cluster.run(5)
+    cluster.cut_link(0, 1)
+    cluster.run(MESH_SETTLING)
+    assert cluster.view(0, 1) is MemberState.HALF_CONNECTED
+    assert cluster.view(1, 0) is MemberState.HALF_CONNECTED
+    assert cluster.view(2, 0) is cluster.view(2, 1) is MemberState.ALIVE
+    cluster.cut.clear()
+    cluster.run(MESH_SETTLING)
+    assert cluster.view(0, 1) is MemberState.ALIVE
+
+
+def test_a_stopped_entry_is_never_held_half_connected():
+    cluster = Cluster(8)
+    cluster.run(5)
+    cluster.stopped.add(1)
+    seen = set()
+    for _ in range(20):
+        cluster.run(1)
+        seen |= {cluster.view(viewer, 1) for viewer in range(2, 8)}
+    assert seen == {MemberState.ALIVE, MemberState.SUSPECT, MemberState.DEAD}
+
+
+@pytest.mark.parametrize(("count", "seconds"), [(8, 15), (40, 150)])
+def test_region_cut_off_for_an_hour_knows_that_it_is_the_minority(count, seconds):
+    cluster = Cluster(count)
+    cluster.run(10)
+    region = range(count // 3)
+    rest = range(count // 3, count)
+    cluster.cut_groups(region, rest)
+    cluster.run(seconds)
+    for number in region:
+        states = cluster.states(number)
+        assert {states[other] for other in rest} == {MemberState.DEAD}
+        assert not cluster.cores[number].hears_majority
+    for number in rest:
+        assert cluster.cores[number].hears_majority
+    cluster.run(300)
+    cluster.cut.clear()
+    cluster.run(seconds)
+    for number in range(count):
+        assert set(cluster.states(number).values()) == {MemberState.ALIVE}
+
+
+@pytest.mark.parametrize("count", SIZES)
+def test_leaving_is_known_everywhere_and_a_restart_takes_it_back(count):
+    cluster = Cluster(count)
+    cluster.run(settling(count))
+    cluster.cores[1].announce(is_leaving=True)
+    cluster.run(2 if count <= 12 else 12)
+    assert cluster.all_see(1, MemberState.LEAVING)
+    cluster.restart(1)
+    cluster.run(settling(count))
+    assert cluster.all_see(1, MemberState.ALIVE)
+
+
+def test_entry_that_is_not_listed_yet_is_known_by_its_announcement():
+    cluster = Cluster(4)
+    cluster.run(5)
+    cluster.incarnations[4] = 1
+    cluster.start(4)
+    cluster.run(5)
+    assert cluster.all_see(4, MemberState.ALIVE)
+    cluster.stopped.add(4)
+    cluster.run(80)
+    assert 4 not in cluster.states(0)
+    assert (name_of(4), MemberEvent.FORGOTTEN) in cluster.cores[0].drain_events()
+
+
+@pytest.mark.parametrize("count", [13, 60, 390])
+def test_every_living_entry_is_the_target_of_a_living_one(count):
+    rng = random.Random(count)
+    members = [InstanceId(f"entry-{number}") for number in range(count)]
+    topology = Topology(members)
+    gone = frozenset(rng.sample(members, count // 2))
+    living = [member for member in members if member not in gone]
+    targets = [topology.targets(member, gone) for member in living]
+    assert frozenset().union(*targets) == set(living)
+    assert max(map(len, targets)) <= RING_COUNT
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_random_faults_heal(seed):
+    rng = random.Random(seed)
+    count = rng.choice([3, 5, 8, 20])
+    cluster = Cluster(count)
+    cluster.run(5)
+    for _ in range(8):
+        number = rng.randrange(count)
+        fault = rng.choice(["stop", "resume", "restart", "cut", "heal"])
+        if fault == "stop":
+            cluster.stopped.add(number)
+        elif fault == "resume":
+            cluster.stopped.discard(number)
+        elif fault == "restart":
+            cluster.restart(number)
+        elif fault == "cut":
+            cluster.cut_link(number, rng.randrange(count))
+        else:
+            cluster.cut.clear()
+        cluster.run(rng.randrange(1, 20))
+    cluster.cut.clear()
+    cluster.stopped.clear()
+    cluster.run(100)
+    for viewer in range(count):
+        assert set(cluster.states(viewer).values()) == {MemberState.ALIVE}
+        members = cluster.cores[viewer].members()
+        found = {item.instance: item.incarnation for item in members}
+        expected = {
+            name_of(number): cluster.incarnations[number]
+            for number in range(count)
+            if number != viewer
+        }
+        assert found == expected
--- /dev/null
+++ b/fuchsiaroute/peer/_connection.py
@@ -0,0 +1,227 @@
+"""The calling side of the inner protocol: one peer."""
+
+import asyncio
+import contextlib
+import zlib
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import TypeVar
+
+from grpclib import GRPCError, Status
+from grpclib.client import Channel, Stream
+from grpclib.exceptions import ProtocolError, StreamTerminatedError
+from returns.result import Failure, Result, Success
+
+from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.configuration import (
+    AcceptedChange,
+    NoChange,
+    Snapshot,
+    decode_change,
+    make_snapshot,
+)
+from fuchsiaroute.ids import Incarnation, InstanceId, Revision
+from fuchsiaroute.peer._convert import from_wire, to_wire
+from fuchsiaroute.peer._generated import peer_pb2
+from fuchsiaroute.peer._generated.peer_grpc import PeerStub
+from fuchsiaroute.peer._messages import Heartbeat, PeerError, PeerErrorKind
+from fuchsiaroute.peer._security import (
+    TOKEN_FIELD,
+    PeerKeys,
+    TlsChoice,
+    client_context,
+)
+from fuchsiaroute.platform import TimedOut, within
+
+#: Longest wait for the answer to a heartbeat, on each of two connections.
+HEARTBEAT_TIMEOUT = Milliseconds(800)
+#: Longest wait for any other answer.
+CALL_TIMEOUT = Milliseconds(2_000)
+#: Largest configuration that is taken from a peer, in bytes.
+BODY_LIMIT = 32 * 1_024 * 1_024
+
+_Answer = TypeVar("_Answer")
+_FAILURES = (OSError, StreamTerminatedError, ProtocolError, asyncio.TimeoutError)
+
+
+@dataclass(frozen=True, kw_only=True)
+class PeerIdentity:
+    """How an entry presents itself to its peers."""
+
+    instance: InstanceId
+    keys: PeerKeys
+    tls: TlsChoice
+
+
+class PeerConnection:
+    """
+    Calls one peer over one connection.
+
+    A connection can go silent for good while a new one works, so a call without
+    an answer is repeated once on a fresh connection before the peer is blamed.
+    Every call of the inner protocol is idempotent.
+    """
+
+    def __init__(self, address: str, identity: PeerIdentity, clock: Clock) -> None:
+        host, _, port = address.rpartition(":")
+        self._host = host.strip("[]")
+        self._port = int(port)
+        self._identity = identity
+        self._clock = clock
+        self._channel: Channel | None = None
+        self._heartbeats: Stream[peer_pb2.Heartbeat, peer_pb2.Heartbeat] | None = None
+        #: Connections opened so far.
+        self.opened = 0
+
+    def close(self) -> None:
+        """Close the connection; the next call opens a fresh one."""
+        if self._channel is not None:
+            self._channel.close()
+        self._channel = None
+        self._heartbeats = None
+
+    async def exchange(self, heartbeat: Heartbeat) -> Result[Heartbeat, PeerError]:
+        """Send ``heartbeat`` and return the peer's own."""
+        wire = to_wire(heartbeat)
+
+        async def call(_: PeerStub) -> Heartbeat:
+            stream = await self._heartbeat_stream()
+            await stream.send_message(wire)
+            answer = await stream.recv_message()
+            if answer is None:
+                raise ProtocolError("the stream of heartbeats has ended")
+            return from_wire(answer)
+
+        return await self._call(call, HEARTBEAT_TIMEOUT)
+
+    async def fetch_configuration(self, known: Revision) -> Snapshot | NoChange:
+        """Return the peer's configuration if it is higher than ``known``."""
+        request = peer_pb2.FetchConfigurationRequest(known_revision=known)
+
+        async def call(stub: PeerStub) -> peer_pb2.FetchConfigurationReply:
+            return await stub.FetchConfiguration(request, metadata=self._metadata())
+
+        match await self._call(call, CALL_TIMEOUT):
+            case Success(reply) if reply.revision > known:
+                return _snapshot(reply)
+            case _:
+                return NoChange.TOKEN
+
+    async def hold_records(
+        self, owner: InstanceId, incarnation: Incarnation, batch: int, records: bytes
+    ) -> Result[bool, PeerError]:
+        """Have the peer hold a copy of ``records``; return whether it does."""
+        request = peer_pb2.HoldRecordsRequest(
+            owner=owner, incarnation=incarnation, batch=batch, records=records
+        )
+
+        async def call(stub: PeerStub) -> bool:
+            reply = await stub.HoldRecords(request, metadata=self._metadata())
+            return reply.is_held
+
+        return await self._call(call, CALL_TIMEOUT)
+
+    async def release_records(
+        self, owner: InstanceId, incarnation: Incarnation, last_batch: int
+    ) -> Result[None, PeerError]:
+        """Let the peer drop the batches up to ``last_batch``."""
+        request = peer_pb2.ReleaseRecordsRequest(
+            owner=owner, incarnation=incarnation, last_batch=last_batch
+        )
+
+        async def call(stub: PeerStub) -> None:
+            await stub.ReleaseRecords(request, metadata=self._metadata())
+
+        return await self._call(call, CALL_TIMEOUT)
+
+    async def take_records(
+        self, owner: InstanceId, incarnation: Incarnation
+    ) -> Result[tuple[bytes, ...], PeerError]:
+        """Return the records that the peer holds for ``owner``."""
+        request = peer_pb2.TakeRecordsRequest(owner=owner, incarnation=incarnation)
+
+        async def call(stub: PeerStub) -> tuple[bytes, ...]:
+            reply = await stub.TakeRecords(request, metadata=self._metadata())
+            return tuple(reply.records)
+
+        return await self._call(call, CALL_TIMEOUT)
+
+    async def _call(
+        self,
+        call: Callable[[PeerStub], Awaitable[_Answer]],
+        limit: Milliseconds,
+    ) -> Result[_Answer, PeerError]:
+        was_open = self._channel is not None
+        outcome = await self._attempt(call, limit)
+        is_silent = (
+            isinstance(outcome, Failure)
+            and outcome.failure().kind is PeerErrorKind.SILENT
+        )
+        if is_silent and was_open:
+            outcome = await self._attempt(call, limit)
+        return outcome
+
+    async def _attempt(
+        self,
+        call: Callable[[PeerStub], Awaitable[_Answer]],
+        limit: Milliseconds,
+    ) -> Result[_Answer, PeerError]:
+        async def made() -> _Answer:
+            return await call(PeerStub(self._open_channel()))
+
+        try:
+            answer = await within(self._clock, limit, made())
+        except GRPCError as error:
+            self.close()
+            return Failure(_grpc_error(error))
+        except _FAILURES as error:
+            self.close()
+            return Failure(_silent(f"{type(error).__name__}: {error}"))
+        if isinstance(answer, TimedOut):
+            self.close()
+            return Failure(_silent("no answer in time"))
+        return Success(answer)
+
+    def _open_channel(self) -> Channel:
+        if self._channel is None:
+            self.opened += 1
+            context = client_context(self._identity.tls)
+            self._channel = Channel(self._host, self._port, ssl=context)
+        return self._channel
+
+    async def _heartbeat_stream(
+        self,
+    ) -> Stream[peer_pb2.Heartbeat, peer_pb2.Heartbeat]:
+        if self._heartbeats is None:
+            stub = PeerStub(self._open_channel())
+            stream = stub.ExchangeHeartbeats.open(metadata=self._metadata())
+            await stream.__aenter__()
+            self._heartbeats = stream
+        return self._heartbeats
+
+    def _metadata(self) -> dict[str, str]:
+        identity = self._identity
+        return {TOKEN_FIELD: identity.keys.sign(identity.instance)}
+
+
+def _snapshot(reply: peer_pb2.FetchConfigurationReply) -> Snapshot | NoChange:
+    change = decode_change(reply.change)
+    body = b""
+    with contextlib.suppress(zlib.error):
+        body = zlib.decompressobj().decompress(reply.body, BODY_LIMIT)
+    if isinstance(change, AcceptedChange):
+        match make_snapshot(change, body):
+            case Success(Snapshot() as snapshot):
+                return snapshot
+    return NoChange.TOKEN
+
+
+def _grpc_error(error: GRPCError) -> PeerError:
+    refusals = {Status.UNAUTHENTICATED, Status.INVALID_ARGUMENT}
+    is_refused = error.status in refusals
+    kind = PeerErrorKind.REFUSED if is_refused else PeerErrorKind.SILENT
+    return PeerError(kind=kind, message=f"{error.status.name}: {error.message}")
+
+
+def _silent(message: str) -> PeerError:
+    return PeerError(kind=PeerErrorKind.SILENT, message=message)
--- /dev/null
+++ b/fuchsiaroute/peer/_convert.py
@@ -0,0 +1,98 @@
+"""Conversion between typed values and the generated messages."""
+
+from functools import singledispatch
+
+from fuchsiaroute.clock import Milliseconds
+from fuchsiaroute.ids import FailureDomainId, Incarnation, InstanceId, Revision
+from fuchsiaroute.membership import Announcement, News, Report
+from fuchsiaroute.peer._generated import peer_pb2
+from fuchsiaroute.peer._messages import Extension, Heartbeat, NoWord
+
+
+def to_wire(heartbeat: Heartbeat) -> peer_pb2.Heartbeat:
+    """Return ``heartbeat`` as a generated message."""
+    age = heartbeat.word_age
+    wire = peer_pb2.Heartbeat(
+        instance=heartbeat.instance,
+        incarnation=heartbeat.incarnation,
+        revision=heartbeat.revision,
+        known_revision=heartbeat.known_revision,
+        word_age=0 if isinstance(age, NoWord) else age + 1,
+        extensions=[
+            peer_pb2.Extension(topic=item.topic, payload=item.payload)
+            for item in heartbeat.extensions
+        ],
+    )
+    for news in heartbeat.news:
+        _add_news(news, wire)
+    return wire
+
+
+def from_wire(wire: peer_pb2.Heartbeat) -> Heartbeat:
+    """Return the typed value of a generated message."""
+    announcements = tuple(_announcement(item) for item in wire.announcements)
+    reports = tuple(_report(item) for item in wire.reports)
+    age = Milliseconds(wire.word_age - 1) if wire.word_age else NoWord.TOKEN
+    return Heartbeat(
+        instance=InstanceId(wire.instance),
+        incarnation=Incarnation(wire.incarnation),
+        revision=Revision(wire.revision),
+        known_revision=Revision(wire.known_revision),
+        word_age=age,
+        news=(*announcements, *reports),
+        extensions=tuple(
+            Extension(topic=item.topic, payload=item.payload)
+            for item in wire.extensions
+        ),
+    )
+
+
+@singledispatch
+def _add_news(news: News, wire: peer_pb2.Heartbeat) -> None:
+    raise TypeError(f"no message for {type(news).__name__}")
+
+
+@_add_news.register
+def _(news: Announcement, wire: peer_pb2.Heartbeat) -> None:
+    wire.announcements.add(
+        instance=news.instance,
+        incarnation=news.incarnation,
+        sequence=news.sequence,
+        is_leaving=news.is_leaving,
+        address=news.address,
+        failure_domain=news.failure_domain,
+    )
+
+
+@_add_news.register
+def _(news: Report, wire: peer_pb2.Heartbeat) -> None:
+    wire.reports.add(
+        observer=news.observer,
+        observer_incarnation=news.observer_incarnation,
+        subject=news.subject,
+        subject_incarnation=news.subject_incarnation,
+        is_reachable=news.is_reachable,
+        sequence=news.sequence,
+    )
+
+
+def _announcement(wire: peer_pb2.Announcement) -> Announcement:
+    return Announcement(
+        instance=InstanceId(wire.instance),
+        incarnation=Incarnation(wire.incarnation),
+        sequence=wire.sequence,
+        is_leaving=wire.is_leaving,
+        address=wire.address,
+        failure_domain=FailureDomainId(wire.failure_domain),
+    )
+
+
+def _report(wire: peer_pb2.Report) -> Report:
+    return Report(
+        observer=InstanceId(wire.observer),
+        observer_incarnation=Incarnation(wire.observer_incarnation),
+        subject=InstanceId(wire.subject),
+        subject_incarnation=Incarnation(wire.subject_incarnation),
+        is_reachable=wire.is_reachable,
+        sequence=wire.sequence,
+    )
--- /dev/null
+++ b/fuchsiaroute/peer/_node.py
@@ -0,0 +1,233 @@
+"""An entry among its peers: heartbeats out, heartbeats in, configuration both ways."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from returns.result import Success
+
+from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.configuration import (
+    ConfigurationPoller,
+    InForce,
+    NoChange,
+    Snapshot,
+    StoreWord,
+)
+from fuchsiaroute.ids import InstanceId, Revision
+from fuchsiaroute.membership import Membership, MemberState, MemberView, News
+from fuchsiaroute.peer._connection import PeerConnection, PeerIdentity
+from fuchsiaroute.peer._messages import (
+    EXTENSION_LIMIT,
+    Extension,
+    Heartbeat,
+    NoWord,
+)
+
+#: Time between two looks at what is due; news waits no longer than this.
+TICK = Milliseconds(100)
+#: Ages of the store's word above this are the same as none.
+LONGEST_AGE = Milliseconds(7 * 24 * 3_600_000)
+#: Connections that are not used for heartbeats, for ledger copies and fetches.
+MAX_SPARE_CONNECTIONS = 4
+
+ExtensionSource = Callable[[], bytes]
+ExtensionSink = Callable[[InstanceId, bytes], None]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Topic:
+    """One subject on which entries share a few bytes with their direct peers."""
+
+    name: str
+    #: Returns what to send; at most ``EXTENSION_LIMIT`` bytes, empty for nothing.
+    source: ExtensionSource
+    #: Takes what a peer sent.
+    sink: ExtensionSink
+
+
+@dataclass
+class _Link:
+    connection: PeerConnection
+    address: str
+    exchange: asyncio.Task[None] | None = field(default=None)
+
+    @property
+    def is_busy(self) -> bool:
+        return self.exchange is not None and not self.exchange.done()
+
+
+class PeerNode:
+    """Keeps ``Membership`` and ``InForce`` up to date; implements ``PeerHandler``."""
+
+    def __init__(
+        self,
+        *,
+        membership: Membership,
+        in_force: InForce,
+        poller: ConfigurationPoller,
+        identity: PeerIdentity,
+        clock: Clock,
+        topics: tuple[Topic, ...] = (),
+    ) -> None:
+        self._membership = membership
+        self._in_force = in_force
+        self._poller = poller
+        self._identity = identity
+        self._clock = clock
+        self._topics = topics
+        self._links: dict[InstanceId, _Link] = {}
+        self._refreshed_at = Milliseconds(clock.now() - 3_600_000)
+        self._told_revision = in_force.known_revision
+        self._catching_up: asyncio.Task[None] | None = None
+
+    async def run(self) -> None:
+        """Exchange heartbeats until cancelled."""
+        self._membership.announce(is_leaving=False)
+        try:
+            while True:
+                self.step()
+                await self._clock.sleep(TICK)
+        finally:
+            self.close()
+
+    def step(self) -> None:
+        """Start the exchanges that are due."""
+        now = self._clock.now()
+        is_due = now - self._refreshed_at >= self._membership.interval
+        if is_due:
+            self._refreshed_at = now
+            self._membership.refresh()
+            self._in_force.note_majority(self._membership.hears_majority)
+        if self._has_urgent_news() or is_due:
+            self._start_exchanges()
+        self._start_catching_up()
+
+    def answer_heartbeat(self, heartbeat: Heartbeat) -> Heartbeat:
+        """Take in a peer's heartbeat and return this entry's own."""
+        self._in_force.note_revision(heartbeat.known_revision)
+        self._membership.receive(heartbeat.instance, heartbeat.news)
+        self._take_extensions(heartbeat)
+        return self._heartbeat(())
+
+    def newer_configuration(self, known: Revision) -> Snapshot | NoChange:
+        """Return the configuration held if it is higher than ``known``."""
+        held = self._in_force.snapshot
+        if isinstance(held, Snapshot) and held.change.revision > known:
+            return held
+        return NoChange.TOKEN
+
+    def connection_to(self, member: MemberView) -> PeerConnection:
+        """Return a connection to ``member``, for calls beside heartbeats."""
+        return self._link(member).connection
+
+    def leave(self) -> None:
+        """Tell the peers that this entry leaves."""
+        self._membership.announce(is_leaving=True)
+        self.step()
+
+    def close(self) -> None:
+        """End every exchange and connection."""
+        tasks = [link.exchange for link in self._links.values()]
+        for task in (*tasks, self._catching_up):
+            if task is not None:
+                task.cancel()
+        for link in self._links.values():
+            link.connection.close()
+        self._links.clear()
+
+    def _has_urgent_news(self) -> bool:
+        is_higher = self._in_force.known_revision > self._told_revision
+        self._told_revision = self._in_force.known_revision
+        return self._membership.take_urgency() or is_higher
+
+    def _start_exchanges(self) -> None:
+        targets = self._membership.due_targets()
+        wanted = {member.instance for member in targets}
+        self._drop_idle(wanted)
+        for member in targets:
+            link = self._link(member)
+            if not link.is_busy:
+                link.exchange = asyncio.create_task(self._exchange(member, link))
+
+    def _link(self, member: MemberView) -> _Link:
+        held = self._links.get(member.instance)
+        if held is not None and held.address == member.address:
+            return held
+        if held is not None:
+            held.connection.close()
+        connection = PeerConnection(member.address, self._identity, self._clock)
+        link = _Link(connection=connection, address=member.address)
+        self._links[member.instance] = link
+        return link
+
+    def _drop_idle(self, wanted: set[InstanceId]) -> None:
+        spare = [
+            instance
+            for instance, link in self._links.items()
+            if instance not in wanted and not link.is_busy
+        ]
+        for instance in spare[:-MAX_SPARE_CONNECTIONS]:
+            self._links.pop(instance).connection.close()
+
+    async def _exchange(self, member: MemberView, link: _Link) -> None:
+        sent_at = self._clock.now()
+        news = self._membership.news_for(member.instance)
+        outcome = await link.connection.exchange(self._heartbeat(news))
+        match outcome:
+            case Success(answer):
+                self._membership.note_answer(answer.instance, answer.incarnation)
+                if answer.instance == member.instance:
+                    self._membership.acknowledge(member.instance, news)
+                self._note_word(answer, sent_at)
+                self._take_extensions(answer)
+
+    def _note_word(self, answer: Heartbeat, sent_at: Milliseconds) -> None:
+        self._in_force.note_revision(answer.known_revision)
+        if isinstance(answer.word_age, NoWord):
+            return
+        # The peer measured the age after the heartbeat was sent.
+        instant = Milliseconds(sent_at - answer.word_age)
+        word = StoreWord(revision=answer.known_revision, instant=instant)
+        self._in_force.note_word(word)
+
+    def _heartbeat(self, news: tuple[News, ...]) -> Heartbeat:
+        own = self._membership.own
+        age = self._in_force.age
+        return Heartbeat(
+            instance=own.instance,
+            incarnation=own.incarnation,
+            revision=self._in_force.revision,
+            known_revision=self._in_force.known_revision,
+            word_age=age if age < LONGEST_AGE else NoWord.TOKEN,
+            news=news,
+            extensions=self._extensions(),
+        )
+
+    def _extensions(self) -> tuple[Extension, ...]:
+        made = ((topic.name, topic.source()) for topic in self._topics)
+        return tuple(
+            Extension(topic=name, payload=payload)
+            for name, payload in made
+            if 0 < len(payload) <= EXTENSION_LIMIT
+        )
+
+    def _take_extensions(self, heartbeat: Heartbeat) -> None:
+        sinks = {topic.name: topic.sink for topic in self._topics}
+        for extension in heartbeat.extensions:
+            sink = sinks.get(extension.topic)
+            if sink is not None and len(extension.payload) <= EXTENSION_LIMIT:
+                sink(heartbeat.instance, extension.payload)
+
+    def _start_catching_up(self) -> None:
+        is_running = self._catching_up is not None and not self._catching_up.done()
+        if self._in_force.is_behind and not is_running:
+            self._catching_up = asyncio.create_task(self._catch_up())
+
+    async def _catch_up(self) -> None:
+        peers = [
+            self.connection_to(member)
+            for member in self._membership.members()
+            if member.instance in self._links and member.state is MemberState.ALIVE
+        ]
+        await self._poller.catch_up(peers)
--- /dev/null
+++ b/fuchsiaroute/peer/tests/test_node.py
@@ -0,0 +1,271 @@
+import asyncio
+import socket
+
+import pytest
+import trustme
+
+from examples.timberline import declare
+from fuchsiaroute.clock import SystemClock
+from fuchsiaroute.configuration import (
+    NO_REVISION,
+    ConfigurationPoller,
+    ConfigurationReader,
+    InForce,
+    NoChange,
+    Readiness,
+    accept_first,
+)
+from fuchsiaroute.ids import FailureDomainId, Incarnation, InstanceId
+from fuchsiaroute.membership import Announcement, Membership, MemberState
+from fuchsiaroute.peer import (
+    HoldNothing,
+    NoTls,
+    PeerConnection,
+    PeerErrorKind,
+    PeerIdentity,
+    PeerKeys,
+    PeerNode,
+    PeerServer,
+    TlsFiles,
+    Topic,
+)
+from fuchsiaroute.platform import MemoryTableStore, StoreFault
+
+HOST = "127.0.0.1"
+KEY, OLD_KEY = "a-key-of-sixteen-or-more", "an-older-key-of-sixteen"
+CLOCK = SystemClock()
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
+class Holder(HoldNothing):
+    def __init__(self):
+        self.held = {}
+
+    def hold(self, owner, incarnation, batch, records):
+        self.held[owner, incarnation, batch] = records
+        return True
+
+    def release(self, owner, incarnation, last_batch):
+        self.held = {
+            key: value for key, value in self.held.items() if key[2] > last_batch
+        }
+
+    def take(self, owner, incarnation):
+        return tuple(self.held.values())
+
+
+class Entry:
+    def __init__(self, number, store, *, keys=(KEY,), tls=NoTls.TOKEN):
+        self.port = free_port()
+        self.keys = PeerKeys(keys)
+        self.own = Announcement(
+            instance=InstanceId(f"entry-{number}"),
+            incarnation=Incarnation(number + 1),
+            sequence=0,
+            is_leaving=False,
+            address=f"{HOST}:{self.port}",
+            failure_domain=FailureDomainId("domain"),
+        )
+        self.heard = {}
+        self.in_force = InForce(CLOCK)
+        self.poller = ConfigurationPoller(
+            ConfigurationReader(store, CLOCK), self.in_force, CLOCK
+        )
+        self.membership = Membership(self.own, CLOCK)
+        identity = PeerIdentity(instance=self.own.instance, keys=self.keys, tls=tls)
+        topic = Topic(
+            name="topic", source=lambda: b"payload", sink=self.heard.__setitem__
+        )
+        self.node = PeerNode(
+            membership=self.membership,
+            in_force=self.in_force,
+            poller=self.poller,
+            identity=identity,
+            clock=CLOCK,
+            topics=(topic,),
+        )
+        self.holder = Holder()
+        self.server = PeerServer(self.node, keys=self.keys, tls=tls, holder=self.holder)
+        self.connection = PeerConnection(self.own.address, identity, CLOCK)
+
+    async def start(self, *others):
+        self.membership.note_listed(tuple(other.own for other in others))
+        await self.server.start(HOST, self.port)
+        self.task = asyncio.create_task(self.node.run())
+
+    async def stop(self):
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+        self.connection.close()
+        await self.server.stop()
+
+
+async def until(condition):
+    while not condition():  # noqa: ASYNC110
+        await asyncio.sleep(0.01)
+
+
+@pytest.fixture
+async def running():
+    entries = []
+
+    async def start(*made):
+        for entry in made:
+            entries.append(entry)
+            await entry.start(*(other for other in made if other is not entry))
+        return made
+
+    yield start
+    for entry in entries:
+        await entry.stop()
+
+
+@pytest.fixture
+def tls(tmp_path):
+    authority = trustme.CA()
+    issued = authority.issue_cert(HOST)
+    files = TlsFiles(
+        certificate=tmp_path / "cert.pem",
+        private_key=tmp_path / "key.pem",
+        authority=tmp_path / "authority.pem",
+    )
+    authority.cert_pem.write_to_path(str(files.authority))
+    issued.cert_chain_pems[0].write_to_path(str(files.certificate))
+    issued.private_key_pem.write_to_path(str(files.private_key))
+    return files
+
+
+@pytest.mark.parametrize("is_tls", [False, True])
+async def test_fresh_entry_with_the_store_down_serves_what_its_peer_holds(
+    running, tls, is_tls
+):
+    store = MemoryTableStore()
+    (await accept_first(store, CLOCK, declare(), author="test")).unwrap()
+    choice = tls if is_tls else NoTls.TOKEN
+    informed, fresh = Entry(0, store, tls=choice), Entry(1, store, tls=choice)
+    await informed.poller.poll()
+    store.fault = StoreFault.DOWN
+    await running(informed, fresh)
+    await until(lambda: fresh.in_force.readiness is Readiness.READY)
+    assert fresh.in_force.current().unwrap().configuration == declare()
+    await until(lambda: informed.own.instance in fresh.heard)
+    assert fresh.heard[informed.own.instance] == b"payload"
+
+
+async def test_news_of_leaving_reaches_the_peer(running):
+    store = MemoryTableStore()
+    first, second = await running(Entry(0, store), Entry(1, store))
+    first.node.leave()
+    await until(
+        lambda: (
+            [item.state for item in second.membership.members()]
+            == [MemberState.LEAVING]
+        )
+    )
+
+
+@pytest.mark.parametrize(
+    ("accepted", "presented", "is_accepted"),
+    [
+        ((KEY,), (KEY,), True),
+        ((OLD_KEY, KEY), (KEY,), True),
+        ((OLD_KEY, KEY), (OLD_KEY,), True),
+        ((KEY,), (OLD_KEY,), False),
+        ((KEY,), (OLD_KEY, KEY), False),
+    ],
+)
+async def test_keys_and_their_rotation(running, accepted, presented, is_accepted):
+    (entry,) = await running(Entry(0, MemoryTableStore(), keys=accepted))
+    identity = PeerIdentity(
+        instance=InstanceId("other"), keys=PeerKeys(presented), tls=NoTls.TOKEN
+    )
+    connection = PeerConnection(entry.own.address, identity, CLOCK)
+    outcome = await connection.hold_records(
+        InstanceId("other"), Incarnation(1), 1, b"records"
+    )
+    connection.close()
+    kind = "held" if outcome.value_or(False) else outcome.failure().kind
+    assert kind == ("held" if is_accepted else PeerErrorKind.REFUSED)
+
+
+async def test_peer_without_a_certificate_of_the_authority_is_not_heard(running, tls):
+    (entry,) = await running(Entry(0, MemoryTableStore(), tls=tls))
+    identity = PeerIdentity(
+        instance=InstanceId("other"), keys=PeerKeys([KEY]), tls=NoTls.TOKEN
+    )
+    connection = PeerConnection(entry.own.address, identity, CLOCK)
+    outcome = await connection.take_records(InstanceId("x"), Incarnation(1))
+    connection.close()
+    assert outcome.failure().kind is PeerErrorKind.SILENT
+
+
+async def test_silent_connection_is_replaced_before_the_peer_is_blamed(running):
+    (entry,) = await running(Entry(0, MemoryTableStore()))
+    swallowed = asyncio.Event()
+    relay = await SilentRelay.start(entry.port, swallowed)
+    identity = PeerIdentity(
+        instance=InstanceId("other"), keys=PeerKeys([KEY]), tls=NoTls.TOKEN
+    )
+    connection = PeerConnection(f"{HOST}:{relay.port}", identity, CLOCK)
+    other = Entry(1, MemoryTableStore())
+    first = await connection.exchange(other.node._heartbeat(()))
+    swallowed.set()
+    second = await connection.exchange(other.node._heartbeat(()))
+    connection.close()
+    await relay.stop()
+    assert first.unwrap().instance == second.unwrap().instance == entry.own.instance
+    assert connection.opened == 2
+
+
+class SilentRelay:
+    """Forwards bytes; connections open when ``swallowed`` is set fall silent."""
+
+    @classmethod
+    async def start(cls, port, swallowed):
+        relay = cls()
+        relay.tasks, relay.first = [], None
+        relay.swallowed, relay.target = swallowed, port
+        relay.server = await asyncio.start_server(relay.accept, HOST, 0)
+        relay.port = relay.server.sockets[0].getsockname()[1]
+        return relay
+
+    async def accept(self, reader, writer):
+        is_first = not self.tasks
+        far_reader, far_writer = await asyncio.open_connection(HOST, self.target)
+        pairs = ((reader, far_writer), (far_reader, writer))
+        for source, sink in pairs:
+            pump = self.pump(source, sink, is_first)
+            self.tasks.append(asyncio.create_task(pump))
+
+    async def pump(self, source, sink, is_first):
+        while data := await source.read(65_536):
+            if not (is_first and self.swallowed.is_set()):
+                sink.write(data)
+        sink.close()
+
+    async def stop(self):
+        self.server.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+async def test_records_are_held_released_and_taken(running):
+    (entry,) = await running(Entry(0, MemoryTableStore()))
+    owner, incarnation = InstanceId("owner"), Incarnation(1)
+    for batch in (1, 2):
+        held = await entry.connection.hold_records(owner, incarnation, batch, b"r")
+        assert held.unwrap()
+    await entry.connection.release_records(owner, incarnation, 1)
+    assert (await entry.connection.take_records(owner, incarnation)).unwrap() == (b"r",)
+
+
+async def test_peer_without_a_newer_configuration_sends_none(running):
+    (entry,) = await running(Entry(0, MemoryTableStore()))
+    answer = await entry.connection.fetch_configuration(NO_REVISION)
+    assert answer is NoChange.TOKEN
