Test the store client: timeout, circuit, probes and budgets

Cause: the client had no tests of its own.

Change: a table of faults, one probe at a time, a cancelled probe, backoffs of two entries, budgets at 8 and 390 entries over five minutes.

Conclusion: writes of all entries stay within the budget plus the bursts.

--- /dev/null
+++ b/fuchsiaroute/platform/tests/test_client.py
@@ -0,0 +1,166 @@
+"""The store client: timeout, circuit, backoff and budgets."""
+
+import asyncio
+import random
+
+import pytest
+from returns.result import Success
+
+from fuchsiaroute.clock import ManualClock
+from fuchsiaroute.platform import (
+    BUDGETS,
+    Circuit,
+    CircuitState,
+    MemoryTableStore,
+    Put,
+    StoreClient,
+    StoreErrorKind,
+    StoreFault,
+    StoreFunction,
+    Transaction,
+)
+
+WRITE = Transaction(puts=(Put(key="key", value=b"value"),))
+
+
+class Deployment:
+    def __init__(self, *, entry_count=1):
+        self.clock = ManualClock()
+        self.store = MemoryTableStore(clock=self.clock)
+        self.client = StoreClient(
+            self.store,
+            clock=self.clock,
+            rng=random.Random(1),
+            entry_count=lambda: entry_count,
+        )
+
+    async def finish(self, call, *, duration=0):
+        task = asyncio.ensure_future(call)
+        await self.clock.advance(duration)
+        assert task.done(), "the call still waits"
+        return task.result()
+
+    async def write(self, *, duration=0, function=StoreFunction.CLAIMS):
+        view = self.client.view(function)
+        return await self.finish(view.commit(WRITE), duration=duration)
+
+
+async def test_a_slow_call_ends_at_the_timeout_with_an_unknown_outcome():
+    deployment = Deployment()
+    deployment.store.fault = StoreFault.SLOW
+    answer = await deployment.write(duration=1_000)
+    assert answer.failure().kind is StoreErrorKind.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ("fault", "duration"), [(StoreFault.DOWN, 20), (StoreFault.SLOW, 1_000)]
+)
+async def test_a_failing_store_is_out_of_the_path_after_three_calls(fault, duration):
+    deployment = Deployment()
+    deployment.store.fault = fault
+    for _ in range(3):
+        await deployment.write(duration=duration)
+    assert deployment.client.circuit_state is CircuitState.OPEN
+    writes = deployment.store.writes
+    answer = await deployment.write()
+    assert answer.failure().kind is StoreErrorKind.REFUSED
+    assert deployment.store.writes == writes
+
+
+async def test_the_circuit_is_shared_by_all_functions():
+    deployment = Deployment()
+    deployment.store.fault = StoreFault.DOWN
+    for _ in range(3):
+        await deployment.write(function=StoreFunction.LEDGER, duration=20)
+    view = deployment.client.view(StoreFunction.CONFIGURATION)
+    answer = await deployment.finish(view.read(["key"]))
+    assert answer.failure().kind is StoreErrorKind.REFUSED
+    assert deployment.store.reads == 0
+
+
+async def test_one_probe_at_a_time_closes_the_circuit():
+    deployment = Deployment()
+    deployment.store.fault = StoreFault.DOWN
+    for _ in range(3):
+        await deployment.write(duration=1_000)
+    deployment.store.fault = StoreFault.SLOW
+    deployment.store.switch.delay = 200
+    await deployment.clock.advance(deployment.client.retry_after())
+    probe = asyncio.ensure_future(
+        deployment.client.view(StoreFunction.LEDGER).commit(WRITE)
+    )
+    await deployment.clock.advance(0)
+    assert deployment.client.circuit_state is CircuitState.PROBING
+    other = await deployment.write()
+    assert other.failure().kind is StoreErrorKind.REFUSED
+    await deployment.clock.advance(200)
+    assert isinstance(probe.result(), Success)
+    assert deployment.client.circuit_state is CircuitState.CLOSED
+
+
+async def test_a_cancelled_probe_lets_another_call_probe():
+    deployment = Deployment()
+    deployment.store.fault = StoreFault.DOWN
+    for _ in range(3):
+        await deployment.write(duration=1_000)
+    deployment.store.fault = StoreFault.SLOW
+    await deployment.clock.advance(deployment.client.retry_after())
+    view = deployment.client.view(StoreFunction.LEDGER)
+    probe = asyncio.ensure_future(view.commit(WRITE))
+    await deployment.clock.advance(0)
+    probe.cancel()
+    await deployment.clock.advance(0)
+    deployment.store.fault = StoreFault.NONE
+    assert isinstance(await deployment.write(), Success)
+
+
+def test_backoffs_grow_to_a_limit_and_differ_between_entries():
+    def backoffs(seed):
+        circuit = Circuit(rng=random.Random(seed))
+        now, waits = 0, []
+        for _ in range(10):
+            circuit.note_failure(now)
+            waits.append(circuit.retry_after(now))
+            now += waits[-1]
+            circuit.allows(now)
+        return [wait for wait in waits if wait]
+
+    first, second = backoffs(1), backoffs(2)
+    assert first != second
+    assert all(250 <= wait <= 5_000 for wait in first)
+    assert all(wait >= 2_500 for wait in first[4:])
+
+
+@pytest.mark.parametrize("entry_count", [8, 390])
+async def test_all_entries_together_stay_within_the_write_budget(entry_count):
+    deployment = Deployment(entry_count=entry_count)
+    view = deployment.client.view(StoreFunction.CLAIMS)
+    minutes = 5
+
+    async def write_forever():
+        while True:
+            await view.commit(WRITE)
+
+    task = asyncio.ensure_future(write_forever())
+    await deployment.clock.advance(minutes * 60_000)
+    task.cancel()
+    budget = BUDGETS[StoreFunction.CLAIMS].writes_per_second * minutes * 60
+    assert deployment.store.writes * entry_count <= budget * 1.05
+
+
+async def test_a_batch_can_wait_for_the_budget_before_it_is_closed():
+    deployment = Deployment(entry_count=390)
+    view = deployment.client.view(StoreFunction.CLAIMS)
+    for _ in range(2):
+        await deployment.finish(view.commit(WRITE))
+    ready = asyncio.ensure_future(view.write_ready())
+    await deployment.clock.advance(1_900)
+    assert not ready.done()
+    await deployment.clock.advance(100)
+    assert ready.done()
+
+
+def test_divided_budgets_are_under_what_the_service_takes():
+    divided = [budget for budget in BUDGETS.values() if budget.is_divided]
+    assert sum(budget.reads_per_second for budget in divided) <= 2_000
+    assert sum(budget.writes_per_second for budget in divided) <= 400
