--- a/fuchsiaroute/operators/_client.py
+++ b/fuchsiaroute/operators/_client.py
@@ -1,6 +1,6 @@
 """Client of the operators' interface, for the command line and for programs."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import TypeVar
 
@@ -34,6 +34,8 @@
 
     #: The entry refused the call; it had no effect.
     REFUSED = "refused"
+    #: The call never left; it had no effect.
+    UNREACHABLE = "unreachable"
     #: No whole answer arrived; a change may have taken effect.
     NO_ANSWER = "no-answer"
 
@@ -76,6 +78,7 @@
         """
         body = msgspec.json.encode(change)
         backoff = FIRST_BACKOFF
+        is_in_doubt = False
         for attempt in range(SUBMIT_ATTEMPTS):
             if attempt:
                 await self._clock.sleep(backoff)
@@ -83,7 +86,8 @@
             result = await self._call("POST", "/v1/changes", ChangeReply, body=body)
             if _is_settled(result):
                 return result
-        return result
+            is_in_doubt = is_in_doubt or _is_in_doubt(result)
+        return result.map(_doubtful).alt(_doubtful_error) if is_in_doubt else result
 
     async def _call(
         self, method: str, path: str, message: type[_Message], *, body: bytes = b""
@@ -92,6 +96,9 @@
             response = await self._http.request(
                 method, path, content=body, headers=self._headers
             )
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            kind = ClientErrorKind.UNREACHABLE
+            return Failure(ClientError(kind=kind, message=str(error)))
         except httpx.HTTPError as error:
             return Failure(_no_answer(f"{type(error).__name__}: {error}"))
         try:
@@ -109,6 +116,25 @@
     return False
 
 
+def _is_in_doubt(result: Result[ChangeReply, ClientError]) -> bool:
+    """Return whether an attempt that ended like this may have taken effect."""
+    match result:
+        case Success(reply):
+            return reply.outcome is ChangeOutcome.UNKNOWN
+        case Failure(ClientError(kind=kind)):
+            return kind is ClientErrorKind.NO_ANSWER
+    return True
+
+
+def _doubtful(reply: ChangeReply) -> ChangeReply:
+    """Return the last reply as one on all attempts, of which one is in doubt."""
+    return replace(reply, outcome=ChangeOutcome.UNKNOWN)
+
+
+def _doubtful_error(error: ClientError) -> ClientError:
+    return replace(error, kind=ClientErrorKind.NO_ANSWER)
+
+
 def _error(response: httpx.Response) -> ClientError:
     try:
         error = msgspec.json.decode(response.content, type=OperatorError)
