Observe every request and serve operators from each entry

Cause: settings, log, metrics and the operators' interface were not part of a serving entry, so limits of the settings did not count and nothing was logged but routes. Change: ObservedPipeline and ObservedBill around the pipeline and the bill; the settings' limits on callers and connections; the log opened by serve; the operators' interface on its own address, with live readiness, age and endpoints. Conclusion: an entry can be read and changed while it serves.

--- a/fuchsiaroute/cli/tests/test_editing.py
+++ b/fuchsiaroute/cli/tests/test_editing.py
@@ -10,7 +10,6 @@
 from fuchsiaroute.configuration import ConfigurationLog, VersionState
 from fuchsiaroute.declaration import begin_outage, end_outage, set_version_state
 from fuchsiaroute.ids import FailureDomainId, Revision, VersionId
-from fuchsiaroute.metrics import Metrics
 from fuchsiaroute.operators import (
     InForce,
     LoggedChanges,
@@ -66,7 +65,6 @@
             view=self.view,
             changes=RecordingChanges(log, self.view),
             keys=OperatorKeys([KEY]),
-            metrics=Metrics(),
         )
         http = httpx.AsyncClient(
             transport=httpx.ASGITransport(app), base_url="http://127.0.0.1"
--- a/fuchsiaroute/entry/__init__.py
+++ b/fuchsiaroute/entry/__init__.py
@@ -17,6 +17,11 @@
 from fuchsiaroute.entry._current import NO_REVISION, CurrentConfiguration
 from fuchsiaroute.entry._endpoint_upkeep import EndpointUpkeep, EntriesListener
 from fuchsiaroute.entry._metered_bill import MeteredBill
+from fuchsiaroute.entry._observed import (
+    CallHandler,
+    ObservedBill,
+    ObservedPipeline,
+)
 from fuchsiaroute.entry._pipeline import Pipeline
 from fuchsiaroute.entry._rating_poll import RatingPoll, RolloutPauser
 from fuchsiaroute.entry._rollout_pauser import StoredRolloutPauser
@@ -49,6 +54,7 @@
     "BillStep",
     "BookClaims",
     "Call",
+    "CallHandler",
     "ClaimStep",
     "ConfigurationPoll",
     "CurrentConfiguration",
@@ -56,6 +62,8 @@
     "MeteredBill",
     "ModelTarget",
     "NoVersion",
+    "ObservedBill",
+    "ObservedPipeline",
     "Pipeline",
     "RatingPoll",
     "RolloutPauser",
--- a/fuchsiaroute/entry/_route.py
+++ b/fuchsiaroute/entry/_route.py
@@ -46,6 +46,7 @@
         randomness: random.Random,
     ) -> None:
         self._pins = pins
+        self._estimates = estimates
         self._allowances = allowances
         self._chooser = CascadeChooser()
         self._router = VersionRouter(
@@ -61,6 +62,15 @@
         """Return the view of the configuration in force, with suspended roll-outs."""
         return self._view
 
+    def router_for(self, randomness: random.Random) -> VersionRouter:
+        """Return a router with the same estimates and other random numbers."""
+        return VersionRouter(
+            pins=self._pins,
+            random=randomness,
+            estimates=self._estimates,
+            chooser=self._chooser,
+        )
+
     def suspend(self, rollout: RolloutId, *, attempt: int) -> bool:
         """Pause an attempt of a roll-out in this entry; say if it was not yet."""
         if self._suspended.get(rollout) == attempt:
--- a/fuchsiaroute/gateway/_app.py
+++ b/fuchsiaroute/gateway/_app.py
@@ -12,7 +12,7 @@
 
 from fuchsiaroute.clock import Clock
 from fuchsiaroute.configuration import Organisation
-from fuchsiaroute.entry import Call, CurrentConfiguration, Pipeline
+from fuchsiaroute.entry import Call, CallHandler, CurrentConfiguration
 from fuchsiaroute.gateway._advice import AdviceSource
 from fuchsiaroute.gateway._authentication import KeyIndex
 from fuchsiaroute.gateway._body import read_within
@@ -54,7 +54,7 @@
     def __init__(
         self,
         *,
-        pipeline: Pipeline,
+        pipeline: CallHandler,
         current: CurrentConfiguration,
         keys: KeyIndex,
         clock: Clock,
@@ -174,7 +174,7 @@
 
 def build_app(
     *,
-    pipeline: Pipeline,
+    pipeline: CallHandler,
     current: CurrentConfiguration,
     advice: AdviceSource,
     clock: Clock,
--- a/fuchsiaroute/logs/__init__.py
+++ b/fuchsiaroute/logs/__init__.py
@@ -1,13 +1,14 @@
 """Log lines: one line of JSON for each decision, without request bodies."""
 
 from fuchsiaroute.logs._events import (
-    AnswerFinished,
+    AnswerEnded,
     AttemptFinished,
     ChangeSubmitted,
     ConfigurationApplied,
     Event,
     InstanceStateChanged,
     PlacementDecided,
+    RequestBilled,
     RequestRefused,
     RolloutPauseSubmitted,
     RolloutSuspended,
@@ -18,13 +19,14 @@
 from fuchsiaroute.logs._write import record
 
 __all__ = [
-    "AnswerFinished",
+    "AnswerEnded",
     "AttemptFinished",
     "ChangeSubmitted",
     "ConfigurationApplied",
     "Event",
     "InstanceStateChanged",
     "PlacementDecided",
+    "RequestBilled",
     "RequestRefused",
     "RolloutPauseSubmitted",
     "RolloutSuspended",
--- a/fuchsiaroute/logs/_events.py
+++ b/fuchsiaroute/logs/_events.py
@@ -78,18 +78,31 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class AnswerFinished(Event):
-    """A caller has its whole answer."""
+class AnswerEnded(Event):
+    """The answer to a caller has ended."""
 
     message_type: ClassVar[str] = "route:answered"
     request: RequestId
     organisation: OrganisationId
     endpoint: EndpointId
-    version: VersionId = VersionId("")
-    tokens: int
-    cost_microunits: int
-    first_token_ms: Milliseconds
+    #: Empty for a plain service.
+    version: VersionId
+    answer_bytes: int
     duration_ms: Milliseconds
+    #: False if the endpoint or the caller broke it off.
+    is_whole: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RequestBilled(Event):
+    """A request's cost has been handed to the ledger."""
+
+    message_type: ClassVar[str] = "billing:billed"
+    request: RequestId
+    organisation: OrganisationId
+    #: Version of each attempt that is billed; empty for a plain service.
+    versions: tuple[VersionId, ...]
+    cost_microunits: int
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -128,8 +141,6 @@
 
     message_type: ClassVar[str] = "configuration:applied"
     revision: Revision
-    #: ``store`` or ``peer``.
-    source: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/fuchsiaroute/logs/tests/test_logs.py
+++ b/fuchsiaroute/logs/tests/test_logs.py
@@ -21,12 +21,13 @@
     VersionId,
 )
 from fuchsiaroute.logs import (
-    AnswerFinished,
+    AnswerEnded,
     AttemptFinished,
     ChangeSubmitted,
     ConfigurationApplied,
     InstanceStateChanged,
     PlacementDecided,
+    RequestBilled,
     RequestRefused,
     open_log,
     record,
@@ -76,14 +77,20 @@
         outcome="answered",
         duration_ms=Milliseconds(3),
     ),
-    AnswerFinished(
+    AnswerEnded(
         request=REQUEST.id,
         organisation=REQUEST.organisation,
         endpoint=ENDPOINT,
-        tokens=3,
-        cost_microunits=4,
-        first_token_ms=Milliseconds(1),
+        version=VersionId("sapling-1"),
+        answer_bytes=3,
         duration_ms=Milliseconds(2),
+        is_whole=True,
+    ),
+    RequestBilled(
+        request=REQUEST.id,
+        organisation=REQUEST.organisation,
+        versions=(VersionId("sapling-1"),),
+        cost_microunits=4,
     ),
     RequestRefused(
         reason=RefusalReason.TOO_LARGE, verdict=Verdict.NOT_RUN, message="too large"
@@ -96,7 +103,7 @@
         outcome="confirmed",
         reason="rollout",
     ),
-    ConfigurationApplied(revision=Revision(7), source="peer"),
+    ConfigurationApplied(revision=Revision(7)),
     ChangeSubmitted(
         change=ChangeId("c"), author="ops", base=Revision(6), outcome="accepted"
     ),
--- a/fuchsiaroute/metrics/_metrics.py
+++ b/fuchsiaroute/metrics/_metrics.py
@@ -1,14 +1,21 @@
 """The metrics of one entry; names carry their units."""
 
+from collections.abc import Iterable, Mapping
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
 from fuchsiaroute.clock import Milliseconds
-from fuchsiaroute.ids import FailureDomainId, ProductId, Revision, VersionId
-from fuchsiaroute.platform import OrderKind
+from fuchsiaroute.ids import ProductId, Revision, VersionId
 from fuchsiaroute.verdict import RefusalReason, Verdict
 
 MILLISECONDS_PER_SECOND = 1_000
+#: Media type of the rendered metrics.
+CONTENT_TYPE = CONTENT_TYPE_LATEST
+OUTCOME_ANSWERED = "answered"
+#: The endpoint or the caller broke the answer off.
+OUTCOME_BROKEN_OFF = "broken-off"
+OUTCOME_REFUSED = "refused"
 #: Bounds in seconds; 0.39 s is the target for the 95th percentile.
 FIRST_TOKEN_BUCKETS = (0.05, 0.1, 0.2, 0.3, 0.39, 0.5, 0.75, 1.0, 2.0, 5.0, 10.0)
 #: Bounds in seconds; 0.051 s is the target between tokens.
@@ -28,30 +35,17 @@
         self._refusals = self._counter(
             "refusals", "Refusals by reason and verdict.", ("reason", "verdict")
         )
-        self._attempts = self._counter(
-            "attempts",
-            "Dispatches to endpoints by outcome.",
-            ("failure_domain", "outcome"),
-        )
         self._answers = self._counter(
-            "answers", "Whole answers by version.", ("version",)
+            "answers", "Billed answers by version, escalations included.", ("version",)
         )
-        self._tokens = self._counter(
-            "answer_tokens", "Tokens of whole answers.", ("product",)
+        self._bytes = self._counter(
+            "answer_bytes", "Bytes of answers, whole or not.", ("product",)
         )
         self._cost = self._counter(
             "cost_microunits",
             "Cost of answers in micro-units of the currency.",
             ("product",),
         )
-        self._orders = self._counter(
-            "placement_orders", "Orders to engines by outcome.", ("order", "outcome")
-        )
-        self._store_calls = self._counter(
-            "store_calls",
-            "Calls of the platform's stores by outcome.",
-            ("operation", "outcome"),
-        )
         self._first_token = self._histogram(
             "first_token_seconds",
             "Time from a request's arrival to the first byte of its answer.",
@@ -85,6 +79,12 @@
         self._pending = self._gauge(
             "ledger_pending_records", "Ledger records not yet written to the store."
         )
+        self._endpoints = Gauge(
+            "fuchsiaroute_endpoints",
+            "Endpoints by state, as this entry sees them.",
+            ("state",),
+            registry=self._registry,
+        )
         self._ready = self._gauge("is_ready", "1 if the entry takes new requests.")
 
     def request_started(self) -> None:
@@ -99,37 +99,31 @@
         self,
         product: ProductId,
         *,
-        version: VersionId,
-        tokens: int,
-        cost_microunits: int,
+        size: int,
         duration: Milliseconds,
+        is_whole: bool,
     ) -> None:
-        """Count a whole answer."""
-        self._requests.labels(product, "answered").inc()
-        self._answers.labels(version).inc()
-        self._tokens.labels(product).inc(tokens)
-        self._cost.labels(product).inc(cost_microunits)
+        """Count the end of an answer of ``size`` bytes."""
+        outcome = OUTCOME_ANSWERED if is_whole else OUTCOME_BROKEN_OFF
+        self._requests.labels(product, outcome).inc()
+        self._bytes.labels(product).inc(size)
         self._answer.labels(product).observe(duration / MILLISECONDS_PER_SECOND)
 
+    def billed(
+        self, product: ProductId, versions: Iterable[VersionId], cost_microunits: int
+    ) -> None:
+        """Count a bill over answers of ``versions``; empty for a plain service."""
+        self._cost.labels(product).inc(cost_microunits)
+        for version in versions:
+            self._answers.labels(version).inc()
+
     def refused(
         self, product: ProductId, *, reason: RefusalReason, verdict: Verdict
     ) -> None:
         """Count a request without a whole answer; ``product`` may be empty."""
-        self._requests.labels(product, "refused").inc()
+        self._requests.labels(product, OUTCOME_REFUSED).inc()
         self._refusals.labels(reason.value, verdict.value).inc()
 
-    def attempted(self, failure_domain: FailureDomainId, *, outcome: str) -> None:
-        """Count a dispatch to an endpoint in ``failure_domain``."""
-        self._attempts.labels(failure_domain, outcome).inc()
-
-    def ordered(self, order: OrderKind, *, outcome: str) -> None:
-        """Count an order to an engine."""
-        self._orders.labels(order.value, outcome).inc()
-
-    def store_called(self, operation: str, *, outcome: str) -> None:
-        """Count a call of a platform store."""
-        self._store_calls.labels(operation, outcome).inc()
-
     def first_token(self, product: ProductId, delay: Milliseconds) -> None:
         """Observe the time to the first part of an answer."""
         self._first_token.labels(product).observe(delay / MILLISECONDS_PER_SECOND)
@@ -151,15 +145,16 @@
         """Set the number of ledger records that wait to be written."""
         self._pending.set(records)
 
+    def endpoints(self, counts: Mapping[str, int]) -> None:
+        """Set the number of endpoints by state, as this entry sees them."""
+        self._endpoints.clear()
+        for state, number in counts.items():
+            self._endpoints.labels(state).set(number)
+
     def ready(self, is_ready: bool) -> None:
         """Set whether the entry takes new requests."""
         self._ready.set(int(is_ready))
 
-    @property
-    def content_type(self) -> str:
-        """Return the media type of ``render``."""
-        return CONTENT_TYPE_LATEST
-
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/fuchsiaroute/metrics/tests/test_metrics.py
+++ b/fuchsiaroute/metrics/tests/test_metrics.py
@@ -2,9 +2,8 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from fuchsiaroute.clock import ManualClock, Milliseconds
-from fuchsiaroute.ids import FailureDomainId, ProductId, Revision, VersionId
+from fuchsiaroute.ids import ProductId, Revision, VersionId
 from fuchsiaroute.metrics import Metrics, StreamTimer
-from fuchsiaroute.platform import OrderKind
 from fuchsiaroute.verdict import RefusalReason, Verdict
 
 PRODUCT = ProductId("permit-desk")
@@ -23,41 +22,37 @@
     ("call", "name", "labels", "value"),
     [
         (
-            lambda m: m.answered(
-                PRODUCT,
-                version=VersionId("v"),
-                tokens=3,
-                cost_microunits=40,
-                duration=Milliseconds(200),
-            ),
+            lambda m: m.billed(PRODUCT, (VersionId("v"),), 40),
             "cost_microunits_total",
             {"product": PRODUCT},
             40,
         ),
         (
-            lambda m: m.refused(
-                PRODUCT, reason=RefusalReason.DEADLINE, verdict=Verdict.NOT_RUN
-            ),
-            "refusals_total",
-            {"reason": "deadline", "verdict": "not-run"},
+            lambda m: m.billed(PRODUCT, (VersionId("v"), VersionId("w")), 40),
+            "answers_total",
+            {"version": "w"},
             1,
         ),
         (
-            lambda m: m.attempted(FailureDomainId("lakes-a"), outcome="answered"),
-            "attempts_total",
-            {"failure_domain": "lakes-a", "outcome": "answered"},
+            lambda m: m.answered(
+                PRODUCT, size=9, duration=Milliseconds(200), is_whole=False
+            ),
+            "requests_total",
+            {"product": PRODUCT, "outcome": "broken-off"},
             1,
         ),
         (
-            lambda m: m.ordered(OrderKind.LOAD_VERSION, outcome="confirmed"),
-            "placement_orders_total",
-            {"order": "load-version", "outcome": "confirmed"},
-            1,
+            lambda m: m.endpoints({"warm": 3}),
+            "endpoints",
+            {"state": "warm"},
+            3,
         ),
         (
-            lambda m: m.store_called("read", outcome="answered"),
-            "store_calls_total",
-            {"operation": "read", "outcome": "answered"},
+            lambda m: m.refused(
+                PRODUCT, reason=RefusalReason.DEADLINE, verdict=Verdict.NOT_RUN
+            ),
+            "refusals_total",
+            {"reason": "deadline", "verdict": "not-run"},
             1,
         ),
         (
--- a/fuchsiaroute/operators/_app.py
+++ b/fuchsiaroute/operators/_app.py
@@ -12,7 +12,7 @@
 from fuchsiaroute.declaration import read
 from fuchsiaroute.ids import ChangeId
 from fuchsiaroute.logs import ChangeSubmitted, record
-from fuchsiaroute.metrics import Metrics
+from fuchsiaroute.metrics import CONTENT_TYPE
 from fuchsiaroute.operators._authentication import OperatorKeys
 from fuchsiaroute.operators._interfaces import ChangeLog, EntryView
 from fuchsiaroute.operators._messages import (
@@ -125,7 +125,7 @@
 
 
 def build_operators_app(
-    *, view: EntryView, changes: ChangeLog, keys: OperatorKeys, metrics: Metrics
+    *, view: EntryView, changes: ChangeLog, keys: OperatorKeys
 ) -> Litestar:
     """
     Return the application that serves operators, on an address of its own.
@@ -146,7 +146,7 @@
 
     @get("/metrics")
     async def scrape(request: AnyRequest) -> AnyResponse:
-        return Response(content=metrics.render(), media_type=metrics.content_type)
+        return Response(content=view.metrics(), media_type=CONTENT_TYPE)
 
     @get("/v1/configuration")
     async def in_force(request: AnyRequest) -> AnyResponse:
--- a/fuchsiaroute/operators/_interfaces.py
+++ b/fuchsiaroute/operators/_interfaces.py
@@ -32,5 +32,8 @@
     def in_force(self) -> InForce:
         """Return the configuration that the entry enforces."""
 
+    def metrics(self) -> bytes:
+        """Return the entry's metrics in the Prometheus text format."""
+
     def explain(self, question: Question) -> Explanation:
         """Return how a request would be routed now."""
--- a/fuchsiaroute/operators/_messages.py
+++ b/fuchsiaroute/operators/_messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from fuchsiaroute.clock import Milliseconds
 from fuchsiaroute.configuration import Configuration, Outage, Rollout
 from fuchsiaroute.declaration import Fault
 from fuchsiaroute.ids import (
@@ -86,7 +87,11 @@
     failure_domain: FailureDomainId
     deployment: str
     is_ready: bool
+    #: Why the entry takes or refuses new work.
+    readiness: str
     revision: Revision
+    #: Time since the store's last word on the revision, in milliseconds.
+    age: Milliseconds
     rollouts: tuple[Rollout, ...]
     outages: tuple[Outage, ...]
     #: Versions that take no new sessions.
--- a/fuchsiaroute/operators/tests/test_operators.py
+++ b/fuchsiaroute/operators/tests/test_operators.py
@@ -44,6 +44,8 @@
             failure_domain="lakes-a",
             deployment="timberline",
             is_ready=False,
+            readiness="no-configuration",
+            age=Milliseconds(0),
             revision=Revision(3),
             rollouts=(),
             outages=(),
@@ -55,6 +57,9 @@
     def in_force(self):
         return InForce(revision=Revision(3), configuration=CONFIGURATION)
 
+    def metrics(self):
+        return Metrics().render()
+
     def explain(self, question):
         return Explanation(
             revision=Revision(3),
@@ -75,7 +80,6 @@
             view=FakeView(),
             changes=LoggedChanges(ConfigurationLog(self.store, self.clock)),
             keys=OperatorKeys(keys),
-            metrics=Metrics(),
         )
         self.http = httpx.AsyncClient(
             transport=httpx.ASGITransport(app), base_url="http://127.0.0.1"
--- a/fuchsiaroute/serving/__init__.py
+++ b/fuchsiaroute/serving/__init__.py
@@ -1,6 +1,7 @@
 """A serving entry: its parts put together, started and stopped."""
 
 from fuchsiaroute.serving._compose import ComposedEntry, EntryOptions, compose_entry
+from fuchsiaroute.serving._operators import ObservedEntry, compose_operators
 from fuchsiaroute.serving._protocol import ConnectionLimits
 from fuchsiaroute.serving._run import EntryProcess, serve
 from fuchsiaroute.serving._server import HttpServer
@@ -11,6 +12,8 @@
     "EntryOptions",
     "EntryProcess",
     "HttpServer",
+    "ObservedEntry",
     "compose_entry",
+    "compose_operators",
     "serve",
 ]
--- a/fuchsiaroute/serving/_compose.py
+++ b/fuchsiaroute/serving/_compose.py
@@ -18,11 +18,14 @@
     CurrentConfiguration,
     MeteredBill,
     NoVersion,
+    ObservedBill,
+    ObservedPipeline,
     Pipeline,
     Steps,
 )
-from fuchsiaroute.gateway import build_app
+from fuchsiaroute.gateway import CallerLimits, build_app
 from fuchsiaroute.ids import FailureDomainId, Incarnation, InstanceId, VersionId
+from fuchsiaroute.metrics import Metrics
 from fuchsiaroute.platform import (
     HttpEngineOrders,
     InstanceList,
@@ -55,6 +58,8 @@
     seed: int = 0
     #: Keys of session pins, the same for all entries; the first one signs.
     pin_keys: tuple[str, ...] = ()
+    #: Limits on what a caller may send.
+    caller_limits: CallerLimits = CallerLimits()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -74,6 +79,7 @@
     routing: RoutingParts
     lasting: LastingParts
     balancing: BalancingParts
+    metrics: Metrics
     #: Every periodic task of the entry.
     background: Background
 
@@ -93,6 +99,7 @@
 ) -> ComposedEntry:
     """Return an entry whose parts use ``store`` and ``clock``."""
     client = Connections()
+    metrics = Metrics()
     incarnation = Incarnation(clock.wall())
     advice = EntryAdvice()
     agreement = compose_agreement(
@@ -148,13 +155,19 @@
         claim=lasting.claims,
         route=routing.route,
         attempt=balancing.attempt,
-        bill=MeteredBill(bill=lasting.bills, allowances=routing.allowances),
+        bill=ObservedBill(
+            bill=MeteredBill(bill=lasting.bills, allowances=routing.allowances),
+            metrics=metrics,
+        ),
     )
     app = build_app(
-        pipeline=Pipeline(steps=steps),
+        pipeline=ObservedPipeline(
+            pipeline=Pipeline(steps=steps), metrics=metrics, clock=clock
+        ),
         current=current,
         advice=advice,
         clock=clock,
+        limits=options.caller_limits,
         request_ids=lasting.book,
     )
     background = Background()
@@ -178,6 +191,7 @@
         routing=routing,
         lasting=lasting,
         balancing=balancing,
+        metrics=metrics,
         background=background,
     )
 
--- /dev/null
+++ b/fuchsiaroute/serving/_operators.py
@@ -0,0 +1,120 @@
+"""The operators' interface of a composed entry."""
+
+import random
+from collections import Counter
+
+from litestar import Litestar
+from returns.result import Failure
+
+from fuchsiaroute.clock import Clock
+from fuchsiaroute.configuration import ConfigurationLog, VersionState
+from fuchsiaroute.ids import VersionId
+from fuchsiaroute.logs import ConfigurationApplied, record
+from fuchsiaroute.operators import (
+    EndpointStatus,
+    EntryStatus,
+    Explanation,
+    InForce,
+    LoggedChanges,
+    OperatorKeys,
+    Question,
+    build_operators_app,
+    explain,
+    load_keys,
+)
+from fuchsiaroute.platform import TableStore
+from fuchsiaroute.serving._compose import ComposedEntry
+from fuchsiaroute.settings import OperatorSettings
+
+#: Explanations draw their own numbers, so that asking does not change routing.
+EXPLANATION_SEED = 1
+
+
+class ObservedEntry:
+    """What operators see of an entry; implements ``EntryView``."""
+
+    def __init__(self, entry: ComposedEntry) -> None:
+        self._entry = entry
+        self._random = random.Random(EXPLANATION_SEED)
+        entry.current.subscribe(
+            lambda revision, _: record(ConfigurationApplied(revision=revision))
+        )
+
+    def status(self) -> EntryStatus:
+        """Return the state of the entry."""
+        current = self._entry.current
+        configuration = current.configuration
+        return EntryStatus(
+            instance=self._entry.options.instance,
+            failure_domain=self._entry.options.failure_domain,
+            deployment=configuration.deployment,
+            is_ready=current.is_ready,
+            readiness=self._entry.agreement.in_force.readiness.value,
+            revision=current.revision,
+            age=self._entry.agreement.in_force.age,
+            rollouts=configuration.rollouts,
+            outages=configuration.outages,
+            draining=self._versions(VersionState.DRAINING),
+            withdrawn=self._versions(VersionState.WITHDRAWN),
+            endpoints=self._endpoints(),
+        )
+
+    def in_force(self) -> InForce:
+        """Return the configuration that the entry enforces."""
+        current = self._entry.current
+        return InForce(revision=current.revision, configuration=current.configuration)
+
+    def explain(self, question: Question) -> Explanation:
+        """Return how a request would be routed now, with the live estimates."""
+        route = self._entry.routing.route
+        return explain(question, view=route.view, router=route.router_for(self._random))
+
+    def metrics(self) -> bytes:
+        """Return the entry's metrics, with its gauges as of now."""
+        metrics = self._entry.metrics
+        status = self.status()
+        metrics.configuration(status.revision, age=status.age)
+        metrics.ready(status.is_ready)
+        metrics.ledger_pending(self._entry.lasting.ledger.buffered)
+        metrics.endpoints(Counter(item.state for item in status.endpoints))
+        return metrics.render()
+
+    def _versions(self, state: VersionState) -> tuple[VersionId, ...]:
+        return tuple(
+            version.id
+            for model in self._entry.current.configuration.models
+            for version in model.versions
+            if version.state is state
+        )
+
+    def _endpoints(self) -> tuple[EndpointStatus, ...]:
+        return tuple(
+            EndpointStatus(
+                id=item.endpoint.id,
+                failure_domain=item.endpoint.failure_domain,
+                state=item.state.value,
+            )
+            for item in self._entry.balancing.chooser.table
+        )
+
+
+def compose_operators(
+    entry: ComposedEntry,
+    *,
+    store: TableStore,
+    settings: OperatorSettings,
+    clock: Clock,
+) -> Litestar:
+    """
+    Return the application that serves the operators of ``entry``.
+
+    Raises ``SecretError`` if an operator's key cannot be read.
+    """
+    keys = load_keys(settings.key_files)
+    if isinstance(keys, Failure):
+        raise keys.failure()
+    return build_operators_app(
+        view=ObservedEntry(entry),
+        changes=LoggedChanges(ConfigurationLog(store, clock)),
+        keys=OperatorKeys(keys.unwrap()),
+    )
--- a/fuchsiaroute/serving/_run.py
+++ b/fuchsiaroute/serving/_run.py
@@ -8,11 +8,15 @@
 
 from fuchsiaroute.advice import ADVICE_LIFETIME, KnownEntry
 from fuchsiaroute.clock import Clock, Milliseconds, SystemClock
+from fuchsiaroute.gateway import CallerLimits
+from fuchsiaroute.logs import InstanceStateChanged, open_log, record
 from fuchsiaroute.platform import HttpInstanceList, HttpRatingService, HttpTableStore
 from fuchsiaroute.serving._compose import ComposedEntry, EntryOptions, compose_entry
+from fuchsiaroute.serving._operators import compose_operators
+from fuchsiaroute.serving._protocol import ConnectionLimits
 from fuchsiaroute.serving._routing import NoRatings
 from fuchsiaroute.serving._server import HttpServer
-from fuchsiaroute.settings import Settings, read_secrets
+from fuchsiaroute.settings import CallerSettings, Settings, read_secrets
 from fuchsiaroute.transport import build_client
 
 #: Longest wait at a graceful stop for the store to take the ledger's records.
@@ -39,10 +43,12 @@
             instance=settings.instance.id,
             failure_domain=settings.instance.failure_domain,
             pin_keys=_pin_keys(settings),
+            caller_limits=_caller_limits(settings.callers),
         )
+        store = HttpTableStore(self._platform)
         self._entry = compose_entry(
             options=options,
-            store=HttpTableStore(self._platform),
+            store=store,
             instances=HttpInstanceList(self._platform),
             clock=clock,
             ratings=HttpRatingService(self._ratings) if has_ratings else NoRatings(),
@@ -51,6 +57,14 @@
             app=self._entry.app,
             host=settings.callers.host,
             port=settings.callers.port,
+            limits=_connection_limits(settings.callers),
+        )
+        self._operators = HttpServer(
+            app=compose_operators(
+                self._entry, store=store, settings=settings.operators, clock=clock
+            ),
+            host=settings.operators.host,
+            port=settings.operators.port,
         )
 
     @property
@@ -63,9 +77,15 @@
         """Return the base URL for callers."""
         return self._callers.url
 
+    @property
+    def operators_url(self) -> str:
+        """Return the base URL for operators."""
+        return self._operators.url
+
     async def start(self) -> None:
-        """Start periodic tasks, then accept callers."""
+        """Start periodic tasks, then accept operators and callers."""
         self._entry.background.start()
+        await self._operators.start()
         await self._callers.start()
         own = KnownEntry(
             instance=self._settings.instance.id,
@@ -87,21 +107,56 @@
         await self._entry.background.stop()
         await self._entry.lasting.placement.release()
         await self._entry.aclose()
+        await self._operators.stop()
         await self._platform.aclose()
         await self._ratings.aclose()
 
 
 async def serve(settings: Settings) -> None:
-    """Serve callers until the process is told to stop."""
+    """
+    Serve callers until the process is told to stop.
+
+    Raises ``SecretError`` for a key that cannot be read and ``OSError`` for an
+    address or a log file that cannot be opened.
+    """
+    with open_log(settings.log.path):
+        await _serve(settings)
+
+
+async def _serve(settings: Settings) -> None:
     process = EntryProcess(settings=settings, clock=SystemClock())
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, stopping.set)
     await process.start()
+    _log_state(settings, "started")
     with contextlib.suppress(asyncio.CancelledError):
         await stopping.wait()
+    _log_state(settings, "stopping")
     await process.stop()
+    _log_state(settings, "stopped")
+
+
+def _log_state(settings: Settings, state: str) -> None:
+    record(InstanceStateChanged(instance=settings.instance.id, state=state))
+
+
+def _caller_limits(callers: CallerSettings) -> CallerLimits:
+    return CallerLimits(
+        max_body=callers.max_body,
+        body_timeout=callers.body_timeout,
+        default_deadline=callers.default_deadline,
+        max_deadline=callers.max_deadline,
+    )
+
+
+def _connection_limits(callers: CallerSettings) -> ConnectionLimits:
+    return ConnectionLimits(
+        max_head=callers.max_head,
+        idle_timeout=callers.idle_timeout,
+        max_connections=callers.max_connections,
+    )
 
 
 def _pin_keys(settings: Settings) -> tuple[str, ...]:
