Account for what happened since a late report was taken

Change: the requests that ended since the report are taken to have been replaced where they level the load, and an endpoint is drawn in proportion to its part.

--- a/benches/_load_scenarios.py
+++ b/benches/_load_scenarios.py
@@ -35,6 +35,7 @@
     share: float,
     seeds: Sequence[int],
     measured: int = MEASURED,
+    is_refusing: bool = False,
 ) -> LoadFigures:
     """Run one policy at one load and return its figures over all seeds."""
     calls: list[Call] = []
@@ -46,6 +47,7 @@
             target=target,
             entry_count=entries,
             seed=seed,
+            is_refusing=is_refusing,
         )
         world.load(share, SETTLING)
         first = len(world.calls)
--- a/fuchsiaroute/balancing/_chooser.py
+++ b/fuchsiaroute/balancing/_chooser.py
@@ -9,10 +9,11 @@
 
 from fuchsiaroute.balancing._cold_slots import ColdSlots
 from fuchsiaroute.balancing._estimate import LoadEstimate
+from fuchsiaroute.balancing._loaded import LoadedEndpoint
 from fuchsiaroute.balancing._peer_group import PeerGroup
 from fuchsiaroute.balancing._refusals import refusal_for
 from fuchsiaroute.balancing._reservation import Reservation, ReservationKind, Target
-from fuchsiaroute.balancing._selection import LoadedEndpoint, select
+from fuchsiaroute.balancing._selection import select
 from fuchsiaroute.balancing._targets import TargetIndex
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.configuration import Configuration
@@ -37,6 +38,10 @@
 LARGEST_UTILISATION = 1.1
 #: Utilisation of warm endpoints above which warming ones are used beside them.
 RELIEF_UTILISATION = 0.8
+#: Mean time of a request at an endpoint until it has been learned.
+FIRST_MEAN_SERVICE = Milliseconds(4_000)
+#: Weight of the newest request in the mean time.
+SMOOTHING = 0.02
 #: Pause after an endpoint has said that it is full.
 FULL_PAUSE = Milliseconds(200)
 #: Longest time between a choice and the first byte of its dispatch.
@@ -60,6 +65,7 @@
         self._random = random
         self._numbers = itertools.count(1)
         self._estimates: dict[EndpointId, LoadEstimate] = {}
+        self._mean_service = float(FIRST_MEAN_SERVICE)
         self._open: dict[int, Reservation] = {}
         self._targets = TargetIndex(entry)
         self._full_until: dict[EndpointId, Milliseconds] = {}
@@ -143,7 +149,12 @@
             return Failure(
                 refusal_for(is_full=_is_worth_waiting(records), target=target)
             )
-        chosen = select(usable, prefix_hash=request.prefix_hash, random=self._random)
+        chosen = select(
+            usable,
+            prefix_hash=request.prefix_hash,
+            mean_service=Milliseconds(round(self._mean_service)),
+            random=self._random,
+        )
         return Success(self._reserve(chosen.record, target, ReservationKind.WARM))
 
     def may_dispatch(self, reservation: Reservation) -> bool:
@@ -171,6 +182,9 @@
             return
         endpoint = reservation.endpoint.id
         self._estimates[endpoint].finished()
+        if outcome is Outcome.ANSWERED:
+            duration = self._clock.now() - reservation.chosen_at
+            self._mean_service += SMOOTHING * (duration - self._mean_service)
         if reservation.kind is ReservationKind.COLD_SLOT:
             is_settled = outcome not in UNSETTLED_OUTCOMES
             self.cold_slots.free(endpoint, is_settled=is_settled)
@@ -194,26 +208,36 @@
         return [self.table[name] for name in names if name not in excluded]
 
     def _warm(self, records: Iterable[EndpointRecord]) -> list[LoadedEndpoint]:
+        is_known = self._peers.is_known()
         return [
-            LoadedEndpoint(record=record, utilisation=self._utilisation(record))
+            self._loaded(record, is_peer_group_known=is_known)
             for record in records
             if record.state is EndpointState.WARM
         ]
 
-    def _utilisation(self, record: EndpointRecord) -> float:
-        endpoint = record.endpoint
-        if self._clock.now() < self._full_until.get(endpoint.id, 0):
-            return math.inf
-        since_warm = self._clock.now() - record.changed_at
-        capacity = float(endpoint.capacity)
-        if since_warm < RAMP:
-            growth = (capacity - endpoint.cold_capacity) * since_warm / RAMP
-            capacity = max(endpoint.cold_capacity + growth, 1.0)
+    def _loaded(
+        self, record: EndpointRecord, *, is_peer_group_known: bool
+    ) -> LoadedEndpoint:
+        estimate = self._estimates[record.endpoint.id]
         sharing = self._peers.size * self._targets.share
-        load = self._estimates[endpoint.id].total(
-            sharing, is_peer_group_known=self._peers.is_known()
+        load = estimate.total(sharing, is_peer_group_known=is_peer_group_known)
+        if self._clock.now() < self._full_until.get(record.endpoint.id, 0):
+            load = math.inf
+        no_age = Milliseconds(0)
+        return LoadedEndpoint(
+            record=record,
+            load=load,
+            capacity=self._capacity(record),
+            report_age=no_age if is_peer_group_known else estimate.report_age(),
         )
-        return load / capacity
+
+    def _capacity(self, record: EndpointRecord) -> float:
+        endpoint = record.endpoint
+        since_warm = self._clock.now() - record.changed_at
+        if since_warm >= RAMP:
+            return float(endpoint.capacity)
+        growth = (endpoint.capacity - endpoint.cold_capacity) * since_warm / RAMP
+        return max(endpoint.cold_capacity + growth, 1.0)
 
     def _trial(
         self, records: Iterable[EndpointRecord], request: Request
--- a/fuchsiaroute/balancing/_estimate.py
+++ b/fuchsiaroute/balancing/_estimate.py
@@ -65,6 +65,11 @@
             return self.own + self._others
         return self.own * max(sharing_entries, 1.0)
 
+    def report_age(self) -> Milliseconds:
+        """Return the age of the latest report, or 0 if there is no fresh one."""
+        age = Milliseconds(self._clock.wall() - self._taken_at)
+        return age if age < REPORT_LIFETIME else Milliseconds(0)
+
     def _change(self, change: int) -> None:
         now = self._clock.wall()
         self.own += change
--- a/fuchsiaroute/balancing/_selection.py
+++ b/fuchsiaroute/balancing/_selection.py
@@ -1,11 +1,12 @@
 """Selection of one warm endpoint by prefix affinity and power of a few choices."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from random import Random
 
+from fuchsiaroute.balancing._interpretation import interpret
+from fuchsiaroute.balancing._loaded import LoadedEndpoint
 from fuchsiaroute.balancing._subset import by_rank
-from fuchsiaroute.endpoints import EndpointRecord
+from fuchsiaroute.clock import Milliseconds
 
 #: Largest load, as a multiple of the mean, at which affinity still decides.
 AFFINITY_LOAD_FACTOR = 1.25
@@ -17,23 +18,20 @@
 CHOICES = 3
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class LoadedEndpoint:
-    """A warm endpoint with its estimated load relative to what it bears now."""
-
-    record: EndpointRecord
-    #: Estimated requests at the endpoint divided by its present capacity.
-    utilisation: float
-
-
 def select(
-    candidates: Sequence[LoadedEndpoint], *, prefix_hash: int, random: Random
+    candidates: Sequence[LoadedEndpoint],
+    *,
+    prefix_hash: int,
+    mean_service: Milliseconds,
+    random: Random,
 ) -> LoadedEndpoint:
     """Return the endpoint for a request; ``candidates`` must not be empty."""
     if prefix_hash:
         preferred = _by_affinity(candidates, prefix_hash)
         if preferred is not None:
             return preferred
+    if any(candidate.report_age for candidate in candidates):
+        return interpret(candidates, mean_service=mean_service, random=random)
     return least_of(candidates, random)
 
 
