Measure one entry on real sockets; read endpoints' status at a bounded rate

Cause: nothing fed load reports to the entry, and the bench knew only the clock's world. Benches and stand-ins were declared to need a warm-up that the stand-ins do not have, and sent prompts without a message, which the gateway refuses. Change: an entry asks one endpoint after another for its status, eight a second; the bench measures latency, throughput, memory and a graceful stop with processes of its own; stand-ins of benches are recorded as warm in the store.

--- a/benches/_load_world.py
+++ b/benches/_load_world.py
@@ -37,6 +37,8 @@
 LARGE_SHARE = 0.7
 LARGE_ORGANISATIONS = 3
 OURS = "fuchsiaroute"
+#: The same without the entries' words to each other on their requests in flight.
+REPORTS_ONLY = "late reports only"
 
 
 @dataclass(kw_only=True)
@@ -82,7 +84,7 @@
             self.entries.append(self._entry(name))
         self.events.every(REPORT_INTERVAL, self._report)
         self.events.every(GOSSIP_INTERVAL, self._every_second)
-        if self.entry_count <= LARGEST_PEER_GROUP:
+        if self.policy == OURS and self.entry_count <= LARGEST_PEER_GROUP:
             for entry in self.routed:
                 start = self.random.uniform(0, PEER_LOAD_INTERVAL)
                 self.events.after(start, lambda entry=entry: self._tell_peers(entry))  # type: ignore[misc]
@@ -122,7 +124,7 @@
 
     def _entry(self, name: InstanceId) -> RoutedEntry | PolicyEntry:
         random = Random(f"{self.seed}/{name}")
-        if self.policy != OURS:
+        if self.policy in BASELINES:
             fakes = list(self.fakes.values())
             policy: Policy = BASELINES[self.policy](endpoints=fakes, random=random)
             self._policies.append(policy)
--- a/benches/_processes.py
+++ b/benches/_processes.py
@@ -12,8 +12,11 @@
 import httpx
 import psutil
 
+from fuchsiaroute.balancing import warmth_put
+from fuchsiaroute.clock import Milliseconds
 from fuchsiaroute.configuration import Configuration
 from fuchsiaroute.declaration import decode, encode
+from fuchsiaroute.endpoints import Warmth, WarmthFact
 from fuchsiaroute.entry import CONFIGURATION_KEY
 from fuchsiaroute.platform import (
     ABSENT,
@@ -23,6 +26,7 @@
     Put,
     Transaction,
 )
+from fuchsiaroute.standin import FIRST_INCARNATION
 
 HOST = "127.0.0.1"
 READY_TIMEOUT_SECONDS = 20.0
@@ -136,19 +140,35 @@
 
 
 def with_endpoint_urls(declared: Configuration, urls: Sequence[str]) -> Configuration:
-    """Return ``declared`` with the URLs of its endpoints in order; extra ones go."""
+    """
+    Return ``declared`` with the URLs of its endpoints in order; extra ones go.
+
+    The stand-ins are always warm, so they are declared to need no warm-up.
+    """
     endpoints = tuple(
-        replace(endpoint, url=url)
+        replace(endpoint, url=url, warm_up=Milliseconds(0))
         for endpoint, url in zip(declared.endpoints, urls, strict=False)
     )
     return replace(declared, endpoints=endpoints)
 
 
 async def store_configuration(platform_url: str, declared: Configuration) -> None:
-    """Store the first configuration as the operators' ``apply`` does."""
+    """
+    Store the first configuration as the operators' ``apply`` does.
+
+    Beside it stands what earlier entries would have recorded: all endpoints are warm.
+    """
+    warmth = Warmth(incarnation=FIRST_INCARNATION, is_warm=True)
+    facts = (
+        WarmthFact(endpoint=endpoint.id, warmth=warmth)
+        for endpoint in declared.endpoints
+    )
     transaction = Transaction(
         checks=(Check(key=CONFIGURATION_KEY, version=ABSENT),),
-        puts=(Put(key=CONFIGURATION_KEY, value=encode(declared)),),
+        puts=(
+            Put(key=CONFIGURATION_KEY, value=encode(declared)),
+            *(warmth_put(fact) for fact in facts),
+        ),
     )
     async with httpx.AsyncClient(base_url=platform_url, trust_env=False) as client:
         outcome = await HttpTableStore(client).commit(transaction)
--- a/benches/_token_path.py
+++ b/benches/_token_path.py
@@ -29,9 +29,14 @@
 SETTLE_SECONDS = 1.5
 
 
+class _Message(msgspec.Struct, frozen=True):
+    role: str = "user"
+    content: str = "which stands are open"
+
+
 class _Body(msgspec.Struct):
     max_tokens: int
-    messages: list[dict[str, str]] = []
+    messages: tuple[_Message, ...] = (_Message(),)
     model: str = "auto"
     stream: bool = True
 
--- a/benches/bench_load.py
+++ b/benches/bench_load.py
@@ -4,6 +4,7 @@
 Everything is seeded. Each target stands beside the figure measured.
 """
 
+import asyncio
 import resource
 import sys
 import time
@@ -13,7 +14,8 @@
 
 from benches._load_policies import BASELINES
 from benches._load_scenarios import run_cold, run_flood, run_load, run_outage
-from benches._load_world import OURS, pool
+from benches._load_sockets import measure_sockets, measure_stop
+from benches._load_world import OURS, REPORTS_ONLY, pool
 from examples import hanbit, timberline
 from fuchsiaroute.balancing import EndpointChooser
 from fuchsiaroute.clock import ManualClock, Milliseconds
@@ -40,6 +42,7 @@
 #: Simulated time of each run at the target's size, in milliseconds.
 SCALE_MEASURED = 20_000
 POOL_AT_TARGET = ENDPOINTS_AT_TARGET // VERSIONS_AT_TARGET
+PARTS = ("decisions", "sockets", "loads", "cold", "outages", "flood", "scale")
 KNOWING = "perfect knowledge"
 
 _Deployment = tuple[str, Configuration, VersionId, int]
@@ -69,7 +72,7 @@
     print("load  policy              p50   p95   p99 ms  answered  goodput")
     for share in LOADS:
         p95 = {}
-        for policy in (*BASELINES, OURS):
+        for policy in (*BASELINES, REPORTS_ONLY, OURS):
             figures = run_load(
                 configuration,
                 target,
@@ -229,6 +232,35 @@
     print(f"resident memory added: {(after - before) / 1024:.1f} MB")
 
 
+def bench_sockets() -> None:
+    """Print one entry's figures on real sockets."""
+    _title("real sockets: one entry, five stand-ins, streamed answers of 8 tokens")
+    figures = asyncio.run(measure_sockets())
+    print(
+        f"one after another: p50 {figures.direct_p50:.2f} ms direct,"
+        f" {figures.routed_p50:.2f} ms routed"
+        f" ({figures.routed_p50 / figures.direct_p50:.2f} times);"
+        f" p95 {figures.direct_p95:.2f} and {figures.routed_p95:.2f} ms"
+    )
+    print(
+        f"20 at once: {figures.direct_rate:.0f} requests/s direct,"
+        f" {figures.routed_rate:.0f} routed"
+        f" ({figures.routed_rate / figures.direct_rate:.2f} times);"
+        f" {figures.rate_per_core:.0f} requests/s for each core of the entry"
+    )
+    print(
+        f"resident: {figures.idle_bytes / 1e6:.1f} MB idle,"
+        f" {figures.loaded_bytes / 1e6:.1f} MB loaded"
+    )
+    stop = asyncio.run(measure_stop())
+    print(
+        f"graceful stop under load: {stop.requests} requests while stopping,"
+        f" {stop.refused_connections} callers met a closed port,"
+        f" {stop.seconds:.1f} s, exit status {stop.exit_status}"
+    )
+    _target("requests cut by a graceful stop", stop.cut, "<=", 0)
+
+
 def _target_configuration() -> Configuration:
     base = pool(timberline.declare(), ENDPOINTS_AT_TARGET, VersionId("version-0"))
     return _with_versions(base)
@@ -265,7 +297,7 @@
 
 
 def _chosen(names: Iterable[str]) -> set[str]:
-    return set(names) or {"loads", "cold", "outages", "flood", "scale", "decisions"}
+    return set(names) or set(PARTS)
 
 
 def main() -> None:
@@ -274,6 +306,8 @@
     if "decisions" in parts:
         # First, so that the memory it adds shows in the peak of the process.
         bench_decisions()
+    if "sockets" in parts:
+        bench_sockets()
     for deployment in deployments():
         if "loads" in parts:
             bench_loads(*deployment, seeds=SEEDS, measured=120_000)
--- a/fuchsiaroute/balancing/__init__.py
+++ b/fuchsiaroute/balancing/__init__.py
@@ -7,7 +7,7 @@
 from fuchsiaroute.balancing._peer_group import LARGEST_PEER_GROUP
 from fuchsiaroute.balancing._reservation import Reservation, ReservationKind, Target
 from fuchsiaroute.balancing._subset import SUBSET_SIZE, by_rank, rank, subset
-from fuchsiaroute.balancing._warmth_store import WarmthStore
+from fuchsiaroute.balancing._warmth_store import WarmthStore, warmth_put
 
 __all__ = [
     "DEPARTURE_DELAY",
@@ -27,4 +27,5 @@
     "by_rank",
     "rank",
     "subset",
+    "warmth_put",
 ]
--- a/fuchsiaroute/balancing/_chooser.py
+++ b/fuchsiaroute/balancing/_chooser.py
@@ -32,8 +32,8 @@
 from fuchsiaroute.request import Request
 from fuchsiaroute.verdict import Refusal
 
-#: Time over which the capacity in use grows from cold to full once warm.
-RAMP = Milliseconds(10_000)
+#: Part of its warm-up over which the use of an endpoint grows to the full capacity.
+RAMP_SHARE = 1 / 3
 #: Largest estimated load at which an endpoint gets more, relative to its capacity.
 LARGEST_UTILISATION = 1.1
 #: Utilisation of warm endpoints above which warming ones are used beside them.
@@ -192,6 +192,10 @@
             self._full_until[endpoint] = Milliseconds(self._clock.now() + FULL_PAUSE)
         self.table.finished(endpoint, outcome, reservation.warmth)
 
+    def used_endpoints(self) -> frozenset[EndpointId]:
+        """Return the endpoints that this entry may choose."""
+        return self._targets.used() | self.cold_slots.endpoints
+
     def in_flight(self, endpoint: EndpointId) -> int:
         """Return the number of this entry's requests at ``endpoint``."""
         return self._estimates[endpoint].own
@@ -234,9 +238,10 @@
     def _capacity(self, record: EndpointRecord) -> float:
         endpoint = record.endpoint
         since_warm = self._clock.now() - record.changed_at
-        if since_warm >= RAMP:
+        ramp = endpoint.warm_up * RAMP_SHARE
+        if since_warm >= ramp:
             return float(endpoint.capacity)
-        growth = (endpoint.capacity - endpoint.cold_capacity) * since_warm / RAMP
+        growth = (endpoint.capacity - endpoint.cold_capacity) * since_warm / ramp
         return max(endpoint.cold_capacity + growth, 1.0)
 
     def _trial(
--- a/fuchsiaroute/balancing/_targets.py
+++ b/fuchsiaroute/balancing/_targets.py
@@ -47,3 +47,7 @@
             more = (name for name in serving if name in slots and name not in used)
             self._with_slots[target] = (*used, *more)
         return self._with_slots[target]
+
+    def used(self) -> frozenset[EndpointId]:
+        """Return the endpoints of the entry's subsets."""
+        return frozenset(name for names in self._used.values() for name in names)
--- a/fuchsiaroute/balancing/_warmth_store.py
+++ b/fuchsiaroute/balancing/_warmth_store.py
@@ -92,15 +92,17 @@
             checks=tuple(
                 Check(key=record.key, version=record.version) for _, record in missing
             ),
-            puts=tuple(
-                Put(key=record.key, value=msgspec.json.encode(fact))
-                for fact, record in missing
-            ),
+            puts=tuple(warmth_put(fact) for fact, _ in missing),
         )
         # After a conflict or a lost answer the next step reads again.
         return (await self._store.commit(transaction)).map(lambda _: None)
 
 
+def warmth_put(fact: WarmthFact) -> Put:
+    """Return the write that records ``fact``."""
+    return Put(key=_key(fact), value=msgspec.json.encode(fact))
+
+
 def _key(fact: WarmthFact) -> str:
     return f"{_PREFIX}{fact.endpoint}"
 
--- a/fuchsiaroute/dispatch/__init__.py
+++ b/fuchsiaroute/dispatch/__init__.py
@@ -14,6 +14,7 @@
     INCARNATION_HEADER,
     STATUS_PATH,
     EndpointStatus,
+    read_status,
 )
 
 __all__ = [
@@ -31,4 +32,5 @@
     "EndpointCall",
     "EndpointStatus",
     "OpenAnswer",
+    "read_status",
 ]
--- a/fuchsiaroute/entry/__init__.py
+++ b/fuchsiaroute/entry/__init__.py
@@ -25,6 +25,7 @@
 from fuchsiaroute.entry._rating_poll import RatingPoll, RolloutPauser
 from fuchsiaroute.entry._rollout_pauser import StoredRolloutPauser
 from fuchsiaroute.entry._route import VersionRoute
+from fuchsiaroute.entry._status_poll import StatusPoll
 from fuchsiaroute.entry._steps import (
     AdmitStep,
     Attempt,
@@ -67,6 +68,7 @@
     "RouteStep",
     "Routed",
     "ServiceTarget",
+    "StatusPoll",
     "Steps",
     "StoredRolloutPauser",
     "VersionRoute",
--- a/fuchsiaroute/serving/_balancing.py
+++ b/fuchsiaroute/serving/_balancing.py
@@ -22,6 +22,7 @@
     EndpointUpkeep,
     EntriesListener,
     GatedAdmission,
+    StatusPoll,
 )
 from fuchsiaroute.ids import Incarnation, InstanceId, Revision
 from fuchsiaroute.platform import (
@@ -44,6 +45,7 @@
     keeper: ColdSlotKeeper
     upkeep: EndpointUpkeep
     dispatcher: Dispatcher
+    status: StatusPoll
 
 
 def compose_balancing(
@@ -110,6 +112,9 @@
         keeper=keeper,
         upkeep=upkeep,
         dispatcher=dispatcher,
+        status=StatusPoll(
+            chooser=chooser, connections=connections, current=current, clock=clock
+        ),
     )
 
 
--- a/fuchsiaroute/serving/_compose.py
+++ b/fuchsiaroute/serving/_compose.py
@@ -157,6 +157,7 @@
     background.add("placement", lasting.placement.run)
     background.add("instances", balancing.upkeep.read_lists)
     background.add("cold slots", balancing.upkeep.keep_slots)
+    background.add("load reports", balancing.status.run)
     background.add("admission", balancing.upkeep.wake_waiting)
     return ComposedEntry(
         options=options,
