--- a/benches/_processes.py
+++ b/benches/_processes.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 import time
+import uuid
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 from pathlib import Path
@@ -13,19 +14,17 @@
 import psutil
 
 from fuchsiaroute.balancing import warmth_put
-from fuchsiaroute.clock import Milliseconds
-from fuchsiaroute.configuration import Configuration
-from fuchsiaroute.declaration import decode, encode
-from fuchsiaroute.endpoints import Warmth, WarmthFact
-from fuchsiaroute.entry import CONFIGURATION_KEY
-from fuchsiaroute.platform import (
-    ABSENT,
-    Check,
-    Committed,
-    HttpTableStore,
-    Put,
-    Transaction,
+from fuchsiaroute.clock import Milliseconds, SystemClock
+from fuchsiaroute.configuration import (
+    Configuration,
+    ConfigurationLog,
+    ConfigurationReader,
+    Snapshot,
+    accept_first,
 )
+from fuchsiaroute.endpoints import Warmth, WarmthFact
+from fuchsiaroute.ids import ChangeId
+from fuchsiaroute.platform import HttpTableStore, Transaction
 from fuchsiaroute.standin import FIRST_INCARNATION
 
 HOST = "127.0.0.1"
@@ -154,26 +153,21 @@
 
 async def store_configuration(platform_url: str, declared: Configuration) -> None:
     """
-    Store the first configuration as the operators' ``apply`` does.
+    Accept the first configuration as the operators' ``apply`` does.
 
-    Beside it stands what earlier entries would have recorded: all endpoints are warm.
+    Before it stands what earlier entries would have recorded: all endpoints are warm.
     """
     warmth = Warmth(incarnation=FIRST_INCARNATION, is_warm=True)
-    facts = (
+    facts = [
         WarmthFact(endpoint=endpoint.id, warmth=warmth)
         for endpoint in declared.endpoints
-    )
-    transaction = Transaction(
-        checks=(Check(key=CONFIGURATION_KEY, version=ABSENT),),
-        puts=(
-            Put(key=CONFIGURATION_KEY, value=encode(declared)),
-            *(warmth_put(fact) for fact in facts),
-        ),
-    )
+    ]
+    warm = Transaction(puts=tuple(warmth_put(fact) for fact in facts))
     async with httpx.AsyncClient(base_url=platform_url, trust_env=False) as client:
-        outcome = await HttpTableStore(client).commit(transaction)
-    if not isinstance(outcome.unwrap(), Committed):
-        raise RuntimeError("the platform already holds a configuration")
+        store = HttpTableStore(client)
+        (await store.commit(warm)).unwrap()
+        outcome = await accept_first(store, SystemClock(), declared, author="bench")
+    outcome.unwrap()
 
 
 async def change_configuration(
@@ -182,16 +176,14 @@
     """Accept a changed configuration as an operator does."""
     async with httpx.AsyncClient(base_url=platform_url, trust_env=False) as client:
         store = HttpTableStore(client)
-        (record,) = (await store.read([CONFIGURATION_KEY])).unwrap()
-        transaction = Transaction(
-            checks=(Check(key=CONFIGURATION_KEY, version=record.version),),
-            puts=(
-                Put(
-                    key=CONFIGURATION_KEY,
-                    value=encode(change(decode(record.value))),
-                ),
-            ),
+        held = (await ConfigurationReader(store, SystemClock()).latest()).unwrap()
+        if not isinstance(held, Snapshot):
+            raise RuntimeError("no configuration has been accepted")
+        outcome = await ConfigurationLog(store, SystemClock()).accept(
+            change(held.configuration),
+            change_id=ChangeId(uuid.uuid4().hex),
+            expected_revision=held.change.revision,
+            author="bench",
+            summary="change of a bench",
         )
-        outcome = await store.commit(transaction)
-    if not isinstance(outcome.unwrap(), Committed):
-        raise RuntimeError("another change was accepted first")
+    outcome.unwrap()
--- a/fuchsiaroute/configuration/__init__.py
+++ b/fuchsiaroute/configuration/__init__.py
@@ -7,10 +7,12 @@
     ChangeError,
     ChangeErrorKind,
     NoChange,
+    decode_change,
     digest_of,
+    encode_change,
 )
-from fuchsiaroute.configuration._in_force import InForce, StoreWord
-from fuchsiaroute.configuration._log import ConfigurationLog
+from fuchsiaroute.configuration._in_force import READY_STATES, InForce, StoreWord
+from fuchsiaroute.configuration._log import ConfigurationLog, accept_first
 from fuchsiaroute.configuration._model import (
     Configuration,
     ConfiguredCall,
@@ -51,6 +53,7 @@
     "FRESH_BOUND",
     "NO_REVISION",
     "OUTAGE_BOUND",
+    "READY_STATES",
     "Accepted",
     "AcceptedChange",
     "ChangeError",
@@ -82,7 +85,10 @@
     "StoreWord",
     "Version",
     "VersionState",
+    "accept_first",
+    "decode_change",
     "digest_of",
+    "encode_change",
     "make_snapshot",
     "poll_interval",
     "readiness_in",
--- a/fuchsiaroute/entry/_rollout_pauser.py
+++ b/fuchsiaroute/entry/_rollout_pauser.py
@@ -1,42 +1,55 @@
-"""The pause of a roll-out as a change of the stored configuration."""
+"""The pause of a roll-out as a change of the accepted configuration."""
 
 from returns.result import Failure, Success
 
-from fuchsiaroute.declaration import decode, encode
-from fuchsiaroute.entry._background import CONFIGURATION_KEY
-from fuchsiaroute.ids import RolloutId
-from fuchsiaroute.platform import ABSENT, Check, Committed, Put, TableStore, Transaction
+from fuchsiaroute.clock import Clock
+from fuchsiaroute.configuration import (
+    ConfigurationLog,
+    ConfigurationReader,
+    Snapshot,
+)
+from fuchsiaroute.ids import ChangeId, RolloutId
+from fuchsiaroute.platform import TableStore
 from fuchsiaroute.rollout import RolloutAction, apply_action
 
 _MAX_TRIES = 3
+_AUTHOR = "sequential test of ratings"
 
 
 class StoredRolloutPauser:
-    """Pauses by compare-and-set on the accepted configuration."""
+    """Pauses by an accepted change, as an operator would."""
 
-    def __init__(self, *, store: TableStore) -> None:
-        self._store = store
+    def __init__(self, *, store: TableStore, clock: Clock) -> None:
+        self._reader = ConfigurationReader(store, clock)
+        self._log = ConfigurationLog(store, clock)
 
     async def pause(self, rollout: RolloutId) -> bool:
         """Return whether the accepted configuration has the roll-out stopped."""
         for _ in range(_MAX_TRIES):
-            answer = await self._store.read([CONFIGURATION_KEY])
-            if isinstance(answer, Failure):
+            latest = await self._reader.latest()
+            if not isinstance(latest, Success):
                 return False
-            (head,) = answer.unwrap()
-            if head.version == ABSENT:
+            snapshot = latest.unwrap()
+            if not isinstance(snapshot, Snapshot):
                 return False
-            configuration = decode(head.value)
-            changed = apply_action(configuration, rollout, RolloutAction.PAUSE)
-            if isinstance(changed, Failure) or changed.unwrap() == configuration:
+            changed = apply_action(snapshot.configuration, rollout, RolloutAction.PAUSE)
+            if (
+                isinstance(changed, Failure)
+                or changed.unwrap() == snapshot.configuration
+            ):
                 # It has ended, or another entry or an operator has paused it.
                 return True
-            outcome = await self._store.commit(
-                Transaction(
-                    checks=(Check(key=head.key, version=head.version),),
-                    puts=(Put(key=head.key, value=encode(changed.unwrap())),),
-                )
+            # Entries that find the same thing submit the same change.
+            change_id = f"pause-{rollout}-after-{snapshot.change.revision}"
+            outcome = await self._log.accept(
+                changed.unwrap(),
+                change_id=ChangeId(change_id),
+                expected_revision=snapshot.change.revision,
+                author=_AUTHOR,
+                summary=f"pause roll-out {rollout}",
+                # The next poll of ratings asks again under the same change id.
+                attempts=1,
             )
-            if isinstance(outcome, Success) and isinstance(outcome.unwrap(), Committed):
+            if isinstance(outcome, Success):
                 return True
         return False
--- a/fuchsiaroute/entry/tests/test_routing_step.py
+++ b/fuchsiaroute/entry/tests/test_routing_step.py
@@ -7,11 +7,16 @@
 from returns.result import Success
 
 from fuchsiaroute.clock import ManualClock
-from fuchsiaroute.configuration import RolloutState, VersionState
+from fuchsiaroute.configuration import (
+    NO_REVISION,
+    ConfigurationLog,
+    ConfigurationReader,
+    NoSnapshot,
+    RolloutState,
+    VersionState,
+)
 from fuchsiaroute.costlimit import Allowances, CostMeter
-from fuchsiaroute.declaration import decode, encode
 from fuchsiaroute.entry import (
-    CONFIGURATION_KEY,
     AttemptRecord,
     Bill,
     Call,
@@ -23,14 +28,12 @@
     StoredRolloutPauser,
     VersionRoute,
 )
-from fuchsiaroute.ids import RequestId, Revision, SessionId
+from fuchsiaroute.ids import ChangeId, RequestId, SessionId
 from fuchsiaroute.platform import (
     MemoryTableStore,
-    Put,
     Rating,
     RatingPage,
     StoreFault,
-    Transaction,
 )
 from fuchsiaroute.quality import BookEstimates, RatingLog
 from fuchsiaroute.rollout import RolloutAction, apply_action
@@ -106,7 +109,7 @@
             log=RatingLog(store=store, service=service),
             estimates=estimates,
             route=self.route,
-            pauser=StoredRolloutPauser(store=store),
+            pauser=StoredRolloutPauser(store=store, clock=clock),
             current=self.current,
             clock=clock,
             randomness=random.Random(2),
@@ -125,15 +128,29 @@
     def __init__(self):
         self.store = MemoryTableStore()
         self.service = FakeRatings()
+        self.changes = 0
         self.clock = ManualClock()
 
     async def accept(self, configuration):
-        put = Put(key=CONFIGURATION_KEY, value=encode(configuration))
-        await self.store.commit(Transaction(puts=(put,)))
+        log = ConfigurationLog(self.store, self.clock)
+        self.changes += 1
+        outcome = await log.accept(
+            configuration,
+            change_id=ChangeId(f"operator-{self.changes}"),
+            expected_revision=await self.revision(),
+            author="operator",
+            summary="",
+        )
+        outcome.unwrap()
+
+    async def revision(self):
+        latest = (await ConfigurationReader(self.store, self.clock).latest()).unwrap()
+        is_first = isinstance(latest, NoSnapshot)
+        return NO_REVISION if is_first else latest.change.revision
 
     async def accepted(self):
-        (record,) = (await self.store.read([CONFIGURATION_KEY])).unwrap()
-        return Revision(record.version), decode(record.value)
+        latest = (await ConfigurationReader(self.store, self.clock).latest()).unwrap()
+        return latest.change.revision, latest.configuration
 
     async def start_entry(self):
         entry = Entry(self.store, self.service, self.clock)
--- /dev/null
+++ b/fuchsiaroute/serving/_agreement.py
@@ -0,0 +1,44 @@
+"""The parts of an entry that agree on the configuration with other entries."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from fuchsiaroute.clock import Clock
+from fuchsiaroute.configuration import (
+    READY_STATES,
+    ConfigurationPoller,
+    ConfigurationReader,
+    InForce,
+)
+from fuchsiaroute.entry import ConfigurationPoll, CurrentConfiguration
+from fuchsiaroute.platform import TableStore
+
+
+@dataclass(frozen=True, kw_only=True)
+class AgreementParts:
+    """The configuration in force and what keeps it current."""
+
+    in_force: InForce
+    current: CurrentConfiguration
+    poller: ConfigurationPoller
+    poll: ConfigurationPoll
+
+
+def compose_agreement(
+    *, store: TableStore, clock: Clock, entry_count: Callable[[], int]
+) -> AgreementParts:
+    """Return the parts of an entry that reads its configuration from ``store``."""
+    in_force = InForce(clock)
+    # An entry without peers is the whole of the entries that it knows of.
+    in_force.note_majority(hears_majority=True)
+    current = CurrentConfiguration(may_serve=lambda: in_force.readiness in READY_STATES)
+    in_force.subscribe(
+        lambda held: current.apply(held.change.revision, held.configuration)
+    )
+    poller = ConfigurationPoller(ConfigurationReader(store, clock), in_force, clock)
+    return AgreementParts(
+        in_force=in_force,
+        current=current,
+        poller=poller,
+        poll=ConfigurationPoll(poller=poller, clock=clock, entry_count=entry_count),
+    )
--- a/fuchsiaroute/serving/_compose.py
+++ b/fuchsiaroute/serving/_compose.py
@@ -27,9 +27,11 @@
     HttpEngineOrders,
     InstanceList,
     RatingService,
+    StoreClient,
     StoreFunction,
     TableStore,
 )
+from fuchsiaroute.serving._agreement import AgreementParts, compose_agreement
 from fuchsiaroute.serving._balancing import (
     BalancingParts,
     advise_listed,
@@ -64,6 +66,7 @@
     app: Litestar
     current: CurrentConfiguration
     poll: ConfigurationPoll
+    agreement: AgreementParts
     advice: EntryAdvice
     #: Connections to endpoints.
     client: Connections
@@ -90,14 +93,25 @@
     ratings: RatingService | None = None,
 ) -> ComposedEntry:
     """Return an entry whose parts use ``store`` and ``clock``."""
-    current = CurrentConfiguration()
     client = Connections()
     incarnation = Incarnation(clock.wall())
     advice = EntryAdvice()
+    store_client = StoreClient(
+        store,
+        clock=clock,
+        rng=random.SystemRandom(),
+        entry_count=lambda: len(advice.entries),
+    )
+    agreement = compose_agreement(
+        store=store_client.view(StoreFunction.CONFIGURATION),
+        clock=clock,
+        entry_count=lambda: len(advice.entries),
+    )
+    current = agreement.current
     randomness = random.Random(options.seed)
     orders_client = build_client(read_timeout=ORDER_TIMEOUT)
     lasting = compose_lasting(
-        store=store,
+        client=store_client,
         clock=clock,
         instance=options.instance,
         incarnation=incarnation,
@@ -107,8 +121,9 @@
     )
     routing = compose_routing(
         current=current,
-        store=lasting.client.view(StoreFunction.SPENDING),
-        quality_store=lasting.client.view(StoreFunction.QUALITY),
+        store=store_client.view(StoreFunction.SPENDING),
+        configuration_store=store_client.view(StoreFunction.CONFIGURATION),
+        quality_store=store_client.view(StoreFunction.QUALITY),
         rating_service=ratings or NoRatings(),
         pin_keys=options.pin_keys,
         clock=clock,
@@ -126,7 +141,7 @@
 
     balancing = compose_balancing(
         current=current,
-        store=lasting.client.view(StoreFunction.ENDPOINTS),
+        store=store_client.view(StoreFunction.ENDPOINTS),
         instances=instances,
         connections=client,
         check=check,
@@ -145,12 +160,14 @@
         bill=MeteredBill(bill=lasting.bills, allowances=routing.allowances),
     )
     app = build_app(
-        pipeline=Pipeline(steps=steps), current=current, advice=advice, clock=clock
+        pipeline=Pipeline(steps=steps),
+        current=current,
+        advice=advice,
+        clock=clock,
+        request_ids=lasting.book,
     )
-    configuration_store = lasting.client.view(StoreFunction.CONFIGURATION)
-    poll = ConfigurationPoll(store=configuration_store, current=current, clock=clock)
     background = Background()
-    background.add("configuration", poll.run)
+    background.add("configuration", agreement.poll.run)
     background.add("ratings", routing.ratings.run)
     background.add("claims", lasting.book.run)
     background.add("ledger", lasting.ledger.run)
@@ -163,7 +180,8 @@
         options=options,
         app=app,
         current=current,
-        poll=poll,
+        poll=agreement.poll,
+        agreement=agreement,
         advice=advice,
         client=client,
         orders_client=orders_client,
