--- a/fuchsiaroute/routing/_priced_plan.py
+++ b/fuchsiaroute/routing/_priced_plan.py
@@ -70,15 +70,22 @@
 
     models: tuple[PricedModel, ...]
     excluded: tuple[Candidate, ...]
+    #: The running roll-outs, in the order of their models.
+    rollouts: tuple[Rollout, ...]
 
-    def sides(self, request: Request) -> list[Side]:
-        """Return the side of each model that ``request`` is on."""
+    def covered(self, request: Request) -> tuple[bool, ...]:
+        """Return for each roll-out of the plan whether its share covers ``request``."""
+        if not self.rollouts:
+            return ()
         unit = request.id if request.session is NoSession.TOKEN else request.session
         key = unit_key(request.organisation, unit)
+        return tuple([is_on_target(rollout, key) for rollout in self.rollouts])
+
+    def sides(self, covered: tuple[bool, ...]) -> list[Side]:
+        """Return the side of each model, by what ``covered`` returned."""
+        remaining = iter(covered)
         return [
-            model.off
-            if model.rollout is None or not is_on_target(model.rollout, key)
-            else model.on
+            model.on if model.rollout is not None and next(remaining) else model.off
             for model in self.models
         ]
 
@@ -109,7 +116,8 @@
         default = price(item.model, item.default)
         target = price(item.model, item.target)
         models.append(_priced_model(item, default, target))
-    return PricedPlan(models=tuple(models), excluded=plan.excluded)
+    rollouts = tuple(item.rollout for item in plan.models if item.rollout is not None)
+    return PricedPlan(models=tuple(models), excluded=plan.excluded, rollouts=rollouts)
 
 
 def _priced_model(
--- a/fuchsiaroute/routing/_version_router.py
+++ b/fuchsiaroute/routing/_version_router.py
@@ -4,8 +4,8 @@
 
 from returns.result import Failure, Result, Success
 
-from fuchsiaroute.configuration import Organisation
-from fuchsiaroute.ids import OrganisationId, RequestClass, ServiceId, VersionId
+from fuchsiaroute.configuration import Organisation, Version
+from fuchsiaroute.ids import ModelId, OrganisationId, RequestClass, ServiceId, VersionId
 from fuchsiaroute.request import (
     Candidate,
     Decision,
@@ -22,6 +22,7 @@
 from fuchsiaroute.routing._priced_plan import PricedOption, PricedPlan, price_plan
 from fuchsiaroute.routing._refusals import invalid_request, refusal
 from fuchsiaroute.routing._rules import Rule, version_rule
+from fuchsiaroute.routing._selection import Selection
 from fuchsiaroute.routing._view import ConfigurationView
 from fuchsiaroute.session import PinSigner
 from fuchsiaroute.verdict import Refusal, RefusalReason
@@ -34,6 +35,10 @@
 #: Plans kept for a view; they are made anew after that.
 _MAX_PLANS = 4_096
 
+#: Selections kept; they are made anew after that.
+_MAX_SELECTIONS = 256
+
+_PinnedKey = tuple[VersionId, RequestClass, int]
 _PlanKey = tuple[OrganisationId, ModelChoice, RequestClass, int]
 
 
@@ -58,6 +63,8 @@
         self._estimates = estimates or PriorEstimates()
         self._chooser = chooser or CheapestChooser()
         self._plans: dict[_PlanKey, PricedPlan] = {}
+        self._selections: dict[tuple[int, tuple[bool, ...]], Selection] = {}
+        self._pinned: dict[_PinnedKey, Decision] = {}
         self._generation = 0
         self._plans_view: ConfigurationView | None = None
 
@@ -126,9 +133,41 @@
         cost = expected_cost(version, request.expected_tokens)
         if cost > budget:
             return Failure(refusal(RefusalReason.COST_LIMIT))
-        estimate = self._estimates.estimate(version, request.request_class)
-        chosen = Option(version=version, model=model.id, cost=cost, estimate=estimate)
-        return Success(_pinned_decision(view, chosen))
+        return Success(self._pinned_decision(request, view, model.id, version))
+
+    def _pinned_decision(
+        self,
+        request: Request,
+        view: ConfigurationView,
+        model: ModelId,
+        version: Version,
+    ) -> Decision:
+        self._drop_stale(view)
+        tokens = request.expected_tokens
+        key = (version.id, request.request_class, tokens)
+        decision = self._pinned.get(key)
+        if decision is None:
+            chosen = Option(
+                version=version,
+                model=model,
+                cost=expected_cost(version, tokens),
+                estimate=self._estimates.estimate(version, request.request_class),
+            )
+            decision = _pinned_decision(view, chosen)
+            self._pinned[key] = decision
+        return decision
+
+    def _drop_stale(self, view: ConfigurationView) -> None:
+        """Forget what was made for another view or from other estimates."""
+        generation = self._estimates.generation
+        is_stale = self._plans_view is not view or self._generation != generation
+        is_full = len(self._plans) >= _MAX_PLANS or len(self._pinned) >= _MAX_PLANS
+        if is_stale or is_full:
+            self._plans.clear()
+            self._selections.clear()
+            self._pinned.clear()
+            self._plans_view = view
+            self._generation = generation
 
     def _route_new(
         self,
@@ -139,53 +178,42 @@
         can_escalate: bool,
     ) -> Result[Decision, Refusal]:
         plan = self._plan(request, organisation, view)
-        candidates = list(plan.excluded)
-        options: dict[VersionId, PricedOption] = {}
-        affordable: list[Option] = []
-        for side in plan.sides(request):
-            if side.passed_over is not None:
-                candidates.append(side.passed_over)
-            if side.chosen is None:
-                continue
-            options[side.chosen.option.version.id] = side.chosen
-            if side.chosen.option.cost <= budget:
-                affordable.append(side.chosen.option)
-            else:
-                candidates.append(side.chosen.excluded(Exclusion.COST_LIMIT))
-        if not affordable:
-            limited = RefusalReason.COST_LIMIT
-            return Failure(refusal(limited if options else RefusalReason.NOT_PERMITTED))
+        selection = self._selection(plan, request, budget)
+        if not selection.affordable:
+            limited = selection.is_limited
+            return Failure(
+                refusal(
+                    RefusalReason.COST_LIMIT if limited else RefusalReason.NOT_PERMITTED
+                )
+            )
         ordered = self._chooser.order(
-            affordable,
+            selection.affordable,
             request_class=request.request_class,
             quality_target=_quality_target(request, view),
             # A session stays on the version that answers first.
             can_escalate=can_escalate and request.session is NoSession.TOKEN,
             random=self._random,
         )
-        candidates += [
-            options[option.version.id].excluded(why) for option, why in ordered.rejected
-        ]
-        candidates += [
-            options[option.version.id].open_candidate for option in ordered.chosen
-        ]
-        return Success(
-            Decision(
-                revision=view.revision,
-                versions=tuple(option.version.id for option in ordered.chosen),
-                candidates=tuple(candidates),
-            )
-        )
+        return Success(selection.decision(ordered, view.revision))
+
+    def _selection(self, plan: PricedPlan, request: Request, budget: int) -> Selection:
+        """Return the selection for ``request``, made anew only for a small budget."""
+        covered = plan.covered(request)
+        key = (id(plan), covered)
+        selection = self._selections.get(key)
+        if selection is None:
+            if len(self._selections) >= _MAX_SELECTIONS:
+                self._selections.clear()
+            selection = Selection(plan, plan.sides(covered), budget=NO_LIMIT)
+            self._selections[key] = selection
+        if budget < selection.greatest_cost:
+            return Selection(plan, plan.sides(covered), budget=budget)
+        return selection
 
     def _plan(
         self, request: Request, organisation: Organisation, view: ConfigurationView
     ) -> PricedPlan:
-        generation = self._estimates.generation
-        is_stale = self._plans_view is not view or self._generation != generation
-        if is_stale or len(self._plans) >= _MAX_PLANS:
-            self._plans.clear()
-            self._plans_view = view
-            self._generation = generation
+        self._drop_stale(view)
         tokens = request.expected_tokens
         key = (organisation.id, request.model, request.request_class, tokens)
         plan = self._plans.get(key)
--- a/fuchsiaroute/session/_pin.py
+++ b/fuchsiaroute/session/_pin.py
@@ -9,7 +9,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from itsdangerous import BadData, URLSafeSerializer
+import msgspec
+from itsdangerous import BadData, Signer
+from itsdangerous.encoding import base64_decode, base64_encode
 from returns.result import Failure, Result, Success
 
 from fuchsiaroute.clock import Clock, Milliseconds
@@ -24,7 +26,7 @@
 _MAX_PIN_LENGTH = 2_048
 #: Keeps signatures of pins apart from other signatures made with the same keys.
 _SALT = "fuchsiaroute.session.pin"
-_PAYLOAD_LENGTH = 4
+_KEY_BYTES = 32
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -38,6 +40,10 @@
     issued_at: Milliseconds
 
 
+_ENCODER = msgspec.json.Encoder()
+_DECODER = msgspec.json.Decoder(SessionPin)
+
+
 class PinSigner:
     """
     Issues and verifies session pins.
@@ -58,23 +64,26 @@
             raise ValueError("a pin signer needs at least one key, and no empty one")
         self._clock = clock
         self._lifetime = lifetime
-        self._serializer = URLSafeSerializer(
-            # The library signs with the last key of its list.
-            list(reversed(keys)),
-            salt=_SALT,
-            signer_kwargs={
-                "key_derivation": "hmac",
-                "digest_method": hashlib.sha256,
-            },
+        # The keys are derived once here instead of for each pin. The library signs
+        # with the last key of its list.
+        self._signer = Signer(
+            [_derived(key) for key in reversed(keys)],
+            key_derivation="none",
+            digest_method=hashlib.sha256,
         )
 
     def issue(
         self, organisation: OrganisationId, session: SessionId, version: VersionId
     ) -> str:
         """Return a pin that keeps ``session`` of ``organisation`` on ``version``."""
-        payload = [organisation, session, version, self._clock.wall()]
-        signed: str = self._serializer.dumps(payload)
-        return signed
+        pin = SessionPin(
+            organisation=organisation,
+            session=session,
+            version=version,
+            issued_at=self._clock.wall(),
+        )
+        signed: bytes = self._signer.sign(base64_encode(_ENCODER.encode(pin)))
+        return signed.decode()
 
     def verify(
         self, pin: str, organisation: OrganisationId, session: SessionId
@@ -94,18 +103,20 @@
         if len(pin) > _MAX_PIN_LENGTH:
             return None
         try:
-            payload = self._serializer.loads(pin)
-        except BadData:
+            return _DECODER.decode(base64_decode(self._signer.unsign(pin)))
+        except (BadData, msgspec.MsgspecError, UnicodeError):
             return None
-        if not isinstance(payload, list) or len(payload) != _PAYLOAD_LENGTH:
-            return None
-        organisation, session, version, issued_at = payload
-        return SessionPin(
-            organisation=organisation,
-            session=session,
-            version=version,
-            issued_at=issued_at,
-        )
+
+
+def _derived(key: str) -> bytes:
+    return hashlib.blake2b(
+        _SALT.encode(), key=_short(key), digest_size=_KEY_BYTES
+    ).digest()
+
+
+def _short(key: str) -> bytes:
+    """Return ``key`` in the length that BLAKE2b takes as a key."""
+    return hashlib.blake2b(key.encode()).digest()
 
 
 def _invalid(message: str) -> Result[SessionPin, Refusal]:
