--- a/fuchsiaroute/serving/_compose.py
+++ b/fuchsiaroute/serving/_compose.py
@@ -30,6 +30,7 @@
     HttpEngineOrders,
     InstanceList,
     RatingService,
+    StoreClient,
     StoreFunction,
     TableStore,
 )
@@ -102,14 +103,22 @@
     metrics = Metrics()
     incarnation = Incarnation(clock.wall())
     advice = EntryAdvice()
+    store_client = StoreClient(
+        store,
+        clock=clock,
+        rng=random.SystemRandom(),
+        entry_count=lambda: len(advice.entries),
+    )
     agreement = compose_agreement(
-        store=store, clock=clock, entry_count=lambda: len(advice.entries)
+        store=store_client.view(StoreFunction.CONFIGURATION),
+        clock=clock,
+        entry_count=lambda: len(advice.entries),
     )
     current = agreement.current
     randomness = random.Random(options.seed)
     orders_client = build_client(read_timeout=ORDER_TIMEOUT)
     lasting = compose_lasting(
-        store=store,
+        client=store_client,
         clock=clock,
         instance=options.instance,
         incarnation=incarnation,
@@ -119,9 +128,9 @@
     )
     routing = compose_routing(
         current=current,
-        store=lasting.client.view(StoreFunction.SPENDING),
-        configuration_store=lasting.client.view(StoreFunction.CONFIGURATION),
-        quality_store=lasting.client.view(StoreFunction.QUALITY),
+        store=store_client.view(StoreFunction.SPENDING),
+        configuration_store=store_client.view(StoreFunction.CONFIGURATION),
+        quality_store=store_client.view(StoreFunction.QUALITY),
         rating_service=ratings or NoRatings(),
         pin_keys=options.pin_keys,
         clock=clock,
@@ -139,7 +148,7 @@
 
     balancing = compose_balancing(
         current=current,
-        store=lasting.client.view(StoreFunction.ENDPOINTS),
+        store=store_client.view(StoreFunction.ENDPOINTS),
         instances=instances,
         connections=client,
         check=check,
@@ -178,6 +187,7 @@
     background.add("placement", lasting.placement.run)
     background.add("instances", balancing.upkeep.read_lists)
     background.add("cold slots", balancing.upkeep.keep_slots)
+    background.add("load reports", balancing.status.run)
     background.add("admission", balancing.upkeep.wake_waiting)
     return ComposedEntry(
         options=options,
