Keep the stages of a roll-out apart in the bad-version test

Cause: counts were pooled over stages. Change: counts of the present stage only; former stages stay as one likelihood ratio per alternative. The bench measures staged roll-outs while the class gets harder, gives the deployments qualities of their own, and adds engines that report no confidence.

--- a/benches/_cost_policies.py
+++ b/benches/_cost_policies.py
@@ -6,8 +6,6 @@
 
 from benches._cost_world import (
     IS_BUFFERED,
-    WEAK_IF_BAD,
-    WEAK_IF_GOOD,
     CostWorld,
     Work,
 )
@@ -122,12 +120,13 @@
             plans.append((cost, quality, (first.id,)))
             if not IS_BUFFERED[work.class_index]:
                 continue
-            weak = quality * WEAK_IF_GOOD + (1 - quality) * WEAK_IF_BAD
+            good_but_weak = quality * self._world.weak_rate(is_good=True)
+            weak = good_but_weak + (1 - quality) * self._world.weak_rate(is_good=False)
             for second in versions:
                 if second.id == first.id:
                     # A version fails again where it failed before.
                     continue
-                both = quality * (1 - WEAK_IF_GOOD)
+                both = quality - good_but_weak
                 both += weak * self._world.quality(work, second.id)
                 extra = weak * expected_cost(second, work.request.expected_tokens)
                 plans.append((cost + extra, both, (first.id, second.id)))
--- a/benches/_cost_world.py
+++ b/benches/_cost_world.py
@@ -25,9 +25,12 @@
 IS_BUFFERED = (True, True, False)
 #: Requests of a review session; they share one version.
 SESSION_LENGTH = 3
-#: True share of good answers per class for the small, medium and large model; the
-#: declarations say 0.88, 0.93 and 0.97 for all classes.
-TRUE_QUALITIES = ((0.89, 0.935, 0.97), (0.80, 0.925, 0.97), (0.60, 0.86, 0.965))
+#: True share of good answers per class for the small, medium and large model, by
+#: deployment; the declarations say 0.88, 0.93 and 0.97 for all classes.
+TRUE_QUALITIES = {
+    "timberline": ((0.89, 0.935, 0.97), (0.80, 0.925, 0.97), (0.60, 0.86, 0.965)),
+    "hanbit": ((0.87, 0.93, 0.975), (0.82, 0.91, 0.965), (0.55, 0.84, 0.962)),
+}
 #: The small model's quality on the first class after its drift.
 DRIFTED_QUALITY = 0.78
 
@@ -51,6 +54,8 @@
     configuration: Configuration
     requests: int
     has_drift: bool
+    #: Whether engines report their confidence; without it no answer is weak.
+    has_confidence: bool
     random: Random
     #: Ratings on their way, with the request number at which they arrive.
     pending: deque[tuple[int, Rating]] = field(default_factory=deque)
@@ -104,7 +109,13 @@
         rank = ranks.index(version)
         if is_drifted and (class_index, rank) == (0, 0):
             return DRIFTED_QUALITY
-        return TRUE_QUALITIES[class_index][rank]
+        return TRUE_QUALITIES[self.configuration.deployment][class_index][rank]
+
+    def weak_rate(self, *, is_good: bool) -> float:
+        """Return how often a good or a bad answer is weak."""
+        if not self.has_confidence:
+            return 0.0
+        return WEAK_IF_GOOD if is_good else WEAK_IF_BAD
 
     def rate(self, number: int, work: Work, version: VersionId, is_good: bool) -> None:
         """Perhaps rate the answer that the caller got, later."""
--- a/benches/bench_cost.py
+++ b/benches/bench_cost.py
@@ -7,6 +7,7 @@
 
 import sys
 from collections.abc import Callable
+from dataclasses import dataclass
 from random import Random
 
 from benches._cost_policies import (
@@ -18,13 +19,7 @@
     RandomPolicy,
     StrongestPolicy,
 )
-from benches._cost_world import (
-    WEAK_IF_BAD,
-    WEAK_IF_GOOD,
-    CostWorld,
-    Outcome,
-    Work,
-)
+from benches._cost_world import CostWorld, Outcome, Work
 from benches._decision_time import decision_microseconds
 from benches._exposure import (
     FALSE_ALARM_TARGET,
@@ -33,6 +28,7 @@
     false_alarms,
     mean_exposure,
     sequential_rule,
+    staged_false_alarms,
     window_rule,
 )
 from examples import hanbit, timberline
@@ -40,10 +36,10 @@
 from fuchsiaroute.ids import VersionId
 from fuchsiaroute.routing import expected_cost
 
-REQUESTS = 300_000
+REQUESTS = 200_000
 #: Requests between two readings of ratings.
 READING_INTERVAL = 500
-SEED = 20
+SEEDS = {"timberline": 20, "hanbit": 21}
 COST_OVER_HINDSIGHT_TARGET = 1.15
 COST_OVER_STRONGEST_TARGET = 0.5
 EXPOSURE_RATIO_TARGET = 0.5
@@ -98,8 +94,7 @@
         is_good = world.random.random() < world.quality(work, version)
         if position + 1 == len(tried):
             break
-        weak_rate = WEAK_IF_GOOD if is_good else WEAK_IF_BAD
-        is_weak = world.random.random() < weak_rate
+        is_weak = world.random.random() < world.weak_rate(is_good=is_good)
         policy.saw_first(work, version, is_weak=is_weak)
         if not is_weak:
             break
@@ -107,20 +102,36 @@
     world.rate(number, work, version, is_good)
 
 
-def report_cost(name: str, *, has_drift: bool) -> bool:
+@dataclass(frozen=True, kw_only=True)
+class Scenario:
+    """One kind of world."""
+
+    label: str
+    has_drift: bool = False
+    has_confidence: bool = True
+
+
+SCENARIOS = (
+    Scenario(label="without drift"),
+    Scenario(label="with a drifting model", has_drift=True),
+    Scenario(label="engines that report no confidence", has_confidence=False),
+)
+
+
+def report_cost(name: str, scenario: Scenario) -> bool:
     """Print the table of one deployment; return whether the targets are met."""
     outcomes: dict[str, Outcome] = {}
     classes = DEPLOYMENTS[name]().products[0].classes
-    kind = "with a drifting model" if has_drift else "without drift"
-    print(f"\n{name}, {REQUESTS:,} requests, {kind}")
+    print(f"\n{name}, {REQUESTS:,} requests, {scenario.label}")
     targets = "".join(f"{spec.id:>20}" for spec in classes)
     print(f"{'policy':<18}{'cost/request':>14}{targets}{'met':>6}")
     for label, make in POLICIES.items():
         world = CostWorld(
             configuration=DEPLOYMENTS[name](),
             requests=REQUESTS,
-            has_drift=has_drift,
-            random=Random(SEED),
+            has_drift=scenario.has_drift,
+            has_confidence=scenario.has_confidence,
+            random=Random(SEEDS[name]),
         )
         outcome = run_policy(world, make(world))
         outcomes[label] = outcome
@@ -161,6 +172,8 @@
     others = false_alarms(baseline, bad=bad, seed=2)
     print(f"false alarms of {GOOD_ROLLOUTS}: baseline {others}, project {alarms}")
     is_met = _line("false alarms", alarms, limit)
+    staged = staged_false_alarms(sequential_rule, bad=bad, seed=4)
+    is_met &= _line("false alarms in stages while the class gets harder", staged, limit)
     for drop in DROPS:
         theirs = mean_exposure(baseline, bad=bad, drop=drop, seed=3)
         ours = mean_exposure(sequential_rule, bad=bad, drop=drop, seed=3)
@@ -202,8 +215,7 @@
     results = [report_decision_time()]
     results += [report_exposure(bad) for bad in BASE_BAD_RATES]
     for name in DEPLOYMENTS:
-        for has_drift in (False, True):
-            results.append(report_cost(name, has_drift=has_drift))
+        results += [report_cost(name, scenario) for scenario in SCENARIOS]
     print(f"\n{sum(results)} of {len(results)} tables meet all their targets")
     return 0 if all(results) else 1
 
--- a/fuchsiaroute/quality/_book.py
+++ b/fuchsiaroute/quality/_book.py
@@ -112,11 +112,15 @@
 
 def _trial(known: Trial | None, rollout: Rollout) -> Trial:
     """Return the trial to go on with; a resumed roll-out starts a new one."""
-    if known is not None and known.attempt >= rollout.attempt:
+    if known is not None and known.attempt > rollout.attempt:
         return known
+    if known is not None and known.attempt == rollout.attempt:
+        # An entry that still knows a former stage must not go back to it.
+        return known.in_stage(max(known.stage, rollout.stage))
     return Trial(
         rollout=rollout.id,
         attempt=rollout.attempt,
+        stage=rollout.stage,
         base=rollout.base,
         target=rollout.target,
     )
@@ -125,7 +129,7 @@
 def _is_counting(trial: Trial, configuration: Configuration) -> bool:
     return any(
         rollout.id == trial.rollout
-        and rollout.attempt == trial.attempt
+        and (rollout.attempt, rollout.stage) == (trial.attempt, trial.stage)
         and rollout.state is RolloutState.RUNNING
         for rollout in configuration.rollouts
     )
--- a/fuchsiaroute/quality/_codec.py
+++ b/fuchsiaroute/quality/_codec.py
@@ -5,7 +5,9 @@
 from fuchsiaroute.ids import RequestClass, RolloutId, VersionId
 from fuchsiaroute.quality._book import QualityBook
 from fuchsiaroute.quality._cell import Cell
-from fuchsiaroute.quality._trial import Evidence, Trial
+from fuchsiaroute.quality._evidence import Evidence
+from fuchsiaroute.quality._likelihood import ALTERNATIVES
+from fuchsiaroute.quality._trial import Trial
 
 #: Most bytes of an encoded book: 512 cells of at most 24 bytes each, and names of at
 #: most 64 bytes, with room for the trials.
@@ -39,6 +41,9 @@
 class _Trial(msgspec.Struct, array_like=True, frozen=True):
     rollout: RolloutId
     attempt: int
+    stage: int
+    former: tuple[float, ...]
+    former_ratings: int
     base: VersionId
     target: VersionId
     evidence: list[_Evidence]
@@ -115,6 +120,9 @@
     return _Trial(
         rollout=trial.rollout,
         attempt=trial.attempt,
+        stage=trial.stage,
+        former=trial.former,
+        former_ratings=trial.former_ratings,
         base=trial.base,
         target=trial.target,
         evidence=[
@@ -156,9 +164,14 @@
 
 
 def _unpack_trial(names: list[RequestClass], trial: _Trial) -> Trial:
+    if len(trial.former) != len(ALTERNATIVES):
+        raise ValueError("the trial weighs other alternatives")
     return Trial(
         rollout=trial.rollout,
         attempt=trial.attempt,
+        stage=trial.stage,
+        former=trial.former,
+        former_ratings=trial.former_ratings,
         base=trial.base,
         target=trial.target,
         classes={
--- a/fuchsiaroute/quality/_sequential_test.py
+++ b/fuchsiaroute/quality/_sequential_test.py
@@ -3,40 +3,24 @@
 
 Under the null hypothesis both versions have the same rate of bad answers, so each bad
 rating belongs to the target with the probability that the target has among all
-ratings of the class. The alternatives multiply the target's rate. The mixture of
-their likelihood ratios is, under the null hypothesis, a non-negative martingale with
-mean 1, so that it ever reaches ``1 / alpha`` with probability at most ``alpha``
-(Ville's inequality), however often one looks. The bad ratings are conditioned on, so
-a change of the base rate over time, which both sides share, raises no alarm.
+ratings of the class in that stage. The alternatives multiply the target's rate. The
+mixture of their likelihood ratios is, under the null hypothesis, a non-negative
+martingale with mean 1, so that it ever reaches ``1 / alpha`` with probability at most
+``alpha`` (Ville's inequality), however often one looks. The bad ratings are
+conditioned on, so a change of the base rate over time, which both sides share, raises
+no alarm within a stage.
 """
 
 import math
-from collections.abc import Iterable
 from dataclasses import dataclass
 
-from fuchsiaroute.quality._trial import Evidence, Trial
+from fuchsiaroute.quality._likelihood import log_mixture
+from fuchsiaroute.quality._trial import Trial
 
 #: Probability with which a roll-out of a version as good as its base is ever paused.
 DEFAULT_FALSE_ALARM_RATE = 0.01
 
 
-@dataclass(frozen=True, kw_only=True)
-class _Alternative:
-    #: Rate of bad answers of the target over that of the base.
-    rate_ratio: float
-    weight: float
-
-
-#: Most of the weight is on small ratios, where the ratings are scarce; large ones are
-#: found fast even with a small weight.
-_ALTERNATIVES = (
-    _Alternative(rate_ratio=1.5, weight=0.35),
-    _Alternative(rate_ratio=2.0, weight=0.35),
-    _Alternative(rate_ratio=3.0, weight=0.20),
-    _Alternative(rate_ratio=6.0, weight=0.10),
-)
-
-
 @dataclass(frozen=True, kw_only=True)
 class TestOutcome:
     """What the ratings say of a roll-out's target."""
@@ -62,35 +46,9 @@
 
     def evaluate(self, trial: Trial) -> TestOutcome:
         """Return the outcome on the ratings so far."""
-        log_evidence = _log_mixture(trial.classes.values())
+        log_evidence = log_mixture(trial.log_ratios)
         return TestOutcome(
             log_evidence=log_evidence,
             is_bad=log_evidence >= self._threshold,
-            target_ratings=sum(
-                evidence.target_ratings for evidence in trial.classes.values()
-            ),
+            target_ratings=trial.target_ratings,
         )
-
-
-def _log_mixture(classes: Iterable[Evidence]) -> float:
-    evidences = tuple(classes)
-    terms = [
-        math.log(item.weight)
-        + sum(
-            _log_likelihood_ratio(evidence, item.rate_ratio) for evidence in evidences
-        )
-        for item in _ALTERNATIVES
-    ]
-    largest = max(terms)
-    return largest + math.log(sum(math.exp(term - largest) for term in terms))
-
-
-def _log_likelihood_ratio(evidence: Evidence, rate_ratio: float) -> float:
-    ratings = evidence.target_ratings + evidence.base_ratings
-    if ratings == 0:
-        return 0.0
-    weighted = rate_ratio * evidence.target_ratings + evidence.base_ratings
-    bad = evidence.target_bad + evidence.base_bad
-    return evidence.target_bad * math.log(rate_ratio) + bad * math.log(
-        ratings / weighted
-    )
--- a/fuchsiaroute/quality/tests/test_rating_log.py
+++ b/fuchsiaroute/quality/tests/test_rating_log.py
@@ -186,6 +186,19 @@
     assert evidence(fold_ratings(book, page, RUNNING)) == (2, 2, 0)
 
 
+def test_a_new_stage_counts_apart_and_a_late_entry_does_not_go_back(service):
+    service.add(1, version=S2, is_good=False)
+    page = RatingPage(ratings=tuple(service.log), cursor="1")
+    book = fold_ratings(QualityBook(), page, RUNNING)
+    grown = make_configuration(rollouts=(make_rollout(stage=1),))
+    book = fold_ratings(book, page, grown)
+    assert evidence(book) == (1, 1, 0)
+    assert book.trials[ROLLOUT].target_ratings == 2
+    assert decode(encode(book)).trials == book.trials
+    late = fold_ratings(book, page, RUNNING)
+    assert late.trials == book.trials
+
+
 def test_undeclared_versions_and_classes_do_not_count(service):
     service.add(3, version=VersionId("gone"))
     service.add(3, request_class=RequestClass("gone"))
--- a/fuchsiaroute/quality/tests/test_sequential_test.py
+++ b/fuchsiaroute/quality/tests/test_sequential_test.py
@@ -1,5 +1,6 @@
 """The sequential test: its false-alarm rate and what it finds."""
 
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -78,6 +79,30 @@
     assert not SequentialTest().evaluate(make_trial(classes)).is_bad
 
 
+def test_a_class_that_gets_harder_as_the_share_grows_is_no_evidence():
+    # Pooled over the stages, 113 of 1,000 ratings of the target are bad, against 107 of
+    # 2,000 of the base, although both sides are equal in each stage.
+    first = Evidence(target_ratings=100, target_bad=5, base_ratings=1_900, base_bad=95)
+    second = Evidence(target_ratings=900, target_bad=108, base_ratings=100, base_bad=12)
+    pooled = Evidence(
+        target_ratings=1_000, target_bad=113, base_ratings=2_000, base_bad=107
+    )
+    assert SequentialTest().evaluate(make_trial({QUESTION: pooled})).is_bad
+    trial = replace(
+        make_trial({QUESTION: first}).in_stage(1), classes={QUESTION: second}
+    )
+    outcome = SequentialTest().evaluate(trial)
+    assert (outcome.is_bad, outcome.target_ratings) == (False, 1_000)
+
+
+def test_evidence_of_former_stages_counts():
+    bad = Evidence(target_ratings=100, target_bad=30, base_ratings=900, base_bad=63)
+    trial = make_trial({QUESTION: bad})
+    before = SequentialTest().evaluate(trial)
+    assert before.is_bad
+    assert SequentialTest().evaluate(trial.in_stage(1)) == before
+
+
 @pytest.mark.parametrize("classes", [{}, {QUESTION: Evidence()}])
 def test_no_ratings_say_nothing(classes):
     outcome = SequentialTest().evaluate(make_trial(classes))
