Keep a slow store out of the way of claims; meet its return without bursts

After an outage each entry spent its saved bursts at once: 4 entries with a 390th of the budgets wrote 11 times in the first second, which 390 would make 1,070. Ledgers of 18,172 records needed more than 180 s at that share. 16,384 remembered claims with answers of 4 KiB would have been 64 MB.

Change: a probing circuit refuses everybody else; a failed probe settles the claims behind it; budgets start empty when the circuit closes; 512 ledger records a write; 4,096 claims, answers up to 1 KiB, issued ids for 2 minutes; a claim may wait 4 s, twice what the budget takes at 390 entries.

Conclusion: a burst that is harmless for one entry is a storm for 390.

--- a/fuchsiaroute/billing/_ledger.py
+++ b/fuchsiaroute/billing/_ledger.py
@@ -31,7 +31,7 @@
 )
 
 #: Records in one transaction.
-MAX_BATCH = 256
+MAX_BATCH = 512
 #: Records in one message to a peer.
 MAX_COPIED = 256
 #: Records waiting for the store at which the entry takes no new requests.
--- a/fuchsiaroute/idempotency/_book.py
+++ b/fuchsiaroute/idempotency/_book.py
@@ -39,9 +39,9 @@
 from fuchsiaroute.verdict import Refusal, RefusalReason, Verdict
 
 #: Longest wait of a request for its claim.
-CLAIM_WAIT = Milliseconds(2_500)
+CLAIM_WAIT = Milliseconds(4_000)
 #: Claims remembered after their end; issued ids rest on this memory.
-MAX_REMEMBERED = 16_384
+MAX_REMEMBERED = 4_096
 #: Oldest claims examined to make room for a new one.
 FORGETTING_SCAN = 8
 TOKEN_BITS = 128
@@ -164,7 +164,7 @@
     async def _claim_in_store(
         self, request: Request, key: str, known: Claim | None
     ) -> Result[Claim | Replay, Refusal]:
-        if self._store.retry_after > 0:
+        if self._store.is_refusing:
             # A store that is known to fail is no reason to keep the caller waiting.
             return Failure(refuse_unresolved(self._store.retry_after))
         if known is None and not self._make_room():
--- a/fuchsiaroute/idempotency/_group_commit.py
+++ b/fuchsiaroute/idempotency/_group_commit.py
@@ -111,6 +111,7 @@
             self._wake.clear()
             is_done = await self.commit_batch()
             if not is_done:
+                self._give_up_if_refused()
                 pause = max(RETRY_PAUSE, self._store.retry_after)
                 await self._clock.sleep(Milliseconds(pause))
             if self._claims or self._outcomes:
@@ -138,6 +139,15 @@
             return True
         return await self._note_error(claims, answer.failure())
 
+    def _give_up_if_refused(self) -> None:
+        """Settle the waiting claims of a store that is known to fail."""
+        if not self._store.is_refusing:
+            return
+        for write in self._claims:
+            if not write.done.is_set():
+                write.give_up()
+        self._claims.clear()
+
     def _take_claims(self) -> list[ClaimWrite]:
         claims: dict[str, ClaimWrite] = {}
         while self._claims and len(claims) < MAX_BATCH:
--- a/fuchsiaroute/idempotency/_issued_ids.py
+++ b/fuchsiaroute/idempotency/_issued_ids.py
@@ -11,7 +11,7 @@
 #: Ids that begin so are never claimed in the store; callers may not choose them.
 ISSUED_PREFIX = "entry-issued."
 #: Time in which an issued id may be used.
-ISSUED_LIFETIME = Milliseconds(600_000)
+ISSUED_LIFETIME = Milliseconds(120_000)
 SECRET_BYTES = 32
 #: Between an id and its signature.
 SEPARATOR = ":"
--- a/fuchsiaroute/idempotency/_record.py
+++ b/fuchsiaroute/idempotency/_record.py
@@ -11,7 +11,7 @@
 
 KEY_PREFIX = "claim/"
 #: Longest answer kept with an outcome, in bytes.
-MAX_KEPT_ANSWER = 4_096
+MAX_KEPT_ANSWER = 1_024
 
 #: Random value that tells one attempt to claim from another.
 ClaimToken = NewType("ClaimToken", str)
--- a/fuchsiaroute/platform/_budget.py
+++ b/fuchsiaroute/platform/_budget.py
@@ -82,6 +82,11 @@
         self._fill()
         self._rate = rate_per_second / MILLISECONDS_PER_SECOND
 
+    def drop_burst(self) -> None:
+        """Give up the tokens that were saved."""
+        self._fill()
+        self._tokens = min(0.0, self._tokens)
+
     async def ready(self) -> None:
         """Wait until a token is there, without taking it."""
         while (delay := self._delay()) > 0:
--- a/fuchsiaroute/platform/_client.py
+++ b/fuchsiaroute/platform/_client.py
@@ -78,6 +78,12 @@
         """Return the number of entries that share the budgets."""
         return max(1, self._entry_count())
 
+    @property
+    def is_refusing(self) -> bool:
+        """Return whether a call made now would be refused by the circuit."""
+        is_probing = self._circuit.state is CircuitState.PROBING
+        return is_probing or self.retry_after() > 0
+
     def retry_after(self) -> Milliseconds:
         """Return the time until the next probe of a failing store."""
         return self._circuit.retry_after(self._clock.now())
@@ -102,11 +108,19 @@
             self._circuit.note_failure(self._clock.now())
             return Failure(_error(StoreErrorKind.UNKNOWN, "no answer in time"))
         if isinstance(answer, Success):
-            self._circuit.note_success()
+            self._note_success()
         else:
             self._circuit.note_failure(self._clock.now())
         return answer
 
+    def _note_success(self) -> None:
+        if self._circuit.state is not CircuitState.CLOSED:
+            # Bursts of many entries at once would meet a store that has just come
+            # back.
+            for view in self._views.values():
+                view.drop_burst()
+        self._circuit.note_success()
+
 
 class StoreView:
     """The table service for one function; implements ``TableStore``."""
@@ -136,6 +150,16 @@
     def _share(self) -> StoreBudget:
         return self._budget.share(self._client.entry_count)
 
+    @property
+    def is_refusing(self) -> bool:
+        """Return whether a call made now would be refused by the circuit."""
+        return self._client.is_refusing
+
+    def drop_burst(self) -> None:
+        """Start again with an empty budget."""
+        self._read_pacer.drop_burst()
+        self._write_pacer.drop_burst()
+
     async def write_ready(self) -> None:
         """Wait until the budget allows a write, so that a batch can grow meanwhile."""
         self._write_pacer.set_rate(self._share.writes_per_second)
@@ -155,7 +179,7 @@
         self, transaction: Transaction
     ) -> Result[Committed | Conflict, StoreError]:
         """Apply ``transaction`` as a whole, or nothing of it."""
-        if self._client.retry_after() > 0:
+        if self._client.is_refusing:
             return Failure(_OPEN)
         self._write_pacer.set_rate(self._share.writes_per_second)
         await self._write_pacer.take()
@@ -169,7 +193,7 @@
             Coroutine[Any, Any, Result[tuple[Record, ...], StoreError]],
         ],
     ) -> Result[tuple[Record, ...], StoreError]:
-        if self._client.retry_after() > 0:
+        if self._client.is_refusing:
             return Failure(_OPEN)
         self._read_pacer.set_rate(self._share.reads_per_second)
         await self._read_pacer.take()
--- a/fuchsiaroute/platform/tests/test_client.py
+++ b/fuchsiaroute/platform/tests/test_client.py
@@ -164,3 +164,20 @@
     divided = [budget for budget in BUDGETS.values() if budget.is_divided]
     assert sum(budget.reads_per_second for budget in divided) <= 2_000
     assert sum(budget.writes_per_second for budget in divided) <= 400
+
+
+async def test_a_store_that_comes_back_meets_no_burst():
+    deployment = Deployment(entry_count=390)
+    deployment.store.fault = StoreFault.DOWN
+    for _ in range(3):
+        await deployment.write(function=StoreFunction.SPENDING, duration=20)
+    await deployment.clock.advance(60_000)
+    deployment.store.fault = StoreFault.NONE
+    await deployment.write()
+    writes = deployment.store.writes
+    views = [deployment.client.view(function) for function in StoreFunction]
+    tasks = [asyncio.ensure_future(view.commit(WRITE)) for view in views]
+    await deployment.clock.advance(1_000)
+    assert deployment.store.writes - writes <= 1
+    for task in tasks:
+        task.cancel()
