--- a/fuchsiaroute/serving/_compose.py
+++ b/fuchsiaroute/serving/_compose.py
@@ -18,11 +18,14 @@
     CurrentConfiguration,
     MeteredBill,
     NoVersion,
+    ObservedBill,
+    ObservedPipeline,
     Pipeline,
     Steps,
 )
-from fuchsiaroute.gateway import build_app
+from fuchsiaroute.gateway import CallerLimits, build_app
 from fuchsiaroute.ids import FailureDomainId, Incarnation, InstanceId, VersionId
+from fuchsiaroute.metrics import Metrics
 from fuchsiaroute.platform import (
     HttpEngineOrders,
     InstanceList,
@@ -56,6 +59,8 @@
     seed: int = 0
     #: Keys of session pins, the same for all entries; the first one signs.
     pin_keys: tuple[str, ...] = ()
+    #: Limits on what a caller may send.
+    caller_limits: CallerLimits = CallerLimits()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -75,6 +80,7 @@
     routing: RoutingParts
     lasting: LastingParts
     balancing: BalancingParts
+    metrics: Metrics
     #: Every periodic task of the entry.
     background: Background
 
@@ -94,6 +100,7 @@
 ) -> ComposedEntry:
     """Return an entry whose parts use ``store`` and ``clock``."""
     client = Connections()
+    metrics = Metrics()
     incarnation = Incarnation(clock.wall())
     advice = EntryAdvice()
     store_client = StoreClient(
@@ -157,13 +164,19 @@
         claim=lasting.claims,
         route=routing.route,
         attempt=balancing.attempt,
-        bill=MeteredBill(bill=lasting.bills, allowances=routing.allowances),
+        bill=ObservedBill(
+            bill=MeteredBill(bill=lasting.bills, allowances=routing.allowances),
+            metrics=metrics,
+        ),
     )
     app = build_app(
-        pipeline=Pipeline(steps=steps),
+        pipeline=ObservedPipeline(
+            pipeline=Pipeline(steps=steps), metrics=metrics, clock=clock
+        ),
         current=current,
         advice=advice,
         clock=clock,
+        limits=options.caller_limits,
         request_ids=lasting.book,
     )
     background = Background()
@@ -174,6 +187,7 @@
     background.add("placement", lasting.placement.run)
     background.add("instances", balancing.upkeep.read_lists)
     background.add("cold slots", balancing.upkeep.keep_slots)
+    background.add("load reports", balancing.status.run)
     background.add("admission", balancing.upkeep.wake_waiting)
     return ComposedEntry(
         options=options,
@@ -187,6 +201,7 @@
         routing=routing,
         lasting=lasting,
         balancing=balancing,
+        metrics=metrics,
         background=background,
     )
 
