Give a weak answer if its escalation fails; type an early break

Cause: a request whose cheap answer was weak was refused when the stronger version was refused, although an answer was there and its cost had been paid. An answer that broke before its first byte reached the caller as an untyped 500. Change: the weak answer is kept and billed alone; the break becomes a 502 with the verdict may-have-run. Conclusion: a refusal is given only when there is nothing to give.

--- a/fuchsiaroute/entry/_pipeline.py
+++ b/fuchsiaroute/entry/_pipeline.py
@@ -26,6 +26,8 @@
 
     attempts: list[AttemptRecord] = field(default_factory=list)
     verdicts: list[Verdict] = field(default_factory=list)
+    #: The best of the answers that were too weak, if there was one.
+    weak_answer: Answer | None = None
 
     def true_refusal(self, refusal: Refusal) -> Refusal:
         """Return ``refusal`` with the verdict over all attempts."""
@@ -133,6 +135,10 @@
                     )
                     if answer is not None:
                         return Success(replace(answer, pin=routed.pin))
+        if progress.weak_answer is not None:
+            # A weak answer serves the caller better than the refusal of a stronger
+            # version, and its cost has been paid.
+            return Success(replace(progress.weak_answer, pin=routed.pin))
         return Failure(progress.true_refusal(refusal))
 
     async def _attempt(
@@ -166,15 +172,26 @@
                 return None
             if self._steps.route.should_escalate(call.request, version, body):
                 progress.verdicts.append(Verdict.RUN)
+                # The kept answer bills the attempts before it and itself.
+                before = _Progress(attempts=list(progress.attempts))
+                kept = replace(attempt, chunks=_single(body))
+                progress.weak_answer = self._answer(call, version, kept, before)
                 progress.attempts.append(self._record(call, version, attempt, body))
                 return None
             chunks = _single(body)
+        return self._answer(call, version, replace(attempt, chunks=chunks), progress)
+
+    def _answer(
+        self,
+        call: Call,
+        version: VersionId | NoVersion,
+        attempt: Attempt,
+        progress: _Progress,
+    ) -> Answer:
         return Answer(
             status=attempt.status,
             content_type=attempt.content_type,
-            chunks=self._relay(
-                call, version, replace(attempt, chunks=chunks), progress
-            ),
+            chunks=self._relay(call, version, attempt, progress),
             version=version,
             endpoint=attempt.endpoint,
         )
--- a/fuchsiaroute/entry/tests/test_pipeline.py
+++ b/fuchsiaroute/entry/tests/test_pipeline.py
@@ -130,6 +130,19 @@
     assert [bill.cost for bill in fake.bills] == [11]
 
 
+@pytest.mark.parametrize("verdict", [NOT_RUN, MAY])
+async def test_a_weak_answer_is_given_and_billed_if_the_escalation_fails(verdict):
+    fake = FakeSteps(
+        attempts=[attempt([b"weak"]), Failure(refusal(verdict))],
+        weak=frozenset([b"weak"]),
+    )
+    answer = (await pipeline(fake).handle(call())).unwrap()
+    assert [chunk async for chunk in answer.chunks] == [b"weak"]
+    assert answer.version == "small"
+    assert [bill.cost for bill in fake.bills] == [1]
+    assert fake.events.count("release") == 1
+
+
 async def test_a_cut_answer_reaches_the_caller_as_an_error_and_is_not_billed():
     fake = FakeSteps(versions=("small",), attempts=[attempt([b"a"], is_cut=True)])
     answer = (await pipeline(fake).handle(call())).unwrap()
--- a/fuchsiaroute/gateway/_app.py
+++ b/fuchsiaroute/gateway/_app.py
@@ -12,7 +12,8 @@
 
 from fuchsiaroute.clock import Clock
 from fuchsiaroute.configuration import Organisation
-from fuchsiaroute.entry import Call, CallHandler, CurrentConfiguration
+from fuchsiaroute.dispatch import BrokenAnswerError
+from fuchsiaroute.entry import Answer, Call, CallHandler, CurrentConfiguration
 from fuchsiaroute.gateway._advice import AdviceSource
 from fuchsiaroute.gateway._authentication import KeyIndex
 from fuchsiaroute.gateway._body import read_within
@@ -26,7 +27,7 @@
 from fuchsiaroute.gateway._refusals import invalid, refuse
 from fuchsiaroute.gateway._render import render_answer, render_refusal
 from fuchsiaroute.gateway._request_ids import RequestIds, issue_ids
-from fuchsiaroute.ids import ServiceId
+from fuchsiaroute.ids import RequestId, ServiceId
 from fuchsiaroute.verdict import Refusal, RefusalReason, Verdict
 
 AnyRequest = HttpRequest[Any, Any, Any]
@@ -164,7 +165,7 @@
             case Success(call):
                 match await self._pipeline.handle(call):
                     case Success(answer):
-                        return await render_answer(answer, call.request.id)
+                        return await _render_started(answer, call.request.id)
                     case Failure(refusal):
                         return render_refusal(refusal)
             case Failure(refusal):
@@ -172,6 +173,19 @@
         raise AssertionError("a Result is a Success or a Failure")
 
 
+async def _render_started(answer: Answer, request: RequestId) -> AnyResponse:
+    """Return the answer, or a typed error if it breaks before its first byte."""
+    try:
+        return await render_answer(answer, request)
+    except BrokenAnswerError as error:
+        refusal = Refusal(
+            reason=RefusalReason.ENDPOINT_FAILED,
+            verdict=Verdict.MAY_HAVE_RUN,
+            message=f"the answer broke off before its first byte: {error}",
+        )
+        return render_refusal(refusal)
+
+
 def build_app(
     *,
     pipeline: CallHandler,
--- a/fuchsiaroute/gateway/tests/test_gateway.py
+++ b/fuchsiaroute/gateway/tests/test_gateway.py
@@ -7,6 +7,7 @@
 
 from examples import timberline
 from fuchsiaroute.clock import ManualClock, Milliseconds, SystemClock
+from fuchsiaroute.dispatch import BrokenAnswerError
 from fuchsiaroute.entry import Answer, CurrentConfiguration
 from fuchsiaroute.gateway import Advice, CallerLimits, build_app
 from fuchsiaroute.ids import Revision
@@ -287,3 +288,24 @@
     response = await gateway.post()
     assert 400 <= response.status_code < 600
     assert error_of(response)["reason"] == reason.value
+
+
+async def test_an_answer_that_breaks_before_its_first_byte_is_a_typed_error():
+    async def broken():
+        raise BrokenAnswerError("no progress within the timeout")
+        yield b""
+
+    gateway = Gateway()
+    gateway.pipeline.result = Success(
+        Answer(
+            status=200,
+            content_type="text/event-stream",
+            chunks=broken(),
+            version="sapling-1",
+            endpoint="model-pool-0",
+        )
+    )
+    response = await gateway.post()
+    assert response.status_code == 502
+    assert error_of(response)["verdict"] == "may-have-run"
+    assert error_of(response)["reason"] == "endpoint-failed"
