Run peers in the serving entry: heartbeats, leaving, ledger copies

Cause: entries were composed without each other, so a fresh one had no source but the store, and ledger copies had no way to a peer. Change: with peer keys in the settings an entry listens for peers, finds them by the platform's list, tells them when it leaves, advises callers by the members' states, sends its ledger copies to a living entry of another failure domain, and adopts what it holds for entries that are dead or have restarted. The head record is read outside the circuit again. Before: no peers in a serving entry. Conclusion: the composition needs nothing but the list and the keys.

--- a/fuchsiaroute/peer/_node.py
+++ b/fuchsiaroute/peer/_node.py
@@ -46,6 +46,10 @@
     sink: ExtensionSink
 
 
+def _do_nothing() -> None:
+    pass
+
+
 @dataclass
 class _Link:
     connection: PeerConnection
@@ -70,6 +74,8 @@
         clock: Clock,
         topics: tuple[Topic, ...] = (),
     ) -> None:
+        #: Called after each look at the members, once in a heartbeat interval.
+        self.on_refresh: Callable[[], None] = _do_nothing
         self._membership = membership
         self._in_force = in_force
         self._poller = poller
@@ -99,6 +105,7 @@
             self._refreshed_at = now
             self._membership.refresh()
             self._in_force.note_majority(self._membership.hears_majority)
+            self.on_refresh()
         if self._has_urgent_news() or is_due:
             self._start_exchanges()
         self._start_catching_up()
--- a/fuchsiaroute/serving/__init__.py
+++ b/fuchsiaroute/serving/__init__.py
@@ -1,6 +1,7 @@
 """A serving entry: its parts put together, started and stopped."""
 
 from fuchsiaroute.serving._compose import ComposedEntry, EntryOptions, compose_entry
+from fuchsiaroute.serving._peers import NoPeers, PeerOptions, PeerParts
 from fuchsiaroute.serving._protocol import ConnectionLimits
 from fuchsiaroute.serving._run import EntryProcess, serve
 from fuchsiaroute.serving._server import HttpServer
@@ -11,6 +12,9 @@
     "EntryOptions",
     "EntryProcess",
     "HttpServer",
+    "NoPeers",
+    "PeerOptions",
+    "PeerParts",
     "compose_entry",
     "serve",
 ]
--- a/fuchsiaroute/serving/_compose.py
+++ b/fuchsiaroute/serving/_compose.py
@@ -8,6 +8,7 @@
 from returns.result import Result
 
 from fuchsiaroute.advice import EntryAdvice
+from fuchsiaroute.billing import CopyHolder
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.configuration import Configuration
 from fuchsiaroute.dispatch import Connections
@@ -23,9 +24,11 @@
 )
 from fuchsiaroute.gateway import build_app
 from fuchsiaroute.ids import FailureDomainId, Incarnation, InstanceId, VersionId
+from fuchsiaroute.membership import Announcement
 from fuchsiaroute.platform import (
     HttpEngineOrders,
     InstanceList,
+    InstanceRecord,
     RatingService,
     StoreClient,
     StoreFunction,
@@ -38,6 +41,13 @@
     compose_balancing,
 )
 from fuchsiaroute.serving._lasting import LastingParts, compose_lasting
+from fuchsiaroute.serving._peers import (
+    MemberWatch,
+    NoPeers,
+    PeerOptions,
+    PeerParts,
+    compose_peers,
+)
 from fuchsiaroute.serving._routing import NoRatings, RoutingParts, compose_routing
 from fuchsiaroute.transport import build_client
 from fuchsiaroute.verdict import Refusal
@@ -56,6 +66,7 @@
     seed: int = 0
     #: Keys of session pins, the same for all entries; the first one signs.
     pin_keys: tuple[str, ...] = ()
+    peers: PeerOptions | NoPeers = NoPeers.TOKEN
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -75,6 +86,7 @@
     routing: RoutingParts
     lasting: LastingParts
     balancing: BalancingParts
+    peers: PeerParts | NoPeers
     #: Every periodic task of the entry.
     background: Background
 
@@ -103,10 +115,15 @@
         entry_count=lambda: len(advice.entries),
     )
     agreement = compose_agreement(
-        store=store_client.view(StoreFunction.CONFIGURATION),
+        # Not through the circuit: it would hold up the news of an outage.
+        store=store,
         clock=clock,
         entry_count=lambda: len(advice.entries),
     )
+    copy_holder = CopyHolder()
+    peers = _compose_peers(
+        options, agreement, copy_holder, incarnation=incarnation, clock=clock
+    )
     current = agreement.current
     randomness = random.Random(options.seed)
     orders_client = build_client(read_timeout=ORDER_TIMEOUT)
@@ -118,6 +135,8 @@
         entry_count=lambda: len(advice.entries),
         configuration=lambda: current.configuration,
         orders=HttpEngineOrders(orders_client, current.endpoint_url),
+        copies=None if isinstance(peers, NoPeers) else peers.copies,
+        copy_holder=copy_holder,
     )
     routing = compose_routing(
         current=current,
@@ -145,7 +164,7 @@
         instances=instances,
         connections=client,
         check=check,
-        on_entries=lambda listed: advise_listed(advice, tuple(listed)),
+        on_entries=lambda listed: _note_listed(tuple(listed), advice, peers),
         instance=options.instance,
         incarnation=incarnation,
         clock=clock,
@@ -174,6 +193,15 @@
     background.add("placement", lasting.placement.run)
     background.add("instances", balancing.upkeep.read_lists)
     background.add("cold slots", balancing.upkeep.keep_slots)
+    if isinstance(peers, PeerParts):
+        watch = MemberWatch(
+            membership=peers.membership,
+            advice=advice,
+            ledger=lasting.ledger,
+            copies=copy_holder,
+        )
+        peers.node.on_refresh = watch.refresh
+        background.add("peers", peers.node.run)
     background.add("admission", balancing.upkeep.wake_waiting)
     return ComposedEntry(
         options=options,
@@ -187,9 +215,47 @@
         routing=routing,
         lasting=lasting,
         balancing=balancing,
+        peers=peers,
         background=background,
     )
 
 
+def _compose_peers(
+    options: EntryOptions,
+    agreement: AgreementParts,
+    copy_holder: CopyHolder,
+    *,
+    incarnation: Incarnation,
+    clock: Clock,
+) -> PeerParts | NoPeers:
+    if isinstance(options.peers, NoPeers):
+        return NoPeers.TOKEN
+    own = Announcement(
+        instance=options.instance,
+        incarnation=incarnation,
+        sequence=0,
+        is_leaving=False,
+        address=options.peers.advertised,
+        failure_domain=options.failure_domain,
+    )
+    return compose_peers(
+        options=options.peers,
+        own=own,
+        agreement=agreement,
+        copy_holder=copy_holder,
+        clock=clock,
+    )
+
+
+def _note_listed(
+    listed: tuple[InstanceRecord, ...],
+    advice: EntryAdvice,
+    peers: PeerParts | NoPeers,
+) -> None:
+    advise_listed(advice, listed)
+    if isinstance(peers, PeerParts):
+        peers.note_listed(listed)
+
+
 def _withdraw_out(advice: EntryAdvice, configuration: Configuration) -> None:
     advice.update_outages(outage.failure_domain for outage in configuration.outages)
--- a/fuchsiaroute/serving/_lasting.py
+++ b/fuchsiaroute/serving/_lasting.py
@@ -38,6 +38,7 @@
     configuration: Callable[[], Configuration],
     orders: EngineOrders,
     copies: PeerCopies | None = None,
+    copy_holder: CopyHolder | None = None,
     rng: random.Random | None = None,
 ) -> LastingParts:
     """Return the parts for one entry; ``copies`` sends ledger records to a peer."""
@@ -57,7 +58,7 @@
         claims=BookClaims(book=book, clock=clock),
         ledger=ledger,
         bills=LedgerBills(ledger=ledger, clock=clock, instance=instance),
-        copy_holder=CopyHolder(),
+        copy_holder=copy_holder or CopyHolder(),
         placement=PlacementSupervisor(
             store=client.view(StoreFunction.PLACEMENT),
             orders=orders,
--- a/fuchsiaroute/serving/_run.py
+++ b/fuchsiaroute/serving/_run.py
@@ -3,16 +3,19 @@
 import asyncio
 import contextlib
 import signal
+from pathlib import Path
 
 from returns.result import Failure
 
 from fuchsiaroute.advice import ADVICE_LIFETIME, KnownEntry
 from fuchsiaroute.clock import Clock, Milliseconds, SystemClock
+from fuchsiaroute.peer import NoTls, TlsFiles
 from fuchsiaroute.platform import HttpInstanceList, HttpRatingService, HttpTableStore
 from fuchsiaroute.serving._compose import ComposedEntry, EntryOptions, compose_entry
+from fuchsiaroute.serving._peers import NoPeers, PeerOptions, PeerParts
 from fuchsiaroute.serving._routing import NoRatings
 from fuchsiaroute.serving._server import HttpServer
-from fuchsiaroute.settings import Settings, read_secrets
+from fuchsiaroute.settings import PeerSettings, Settings, read_secrets
 from fuchsiaroute.transport import build_client
 
 #: Longest wait at a graceful stop for the store to take the ledger's records.
@@ -39,6 +42,7 @@
             instance=settings.instance.id,
             failure_domain=settings.instance.failure_domain,
             pin_keys=_pin_keys(settings),
+            peers=_peer_options(settings),
         )
         self._entry = compose_entry(
             options=options,
@@ -66,6 +70,8 @@
     async def start(self) -> None:
         """Start periodic tasks, then accept callers."""
         self._entry.background.start()
+        if isinstance(self._entry.peers, PeerParts):
+            await self._entry.peers.start()
         await self._callers.start()
         own = KnownEntry(
             instance=self._settings.instance.id,
@@ -78,6 +84,8 @@
     async def stop(self) -> None:
         """Leave the advice, serve until it has run out, finish, then leave."""
         self._entry.advice.withdraw(self._settings.instance.id)
+        if isinstance(self._entry.peers, PeerParts):
+            self._entry.peers.leave()
         await self._clock.sleep(ADVICE_LIFETIME)
         await self._callers.stop()
         await self._entry.balancing.keeper.release()
@@ -86,6 +94,8 @@
         await self._entry.lasting.ledger.drain(DRAIN_LIMIT)
         await self._entry.background.stop()
         await self._entry.lasting.placement.release()
+        if isinstance(self._entry.peers, PeerParts):
+            await self._entry.peers.server.stop()
         await self._entry.aclose()
         await self._platform.aclose()
         await self._ratings.aclose()
@@ -104,6 +114,34 @@
     await process.stop()
 
 
+def _peer_options(settings: Settings) -> PeerOptions | NoPeers:
+    """Return how to reach peers; raises ``SecretError``."""
+    peers = settings.peers
+    keys = read_secrets(peers.key_files)
+    if isinstance(keys, Failure):
+        raise keys.failure()
+    if not keys.unwrap():
+        return NoPeers.TOKEN
+    return PeerOptions(
+        host=peers.host,
+        port=peers.port,
+        advertised=peers.advertised,
+        keys=keys.unwrap(),
+        tls=_tls(peers),
+    )
+
+
+def _tls(peers: PeerSettings) -> TlsFiles | NoTls:
+    files = (peers.tls_certificate_file, peers.tls_key_file, peers.tls_authority_file)
+    match files:
+        case (Path() as certificate, Path() as private_key, Path() as authority):
+            return TlsFiles(
+                certificate=certificate, private_key=private_key, authority=authority
+            )
+        case _:
+            return NoTls.TOKEN
+
+
 def _pin_keys(settings: Settings) -> tuple[str, ...]:
     """Return the keys of session pins; raises ``SecretError``."""
     keys = read_secrets(settings.session.pin_key_files)
