--- a/benches/_processes.py
+++ b/benches/_processes.py
@@ -13,7 +13,8 @@
 import httpx
 import psutil
 
-from fuchsiaroute.clock import SystemClock
+from fuchsiaroute.balancing import warmth_put
+from fuchsiaroute.clock import Milliseconds, SystemClock
 from fuchsiaroute.configuration import (
     Configuration,
     ConfigurationLog,
@@ -21,12 +22,16 @@
     Snapshot,
     accept_first,
 )
+from fuchsiaroute.endpoints import Warmth, WarmthFact
 from fuchsiaroute.ids import ChangeId
-from fuchsiaroute.platform import HttpTableStore
+from fuchsiaroute.platform import HttpTableStore, Transaction
+from fuchsiaroute.standin import FIRST_INCARNATION
 
 HOST = "127.0.0.1"
 READY_TIMEOUT_SECONDS = 20.0
 READY_POLL_SECONDS = 0.05
+#: Key of operators, peers and session pins on loopback; protects nothing.
+SHARED_KEY = "bench-key-of-at-least-thirty-two-characters"
 
 
 def free_port() -> int:
@@ -110,12 +115,15 @@
 ) -> Child:
     """Return an entry whose settings are written into ``directory``."""
     ports = [free_port() for _ in range(3)]
+    key = directory / "shared.key"
+    key.write_text(SHARED_KEY)
     path = directory / f"entry-{number}.ini"
     path.write_text(
         f"[instance]\nid = entry-{number}\nfailure_domain = {failure_domain}\n"
         f"[callers]\nport = {ports[0]}\n"
-        f"[operators]\nport = {ports[1]}\n"
-        f"[peers]\nport = {ports[2]}\n"
+        f"[operators]\nport = {ports[1]}\nkey_files = {key}\n"
+        f"[peers]\nport = {ports[2]}\nkey_files = {key}\n"
+        f"[session]\npin_key_files = {key}\n"
         f"[platform]\ntable_url = {platform_url}\n"
         f"[log]\npath = {directory / f'entry-{number}.log'}\n"
     )
@@ -136,18 +144,33 @@
 
 
 def with_endpoint_urls(declared: Configuration, urls: Sequence[str]) -> Configuration:
-    """Return ``declared`` with the URLs of its endpoints in order; extra ones go."""
+    """
+    Return ``declared`` with the URLs of its endpoints in order; extra ones go.
+
+    The stand-ins are always warm, so they are declared to need no warm-up.
+    """
     endpoints = tuple(
-        replace(endpoint, url=url)
+        replace(endpoint, url=url, warm_up=Milliseconds(0))
         for endpoint, url in zip(declared.endpoints, urls, strict=False)
     )
     return replace(declared, endpoints=endpoints)
 
 
 async def store_configuration(platform_url: str, declared: Configuration) -> None:
-    """Accept the first configuration as the operators' ``apply`` does."""
+    """
+    Accept the first configuration as the operators' ``apply`` does.
+
+    Before it stands what earlier entries would have recorded: all endpoints are warm.
+    """
+    warmth = Warmth(incarnation=FIRST_INCARNATION, is_warm=True)
+    facts = [
+        WarmthFact(endpoint=endpoint.id, warmth=warmth)
+        for endpoint in declared.endpoints
+    ]
+    warm = Transaction(puts=tuple(warmth_put(fact) for fact in facts))
     async with httpx.AsyncClient(base_url=platform_url, trust_env=False) as client:
         store = HttpTableStore(client)
+        (await store.commit(warm)).unwrap()
         outcome = await accept_first(store, SystemClock(), declared, author="bench")
     outcome.unwrap()
 
--- a/fuchsiaroute/serving/__init__.py
+++ b/fuchsiaroute/serving/__init__.py
@@ -1,6 +1,7 @@
 """A serving entry: its parts put together, started and stopped."""
 
 from fuchsiaroute.serving._compose import ComposedEntry, EntryOptions, compose_entry
+from fuchsiaroute.serving._operators import ObservedEntry, compose_operators
 from fuchsiaroute.serving._peers import NoPeers, PeerOptions, PeerParts
 from fuchsiaroute.serving._protocol import ConnectionLimits
 from fuchsiaroute.serving._run import EntryProcess, serve
@@ -15,6 +16,8 @@
     "NoPeers",
     "PeerOptions",
     "PeerParts",
+    "ObservedEntry",
     "compose_entry",
+    "compose_operators",
     "serve",
 ]
--- a/fuchsiaroute/serving/_compose.py
+++ b/fuchsiaroute/serving/_compose.py
@@ -19,12 +19,15 @@
     CurrentConfiguration,
     MeteredBill,
     NoVersion,
+    ObservedBill,
+    ObservedPipeline,
     Pipeline,
     Steps,
 )
-from fuchsiaroute.gateway import build_app
+from fuchsiaroute.gateway import CallerLimits, build_app
 from fuchsiaroute.ids import FailureDomainId, Incarnation, InstanceId, VersionId
 from fuchsiaroute.membership import Announcement
+from fuchsiaroute.metrics import Metrics
 from fuchsiaroute.platform import (
     HttpEngineOrders,
     InstanceList,
@@ -67,6 +70,8 @@
     #: Keys of session pins, the same for all entries; the first one signs.
     pin_keys: tuple[str, ...] = ()
     peers: PeerOptions | NoPeers = NoPeers.TOKEN
+    #: Limits on what a caller may send.
+    caller_limits: CallerLimits = CallerLimits()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -87,6 +92,7 @@
     lasting: LastingParts
     balancing: BalancingParts
     peers: PeerParts | NoPeers
+    metrics: Metrics
     #: Every periodic task of the entry.
     background: Background
 
@@ -106,6 +112,7 @@
 ) -> ComposedEntry:
     """Return an entry whose parts use ``store`` and ``clock``."""
     client = Connections()
+    metrics = Metrics()
     incarnation = Incarnation(clock.wall())
     advice = EntryAdvice()
     store_client = StoreClient(
@@ -176,13 +183,19 @@
         claim=lasting.claims,
         route=routing.route,
         attempt=balancing.attempt,
-        bill=MeteredBill(bill=lasting.bills, allowances=routing.allowances),
+        bill=ObservedBill(
+            bill=MeteredBill(bill=lasting.bills, allowances=routing.allowances),
+            metrics=metrics,
+        ),
     )
     app = build_app(
-        pipeline=Pipeline(steps=steps),
+        pipeline=ObservedPipeline(
+            pipeline=Pipeline(steps=steps), metrics=metrics, clock=clock
+        ),
         current=current,
         advice=advice,
         clock=clock,
+        limits=options.caller_limits,
         request_ids=lasting.book,
     )
     background = Background()
@@ -202,6 +215,7 @@
         )
         peers.node.on_refresh = watch.refresh
         background.add("peers", peers.node.run)
+    background.add("load reports", balancing.status.run)
     background.add("admission", balancing.upkeep.wake_waiting)
     return ComposedEntry(
         options=options,
@@ -216,6 +230,7 @@
         lasting=lasting,
         balancing=balancing,
         peers=peers,
+        metrics=metrics,
         background=background,
     )
 
