--- a/fuchsiaroute/serving/__init__.py
+++ b/fuchsiaroute/serving/__init__.py
@@ -2,6 +2,7 @@
 
 from fuchsiaroute.serving._compose import ComposedEntry, EntryOptions, compose_entry
 from fuchsiaroute.serving._operators import ObservedEntry, compose_operators
+from fuchsiaroute.serving._peers import NoPeers, PeerOptions, PeerParts
 from fuchsiaroute.serving._protocol import ConnectionLimits
 from fuchsiaroute.serving._run import EntryProcess, serve
 from fuchsiaroute.serving._server import HttpServer
@@ -12,6 +13,9 @@
     "EntryOptions",
     "EntryProcess",
     "HttpServer",
+    "NoPeers",
+    "PeerOptions",
+    "PeerParts",
     "ObservedEntry",
     "compose_entry",
     "compose_operators",
--- a/fuchsiaroute/serving/_run.py
+++ b/fuchsiaroute/serving/_run.py
@@ -13,6 +13,8 @@
 from fuchsiaroute.platform import HttpInstanceList, HttpRatingService, HttpTableStore
 from fuchsiaroute.serving._compose import ComposedEntry, EntryOptions, compose_entry
 from fuchsiaroute.serving._operators import compose_operators
+from fuchsiaroute.serving._peer_options import read_peer_options
+from fuchsiaroute.serving._peers import PeerParts
 from fuchsiaroute.serving._protocol import ConnectionLimits
 from fuchsiaroute.serving._routing import NoRatings
 from fuchsiaroute.serving._server import HttpServer
@@ -43,6 +45,7 @@
             instance=settings.instance.id,
             failure_domain=settings.instance.failure_domain,
             pin_keys=_pin_keys(settings),
+            peers=read_peer_options(settings),
             caller_limits=_caller_limits(settings.callers),
         )
         store = HttpTableStore(self._platform)
@@ -85,6 +88,8 @@
     async def start(self) -> None:
         """Start periodic tasks, then accept operators and callers."""
         self._entry.background.start()
+        if isinstance(self._entry.peers, PeerParts):
+            await self._entry.peers.start()
         await self._operators.start()
         await self._callers.start()
         own = KnownEntry(
@@ -98,6 +103,8 @@
     async def stop(self) -> None:
         """Leave the advice, serve until it has run out, finish, then leave."""
         self._entry.advice.withdraw(self._settings.instance.id)
+        if isinstance(self._entry.peers, PeerParts):
+            self._entry.peers.leave()
         await self._clock.sleep(ADVICE_LIFETIME)
         await self._callers.stop()
         await self._entry.balancing.keeper.release()
@@ -106,6 +113,8 @@
         await self._entry.lasting.ledger.drain(DRAIN_LIMIT)
         await self._entry.background.stop()
         await self._entry.lasting.placement.release()
+        if isinstance(self._entry.peers, PeerParts):
+            await self._entry.peers.server.stop()
         await self._entry.aclose()
         await self._operators.stop()
         await self._platform.aclose()
