--- a/fuchsiaroute/cli/_app.py
+++ b/fuchsiaroute/cli/_app.py
@@ -1,5 +1,6 @@
 """The commands, each loaded only when it runs, so that serving stays small."""
 
+import os
 import sys
 
 from cyclopts import App, CycloptsError
@@ -61,6 +62,12 @@
     leave_out_unused_imports()
     try:
         code = app(sys.argv[1:], exit_on_error=False, result_action="return_value")
+        sys.stdout.flush()
     except CycloptsError:
         sys.exit(ExitCode.FAULTY_INPUT)
+    except BrokenPipeError:
+        # The reader of the output, such as head, has seen enough. Without a
+        # replacement the interpreter fails once more when it flushes the output.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        sys.exit(ExitCode.OK)
     sys.exit(code or ExitCode.OK)
--- a/fuchsiaroute/cli/tests/test_commands.py
+++ b/fuchsiaroute/cli/tests/test_commands.py
@@ -102,3 +102,15 @@
     for name in ("_apply", "_check", "_edits", "_explain", "_status", "_demo"):
         assert f"fuchsiaroute.cli.{name}'" not in modules
     assert "'rich" not in modules
+
+
+def test_reader_that_has_seen_enough_is_no_error(files):
+    arguments = [sys.executable, "-m", "fuchsiaroute", "check", "--json"]
+    process = subprocess.Popen(
+        [*arguments, str(files / "broken.json")],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
+    process.stdout.close()
+    assert process.stderr.read() == b""
+    assert process.wait() == 0
