--- a/fuchsiaroute/billing/__init__.py
+++ b/fuchsiaroute/billing/__init__.py
@@ -10,13 +10,6 @@
     PeerCopies,
 )
 from fuchsiaroute.billing._ledger import Ledger
-from fuchsiaroute.billing._peers import (
-    Adoption,
-    CopyPeer,
-    CopyPeers,
-    HeldRecords,
-    RecordCopies,
-)
 from fuchsiaroute.billing._record import (
     KEY_PREFIX,
     AttemptCost,
@@ -30,20 +23,15 @@
 __all__ = [
     "KEY_PREFIX",
     "NO_HOLDER",
-    "Adoption",
     "AttemptCost",
     "BatchNumber",
     "CopyHolder",
-    "CopyPeer",
-    "CopyPeers",
-    "HeldRecords",
     "HolderId",
     "Ledger",
     "LedgerRecord",
     "NoCopies",
     "Origin",
     "PeerCopies",
-    "RecordCopies",
     "decode_batch",
     "decode_record",
     "encode_batch",
--- a/fuchsiaroute/billing/tests/test_ledger.py
+++ b/fuchsiaroute/billing/tests/test_ledger.py
@@ -4,19 +4,14 @@
 import random
 
 import pytest
-from returns.result import Success
 
 from fuchsiaroute.billing import (
-    Adoption,
     AttemptCost,
     CopyHolder,
-    HeldRecords,
     Ledger,
     LedgerRecord,
     Origin,
-    RecordCopies,
     decode_record,
-    encode_batch,
 )
 from fuchsiaroute.clock import ManualClock
 from fuchsiaroute.platform import (
@@ -223,70 +218,3 @@
     await deployment.clock.advance(10_000)
     assert len(await deployment.billed()) == 1_000
     assert deployment.store.writes <= 4
-
-
-class Peers:
-    """Two peers whose holders are called as over the inner protocol."""
-
-    def __init__(self):
-        self.holders = {"entry-2/1": CopyHolder(), "entry-3/1": CopyHolder()}
-        self.current = "entry-2/1"
-
-    def holder(self):
-        return self.current
-
-    def peer(self, holder):
-        found = self.holders.get(holder)
-        return Peer(HeldRecords(found)) if found else None
-
-
-class Peer:
-    def __init__(self, held):
-        self._held = held
-
-    async def hold_records(self, owner, incarnation, batch, records):
-        return Success(self._held.hold(owner, incarnation, batch, records))
-
-    async def release_records(self, owner, incarnation, last_batch):
-        return Success(self._held.release(owner, incarnation, last_batch))
-
-
-async def test_copies_follow_the_holder_and_former_ones_are_released(deployment):
-    peers = Peers()
-    ledger = deployment.ledger(copies=RecordCopies(peers, origin=ORIGIN))
-    deployment.store.fault = StoreFault.DOWN
-    await deployment.append(ledger, record("a"))
-    peers.current = "entry-3/1"
-    await deployment.clock.advance(10_000)
-    assert peers.holders["entry-3/1"].size > 0
-    deployment.store.fault = StoreFault.NONE
-    await deployment.clock.advance(20_000)
-    assert [holder.size for holder in peers.holders.values()] == [0, 0]
-
-
-@pytest.mark.parametrize("current", ["", "entry-9/1"])
-async def test_without_a_reachable_peer_an_answer_is_not_kept_back(deployment, current):
-    peers = Peers()
-    peers.current = current
-    ledger = deployment.ledger(copies=RecordCopies(peers, origin=ORIGIN))
-    await deployment.append(ledger, record("a"))
-    assert ledger.uncopied == 1
-
-
-@pytest.mark.parametrize(("is_gone", "billed"), [(True, 1), (False, 0)])
-async def test_the_copies_of_an_entry_that_has_gone_are_adopted(
-    deployment, is_gone, billed
-):
-    holder, heir = CopyHolder(), deployment.ledger()
-    holder.hold(ORIGIN, 1, encode_batch((record("a"),)))
-    holder.hold(ORIGIN, 2, b"not a batch")
-    adoption = Adoption(
-        holder=holder,
-        ledger=heir,
-        is_gone=lambda origin: is_gone,
-        clock=deployment.clock,
-    )
-    deployment.tasks.append(asyncio.create_task(adoption.run()))
-    await deployment.clock.advance(10_000)
-    assert len(await deployment.billed()) == billed
-    assert (holder.size == 0) is is_gone
--- a/fuchsiaroute/serving/_copies.py
+++ b/fuchsiaroute/serving/_copies.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import xxhash
 from returns.result import Success
 
 from fuchsiaroute.billing import (
@@ -23,18 +24,23 @@
     Sends copies to one living entry; implements ``PeerCopies``.
 
     The holder is in another failure domain if any lives there, and stays the same
-    while it lives.
+    while it lives and has room. Entries choose by a hash of the pair, so that no
+    entry holds the copies of all others.
     """
 
     def __init__(self, membership: Membership, connect: Connect) -> None:
         self._membership = membership
         self._connect = connect
         self._holder = NO_HOLDER
-        self._used: dict[HolderId, MemberView] = {}
+        self._full: set[HolderId] = set()
+        #: Holders that may have unreleased copies, with the last batch sent to each.
+        self._used: dict[HolderId, tuple[MemberView, BatchNumber]] = {}
 
     def holder(self) -> HolderId:
         """Return the entry that copies go to now; ``NO_HOLDER`` if none lives."""
         living = {_holder_id(member): member for member in self._living()}
+        for holder in self._full:
+            living.pop(holder, None)
         if self._holder not in living:
             self._holder = min(living, key=self._preference(living), default=NO_HOLDER)
         return self._holder
@@ -46,25 +52,27 @@
         member = living.get(holder)
         if member is None:
             return False
-        self._used[holder] = member
+        self._used[holder] = (member, batch)
         own = self._membership.own
         connection = self._connect(member)
         outcome = await connection.hold_records(
             own.instance, own.incarnation, batch, records
         )
         match outcome:
-            case Success(is_held):
-                return bool(is_held)
-            case _:
-                return False
+            case Success(True):
+                return True
+            case Success(_):
+                self._full.add(holder)
+        return False
 
     async def release(self, through: BatchNumber) -> None:
         """Tell every holder so far that the batches up to ``through`` are stored."""
         own = self._membership.own
-        for holder, member in list(self._used.items()):
+        self._full.clear()
+        for holder, (member, last) in list(self._used.items()):
             connection = self._connect(member)
             await connection.release_records(own.instance, own.incarnation, through)
-            if holder != self._holder:
+            if through >= last and holder != self._holder:
                 del self._used[holder]
 
     def _living(self) -> tuple[MemberView, ...]:
@@ -76,11 +84,13 @@
 
     def _preference(
         self, living: dict[HolderId, MemberView]
-    ) -> Callable[[HolderId], tuple[bool, HolderId]]:
-        own = self._membership.own.failure_domain
+    ) -> Callable[[HolderId], tuple[bool, int]]:
+        own = self._membership.own
 
-        def order(holder: HolderId) -> tuple[bool, HolderId]:
-            return (living[holder].failure_domain == own, holder)
+        def order(holder: HolderId) -> tuple[bool, int]:
+            is_near = living[holder].failure_domain == own.failure_domain
+            pair = f"{own.instance}|{holder}"
+            return (is_near, xxhash.xxh3_64_intdigest(pair.encode()))
 
         return order
 
