--- a/benches/_processes.py
+++ b/benches/_processes.py
@@ -8,9 +8,11 @@
 import uuid
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
+from functools import cache
 from pathlib import Path
 
 import httpx
+import msgspec
 import psutil
 
 from fuchsiaroute.balancing import warmth_put
@@ -23,8 +25,8 @@
     accept_first,
 )
 from fuchsiaroute.endpoints import Warmth, WarmthFact
-from fuchsiaroute.ids import ChangeId
-from fuchsiaroute.platform import HttpTableStore, Transaction
+from fuchsiaroute.ids import ChangeId, InstanceId
+from fuchsiaroute.platform import HttpTableStore, InstanceRecord, Transaction
 from fuchsiaroute.standin import FIRST_INCARNATION
 
 HOST = "127.0.0.1"
@@ -42,6 +44,21 @@
         return port
 
 
+@dataclass(frozen=True, kw_only=True)
+class EntryPorts:
+    """The ports that all entries of this run listen on."""
+
+    callers: int
+    operators: int
+    peers: int
+
+
+@cache
+def entry_ports() -> EntryPorts:
+    """Return the ports of this run's entries."""
+    return EntryPorts(callers=free_port(), operators=free_port(), peers=free_port())
+
+
 @dataclass(kw_only=True)
 class Child:
     """One process of the program that a bench has started."""
@@ -113,21 +130,55 @@
 def entry_child(
     *, number: int, failure_domain: str, platform_url: str, directory: Path
 ) -> Child:
-    """Return an entry whose settings are written into ``directory``."""
-    ports = [free_port() for _ in range(3)]
+    """
+    Return an entry whose settings are written into ``directory``.
+
+    Each entry has a loopback address of its own and the ports of all others, as
+    entries on instances of their own have.
+    """
+    host = f"127.0.1.{number + 1}"
+    ports = entry_ports()
     key = directory / "shared.key"
     key.write_text(SHARED_KEY)
     path = directory / f"entry-{number}.ini"
     path.write_text(
         f"[instance]\nid = entry-{number}\nfailure_domain = {failure_domain}\n"
-        f"[callers]\nport = {ports[0]}\n"
-        f"[operators]\nport = {ports[1]}\nkey_files = {key}\n"
-        f"[peers]\nport = {ports[2]}\nkey_files = {key}\n"
+        f"[callers]\nhost = {host}\nport = {ports.callers}\n"
+        f"[operators]\nhost = {host}\nport = {ports.operators}\nkey_files = {key}\n"
+        f"[peers]\nhost = {host}\nport = {ports.peers}\nkey_files = {key}\n"
         f"[session]\npin_key_files = {key}\n"
         f"[platform]\ntable_url = {platform_url}\n"
         f"[log]\npath = {directory / f'entry-{number}.log'}\n"
     )
-    return Child(arguments=("serve", str(path)), url=f"http://{HOST}:{ports[0]}")
+    url = f"http://{host}:{ports.callers}"
+    return Child(arguments=("serve", str(path)), url=url)
+
+
+async def list_instances(
+    platform_url: str, *, entries: Sequence[Child], declared: Configuration
+) -> None:
+    """Put entries and endpoints into the platform's list of instances."""
+    domains = declared.failure_domains
+    listed = [
+        InstanceRecord(
+            id=InstanceId(f"entry-{number}"),
+            address=entry.url.removeprefix("http://"),
+            failure_domain=domains[number % len(domains)].id,
+        )
+        for number, entry in enumerate(entries)
+    ]
+    listed += [
+        InstanceRecord(
+            id=InstanceId(endpoint.id),
+            address=endpoint.url.removeprefix("http://"),
+            failure_domain=endpoint.failure_domain,
+        )
+        for endpoint in declared.endpoints
+    ]
+    async with httpx.AsyncClient(base_url=platform_url, trust_env=False) as client:
+        body = msgspec.json.encode({"instances": listed})
+        reply = await client.put("/instances", content=body)
+        reply.raise_for_status()
 
 
 def wait_until_ready(url: str) -> None:
--- a/benches/bench_failures.py
+++ b/benches/bench_failures.py
@@ -37,6 +37,7 @@
     change_configuration,
     endpoint_child,
     entry_child,
+    list_instances,
     platform_child,
     store_configuration,
     wait_until_ready,
@@ -52,6 +53,8 @@
 SEED = 1
 ENTRY_COUNT = 6
 DURATION_SECONDS = 60.0
+#: Time in which the entries read the list and find each other.
+MEETING_SECONDS = 8.0
 SETTLE_SECONDS = 12.0
 WITHDRAWN = VersionId("sapling-1")
 TAKEN_OUT = FailureDomainId("lakes-b")
@@ -243,10 +246,12 @@
         for child in deployment.children:
             wait_until_ready(child.url)
         urls = [child.url for child in deployment.endpoints]
-        await store_configuration(
-            deployment.platform.url, with_endpoint_urls(declared, urls)
+        running = with_endpoint_urls(declared, urls)
+        await store_configuration(deployment.platform.url, running)
+        await list_instances(
+            deployment.platform.url, entries=deployment.entries, declared=running
         )
-        await asyncio.sleep(2)
+        await asyncio.sleep(MEETING_SECONDS)
         stories = await _traffic(deployment)
         await asyncio.sleep(SETTLE_SECONDS)
         return await _check(deployment, stories)
