--- /dev/null
+++ b/benches/_inner_protocol.py
@@ -0,0 +1,166 @@
+"""Entries on loopback that run the inner protocol and nothing else."""
+
+import asyncio
+import contextlib
+import os
+import socket
+import struct
+import time
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+from fuchsiaroute.clock import SystemClock
+from fuchsiaroute.configuration import (
+    ConfigurationPoller,
+    ConfigurationReader,
+    InForce,
+    poll_interval,
+)
+from fuchsiaroute.ids import FailureDomainId, Incarnation, InstanceId, Revision
+from fuchsiaroute.membership import Announcement, Membership
+from fuchsiaroute.peer import (
+    HoldNothing,
+    NoTls,
+    PeerIdentity,
+    PeerKeys,
+    PeerNode,
+    PeerServer,
+)
+from fuchsiaroute.platform import TableStore
+
+HOST = "127.0.0.1"
+KEYS = PeerKeys(["a-key-for-benches-only"])
+#: Bytes of the headers of IP and TCP, with time stamps, of one segment.
+SEGMENT_HEADERS = 52
+#: Size of the kernel's record and places of the counters in it.
+TCP_INFO_SIZE = 192
+BYTES_PLACE, SEGMENTS_PLACE = 120, 136
+WAIT_SECONDS = 0.001
+
+
+@dataclass(frozen=True, kw_only=True)
+class Traffic:
+    """Counters of all TCP connections of this process, both ends of each."""
+
+    payload: int
+    segments: int
+    processor_seconds: float
+    instant: float
+
+    @property
+    def total(self) -> int:
+        """Return the bytes with the headers of IP and TCP."""
+        return self.payload + SEGMENT_HEADERS * self.segments
+
+
+class BenchEntry:
+    """One entry's configuration, membership and peers."""
+
+    def __init__(self, number: int, store: TableStore, port: int, count: int) -> None:
+        clock = SystemClock()
+        self._clock = clock
+        self._count = count
+        self.own = Announcement(
+            instance=InstanceId(f"entry-{number:03}"),
+            incarnation=Incarnation(clock.wall()),
+            sequence=0,
+            is_leaving=False,
+            address=f"{HOST}:{port}",
+            failure_domain=FailureDomainId(f"domain-{number % 8}"),
+        )
+        self._port = port
+        self.in_force = InForce(clock)
+        reader = ConfigurationReader(store, clock)
+        self._poller = ConfigurationPoller(reader, self.in_force, clock)
+        self.membership = Membership(self.own, clock)
+        self._node = PeerNode(
+            membership=self.membership,
+            in_force=self.in_force,
+            poller=self._poller,
+            identity=PeerIdentity(
+                instance=self.own.instance, keys=KEYS, tls=NoTls.TOKEN
+            ),
+            clock=clock,
+        )
+        self._server = PeerServer(
+            self._node, keys=KEYS, tls=NoTls.TOKEN, holder=HoldNothing()
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self, listed: tuple[Announcement, ...], delay: float) -> None:
+        """Listen, and start heartbeats and polls after ``delay`` seconds."""
+        self.membership.note_listed(listed)
+        await self._server.start(HOST, self._port)
+        self._tasks.append(asyncio.create_task(self._poll(delay)))
+        self._tasks.append(asyncio.create_task(self._run_node(delay)))
+
+    async def stop(self) -> None:
+        """End the tasks and close the connections."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._server.stop()
+
+    async def _run_node(self, delay: float) -> None:
+        await asyncio.sleep(delay)
+        await self._node.run()
+
+    async def _poll(self, delay: float) -> None:
+        await asyncio.sleep(delay)
+        while True:
+            await self._poller.poll()
+            await self._clock.sleep(poll_interval(self._count))
+
+
+@contextlib.asynccontextmanager
+async def running_entries(
+    count: int, store: TableStore
+) -> AsyncIterator[list[BenchEntry]]:
+    """Run ``count`` entries whose periodic tasks are spread over a second."""
+    ports = [_free_port() for _ in range(count)]
+    entries = [BenchEntry(n, store, port, count) for n, port in enumerate(ports)]
+    listed = tuple(entry.own for entry in entries)
+    for number, entry in enumerate(entries):
+        await entry.start(listed, number / count)
+    try:
+        yield entries
+    finally:
+        for entry in entries:
+            await entry.stop()
+
+
+def traffic() -> Traffic:
+    """Return the counters of this process now."""
+    payload = segments = 0
+    for name in os.listdir("/proc/self/fd"):
+        with contextlib.suppress(OSError, struct.error), _duplicate(name) as sock:
+            if sock.type != socket.SOCK_STREAM or not sock.getpeername():
+                continue
+            info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
+            payload += sum(struct.unpack_from("=QQ", info, BYTES_PLACE))
+            segments += sum(struct.unpack_from("=II", info, SEGMENTS_PLACE))
+    return Traffic(
+        payload=payload,
+        segments=segments,
+        processor_seconds=time.process_time(),
+        instant=time.monotonic(),
+    )
+
+
+async def until_in_force(entries: list[BenchEntry], revision: Revision) -> float:
+    """Return the seconds until every entry has ``revision`` in force."""
+    started = time.monotonic()
+    while min(entry.in_force.revision for entry in entries) < revision:
+        await asyncio.sleep(WAIT_SECONDS)
+    return time.monotonic() - started
+
+
+def _duplicate(descriptor: str) -> socket.socket:
+    return socket.socket(fileno=os.dup(int(descriptor)))
+
+
+def _free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        port: int = sock.getsockname()[1]
+        return port
