Test that a body with another digest is never applied

Cause: with the digest of replayed differences unchecked, no test failed. Change: a test overwrites a slot of a difference, and one of a body. Conclusion: an overwritten slot leads to the whole body or to the next poll.

--- a/benches/_inner_protocol.py
+++ b/benches/_inner_protocol.py
@@ -150,8 +150,10 @@
 async def until_in_force(entries: list[BenchEntry], revision: Revision) -> float:
     """Return the seconds until every entry has ``revision`` in force."""
     started = time.monotonic()
-    while min(entry.in_force.revision for entry in entries) < revision:
+    lowest = min(entry.in_force.revision for entry in entries)
+    while lowest < revision:  # noqa: ASYNC110
         await asyncio.sleep(WAIT_SECONDS)
+        lowest = min(entry.in_force.revision for entry in entries)
     return time.monotonic() - started
 
 
--- a/benches/bench_state.py
+++ b/benches/bench_state.py
@@ -105,8 +105,11 @@
     }
     for name, values in columns.items():
         line = fit_line(sizes, values)
-        print(f"{name}: {line} at {TARGET_ENTRIES} entries: ", end="")
-        print(f"{line.at(TARGET_ENTRIES):.4f}")
+        print(
+            f"{name}: {line.intercept:.4f} + {line.slope:.6f} n, "
+            f"r2 {line.r_squared:.2f}; at {TARGET_ENTRIES} entries "
+            f"{line.at(TARGET_ENTRIES):.4f}"
+        )
 
 
 def _format(row: Row) -> str:
--- a/fuchsiaroute/configuration/tests/test_in_force.py
+++ b/fuchsiaroute/configuration/tests/test_in_force.py
@@ -22,8 +22,9 @@
     poll_interval,
     readiness_in,
 )
+from fuchsiaroute.configuration._delta import difference, encode_delta
 from fuchsiaroute.ids import ChangeId, FailureDomainId, Revision, VersionId
-from fuchsiaroute.platform import MemoryTableStore, StoreFault
+from fuchsiaroute.platform import MemoryTableStore, Put, StoreFault, Transaction
 from fuchsiaroute.verdict import Verdict
 
 BASE = declare()
@@ -177,3 +178,22 @@
 
 def test_a_fresh_process_has_no_revision():
     assert InForce(ManualClock()).revision == NO_REVISION
+
+
+@pytest.mark.parametrize("key", ["configuration/delta/2", "configuration/body/2"])
+async def test_a_body_with_another_digest_is_never_applied(key):
+    cluster = Cluster()
+    in_force, poller = cluster.entry()
+    await cluster.accept(BASE)
+    await poller.poll()
+    await cluster.accept(CHANGES[1])
+    (body,) = (await cluster.store.read(["configuration/body/1"])).unwrap()
+    put = Put(key=key, value=encode_delta(difference(body.value, body.value + b" ")))
+    await cluster.store.commit(Transaction(puts=(put,)))
+    fresh, fresh_poller = cluster.entry()
+    assert await poller.poll() is PollOutcome.APPLIED
+    assert in_force.current().unwrap().configuration == CHANGES[1]
+    is_body = key.startswith("configuration/body")
+    expected = PollOutcome.STORE_SILENT if is_body else PollOutcome.APPLIED
+    assert await fresh_poller.poll() is expected
+    assert fresh.revision == (NO_REVISION if is_body else 2)
