Catch a cancelled call's own error; count sockets without leaking them

Cause: a call cancelled at its deadline ended with an error of grpclib's that nobody retrieved; its log record was written from the garbage collector, in one run in the middle of another test's compile step, which then failed with a SystemError. Change: the error is caught inside the call; the bench duplicates sockets only. A test shows that reports on a former life do not count.

--- a/benches/_inner_protocol.py
+++ b/benches/_inner_protocol.py
@@ -4,6 +4,7 @@
 import contextlib
 import os
 import socket
+import stat
 import struct
 import time
 from collections.abc import AsyncIterator
@@ -133,6 +134,8 @@
     """Return the counters of this process now."""
     payload = segments = 0
     for name in os.listdir("/proc/self/fd"):
+        if not _is_socket(name):
+            continue
         with contextlib.suppress(OSError, struct.error), _duplicate(name) as sock:
             if sock.type != socket.SOCK_STREAM or not sock.getpeername():
                 continue
@@ -157,6 +160,12 @@
     return time.monotonic() - started
 
 
+def _is_socket(descriptor: str) -> bool:
+    with contextlib.suppress(OSError):
+        return stat.S_ISSOCK(os.fstat(int(descriptor)).st_mode)
+    return False
+
+
 def _duplicate(descriptor: str) -> socket.socket:
     return socket.socket(fileno=os.dup(int(descriptor)))
 
--- a/fuchsiaroute/membership/tests/test_membership.py
+++ b/fuchsiaroute/membership/tests/test_membership.py
@@ -3,7 +3,13 @@
 import pytest
 
 from fuchsiaroute.ids import InstanceId
-from fuchsiaroute.membership import Contact, MemberEvent, MemberState, member_state
+from fuchsiaroute.membership import (
+    Contact,
+    MemberEvent,
+    MemberState,
+    Report,
+    member_state,
+)
 from fuchsiaroute.membership._topology import RING_COUNT, Topology
 from fuchsiaroute.membership.tests.cluster import Cluster, name_of
 
@@ -185,3 +191,26 @@
             if number != viewer
         }
         assert found == expected
+
+
+def test_reports_on_a_former_life_do_not_count():
+    cluster = Cluster(4)
+    cluster.run(5)
+    cluster.restart(1)
+    cluster.run(5)
+    cluster.cut_link(0, 1)
+    cluster.run(MESH_SETTLING)
+    late = tuple(
+        Report(
+            observer=name_of(observer),
+            observer_incarnation=1,
+            subject=name_of(1),
+            subject_incarnation=1,
+            is_reachable=False,
+            sequence=1_000,
+        )
+        for observer in (2, 3)
+    )
+    cluster.cores[0].receive(name_of(2), late)
+    cluster.run(1)
+    assert cluster.view(0, 1) is MemberState.HALF_CONNECTED
--- a/fuchsiaroute/peer/_connection.py
+++ b/fuchsiaroute/peer/_connection.py
@@ -166,21 +166,24 @@
         call: Callable[[PeerStub], Awaitable[_Answer]],
         limit: Milliseconds,
     ) -> Result[_Answer, PeerError]:
-        async def made() -> _Answer:
-            return await call(PeerStub(self._open_channel()))
+        outcome = await within(self._clock, limit, self._outcome(call))
+        if isinstance(outcome, TimedOut):
+            outcome = Failure(_silent("no answer in time"))
+        if isinstance(outcome, Failure):
+            self.close()
+        return outcome
 
+    async def _outcome(
+        self, call: Callable[[PeerStub], Awaitable[_Answer]]
+    ) -> Result[_Answer, PeerError]:
+        # A cancelled call ends with an error of the library's, so it is caught
+        # here and not by the caller, who has stopped waiting.
         try:
-            answer = await within(self._clock, limit, made())
+            return Success(await call(PeerStub(self._open_channel())))
         except GRPCError as error:
-            self.close()
             return Failure(_grpc_error(error))
         except _FAILURES as error:
-            self.close()
             return Failure(_silent(f"{type(error).__name__}: {error}"))
-        if isinstance(answer, TimedOut):
-            self.close()
-            return Failure(_silent("no answer in time"))
-        return Success(answer)
 
     def _open_channel(self) -> Channel:
         if self._channel is None:
