--- a/fuchsiaroute/peer/tests/test_node.py
+++ b/fuchsiaroute/peer/tests/test_node.py
@@ -204,6 +204,24 @@
     assert outcome.failure().kind is PeerErrorKind.SILENT
 
 
+async def test_peer_with_a_certificate_of_another_authority_is_not_heard(
+    running, tls, tmp_path
+):
+    (entry,) = await running(Entry(0, MemoryTableStore(), tls=tls))
+    stranger = trustme.CA().issue_cert(HOST)
+    certificate, key = tmp_path / "other-cert.pem", tmp_path / "other-key.pem"
+    stranger.cert_chain_pems[0].write_to_path(str(certificate))
+    stranger.private_key_pem.write_to_path(str(key))
+    files = TlsFiles(certificate=certificate, private_key=key, authority=tls.authority)
+    identity = PeerIdentity(
+        instance=InstanceId("other"), keys=PeerKeys([KEY]), tls=files
+    )
+    connection = PeerConnection(entry.own.address, identity, CLOCK)
+    outcome = await connection.take_records(InstanceId("x"), Incarnation(1))
+    connection.close()
+    assert outcome.failure().kind is PeerErrorKind.SILENT
+
+
 async def test_silent_connection_is_replaced_before_the_peer_is_blamed(running):
     (entry,) = await running(Entry(0, MemoryTableStore()))
     swallowed = asyncio.Event()
