Say not-run before the claim is looked up only of a new id

Cause: an entry that was not ready, or that no longer permitted a call, refused a repeated non-idempotent id with not-run before it could look at the claim. The request may have run at another entry, so that the refusal was untrue. Change: such refusals say may-have-run if the caller chose the id; a malformed request is still not-run, since it is not the request that the id names.

--- a/fuchsiaroute/gateway/_app.py
+++ b/fuchsiaroute/gateway/_app.py
@@ -17,7 +17,12 @@
 from fuchsiaroute.gateway._advice import AdviceSource
 from fuchsiaroute.gateway._authentication import KeyIndex
 from fuchsiaroute.gateway._body import read_within
-from fuchsiaroute.gateway._headers import CallerHeaders, parse_headers, parse_key
+from fuchsiaroute.gateway._headers import (
+    REQUEST_ID_HEADER,
+    CallerHeaders,
+    parse_headers,
+    parse_key,
+)
 from fuchsiaroute.gateway._limits import CallerLimits
 from fuchsiaroute.gateway._parse import (
     ServicePath,
@@ -37,6 +42,14 @@
 
 
 _LOGGER = logging.getLogger(__name__)
+#: Refusals of what is no well-formed request of a known organisation.
+_MALFORMED = frozenset(
+    {
+        RefusalReason.INVALID_REQUEST,
+        RefusalReason.TOO_LARGE,
+        RefusalReason.UNAUTHENTICATED,
+    }
+)
 _REASON_OF_STATUS = {413: RefusalReason.TOO_LARGE}
 
 
@@ -102,9 +115,11 @@
                 )
                 if not received.headers.is_id_chosen:
                     parsed = parsed.map(self._with_issued_id)
+                if isinstance(parsed, Failure):
+                    return render_refusal(_unclaimed(parsed.failure(), request))
                 return await self._answer(parsed)
             case Failure(refusal):
-                return render_refusal(refusal)
+                return render_refusal(_unclaimed(refusal, request))
         raise AssertionError("a Result is a Success or a Failure")
 
     def issue_ids(self, request: AnyRequest) -> AnyResponse:
@@ -173,6 +188,19 @@
         raise AssertionError("a Result is a Success or a Failure")
 
 
+def _unclaimed(refusal: Refusal, request: AnyRequest) -> Refusal:
+    """
+    Return ``refusal`` with a verdict that needs no look at the request's claim.
+
+    A request whose id the caller chose may have run before, at any entry. Only a
+    request that is malformed is certainly another one than the id names.
+    """
+    is_id_chosen = REQUEST_ID_HEADER in request.headers
+    if not is_id_chosen or refusal.reason in _MALFORMED:
+        return refusal
+    return replace(refusal, verdict=Verdict.MAY_HAVE_RUN)
+
+
 async def _render_started(answer: Answer, request: RequestId) -> AnyResponse:
     """Return the answer, or a typed error if it breaks before its first byte."""
     try:
--- a/fuchsiaroute/gateway/tests/test_gateway.py
+++ b/fuchsiaroute/gateway/tests/test_gateway.py
@@ -309,3 +309,31 @@
     assert response.status_code == 502
     assert error_of(response)["verdict"] == "may-have-run"
     assert error_of(response)["reason"] == "endpoint-failed"
+
+
+ISSUE = "/v1/services/permit-app/permits/issue"
+UNKNOWN_CALL = "/v1/services/permit-app/permits/unknown"
+CHOSEN = [("x-request-id", "permit-7")]
+
+
+@pytest.mark.parametrize(
+    ("is_ready", "path", "body", "headers", "verdict"),
+    [
+        # The same request may have run at another entry before.
+        (False, ISSUE, b"{}", CHOSEN, "may-have-run"),
+        (True, UNKNOWN_CALL, b"{}", CHOSEN, "may-have-run"),
+        # An id that this entry makes has never been used.
+        (False, ISSUE, b"{}", [], "not-run"),
+        (True, UNKNOWN_CALL, b"{}", [], "not-run"),
+        # What is malformed is not the request that the id names.
+        (True, ISSUE, b"nonsense", CHOSEN, "not-run"),
+    ],
+)
+async def test_not_run_is_said_of_the_request_and_not_of_the_attempt(
+    is_ready, path, body, headers, verdict
+):
+    gateway = Gateway(is_ready=is_ready)
+    response = await gateway.post(path, body=body, headers=headers)
+    assert response.status_code >= 400
+    assert error_of(response)["verdict"] == verdict
+    assert gateway.pipeline.calls == []
