--- /dev/null
+++ b/fuchsiaroute/balancing/tests/test_warmth_store.py
@@ -0,0 +1,75 @@
+from random import Random
+
+import pytest
+
+from examples import timberline
+from fuchsiaroute.balancing import EndpointChooser, WarmthStore
+from fuchsiaroute.clock import ManualClock, Milliseconds
+from fuchsiaroute.endpoints import EndpointState, Warmth, WarmthFact
+from fuchsiaroute.ids import Incarnation, InstanceId
+from fuchsiaroute.platform import MemoryTableStore, StoreFault
+
+CONFIGURATION = timberline.declare()
+FIRST = CONFIGURATION.endpoints[0].id
+WARM = Warmth(incarnation=Incarnation(7), is_warm=True)
+INTERVAL = Milliseconds(5_000)
+
+
+class Entry:
+    def __init__(self, name: str, store: MemoryTableStore, clock: ManualClock) -> None:
+        self.chooser = EndpointChooser(
+            entry=InstanceId(name), clock=clock, random=Random(1)
+        )
+        self.chooser.update_configuration(CONFIGURATION)
+        self.book = WarmthStore(store=store, chooser=self.chooser, clock=clock)
+
+    def learn(self, warmth: Warmth) -> None:
+        self.chooser.learn([WarmthFact(endpoint=FIRST, warmth=warmth)])
+
+    @property
+    def state(self) -> EndpointState:
+        return self.chooser.table[FIRST].state
+
+
+@pytest.mark.parametrize(
+    "fault", [StoreFault.NONE, StoreFault.ANSWER_LOST, StoreFault.DOWN]
+)
+async def test_facts_reach_entries_that_start_later(fault: StoreFault) -> None:
+    store, clock = MemoryTableStore(), ManualClock()
+    early = Entry("entry-0", store, clock)
+    early.learn(WARM)
+    store.fault = fault
+    await early.book.step()
+    store.fault = StoreFault.NONE
+    clock.tick(INTERVAL)
+    await early.book.step()
+    late = Entry("entry-1", store, clock)
+    await late.book.step()
+    assert late.state is EndpointState.WARM
+
+
+async def test_an_old_fact_never_replaces_a_newer_one() -> None:
+    store, clock = MemoryTableStore(), ManualClock()
+    entries = [Entry(f"entry-{number}", store, clock) for number in range(2)]
+    for entry in entries:
+        await entry.book.step()
+    entries[0].learn(WARM.found_cold())
+    entries[1].learn(WARM)
+    for entry in entries:
+        await entry.book.step()
+    clock.tick(INTERVAL)
+    for entry in entries:
+        await entry.book.step()
+    assert [entry.state for entry in entries] == [EndpointState.COLD] * 2
+
+
+async def test_nothing_is_written_twice() -> None:
+    store, clock = MemoryTableStore(), ManualClock()
+    entries = [Entry(f"entry-{number}", store, clock) for number in range(3)]
+    for entry in entries:
+        entry.learn(WARM)
+    for _ in range(4):
+        for entry in entries:
+            await entry.book.step()
+        clock.tick(INTERVAL)
+    assert store.writes == 1
