--- a/fuchsiaroute/entry/_background.py
+++ b/fuchsiaroute/entry/_background.py
@@ -6,6 +6,10 @@
 
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.configuration import ConfigurationPoller, poll_interval
+from fuchsiaroute.logs import TaskFailed, record
+
+#: Pause before a task that has failed runs again.
+RESTART_PAUSE = Milliseconds(1_000)
 
 EntryCount = Callable[[], int]
 
@@ -43,9 +47,15 @@
 
 
 class Background:
-    """Tasks that run beside the requests of an entry."""
+    """
+    Tasks that run beside the requests of an entry.
+
+    A task that fails is logged and started again: an entry whose ledger or
+    heartbeats had ended silently would seem healthy and would not be.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
         self._work: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -61,7 +71,8 @@
     def start(self) -> None:
         """Start every task."""
         self._tasks = [
-            asyncio.create_task(work(), name=name) for name, work in self._work.items()
+            asyncio.create_task(self._keep_running(name, work), name=name)
+            for name, work in self._work.items()
         ]
 
     async def stop(self) -> None:
@@ -69,3 +80,16 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _keep_running(
+        self, name: str, work: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        while True:
+            try:
+                await work()
+            except Exception as error:
+                failed = f"{type(error).__name__}: {error}"
+                record(TaskFailed(task=name, error=failed))
+                await self._clock.sleep(RESTART_PAUSE)
+            else:
+                return
--- /dev/null
+++ b/fuchsiaroute/entry/tests/test_background.py
@@ -0,0 +1,28 @@
+import asyncio
+
+from fuchsiaroute.clock import ManualClock
+from fuchsiaroute.entry import Background
+from fuchsiaroute.entry._background import RESTART_PAUSE
+
+
+async def test_a_task_that_fails_runs_again_and_the_others_go_on():
+    clock = ManualClock()
+    background = Background(clock)
+    runs = []
+
+    async def failing():
+        runs.append("failing")
+        raise KeyError("a")
+
+    async def lasting():
+        runs.append("lasting")
+        await asyncio.Event().wait()
+
+    background.add("failing", failing)
+    background.add("lasting", lasting)
+    background.start()
+    await clock.advance(RESTART_PAUSE * 2)
+    assert runs == ["failing", "lasting", "failing", "failing"]
+    await background.stop()
+    await clock.advance(RESTART_PAUSE)
+    assert len(runs) == 4
--- a/fuchsiaroute/logs/__init__.py
+++ b/fuchsiaroute/logs/__init__.py
@@ -13,6 +13,7 @@
     RolloutPauseSubmitted,
     RolloutSuspended,
     RouteDecided,
+    TaskFailed,
     route_decided,
 )
 from fuchsiaroute.logs._setup import open_log
@@ -30,6 +31,7 @@
     "RequestRefused",
     "RolloutPauseSubmitted",
     "RolloutSuspended",
+    "TaskFailed",
     "RouteDecided",
     "open_log",
     "record",
--- a/fuchsiaroute/logs/_events.py
+++ b/fuchsiaroute/logs/_events.py
@@ -167,6 +167,16 @@
     reason: str = ""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TaskFailed(Event):
+    """A periodic task ended with an error of the program and is started again."""
+
+    message_type: ClassVar[str] = "instance:task-failed"
+    task: str
+    #: Class and message of the error.
+    error: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RolloutSuspended(Event):
     """The ratings show that a roll-out's target is worse than its base."""
--- a/fuchsiaroute/logs/tests/test_logs.py
+++ b/fuchsiaroute/logs/tests/test_logs.py
@@ -29,6 +29,7 @@
     PlacementDecided,
     RequestBilled,
     RequestRefused,
+    TaskFailed,
     open_log,
     record,
     route_decided,
@@ -108,6 +109,7 @@
         change=ChangeId("c"), author="ops", base=Revision(6), outcome="accepted"
     ),
     InstanceStateChanged(instance=InstanceId("entry-1"), state="ready"),
+    TaskFailed(task="ledger", error="KeyError: 'a'"),
 ]
 
 
--- a/fuchsiaroute/serving/_compose.py
+++ b/fuchsiaroute/serving/_compose.py
@@ -25,7 +25,12 @@
     Steps,
 )
 from fuchsiaroute.gateway import CallerLimits, build_app
-from fuchsiaroute.ids import FailureDomainId, Incarnation, InstanceId, VersionId
+from fuchsiaroute.ids import (
+    FailureDomainId,
+    Incarnation,
+    InstanceId,
+    VersionId,
+)
 from fuchsiaroute.membership import Announcement
 from fuchsiaroute.metrics import Metrics
 from fuchsiaroute.platform import (
@@ -198,7 +203,7 @@
         limits=options.caller_limits,
         request_ids=lasting.book,
     )
-    background = Background()
+    background = Background(clock)
     background.add("configuration", agreement.poll.run)
     background.add("ratings", routing.ratings.run)
     background.add("claims", lasting.book.run)
--- a/fuchsiaroute/serving/_run.py
+++ b/fuchsiaroute/serving/_run.py
@@ -36,6 +36,10 @@
             base_url=settings.platform.table_url,
             read_timeout=settings.platform.write_timeout,
         )
+        self._lists = build_client(
+            base_url=settings.platform.instance_list_url or settings.platform.table_url,
+            read_timeout=settings.platform.read_timeout,
+        )
         has_ratings = bool(settings.platform.rating_url)
         self._ratings = build_client(
             base_url=settings.platform.rating_url,
@@ -52,7 +56,7 @@
         self._entry = compose_entry(
             options=options,
             store=store,
-            instances=HttpInstanceList(self._platform),
+            instances=HttpInstanceList(self._lists),
             clock=clock,
             ratings=HttpRatingService(self._ratings) if has_ratings else NoRatings(),
         )
@@ -119,6 +123,7 @@
         await self._operators.stop()
         await self._platform.aclose()
         await self._ratings.aclose()
+        await self._lists.aclose()
 
 
 async def serve(settings: Settings) -> None:
--- a/fuchsiaroute/settings/_model.py
+++ b/fuchsiaroute/settings/_model.py
@@ -108,7 +108,7 @@
     table_url: Url
     #: The object store; empty if not used.
     object_url: Url = Url("")
-    #: The lagging list of instances; empty if not used.
+    #: The lagging list of instances; empty if it is at ``table_url``.
     instance_list_url: Url = Url("")
     #: The service that rates answers; empty if not used.
     rating_url: Url = Url("")
