--- a/benches/bench_capacity.py
+++ b/benches/bench_capacity.py
@@ -1,15 +1,22 @@
 """Slopes of an entry's costs, and what they come to at the target's size."""
 
 import asyncio
+from collections.abc import Sequence
 
+from benches._choice_time import choice_microseconds
 from benches._control_path import measure_control
+from benches._decision_time import decision_microseconds
 from benches._fit import fit_line
 from benches._token_path import measure_relay
 
 STREAM_COUNTS = (10, 20, 40, 80)
 TOKENS_PER_STREAM = 150
 TARGET_TOKENS_PER_SECOND = 2_400_000
+TARGET_REQUESTS_PER_SECOND = 12_000
 TARGET_NODES = 390
+TARGET_VERSIONS = 35
+REQUEST_COUNTS = (50, 100, 200, 400)
+VERSION_COUNTS = (5, 10, 20, 35)
 FAILURE_DOMAINS = 8
 ENDPOINT_COUNTS = (260, 525, 1_050, 2_100)
 TARGET_ENDPOINTS = 2_100
@@ -41,6 +48,45 @@
     )
 
 
+def _request_path() -> None:
+    costs = asyncio.run(measure_relay(streams=REQUEST_COUNTS, tokens_per_stream=1))
+    fit = fit_line(
+        [cost.streams for cost in costs], [cost.cpu_seconds for cost in costs]
+    )
+    print("## Request path: streamed answers of one token")
+    print("requests  cpu s  ms/request")
+    for cost in costs:
+        each = cost.cpu_seconds / cost.streams * 1e3
+        print(f"{cost.streams:8} {cost.cpu_seconds:6.2f} {each:11.2f}")
+    per_node = TARGET_REQUESTS_PER_SECOND / TARGET_NODES
+    print(
+        f"fit: {fit.slope * 1e3:.2f} ms a request, r2 {fit.r_squared:.3f};"
+        f" {1 / fit.slope:.0f} requests/s a core; at {per_node:.0f} requests/s a"
+        f" node: {per_node * fit.slope * 100:.1f}% of a core"
+    )
+
+
+def _decision_path() -> None:
+    print("## Decisions: processor time alone")
+    medians = [
+        decision_microseconds(count, rollout_count=1)[0] for count in VERSION_COUNTS
+    ]
+    _print_slope("versions", VERSION_COUNTS, medians, at=TARGET_VERSIONS)
+    choices = [choice_microseconds(count) for count in ENDPOINT_COUNTS]
+    _print_slope("endpoints", ENDPOINT_COUNTS, choices, at=TARGET_ENDPOINTS)
+
+
+def _print_slope(
+    name: str, sizes: Sequence[int], values: Sequence[float], *, at: int
+) -> None:
+    fit = fit_line(sizes, values)
+    cells = ", ".join(
+        f"{size}: {value:.1f}" for size, value in zip(sizes, values, strict=True)
+    )
+    print(f"us by {name}: {cells}")
+    print(f"fit at {at} {name}: {fit.at(at):.1f} us, r2 {fit.r_squared:.2f}")
+
+
 def _control_path() -> None:
     costs = asyncio.run(measure_control(endpoints=ENDPOINT_COUNTS))
     sizes = [cost.endpoints for cost in costs]
@@ -65,6 +111,8 @@
 def main() -> None:
     """Print every section."""
     _token_path()
+    _request_path()
+    _decision_path()
     _control_path()
 
 
--- a/fuchsiaroute/billing/_ledger.py
+++ b/fuchsiaroute/billing/_ledger.py
@@ -41,7 +41,7 @@
 #: Pause after a failed flush or copy.
 RETRY_PAUSE = Milliseconds(500)
 #: Longest wait of an answer's end for the copy of its record.
-COPY_WAIT = Milliseconds(250)
+COPY_WAIT = Milliseconds(1_000)
 #: Longest wait for a peer to confirm copies.
 HOLD_TIMEOUT = Milliseconds(500)
 
--- a/fuchsiaroute/gateway/_app.py
+++ b/fuchsiaroute/gateway/_app.py
@@ -188,6 +188,17 @@
         raise AssertionError("a Result is a Success or a Failure")
 
 
+def _caller(request: AnyRequest) -> str:
+    """
+    Return what tells one caller from another for the spread over entries.
+
+    Many callers may share one address, as behind an office's connection, and one
+    organisation may have many addresses; together they spread best.
+    """
+    host = request.client.host if request.client else ""
+    return f"{host}|{request.headers.get('authorization', '')}"
+
+
 def _unclaimed(refusal: Refusal, request: AnyRequest) -> Refusal:
     """
     Return ``refusal`` with a verdict that needs no look at the request's claim.
@@ -252,8 +263,7 @@
     @get("/v1/entries")
     async def entries(request: AnyRequest) -> AnyResponse:
         failure_domain = request.query_params.get("failure_domain", "")
-        caller = request.client.host if request.client else ""
-        advised = advice.advise(caller=caller, failure_domain=failure_domain)
+        advised = advice.advise(caller=_caller(request), failure_domain=failure_domain)
         return Response(
             content=msgspec.json.encode(advised), media_type="application/json"
         )
