--- a/benches/_failure_traffic.py
+++ b/benches/_failure_traffic.py
@@ -104,7 +104,7 @@
             await asyncio.sleep(PAUSE_SECONDS)
 
     async def _attempt(self, client: httpx.AsyncClient, story: Story) -> Response:
-        entry = await self._advised(client)
+        entry = await self._advised(client, attempt=len(story.responses))
         try:
             if story.is_idempotent:
                 return await self._complete(client, entry, story)
@@ -120,7 +120,8 @@
                 entry=entry,
             )
 
-    async def _advised(self, client: httpx.AsyncClient) -> str:
+    async def _advised(self, client: httpx.AsyncClient, *, attempt: int) -> str:
+        """Return the advised entry, at each further attempt the next one."""
         asked = self.randomness.choice(self.entry_urls)
         try:
             reply = await client.get(
@@ -129,7 +130,9 @@
             advice = msgspec.json.decode(reply.content, type=Advice)
         except (httpx.HTTPError, msgspec.MsgspecError):
             return self.randomness.choice(self.entry_urls)
-        return advice.entries[0].url if advice.entries else asked
+        if not advice.entries:
+            return asked
+        return advice.entries[attempt % len(advice.entries)].url
 
     async def _complete(
         self, client: httpx.AsyncClient, entry: str, story: Story
