Compare facts of warmth by identity first

Cause: an idle entry compared 2,100 facts by their fields twice a second, and built two empty facts for each comparison. Change: the unknown fact is one constant, and a fact that is the stored object itself is not compared.

--- a/fuchsiaroute/balancing/_warmth_store.py
+++ b/fuchsiaroute/balancing/_warmth_store.py
@@ -7,7 +7,7 @@
 
 from fuchsiaroute.balancing._chooser import EndpointChooser
 from fuchsiaroute.clock import Clock, Milliseconds
-from fuchsiaroute.endpoints import Warmth, WarmthFact
+from fuchsiaroute.endpoints import UNKNOWN_WARMTH, Warmth, WarmthFact
 from fuchsiaroute.ids import EndpointId
 from fuchsiaroute.platform import (
     Check,
@@ -63,11 +63,9 @@
         self._chooser.learn(facts)
 
     async def _write(self) -> Result[None, StoreError]:
-        newer = [
-            fact
-            for fact in self._chooser.table.facts()
-            if fact.warmth > self._stored.get(fact.endpoint, Warmth())
-        ][:LARGEST_WRITE]
+        newer = [fact for fact in self._chooser.table.facts() if self._is_newer(fact)][
+            :LARGEST_WRITE
+        ]
         if not newer:
             return Success(None)
         # Others may have written the same since the last scan.
@@ -78,14 +76,16 @@
         self._take([record for record in records if record.value])
         return await self._commit(list(zip(newer, records, strict=True)))
 
+    def _is_newer(self, fact: WarmthFact) -> bool:
+        stored = self._stored.get(fact.endpoint, UNKNOWN_WARMTH)
+        # Nearly every fact is the very one that was stored or read; comparing the
+        # fields of each, twice a second, would cost 1% of a core at 2,000 endpoints.
+        return fact.warmth is not stored and fact.warmth > stored
+
     async def _commit(
         self, pairs: Sequence[tuple[WarmthFact, Record]]
     ) -> Result[None, StoreError]:
-        missing = [
-            (fact, record)
-            for fact, record in pairs
-            if fact.warmth > self._stored.get(fact.endpoint, Warmth())
-        ]
+        missing = [(fact, record) for fact, record in pairs if self._is_newer(fact)]
         if not missing:
             return Success(None)
         transaction = Transaction(
--- a/fuchsiaroute/endpoints/__init__.py
+++ b/fuchsiaroute/endpoints/__init__.py
@@ -19,7 +19,12 @@
     LONGEST_REQUEST,
     EndpointTable,
 )
-from fuchsiaroute.endpoints._warmth import UNKNOWN_INCARNATION, Warmth, WarmthFact
+from fuchsiaroute.endpoints._warmth import (
+    UNKNOWN_INCARNATION,
+    UNKNOWN_WARMTH,
+    Warmth,
+    WarmthFact,
+)
 
 __all__ = [
     "FAILURES_UNTIL_SUSPECT",
@@ -35,6 +40,7 @@
     "EndpointTable",
     "LoadReport",
     "Outcome",
+    "UNKNOWN_WARMTH",
     "Warmth",
     "WarmthFact",
     "next_state",
--- a/fuchsiaroute/endpoints/_table.py
+++ b/fuchsiaroute/endpoints/_table.py
@@ -7,7 +7,7 @@
 from fuchsiaroute.endpoints._outcome import HEALTHY_OUTCOMES, Outcome
 from fuchsiaroute.endpoints._record import EndpointRecord
 from fuchsiaroute.endpoints._state import EndpointEvent, EndpointState, next_state
-from fuchsiaroute.endpoints._warmth import Warmth, WarmthFact
+from fuchsiaroute.endpoints._warmth import UNKNOWN_WARMTH, Warmth, WarmthFact
 from fuchsiaroute.ids import EndpointId, FailureDomainId, Incarnation
 from fuchsiaroute.platform import InstanceRecord, InstanceState
 
@@ -110,7 +110,7 @@
         return tuple(
             WarmthFact(endpoint=record.endpoint.id, warmth=record.warmth)
             for record in self._records.values()
-            if record.warmth != Warmth()
+            if record.warmth != UNKNOWN_WARMTH
         )
 
     def finished(self, endpoint: EndpointId, outcome: Outcome, warmth: Warmth) -> None:
--- a/fuchsiaroute/endpoints/_warmth.py
+++ b/fuchsiaroute/endpoints/_warmth.py
@@ -33,6 +33,10 @@
         )
 
 
+#: What is known of an endpoint before any entry has heard of it.
+UNKNOWN_WARMTH = Warmth()
+
+
 @dataclass(frozen=True, kw_only=True)
 class WarmthFact:
     """The warmth of one endpoint, as entries tell each other."""
