Work the preferred cold slots out once for each set of members

Cause: every 10 s an entry hashed all 4,200 slots of 2,100 endpoints again, although endpoints and members seldom change. Change: the preference is kept until either changes; the store's records decide as before.

--- a/fuchsiaroute/balancing/_ownership.py
+++ b/fuchsiaroute/balancing/_ownership.py
@@ -28,6 +28,8 @@
 _KEY_PREFIX = "cold-slot/"
 _FREE = b""
 
+_Basis = tuple[tuple[Endpoint, ...], tuple[InstanceId, ...]]
+
 
 class ColdSlotKeeper:
     """
@@ -55,6 +57,9 @@
         self._read_at = Milliseconds(clock.now() - READ_INTERVAL)
         self._claimed: frozenset[ColdSlot] = frozenset()
         self._is_stopping = False
+        #: Endpoints and members that ``_preferred`` was worked out for.
+        self._preference_basis: _Basis = ((), ())
+        self._preferred: frozenset[ColdSlot] = frozenset()
 
     async def step(
         self, endpoints: Sequence[Endpoint], members: Sequence[InstanceId]
@@ -106,14 +111,22 @@
     ) -> list[ColdSlot]:
         # The preference only saves conflicts. Views of the members may differ: what
         # decides is the record in the store.
+        basis = (tuple(endpoints), tuple(members))
+        if basis != self._preference_basis:
+            self._preference_basis = basis
+            self._preferred = self._preferred_slots(endpoints, members)
+        return sorted(self._preferred | self._claimed)
+
+    def _preferred_slots(
+        self, endpoints: Sequence[Endpoint], members: Sequence[InstanceId]
+    ) -> frozenset[ColdSlot]:
         ring = HashRing((*members, self._owner.instance))
-        wanted = {
+        return frozenset(
             slot
             for endpoint in endpoints
             for slot in _slots(endpoint)
             if ring.owner(_key(slot)) == self._owner.instance
-        }
-        return sorted(wanted | self._claimed)
+        )
 
     async def _claim(
         self, wanted: Sequence[ColdSlot]
