Take the ports of the state bench below those of outgoing connections

Cause: make bench-state stopped in a run beside other work: a port found free was taken by an outgoing connection before its entry listened on it. Change: ports are looked for below that range, and each row is printed as it comes. Conclusion: the bench no longer depends on what else the machine does.

--- a/benches/_inner_protocol.py
+++ b/benches/_inner_protocol.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import os
 import socket
 import stat
@@ -30,6 +31,8 @@
 from fuchsiaroute.platform import TableStore
 
 HOST = "127.0.0.1"
+FIRST_PORT = 21_000
+LAST_PORT = 30_000
 KEYS = PeerKeys(["a-key-for-benches-only"])
 #: Bytes of the headers of IP and TCP, with time stamps, of one segment.
 SEGMENT_HEADERS = 52
@@ -118,7 +121,7 @@
     count: int, store: TableStore
 ) -> AsyncIterator[list[BenchEntry]]:
     """Run ``count`` entries whose periodic tasks are spread over a second."""
-    ports = [_free_port() for _ in range(count)]
+    ports = _free_ports(count)
     entries = [BenchEntry(n, store, port, count) for n, port in enumerate(ports)]
     listed = tuple(entry.own for entry in entries)
     for number, entry in enumerate(entries):
@@ -170,8 +173,21 @@
     return socket.socket(fileno=os.dup(int(descriptor)))
 
 
-def _free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        port: int = sock.getsockname()[1]
-        return port
+def _free_ports(count: int) -> list[int]:
+    """
+    Return ports that nothing listens on.
+
+    They lie below the range from which the system takes ports of outgoing
+    connections, since one of those could take a port before its entry listens.
+    """
+    free = (port for port in range(FIRST_PORT, LAST_PORT) if _is_free(port))
+    return list(itertools.islice(free, count))
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
--- a/benches/bench_state.py
+++ b/benches/bench_state.py
@@ -88,10 +88,11 @@
 def main() -> None:
     """Run every part and print its figures."""
     report_sizes()
-    print(HEADER)
-    rows = [asyncio.run(measure(count)) for count in (*MESH_SIZES, *RING_SIZES)]
-    for row in rows:
-        print(_format(row))
+    print(HEADER, flush=True)
+    rows = []
+    for count in (*MESH_SIZES, *RING_SIZES):
+        rows.append(asyncio.run(measure(count)))
+        print(_format(rows[-1]), flush=True)
     _report_slopes([row for row in rows if row.entries in RING_SIZES])
     bench_outage.main()
 
