Pass over a holder of copies that does not confirm

Ruled out: a full holder, which was passed over already. Change: a holder that is full, out of reach or silent is passed over until the next flush, and the one taken in its place is kept. Conclusion: one answer waits, and no longer all of them.

--- a/fuchsiaroute/serving/_copies.py
+++ b/fuchsiaroute/serving/_copies.py
@@ -32,14 +32,14 @@
         self._membership = membership
         self._connect = connect
         self._holder = NO_HOLDER
-        self._full: set[HolderId] = set()
+        self._passed_over: set[HolderId] = set()
         #: Holders that may have unreleased copies, with the last batch sent to each.
         self._used: dict[HolderId, tuple[MemberView, BatchNumber]] = {}
 
     def holder(self) -> HolderId:
         """Return the entry that copies go to now; ``NO_HOLDER`` if none lives."""
         living = {_holder_id(member): member for member in self._living()}
-        for holder in self._full:
+        for holder in self._passed_over:
             living.pop(holder, None)
         if self._holder not in living:
             self._holder = min(living, key=self._preference(living), default=NO_HOLDER)
@@ -55,20 +55,23 @@
         self._used[holder] = (member, batch)
         own = self._membership.own
         connection = self._connect(member)
-        outcome = await connection.hold_records(
-            own.instance, own.incarnation, batch, records
-        )
-        match outcome:
-            case Success(True):
-                return True
-            case Success(_):
-                self._full.add(holder)
-        return False
+        is_held = False
+        try:
+            outcome = await connection.hold_records(
+                own.instance, own.incarnation, batch, records
+            )
+            is_held = outcome == Success(True)
+        finally:
+            # A holder that is full, cannot be reached or does not answer before the
+            # caller cancels is passed over, or every answer would wait for it.
+            if not is_held:
+                self._passed_over.add(holder)
+        return is_held
 
     async def release(self, through: BatchNumber) -> None:
         """Tell every holder so far that the batches up to ``through`` are stored."""
         own = self._membership.own
-        self._full.clear()
+        self._passed_over.clear()
         for holder, (member, last) in list(self._used.items()):
             connection = self._connect(member)
             await connection.release_records(own.instance, own.incarnation, through)
--- a/fuchsiaroute/serving/tests/test_copies.py
+++ b/fuchsiaroute/serving/tests/test_copies.py
@@ -126,3 +126,16 @@
     world = World(FAR)
     world.silent.add("entry-2")
     assert not await world.copies.hold(1, b"one")
+
+
+async def test_a_holder_that_does_not_confirm_is_passed_over():
+    world = World(FAR, OTHER_FAR)
+    first = world.copies.holder()
+    world.silent.add(first.partition("/")[0])
+    assert not await world.copies.hold(1, b"records")
+    second = world.copies.holder()
+    assert second not in (first, NO_HOLDER)
+    assert await world.copies.hold(2, b"records")
+    # The former holder is taken back only when the present one fails.
+    await world.copies.release(2)
+    assert world.copies.holder() == second
