Advise and trust no listed instance before knowing what it is

Cause: the platform's list does not tell entries from endpoints. An entry without a configuration, as after a restart, took every listed instance for an entry: it advised endpoints to callers, whose requests then passed the router by, and it sent copies of ledger records to endpoints, which never confirmed. Change: nothing listed is advised before a configuration is in force; copies go only to members that have been heard. Peers are asked as before, since a fresh entry may learn the configuration from them alone.

--- a/fuchsiaroute/serving/_compose.py
+++ b/fuchsiaroute/serving/_compose.py
@@ -13,6 +13,7 @@
 from fuchsiaroute.configuration import Configuration
 from fuchsiaroute.dispatch import Connections
 from fuchsiaroute.entry import (
+    NO_REVISION,
     Background,
     Call,
     ConfigurationPoll,
@@ -176,7 +177,7 @@
         instances=instances,
         connections=client,
         check=check,
-        on_entries=lambda listed: _note_listed(tuple(listed), advice, peers),
+        on_entries=lambda listed: _note_listed(tuple(listed), current, advice, peers),
         instance=options.instance,
         incarnation=incarnation,
         clock=clock,
@@ -269,10 +270,15 @@
 
 def _note_listed(
     listed: tuple[InstanceRecord, ...],
+    current: CurrentConfiguration,
     advice: EntryAdvice,
     peers: PeerParts | NoPeers,
 ) -> None:
-    advise_listed(advice, listed)
+    # The list does not tell entries from endpoints; the configuration does. Before
+    # one is in force, callers must not be sent to what may be an endpoint. Peers are
+    # asked all the same: a fresh entry may learn the configuration from them alone.
+    if current.revision > NO_REVISION:
+        advise_listed(advice, listed)
     if isinstance(peers, PeerParts):
         peers.note_listed(listed)
 
--- a/fuchsiaroute/serving/_copies.py
+++ b/fuchsiaroute/serving/_copies.py
@@ -16,6 +16,9 @@
 from fuchsiaroute.membership import Membership, MemberState, MemberView
 from fuchsiaroute.peer import PeerConnection
 
+#: Incarnation of a member that is only listed; it may be no entry at all.
+UNHEARD = Incarnation(0)
+
 Connect = Callable[[MemberView], PeerConnection]
 
 
@@ -82,7 +85,7 @@
         return tuple(
             member
             for member in self._membership.members()
-            if member.state is MemberState.ALIVE
+            if member.state is MemberState.ALIVE and member.incarnation > UNHEARD
         )
 
     def _preference(
--- a/fuchsiaroute/serving/tests/test_copies.py
+++ b/fuchsiaroute/serving/tests/test_copies.py
@@ -75,6 +75,7 @@
     [
         ((), NO_HOLDER),
         ((NEAR,), "entry-1/1"),
+        ((Member("model-pool-0", "b", incarnation=0),), NO_HOLDER),
         ((NEAR, FAR), "entry-2/1"),
         ((NEAR, Member("entry-2", "b", MemberState.DEAD)), "entry-1/1"),
         ((Member("entry-2", "b", MemberState.LEAVING),), NO_HOLDER),
