--- a/fuchsiaroute/gossip/tests/test_gossip.py
+++ b/fuchsiaroute/gossip/tests/test_gossip.py
@@ -183,3 +183,38 @@
     await until(lambda: "new" in nodes[0].heard and "n0" in newcomer.heard)
     for node in (*nodes, newcomer):
         node.node.close()
+
+
+@pytest.mark.parametrize(
+    ("cut", "are_alive"),
+    [
+        # Nothing arrives from b at a; what c hears of b reaches a.
+        ({("b", "a")}, True),
+        ({("b", "a"), ("a", "b")}, True),
+        # Nobody hears b, though b hears everybody.
+        ({("b", "a"), ("b", "c")}, False),
+    ],
+)
+def test_instances_see_each_other_across_cuts_while_a_third_reaches_both(
+    cut: set[tuple[str, str]], are_alive: bool
+) -> None:
+    clock = ManualClock()
+    known = {
+        name: Liveness(instance=InstanceId(name), clock=clock, dead_after=DEAD_AFTER)
+        for name in "abc"
+    }
+    for name, liveness in known.items():
+        for other in known.keys() - {name}:
+            liveness.introduce(member(other))
+    for _ in range(20):
+        clock.tick(Milliseconds(DEAD_AFTER // 4))
+        for sender, liveness in known.items():
+            liveness.count += 1
+            own = Heartbeat(sender, liveness.count, True)
+            for receiver in known.keys() - {sender}:
+                if (sender, receiver) not in cut:
+                    for heartbeat in (own, *liveness.heartbeats()):
+                        known[receiver].merge(heartbeat)
+    seen = {item.instance for item in known["a"].alive()}
+    assert ("b" in seen) is are_alive
+    assert {item.instance for item in known["b"].alive()} == {"a", "c"}
--- a/fuchsiaroute/pool/tests/test_gate.py
+++ b/fuchsiaroute/pool/tests/test_gate.py
@@ -1,6 +1,7 @@
 """Who waits for a place, who goes first and who is refused."""
 
 import asyncio
+from collections import Counter
 from dataclasses import replace
 from random import Random
 
@@ -211,3 +212,45 @@
     assert isinstance(await enter(new), Reservation)
     assert not waiting.done()
     waiting.cancel()
+
+
+async def test_no_session_starves_beside_one_that_sends_most() -> None:
+    """
+    Pattern: many sessions share too few places and one of them is hot.
+
+    Three quarters of all requests belong to one session, whose prompt one endpoint
+    has cached; half of what comes can be served.
+    """
+    world = World()
+    world.pool.announce(endpoint("b", slots=2))
+    served: Counter[str] = Counter()
+    asked: Counter[str] = Counter()
+    random = Random(1)
+
+    async def ask(session: str) -> None:
+        asked[session] += 1
+        demand = replace(DEMAND, affinity=session)
+        found = await world.gate.enter(
+            request(), demand, priority=5, patience=PATIENCE, in_time_for=PATIENCE
+        )
+        if isinstance(found, Reservation):
+            served[session] += 1
+            await world.clock.sleep(Milliseconds(100))
+            found.finish(Outcome.ANSWERED)
+
+    tasks = []
+    for _ in range(400):
+        for _ in range(2):
+            hot = random.random() < 0.75
+            session = "hot" if hot else f"s{random.randrange(20)}"
+            tasks.append(asyncio.create_task(ask(session)))
+        await world.clock.advance(Milliseconds(25))
+        world.gate.wake()
+    await world.clock.advance(Milliseconds(2_000))
+    world.gate.wake()
+    await settle()
+    assert all(task.done() for task in tasks)
+    overall = served.total() / asked.total()
+    assert 0.3 < overall < 0.7
+    shares = {session: served[session] / asked[session] for session in asked}
+    assert min(shares.values()) > overall / 4, shares
