Survive SIGHUP while the process starts

The signal is ignored from the first line of the program on, and the settings are compared with the file once the handlers stand, so that no change is missed. Ruled out: the reload itself, which had not begun.

--- a/fuchsiaroute/__main__.py
+++ b/fuchsiaroute/__main__.py
@@ -1,5 +1,6 @@
 """Entry point of ``python -m fuchsiaroute``."""
 
+import signal
 import sys
 
 #: The command that starts an instance on the users' platform.
@@ -14,6 +15,8 @@
         from fuchsiaroute._lean import leave_out_tls
 
         leave_out_tls()
+        # Until the program handles it, the signal would end the process.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         from fuchsiaroute.node import run_node
         from fuchsiaroute.platform import NodeSettingsError
 
--- a/fuchsiaroute/node/_run.py
+++ b/fuchsiaroute/node/_run.py
@@ -65,6 +65,7 @@
         loop.add_signal_handler(signal.SIGTERM, self._stop.set)
         loop.add_signal_handler(signal.SIGINT, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._reload_if_changed()
         parts = self._parts
         await parts.gossip.open(self._settings.ip, self._settings.peer_ports[0])
         await self._listen()
@@ -141,6 +142,15 @@
             former = now
             self._parts.tick()
 
+    def _reload_if_changed(self) -> None:
+        """Catch up with a change whose signal came before it was handled."""
+        try:
+            is_changed = load_node_settings(self._settings_path) != self._settings
+        except NodeSettingsError:
+            is_changed = True
+        if is_changed:
+            self._reload()
+
     def _reload(self) -> None:
         """Read the settings again; faulty ones change nothing."""
         try:
