Keep schedules of the soak that once failed, and mend its own faults

Kept schedules carry their length, size and rate, since all of these change what is drawn. Faults come at 1.5 a second instead of 0.9.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,8 +13,8 @@
 
 from fuchsiaroute.clock import Milliseconds
 from soak._run import Result, run
-from soak._schedule import draw_schedule
-from soak.regressions import KEPT_SEEDS
+from soak._schedule import RATE, Fault, draw_schedule
+from soak.regressions import KEPT, Play
 
 app = App(name="soak", help=__doc__)
 #: The N of the networks 127.0.N.0 that runs may use.
@@ -33,6 +33,7 @@
     kept: bool = False,
     instances: int = 4,
     seconds: float = 15.0,
+    rate: float = RATE,
     jobs: int = 1,
     timed: bool = True,
     logs: Path | None = None,
@@ -48,11 +49,13 @@
     fresh
         How many seeds to draw and play in addition.
     kept
-        Play the seeds that once failed, too.
+        Play the schedules that once failed, too.
     instances
         Instances of the node program in each run.
     seconds
         Length of a schedule.
+    rate
+        Faults a second of a schedule.
     jobs
         Runs at the same time.
     timed
@@ -63,53 +66,53 @@
         Print the schedules and play nothing.
 
     """
-    chosen = [*seeds, *(KEPT_SEEDS if kept else ())]
-    chosen += [SystemRandom().randrange(_LARGEST_SEED) for _ in range(fresh)]
+    drawn = [SystemRandom().randrange(_LARGEST_SEED) for _ in range(fresh)]
     length = Milliseconds(round(seconds * 1_000))
+    plays = [
+        Play(seed=seed, length=length, instances=instances, rate=rate)
+        for seed in (*seeds, *drawn)
+    ]
+    plays += KEPT if kept else ()
     if show:
-        for seed in chosen:
-            print(f"seed {seed}")
-            for fault in draw_schedule(seed, length=length):
+        for play in plays:
+            print(f"seed {play.seed}")
+            for fault in _schedule(play):
                 print(f"  {fault}")
         return 0
     folder = logs or Path(tempfile.mkdtemp(prefix="soak-"))
-    failed = asyncio.run(
-        _play_all(chosen, instances, length, jobs, timed=timed, folder=folder)
-    )
-    print(f"{len(chosen) - failed} passed, {failed} failed")
+    failed = asyncio.run(_play_all(plays, jobs, timed=timed, folder=folder))
+    print(f"{len(plays) - failed} passed, {failed} failed")
     return 1 if failed else 0
 
 
+def _schedule(play: Play) -> tuple[Fault, ...]:
+    return draw_schedule(play.seed, length=play.length, rate=play.rate)
+
+
 async def _play_all(
-    seeds: Sequence[int],
-    instances: int,
-    length: Milliseconds,
-    jobs: int,
-    *,
-    timed: bool,
-    folder: Path,
+    plays: Sequence[Play], jobs: int, *, timed: bool, folder: Path
 ) -> int:
-    waiting = list(enumerate(seeds))
+    waiting = list(enumerate(plays))
     failed = 0
 
     async def work() -> None:
         nonlocal failed
         claim, network = _claim_network()
         while waiting:
-            number, seed = waiting.pop(0)
-            place = folder / f"{number}-{seed}"
+            number, play = waiting.pop(0)
+            place = folder / f"{number}-{play.seed}"
             place.mkdir(parents=True, exist_ok=True)
             result = await run(
-                seed,
-                draw_schedule(seed, length=length),
-                instances=instances,
-                length=length,
+                play.seed,
+                _schedule(play),
+                instances=play.instances,
+                length=play.length,
                 network=network,
                 folder=place,
                 has_timed_checks=timed,
             )
             failed += not result.is_kept
-            _report(seed, result, place)
+            _report(play.seed, result, place)
         claim.close()
 
     await asyncio.gather(*(work() for _ in range(jobs)))
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -57,6 +57,7 @@
         self._traffic = traffic
         self._clock = fleet.clock
         self._evacuated: set[str] = set()
+        self._leaving: set[str] = set()
         self._actions: dict[FaultKind, _Action] = {
             FaultKind.PAUSE: self._pause,
             FaultKind.KILL: self._kill,
@@ -196,6 +197,9 @@
 
     async def _leave(self, fault: Fault) -> None:
         worker, link = self._worker(fault)
+        if worker.id in self._leaving:
+            return
+        self._leaving.add(worker.id)
         await self._fleet.add_worker(
             worker.service, worker.domain, version=worker.version
         )
@@ -220,13 +224,15 @@
 
     async def _cool(self, fault: Fault) -> None:
         worker, _ = self._worker(fault)
+        if worker.id in self._leaving:
+            return
         now = self._clock.now()
         # Instances learn of it within the time to apply an order.
         begin, end = Milliseconds(now + APPLY), Milliseconds(now + _COLD)
         self._fleet.record.cold.add(worker.id, begin, end)
         self._fleet.announce(worker, ColdLeftMs=_COLD)
         await self._clock.sleep(_COLD)
-        if worker.id in self._fleet.workers:
+        if worker.id in self._fleet.workers and worker.id not in self._leaving:
             self._fleet.announce(worker)
 
     async def _sicken(self, fault: Fault) -> None:
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -62,8 +62,8 @@
 _SHORTEST, _LONGEST = Milliseconds(200), Milliseconds(4_000)
 #: Time before the first fault, in which everything starts to serve.
 LEAD = Milliseconds(1_000)
-#: Faults a second of the schedule.
-_RATE = 0.9
+#: Faults a second of a schedule.
+RATE = 1.5
 #: Share of faults that come as a series, and the most of one series.
 _SERIES_SHARE, _SERIES_MOST = 0.25, 4
 
@@ -83,10 +83,13 @@
         return " ".join(f"{name}={value}" for name, value in values.items())
 
 
-def draw_schedule(seed: int, *, length: Milliseconds) -> tuple[Fault, ...]:
+def draw_schedule(
+    seed: int, *, length: Milliseconds, rate: float = RATE
+) -> tuple[Fault, ...]:
     """
     Return the faults of a seed within ``length`` milliseconds, in order.
 
+    ``rate`` is their number a second.
     Series of one kind overlap themselves and others. Each fault has ended at
     ``length``. Equal arguments give equal schedules.
     """
@@ -96,7 +99,7 @@
     for kind in _RARE:
         if random.random() < 1 / 3:
             found.append(_draw(random, kind, LEAD, length))
-    while len(found) < _RATE * length / 1_000:
+    while len(found) < rate * length / 1_000:
         kind = random.choice(kinds)
         count = (
             random.randint(2, _SERIES_MOST) if random.random() < _SERIES_SHARE else 1
