Let instances that start at once find all others

Cause: each instance read the table of instances before the others had registered, and read it again only while it heard nobody. Now a first reading that found nobody is repeated after 1 s, an unknown instance that others tell of for 1.5 s leads to a reading, a new instance greets everybody once, and an instance that has just become known counts until it stays unheard for 2 s. Ruled out: addresses in every heartbeat (60 bytes for each of 40 members a message).

--- a/fuchsiaroute/gossip/_liveness.py
+++ b/fuchsiaroute/gossip/_liveness.py
@@ -25,6 +25,8 @@
     is_ready: bool = False
     #: Instant of its latest new sign of life; None if there was none yet.
     heard_at: Milliseconds | None = None
+    #: Instant at which this instance learnt of it.
+    introduced_at: Milliseconds = Milliseconds(0)
 
 
 class Liveness:
@@ -43,6 +45,9 @@
         self._clock = clock
         self._dead_after = dead_after
         self._members: dict[InstanceId, MemberInfo] = {}
+        #: Members that others have told of and that are unknown here, by the instant
+        #: at which they were first told of.
+        self._strangers: dict[InstanceId, Milliseconds] = {}
         #: This instance's own count.
         self.count = 1
 
@@ -55,6 +60,30 @@
         """Return the other instances that are alive."""
         return tuple(item for item in self._members.values() if self.is_alive(item))
 
+    def presumed_alive(self) -> tuple[MemberInfo, ...]:
+        """
+        Return the other instances that are alive or may be.
+
+        One that has just become known and was not heard yet counts, so that what all
+        instances share is not divided among too few after a start.
+        """
+        now = self._clock.now()
+        return tuple(
+            item
+            for item in self._members.values()
+            if self.is_alive(item)
+            or (item.heard_at is None and now - item.introduced_at < self._dead_after)
+        )
+
+    def has_strangers(self, patience: Milliseconds) -> bool:
+        """Return whether a living member has been unknown here for ``patience``."""
+        now = self._clock.now()
+        return any(now - told_at >= patience for told_at in self._strangers.values())
+
+    def forget_strangers(self) -> None:
+        """Count the time of unknown members anew, after the store has been read."""
+        self._strangers.clear()
+
     def is_alive(self, member: MemberInfo) -> bool:
         """Return whether a member has given a sign of life lately."""
         if member.heard_at is None:
@@ -67,7 +96,9 @@
             return False
         known = self._members.get(member.instance)
         if known is None:
+            member.introduced_at = self._clock.now()
             self._members[member.instance] = member
+            self._strangers.pop(member.instance, None)
             return True
         known.host, known.port = member.host, member.port
         known.frontend = member.frontend
@@ -83,7 +114,9 @@
                 self.count = heartbeat.count + RESTART_STEP
             return
         member = self._members.get(name)
-        if member is not None and heartbeat.count > member.count:
+        if member is None:
+            self._strangers.setdefault(name, self._clock.now())
+        elif heartbeat.count > member.count:
             member.count = heartbeat.count
             member.is_ready = heartbeat.is_ready
             member.heard_at = self._clock.now()
--- a/fuchsiaroute/gossip/_node.py
+++ b/fuchsiaroute/gossip/_node.py
@@ -93,6 +93,11 @@
             loop = asyncio.get_running_loop()
             self._flush = loop.call_later(LEAST_PAUSE / 1_000, self._flush_now)
 
+    def greet(self) -> None:
+        """Send news to every member known, once."""
+        if self._liveness.members:
+            self._send_to(encode_news(self._compose()), len(self._liveness.members))
+
     def relay(self, rows: RowNews) -> None:
         """Pass changes of the store on to some members."""
         data = encode_news(rows)
--- a/fuchsiaroute/gossip/tests/test_gossip.py
+++ b/fuchsiaroute/gossip/tests/test_gossip.py
@@ -218,3 +218,44 @@
     seen = {item.instance for item in known["a"].alive()}
     assert ("b" in seen) is are_alive
     assert {item.instance for item in known["b"].alive()} == {"a", "c"}
+
+
+def test_unknown_member_that_others_tell_of_is_a_stranger_until_introduced() -> None:
+    clock = ManualClock()
+    liveness = Liveness(instance=InstanceId("a"), clock=clock, dead_after=DEAD_AFTER)
+    patience = Milliseconds(1_000)
+    liveness.introduce(member("b"))
+    liveness.merge(Heartbeat("b", 5, True))
+    liveness.merge(Heartbeat("c", 5, True))
+    assert not liveness.has_strangers(patience)
+    clock.tick(patience)
+    assert liveness.has_strangers(patience)
+    liveness.introduce(member("c"))
+    assert not liveness.has_strangers(patience)
+
+
+def test_member_counts_from_its_introduction_until_it_stays_unheard() -> None:
+    """Pattern: all processes start again at once, and endpoints are cold."""
+    clock = ManualClock()
+    liveness = Liveness(instance=InstanceId("a"), clock=clock, dead_after=DEAD_AFTER)
+    liveness.introduce(member("b"))
+    liveness.introduce(member("gone"))
+    assert liveness.alive() == ()
+    assert len(liveness.presumed_alive()) == 2
+    liveness.merge(Heartbeat("b", 5, True))
+    clock.tick(Milliseconds(DEAD_AFTER - 1))
+    liveness.merge(Heartbeat("b", 6, True))
+    clock.tick(Milliseconds(1))
+    assert [item.instance for item in liveness.presumed_alive()] == ["b"]
+
+
+async def test_greeting_reaches_every_member() -> None:
+    nodes = [Node(f"n{number}") for number in range(24)]
+    for node in nodes:
+        await node.open()
+    for other in nodes[1:]:
+        nodes[0].liveness.introduce(member(other.name, other.port))
+    nodes[0].node.greet()
+    await until(lambda: all("n0" in node.heard for node in nodes[1:]))
+    for node in nodes:
+        node.node.close()
--- a/fuchsiaroute/node/_instances.py
+++ b/fuchsiaroute/node/_instances.py
@@ -15,8 +15,16 @@
 
 #: Pause after a failed call of the store.
 RETRY_PAUSE = Milliseconds(500)
-#: Pause between two readings while no other instance has been heard.
+#: Pause before the first reading is repeated if nobody has been heard by then: those
+#: that started at the same time have registered since.
+FIRST_LONELY_PAUSE = Milliseconds(1_000)
+#: Least pause between two later readings.
 LONELY_PAUSE = Milliseconds(5_000)
+#: Time for which others may tell of an instance that has not introduced itself; a new
+#: one greets everybody as soon as it has read the table.
+STRANGER_PATIENCE = Milliseconds(1_500)
+#: Pause between two looks at whether to read again.
+LOOK = Milliseconds(500)
 
 
 class _Entry(msgspec.Struct):
@@ -56,8 +64,14 @@
         self._on_found = on_found
 
     async def run(self) -> None:
-        """Register, then read again only while no other instance is heard."""
+        """
+        Register, then read again only while it may tell of others.
+
+        That is while no other instance is heard, or when others tell of one that is
+        unknown here.
+        """
         is_registered = False
+        pause = FIRST_LONELY_PAUSE
         while True:
             answer = await self._store.read_table(Table.INSTANCES)
             if isinstance(answer, Failure):
@@ -69,10 +83,16 @@
                 if not is_registered:
                     await self._pause(RETRY_PAUSE)
                     continue
+            self._liveness.forget_strangers()
             self._on_found()
-            await self._pause(LONELY_PAUSE)
-            while self._liveness.alive():
-                await self._pause(LONELY_PAUSE)
+            await self._pause(pause)
+            pause = LONELY_PAUSE
+            while not self._is_reading_due():
+                await self._pause(LOOK)
+
+    def _is_reading_due(self) -> bool:
+        is_alone = not self._liveness.alive()
+        return is_alone or self._liveness.has_strangers(STRANGER_PATIENCE)
 
     def _introduce(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -142,7 +142,7 @@
             clock=clock,
             random=random,
             log=log,
-            on_found=self.gossip.send_soon,
+            on_found=self.gossip.greet,
         )
         self.driver = RolloutDriver(
             instance=settings.instance,
@@ -194,10 +194,10 @@
         )
 
     def instances(self) -> list[InstanceId]:
-        """Return the living instances, this one included."""
+        """Return the instances that share the work, this one included."""
         return [
             self._settings.instance,
-            *(member.instance for member in self.liveness.alive()),
+            *(member.instance for member in self.liveness.presumed_alive()),
         ]
 
     def limits(self) -> ServerLimits:
@@ -347,7 +347,7 @@
             "deployment_version": deployment.version if deployment else 0,
             "store_silent_seconds": self.orders_feed.silent_for() / 1_000,
             "endpoints": len(self.pool),
-            "instances_alive": len(self.instances()),
+            "instances_alive": len(self.liveness.alive()) + 1,
             "requests_active": self.forwarder.active,
             "requests_waiting": self.gate.waiting,
             "connections_opened": self.connections.opened,
