--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -58,6 +58,7 @@
         self._clock = fleet.clock
         self._evacuated: set[str] = set()
         self._leaving: set[str] = set()
+        self._cold: set[str] = set()
         self._actions: dict[FaultKind, _Action] = {
             FaultKind.PAUSE: self._pause,
             FaultKind.KILL: self._kill,
@@ -224,14 +225,16 @@
 
     async def _cool(self, fault: Fault) -> None:
         worker, _ = self._worker(fault)
-        if worker.id in self._leaving:
+        if worker.id in self._leaving | self._cold:
             return
+        self._cold.add(worker.id)
         now = self._clock.now()
         # Instances learn of it within the time to apply an order.
         begin, end = Milliseconds(now + APPLY), Milliseconds(now + _COLD)
         self._fleet.record.cold.add(worker.id, begin, end)
         self._fleet.announce(worker, ColdLeftMs=_COLD)
         await self._clock.sleep(_COLD)
+        self._cold.discard(worker.id)
         if worker.id in self._fleet.workers and worker.id not in self._leaving:
             self._fleet.announce(worker)
 
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -50,4 +50,13 @@
         instances=6,
         cause="the soak announced a leaving endpoint as ready again",
     ),
+    Play(
+        seed=598043014,
+        length=Milliseconds(20_000),
+        instances=6,
+        cause=(
+            "instances that started at once knew only some of the others, and divided "
+            "the rate of cold endpoints among too few"
+        ),
+    ),
 )
