Compress news between instances and make fewer store calls at scale

By purpose, from the code: two tables followed by three readers with 0.7 s waits (514 calls a minute), a watch at each of 85 instances right after each start, before it could hear that others follow (170), and a try a second and table at each during an outage. While others follow the table, an instance that cannot reach the store itself gives final denials again instead of 503. Ruled out: fewer recipients of news (loads of others would be older still).

--- a/fuchsiaroute/catalog/_feed.py
+++ b/fuchsiaroute/catalog/_feed.py
@@ -14,8 +14,10 @@
 
 #: Pause after a failed call; grows by half up to the longest.
 FIRST_PAUSE = Milliseconds(150)
-LONGEST_PAUSE = Milliseconds(1_000)
 PAUSE_GROWTH = 1.5
+#: Time after the first reading in which a process learns whether others follow the
+#: table. It is shorter than the time within which any change has to take effect.
+FIRST_REST = Milliseconds(1_500)
 #: Pause between two looks at whether others still follow the table.
 REST = Milliseconds(100)
 #: Time for which a watch may still deliver a change that peers have told of.
@@ -60,6 +62,7 @@
         on_regained: Callable[[], None],
         wait: Callable[[], Milliseconds],
         least_interval: Milliseconds,
+        longest_pause: Callable[[], Milliseconds],
         is_followed: Callable[[], bool] = lambda: False,
         on_change: Callable[[Rows, int], None] = lambda rows, after: None,
     ) -> None:
@@ -72,6 +75,8 @@
         self._on_regained = on_regained
         self._wait = wait
         self._least_interval = least_interval
+        self._longest_pause = longest_pause
+        self._rests_until: Milliseconds | None = None
         self._is_followed = is_followed
         self._on_change = on_change
         self._state = FeedState.STARTING
@@ -163,7 +168,8 @@
             else:
                 spread = 0.5 + self._random.random()
                 await self._sleep(round(self._pause * spread))
-                self._pause = min(self._pause * PAUSE_GROWTH, float(LONGEST_PAUSE))
+                longest = float(self._longest_pause())
+                self._pause = min(self._pause * PAUSE_GROWTH, longest)
                 self._patience = Milliseconds(
                     min(self._patience * PATIENCE_GROWTH, LONGEST_PATIENCE)
                 )
@@ -198,7 +204,13 @@
     def _may_rest(self) -> bool:
         is_due = self.is_behind and self._hinted_at is None
         is_needed = self.revision is None or self._poked.is_set() or is_due
-        return not is_needed and self._is_followed()
+        return not is_needed and (self._is_first_rest() or self._is_followed())
+
+    def _is_first_rest(self) -> bool:
+        now = self._clock.now()
+        if self._rests_until is None:
+            self._rests_until = Milliseconds(now + FIRST_REST)
+        return now < self._rests_until
 
     def _take_over(self, rows: Rows, *, is_whole: bool) -> None:
         if self.revision is not None and rows.revision < self.revision:
--- a/fuchsiaroute/catalog/tests/test_feed.py
+++ b/fuchsiaroute/catalog/tests/test_feed.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from fuchsiaroute.catalog import TableFeed
+from fuchsiaroute.catalog._feed import FIRST_REST
 from fuchsiaroute.clock import ManualClock, Milliseconds
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.platform import HistoryGone, Row, Rows, Table
@@ -77,7 +78,8 @@
 
 
 class World:
-    def __init__(self) -> None:
+    def __init__(self, *, has_just_started: bool = False) -> None:
+        self.has_just_started = has_just_started
         self.clock = ManualClock()
         self.store = Store()
         self.store.clock = self.clock
@@ -86,6 +88,7 @@
         self.regained = 0
         self.changes: list[tuple[int, int]] = []
         self.is_followed = False
+        self.longest_pause = Milliseconds(1_000)
         self.feed = TableFeed(
             Table.ENDPOINTS,
             store=self.store,  # type: ignore[arg-type]
@@ -96,6 +99,7 @@
             on_regained=self._on_regained,
             wait=lambda: Milliseconds(10_000),
             least_interval=Milliseconds(100),
+            longest_pause=lambda: self.longest_pause,
             is_followed=lambda: self.is_followed,
             on_change=lambda rows, after: self.changes.append((after, rows.revision)),
         )
@@ -103,6 +107,8 @@
     async def __aenter__(self) -> "World":
         self._task = asyncio.create_task(self.feed.run())
         await self.clock.advance(Milliseconds(200))
+        if not self.has_just_started:
+            await self.pass_time(FIRST_REST)
         return self
 
     async def __aexit__(self, *details: object) -> None:
@@ -121,6 +127,39 @@
         self.regained += 1
 
 
+async def test_process_that_has_just_started_learns_whether_others_follow() -> None:
+    """Pattern: all instances of a large deployment start again at once."""
+    async with World(has_just_started=True) as world:
+        await world.pass_time(1_000)
+        world.is_followed = True
+        await world.pass_time(10_000)
+        assert world.store.calls == ["read"]
+        world.is_followed = False
+        world.store.put("a")
+        await world.pass_time(500)
+        assert world.seen == ["a"]
+
+
+async def test_changes_that_others_tell_of_are_read_in_the_first_rest() -> None:
+    async with World(has_just_started=True) as world:
+        world.store.put("a")
+        world.feed.hint(1)
+        await world.pass_time(600)
+        assert world.seen == ["a"]
+
+
+@pytest.mark.parametrize(("longest", "most"), [(1_000, 16), (3_000, 9)])
+async def test_pauses_in_an_outage_grow_to_the_longest(longest: int, most: int) -> None:
+    async with World() as world:
+        world.longest_pause = Milliseconds(longest)
+        await world.pass_time(2_000)
+        world.store.is_down = True
+        world.store.put("a")
+        before = len(world.store.calls)
+        await world.pass_time(10_000)
+        assert 3 <= len(world.store.calls) - before <= most
+
+
 async def test_changes_arrive_without_polling() -> None:
     async with World() as world:
         await world.pass_time(5_000)
--- a/fuchsiaroute/gossip/_messages.py
+++ b/fuchsiaroute/gossip/_messages.py
@@ -1,9 +1,15 @@
 """Datagrams between instances."""
 
+import zlib
+
 import msgspec
 
 #: Raised when the form of the messages changes; others are ignored.
-FORMAT = 1
+FORMAT = 2
+#: Fastest level; it halves a message, and the best one makes it 3% smaller still.
+_COMPRESSION_LEVEL = 1
+#: Largest message after decompression; the store holds no larger changes.
+_MOST_BYTES = 2_000_000
 
 
 class NewsError(Exception):
@@ -106,14 +112,14 @@
 
 def encode_news(news: News | RowNews) -> bytes:
     """Return the datagram for ``news``."""
-    return _ENCODER.encode(news)
+    return zlib.compress(_ENCODER.encode(news), _COMPRESSION_LEVEL)
 
 
 def decode_news(data: bytes) -> News | RowNews:
     """Decode a datagram; raises ``NewsError``."""
     try:
-        news = _DECODER.decode(data)
-    except msgspec.MsgspecError as error:
+        news = _DECODER.decode(zlib.decompressobj().decompress(data, _MOST_BYTES))
+    except (zlib.error, msgspec.MsgspecError) as error:
         raise NewsError(str(error)) from error
     if news.format != FORMAT:
         raise NewsError(f"format {news.format}")
--- a/fuchsiaroute/gossip/tests/test_gossip.py
+++ b/fuchsiaroute/gossip/tests/test_gossip.py
@@ -1,6 +1,8 @@
 """News between instances: signs of life, restarts, relays."""
 
 import asyncio
+import json
+import zlib
 from collections.abc import Callable
 from random import Random
 
@@ -259,3 +261,23 @@
     await until(lambda: all("n0" in node.heard for node in nodes[1:]))
     for node in nodes:
         node.node.close()
+
+
+@pytest.mark.parametrize("size", [100_000_000, 3_000_000])
+def test_datagram_that_would_grow_beyond_all_messages_is_refused(size: int) -> None:
+    with pytest.raises(NewsError):
+        decode_news(zlib.compress(b"\x00" * size))
+
+
+def test_declaration_of_many_routes_fits_into_a_datagram() -> None:
+    """Pattern: the declaration grows by many routes."""
+    routes = [
+        {"Name": f"r-{number:06x}", "Prefix": f"/{number:06x}/", "Timeout": 4_000}
+        for number in range(1_000)
+    ]
+    value = json.dumps(routes).encode()
+    row = RelayedRow("config", value, 7)
+    rows = RowNews(format=FORMAT, table="ORDERS", after=6, until=7, rows=[row])
+    data = encode_news(rows)
+    assert len(data) < len(value) / 4
+    assert decode_news(data) == rows
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -54,12 +54,16 @@
 #: Instances from which on a few read the store for all. Below, as many calls are made
 #: by the readers' short waits as by all with long ones.
 LEAST_RELAYING = 16
-#: Instances that follow a table for all; changes still arrive when all but one of them
-#: are cut off.
-READERS = 3
+#: Instances that follow a table for all; changes still arrive when one of them is cut
+#: off, and if both are, all others read for themselves.
+READERS = 2
 #: Wait of their watches: the age of their latest answer tells the others that the
 #: table is followed, and has to stay well below the drain bound.
-READER_WAIT = Milliseconds(700)
+READER_WAIT = Milliseconds(900)
+#: Longest pause between two tries to reach the store during an outage: of those that
+#: read for all, and of the others, which hear from them of its end.
+READERS_PAUSE = Milliseconds(1_000)
+OTHERS_PAUSE = Milliseconds(3_000)
 #: Part of the drain bound after which an instance follows a table itself.
 FOLLOWED_SHARE = 0.6
 #: Least time between two readings of announcements; they change in bursts.
@@ -245,6 +249,7 @@
             on_regained=self.catalog.store_regained,
             wait=lambda: self._watch_wait(table),
             least_interval=interval,
+            longest_pause=lambda: self._outage_pause(table),
             is_followed=lambda: self._is_followed(table),
             on_change=lambda rows, after: self._relay(table, rows, after),
         )
@@ -264,6 +269,19 @@
         drain = self._settings.bounds.drain
         return age is not None and age < FOLLOWED_SHARE * drain
 
+    def _outage_pause(self, table: Table) -> Milliseconds:
+        """Return the longest pause between two tries to reach the store again."""
+        names = self.instances()
+        is_reader = self._settings.instance in self._readers(table)
+        is_small = len(names) < LEAST_RELAYING
+        return READERS_PAUSE if is_small or is_reader else OTHERS_PAUSE
+
+    def _store_silent_for(self) -> Milliseconds:
+        """Return how long no change of the orders could have reached this instance."""
+        if self._is_followed(Table.ORDERS):
+            return Milliseconds(0)
+        return self.orders_feed.silent_for()
+
     def _relay(self, table: Table, rows: Rows, after: int) -> None:
         if len(self.instances()) < LEAST_RELAYING:
             return
@@ -311,7 +329,7 @@
             counters=self.counters,
             clock=self._clock,
             log=self.log,
-            store_silent_for=self.orders_feed.silent_for,
+            store_silent_for=self._store_silent_for,
             is_behind=lambda: self.orders_feed.is_behind,
         )
 
