Count store calls by purpose, and log whether a newer declaration is known of

Cause: a line of a stopped process told calls by their wire name, which says neither the table nor whether a call waited; a rejection did not tell why it was no denial.

--- a/fuchsiaroute/forwarding/_forwarder.py
+++ b/fuchsiaroute/forwarding/_forwarder.py
@@ -157,6 +157,7 @@
             detail=rejection.detail,
             deployment=deployment.version if deployment is not None else None,
             store_silent_ms=self._store_silent_for(),
+            is_newer_known_of=self._is_behind(),
         )
 
     def _record(self, call: Call, event: str, result: CallResult | None) -> None:
--- a/fuchsiaroute/platform/_store.py
+++ b/fuchsiaroute/platform/_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import binascii
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
@@ -123,8 +124,8 @@
         self._clock = clock
         self._idle: list[ClientConnection] = []
         self._clock_offset: float | None = None
-        #: Calls made, by name.
-        self.calls: dict[str, int] = {}
+        #: Calls made, by purpose.
+        self.calls: Counter[str] = Counter()
 
     def now(self) -> Milliseconds | None:
         """Return the time on the store's steady clock; None before any answer."""
@@ -141,6 +142,7 @@
             query = {"Table": table.value, "part": "", "Limit": "500"}
             if start:
                 query["From"] = start
+            self._count("read", table)
             answer = await self._get("rows-get", query, CALL_TIMEOUT)
             if isinstance(answer, Failure):
                 return Failure(answer.failure())
@@ -174,6 +176,7 @@
             "WaitMs": str(wait),
         }
         timeout = Milliseconds(wait + within)
+        self._count("watch" if wait else "read changes of", table)
         answer = await self._get("rows-feed", query, timeout)
         if isinstance(answer, Failure):
             return Failure(answer.failure())
@@ -197,6 +200,7 @@
                 "Remove": [],
             }
         )
+        self.calls["change"] += 1
         called = await self._call("POST", "/api/rows-tx", body, CALL_TIMEOUT)
         if isinstance(called, Failure):
             return Failure(called.failure())
@@ -230,6 +234,9 @@
             connection.abort()
         self._idle.clear()
 
+    def _count(self, what: str, table: Table) -> None:
+        self.calls[f"{what} {table.name.lower()}"] += 1
+
     async def _get(
         self, name: str, query: dict[str, str], within: Milliseconds
     ) -> Result[_Answer | HistoryGone, StoreError]:
@@ -252,8 +259,6 @@
     async def _call(
         self, method: str, target: str, body: bytes, within: Milliseconds
     ) -> Result[ResponseBody, StoreError]:
-        name = target.partition("?")[0].rpartition("/")[2]
-        self.calls[name] = self.calls.get(name, 0) + 1
         connection: ClientConnection | None = None
         try:
             async with asyncio.timeout(within / _MS):
