Ask on after a crash, and weigh the load of the versions that may be used

An endpoint without a listener was suspect after the second failure only, which each of 85 instances has to see for itself, and each such try, though nothing left, was charged to the retry budget. Now another endpoint is asked for the better answer where nothing ran, one failed connection makes an endpoint suspect, tries that never left are not charged, and the pressure counts the versions that the request may use.

--- a/fuchsiaroute/forwarding/_call.py
+++ b/fuchsiaroute/forwarding/_call.py
@@ -48,6 +48,8 @@
     #: Endpoints that may have run the request: those it was sent to, less those that
     #: said that they did not run it.
     runs: int = 0
+    #: Repeats that the retry budget was charged for.
+    paid_repeats: int = 0
     #: Reasons of the failed attempts, for the log.
     reasons: list[str] = field(default_factory=list)
 
--- a/fuchsiaroute/forwarding/_sender.py
+++ b/fuchsiaroute/forwarding/_sender.py
@@ -121,14 +121,23 @@
         """Return whether the request may be sent once more, and spend for it."""
         if not self._is_repeat_allowed(call):
             return False
+        if call.paid_repeats >= len(call.sent_to):
+            # What never left for an endpoint cannot have arrived as a repeat.
+            return True
         # The repeat counts at the service whether it runs or is rejected.
-        return self._budget(call.service).spend()
+        if not self._budget(call.service).spend():
+            return False
+        call.paid_repeats += 1
+        return True
 
     def may_escalate(self, call: Call) -> bool:
         """Return whether a better model may be asked, and spend for it."""
         if not call.route.is_repeatable or call.runs >= call.route.max_attempts:
             return False
-        return self._budget(call.service).spend(reserve_share=ESCALATION_RESERVE)
+        if not self._budget(call.service).spend(reserve_share=ESCALATION_RESERVE):
+            return False
+        call.paid_repeats += 1
+        return True
 
     async def attempt(
         self,
@@ -197,28 +206,32 @@
     # Private
 
     def _is_repeat_allowed(self, call: Call) -> bool:
-        if call.remaining(self._clock) < LEAST_REMAINING:
+        sends = call.route.max_attempts + MOST_REJECTIONS
+        is_late = call.remaining(self._clock) < LEAST_REMAINING
+        if is_late or len(call.reasons) > sends:
             return False
         if call.is_not_run:
-            sends = call.route.max_attempts + MOST_REJECTIONS
-            return len(call.sent_to) < sends and len(call.reasons) < sends + 1
+            return len(call.sent_to) < sends
         return call.route.is_repeatable and call.runs < call.route.max_attempts
 
-    def _demand(
-        self, call: Call, model: ModelId | None, *, is_excluding: bool = True
-    ) -> Demand:
-        versions = self._tracker.allowed(
+    def _versions(self, call: Call) -> frozenset[VersionId] | None:
+        """Return the versions that may run the request; None allows any."""
+        return self._tracker.allowed(
             call.service,
             self._pool.versions(call.service),
             session=call.session,
             key=call.unit,
         )
+
+    def _demand(
+        self, call: Call, model: ModelId | None, *, is_excluding: bool = True
+    ) -> Demand:
         affinity = ""
         if call.session is not None:
             affinity = f"{model or ''}:{call.session:x}"
         return Demand(
             service=call.service,
-            versions=versions,
+            versions=self._versions(call),
             affinity=affinity,
             work=self._expected(call, model),
             uncached_factor=uncached_factor(call.fields.prompt),
@@ -249,7 +262,7 @@
     def pressure(self, call: Call) -> float:
         """Return the wait at the least loaded endpoint, relative to the target."""
         target = max(call.route.latency_target, 1)
-        return self._pool.least_backlog(call.service) / target
+        return self._pool.least_backlog(call.service, self._versions(call)) / target
 
     def _patience(
         self, call: Call, model: ModelId | None, backlog: float
--- a/fuchsiaroute/forwarding/_stream.py
+++ b/fuchsiaroute/forwarding/_stream.py
@@ -16,6 +16,7 @@
 from fuchsiaroute.lifecycle import Outcome
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.platform import EventId, caller_headers
+from fuchsiaroute.verdict import Verdict
 
 #: Confidence below which the largest model is asked instead.
 WEAK_BELOW = 0.6
@@ -65,6 +66,8 @@
                     if not self._is_escalated(call, result):
                         return await self._relay(call, result, is_escalated=False)
                     weak, model = result, models[-1]
+                elif weak is not None and self._may_ask_again(call, result):
+                    _discard(result)
                 elif weak is not None:
                     _discard(result)
                     return await self._relay(call, weak, is_escalated=False)
@@ -79,6 +82,15 @@
     def _may_repeat(self, call: Call) -> bool:
         return self._sender.may_repeat(call)
 
+    def _may_ask_again(
+        self, call: Call, result: OpenResponse | AttemptFailure | NoPlace
+    ) -> bool:
+        """Return whether another endpoint may be asked for a better answer."""
+        is_not_run = (
+            isinstance(result, AttemptFailure) and result.verdict is Verdict.NOT_RUN
+        )
+        return is_not_run and self._may_repeat(call)
+
     def _is_escalated(self, call: Call, response: OpenResponse) -> bool:
         """Return whether the largest model is to be asked after this answer."""
         models = call.route.models
--- a/fuchsiaroute/platform/tests/test_node.py
+++ b/fuchsiaroute/platform/tests/test_node.py
@@ -160,6 +160,24 @@
     assert reply.body == stream(1, 2, 3, model=b"small")
 
 
+async def test_largest_model_is_asked_elsewhere_where_an_endpoint_is_gone() -> None:
+    """Pattern: half of the endpoints crash and are still announced."""
+    endpoint = Endpoint(events(3, confidence={b"small": 10, b"large": 90}))
+    gone = [Endpoint() for _ in range(3)]
+    async with World(endpoint, *gone) as world:
+        for item in gone:
+            item.close()
+        replies = [
+            await world.caller().ask(
+                "/sized/", request_id=f"q{number}", extra="X-Model: *\r\n"
+            )
+            for number in range(4)
+        ]
+        lines = b"".join(world.lines)
+    assert lines.count(b"connecting failed") >= 2
+    assert {reply.body for reply in replies} == {stream(1, 2, 3, model=b"large")}
+
+
 @pytest.mark.parametrize(
     ("path", "deadline"), [("/short/", 5_000), ("/write/", 250), ("/read/", 250)]
 )
--- a/fuchsiaroute/pool/_member.py
+++ b/fuchsiaroute/pool/_member.py
@@ -155,7 +155,8 @@
         elif outcome is Outcome.ANSWERED:
             self._succeeded()
         elif outcome in _FAILURES:
-            self._failed()
+            # Nobody listens where no connection can be made; one try shows that.
+            self._failed(is_certain=outcome is Outcome.FAILED_BEFORE_SENT)
 
     def measured(self, relative_duration: float) -> None:
         """Take over a request's time relative to the mean of its kind."""
@@ -178,16 +179,17 @@
         self.trial_pause = FIRST_TRIAL_PAUSE
         self.apply(EndpointEvent.RECOVERED)
 
-    def _failed(self) -> None:
+    def _failed(self, *, is_certain: bool) -> None:
         self._judged(0.0)
         self.failures_in_row += 1
+        is_suspect = is_certain or self.failures_in_row >= FAILURES_UNTIL_SUSPECT
         now = self.clock.now()
         if self.state is EndpointState.SUSPECT:
             self.trial_pause = Milliseconds(
                 min(self.trial_pause * 2, LONGEST_TRIAL_PAUSE)
             )
             self.trial_at = Milliseconds(now + self.trial_pause)
-        elif self.failures_in_row >= FAILURES_UNTIL_SUSPECT and self.is_usable:
+        elif is_suspect and self.is_usable:
             self.trial_pause = FIRST_TRIAL_PAUSE
             self.trial_at = Milliseconds(now + self.trial_pause)
             self.apply(EndpointEvent.FAILED_REPEATEDLY)
--- a/fuchsiaroute/pool/_pool.py
+++ b/fuchsiaroute/pool/_pool.py
@@ -160,10 +160,21 @@
             if member.state not in (EndpointState.LEAVING, EndpointState.OUT)
         )
 
-    def least_backlog(self, service: ServiceId) -> float:
-        """Return the milliseconds of work at the least loaded usable endpoint."""
+    def least_backlog(
+        self, service: ServiceId, versions: frozenset[VersionId] | None = None
+    ) -> float:
+        """
+        Return the milliseconds of work at the least loaded usable endpoint.
+
+        Only endpoints of ``versions`` count, unless it is None.
+        """
         return min(
-            (item.backlog for item in self.members(service) if item.is_usable),
+            (
+                item.backlog
+                for item in self.members(service)
+                if item.is_usable
+                and (versions is None or item.endpoint.version in versions)
+            ),
             default=0.0,
         )
 
--- a/fuchsiaroute/pool/tests/test_pool.py
+++ b/fuchsiaroute/pool/tests/test_pool.py
@@ -261,3 +261,38 @@
     assert len(places) == 9
     places[0].started()
     assert isinstance(pool.choose(demand), Reservation)
+
+
+@pytest.mark.parametrize(
+    ("outcome", "is_used_after_one"),
+    [
+        (Outcome.FAILED_BEFORE_SENT, False),
+        (Outcome.FAILED_AFTER_SENT, True),
+        (Outcome.SILENT, True),
+        (Outcome.TRUNCATED, True),
+    ],
+)
+def test_endpoint_where_nobody_listens_is_suspect_at_once(
+    outcome: Outcome, is_used_after_one: bool
+) -> None:
+    """Pattern: half of the endpoints crash and are still announced."""
+    pool = new_pool(ManualClock(), endpoint("gone"))
+    found = pool.choose(DEMAND)
+    assert isinstance(found, Reservation)
+    found.finish(outcome)
+    assert pool.members(SERVICE)[0].is_usable is is_used_after_one
+
+
+def test_backlog_counts_only_endpoints_of_the_versions_asked_for() -> None:
+    """Pattern: overload while the endpoints of a version on trial are idle."""
+    pool = new_pool(
+        ManualClock(),
+        endpoint("old"),
+        endpoint("new", version=VersionId("v2")),
+        declared=service(is_engine=True),
+    )
+    old = frozenset({VersionId("v1")})
+    held = pool.choose(replace(DEMAND, versions=old, work=300.0))
+    assert isinstance(held, Reservation)
+    assert pool.least_backlog(SERVICE) == 0.0
+    assert pool.least_backlog(SERVICE, old) == 300.0
