Log fields of requests and responses that cannot be read

Cause: an unreadable confidence, prompt, deadline or length counted as absent without a line, so a weak answer that was passed on could not be told from a confident one. A confidence that is no finite number counts as absent now, too. Ruled out: refusing such requests, since endpoints may read what we cannot.

--- a/fuchsiaroute/forwarding/_forwarder.py
+++ b/fuchsiaroute/forwarding/_forwarder.py
@@ -73,6 +73,12 @@
         if isinstance(call, Rejection):
             self._reject(inbound, responder, call)
             return
+        if call.fields.unreadable:
+            self._log.write(
+                "request:unreadable-fields",
+                request=call.request_id,
+                fields=call.fields.unreadable,
+            )
         self.active += 1
         try:
             await self._serve(call)
--- a/fuchsiaroute/forwarding/_sender.py
+++ b/fuchsiaroute/forwarding/_sender.py
@@ -180,6 +180,13 @@
         if isinstance(result, AttemptFailure):
             self._failed(call, result, endpoint.id, endpoint.version)
             return result
+        if result.fields.unreadable:
+            self._log.write(
+                "attempt:unreadable-fields",
+                request=call.request_id,
+                endpoint=endpoint.id,
+                fields=result.fields.unreadable,
+            )
         self._learn(call, result, model)
         return result
 
--- a/fuchsiaroute/platform/_headers.py
+++ b/fuchsiaroute/platform/_headers.py
@@ -1,5 +1,6 @@
 """Header fields of requests and responses: the platform's names and forms."""
 
+import math
 from dataclasses import dataclass
 from typing import NewType
 
@@ -76,6 +77,8 @@
     expected_output_tokens: int | None
     #: Event after which the caller wants its stream to go on.
     last_event: EventId | None
+    #: Names of fields that cannot be read and therefore count as absent.
+    unreadable: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -88,6 +91,8 @@
     is_not_run: bool
     #: The model's own opinion of its answer, from 0 to 1; None if it has none.
     confidence: float | None
+    #: Names of fields that cannot be read and therefore count as absent.
+    unreadable: tuple[str, ...] = ()
 
 
 def read_request(headers: Headers) -> RequestFields:
@@ -97,6 +102,17 @@
     counts = _numbers(fields.get(_TOKENS, b""))
     prompt = _prompt(fields.get(_PREFIX, b""))
     patience = _number(fields.get(_DEADLINE))
+    hint = _number(fields.get(_HINT))
+    unreadable = [
+        name.decode("latin-1")
+        for name, is_read in (
+            (_TOKENS, len(counts) == _items(fields.get(_TOKENS))),
+            (_PREFIX, len(prompt) == _items(fields.get(_PREFIX))),
+            (_DEADLINE, patience is not None or _DEADLINE not in fields),
+            (_HINT, hint is not None or _HINT not in fields),
+        )
+        if not is_read
+    ]
     request_id = fields.get(_REQUEST_ID)
     last_event = fields.get(_LAST_EVENT)
     host = fields.get(b"host", b"").decode("latin-1").lower()
@@ -110,8 +126,9 @@
         prompt=prompt,
         prompt_tokens=counts[0] if counts else sum(part.tokens for part in prompt),
         most_output_tokens=counts[1] if len(counts) > 1 else 0,
-        expected_output_tokens=_number(fields.get(_HINT)),
+        expected_output_tokens=hint,
         last_event=EventId(last_event.decode("latin-1")) if last_event else None,
+        unreadable=tuple(unreadable),
     )
 
 
@@ -150,12 +167,15 @@
 
 def read_response(status: int, headers: Headers) -> ResponseFields:
     """Decode an endpoint's header section."""
-    confidence = find_header(headers, _CONFIDENCE)
+    told = find_header(headers, _CONFIDENCE)
+    confidence = _confidence(told)
+    is_unreadable = told is not None and confidence is None
     return ResponseFields(
         request_id=find_header(headers, _REQUEST_ID),
         is_signed=find_header(headers, _SIGNATURE) is not None,
         is_not_run=status == _MISDIRECTED or find_header(headers, _NOT_RUN) is not None,
-        confidence=_confidence(confidence),
+        confidence=confidence,
+        unreadable=(_CONFIDENCE.decode(),) if is_unreadable else (),
     )
 
 
@@ -186,9 +206,11 @@
 
 def _confidence(value: bytes | None) -> float | None:
     try:
-        return float(value) / _FULL_CONFIDENCE if value is not None else None
+        confidence = float(value) / _FULL_CONFIDENCE if value is not None else None
     except ValueError:
+        # Told to the caller of the decoder as unreadable.
         return None
+    return confidence if confidence is None or math.isfinite(confidence) else None
 
 
 def _number(value: bytes | None) -> int | None:
@@ -197,6 +219,10 @@
     return int(value)
 
 
+def _items(value: bytes | None) -> int:
+    return len(value.split(b",")) if value else 0
+
+
 def _numbers(value: bytes) -> list[int]:
     return [int(item) for item in value.split(b",") if item.strip().isdigit()]
 
--- a/fuchsiaroute/platform/tests/test_decode.py
+++ b/fuchsiaroute/platform/tests/test_decode.py
@@ -278,3 +278,34 @@
 def test_responses_are_told_apart_by_id(named: bytes | None, is_ours: bool) -> None:
     headers = [] if named is None else [(b"x-request-id", named)]
     assert is_response_to("q", headers) is is_ours  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    ("name", "value", "is_readable"),
+    [
+        (b"X-Token-Counts", b"340,20", True),
+        (b"X-Token-Counts", b"340,many", False),
+        (b"X-Prompt-Prefix", b"ab:300,cd:40", True),
+        (b"X-Prompt-Prefix", b"ab:300,cd", False),
+        (b"X-Deadline-Ms", b"4000", True),
+        (b"X-Deadline-Ms", b"soon", False),
+        (b"X-Length-Hint", b"-1", False),
+        (b"X-Request-Id", b"anything", True),
+    ],
+)
+def test_request_fields_that_cannot_be_read_are_named(
+    name: bytes, value: bytes, is_readable: bool
+) -> None:
+    unreadable = read_request([(name, value)]).unreadable
+    assert unreadable == (() if is_readable else (name.decode().lower(),))
+
+
+@pytest.mark.parametrize(
+    ("value", "is_readable"), [(b"35", True), (b"?", False), (b"nan", False)]
+)
+def test_confidence_that_cannot_be_read_is_named(
+    value: bytes, is_readable: bool
+) -> None:
+    fields = read_response(200, [(b"X-Confidence", value)])
+    assert fields.unreadable == (() if is_readable else ("x-confidence",))
+    assert (fields.confidence is not None) is is_readable
--- a/fuchsiaroute/platform/tests/test_node.py
+++ b/fuchsiaroute/platform/tests/test_node.py
@@ -160,6 +160,23 @@
     assert reply.body == stream(1, 2, 3, model=b"small")
 
 
+async def test_fields_that_cannot_be_read_are_logged() -> None:
+    endpoint = Endpoint(events(1, confidence={b"small": 90}))
+
+    async def unsure(endpoint, request, responder):  # type: ignore[no-untyped-def]
+        headers = [*endpoint.headers(request), (b"X-Confidence", b"high")]
+        responder.send(200, headers, b"id: 1\ndata: x\n\n")
+
+    endpoint.answer = unsure
+    async with World(endpoint) as world:
+        extra = "X-Model: *\r\nX-Token-Counts: few\r\n"
+        reply = await world.caller().ask("/sized/", extra=extra)
+        lines = b"".join(world.lines)
+    assert reply.status == 200
+    assert b'"request:unreadable-fields"' in lines
+    assert b'"attempt:unreadable-fields"' in lines
+
+
 async def test_largest_model_is_asked_elsewhere_where_an_endpoint_is_gone() -> None:
     """Pattern: half of the endpoints crash and are still announced."""
     endpoint = Endpoint(events(3, confidence={b"small": 10, b"large": 90}))
