Keep the platform's names out of the soak, and use the project's words there

The soak spelled rows and fields of the platform; these are calls of the store's stand-in now, beside it in platform/tests. Its endpoints are called endpoints.

--- /dev/null
+++ b/fuchsiaroute/platform/tests/failingstore.py
@@ -0,0 +1,110 @@
+"""The platform's store, in one of several modes."""
+
+import asyncio
+from enum import Enum
+from typing import Any
+
+from fuchsiaroute.clock import Milliseconds
+from fuchsiaroute.http1 import InboundRequest, Responder
+from fuchsiaroute.platform.tests.recordingendpoint import RecordingEndpoint
+from fuchsiaroute.platform.tests.soakwire import configuration
+from fuchsiaroute.platform.tests.standin import Store
+
+
+class StoreMode(Enum):
+    """What the store does with calls."""
+
+    SOUND = "sound"
+    DOWN = "down"
+    SILENT = "silent"
+    SLOW = "slow"
+    #: Carries a change out and loses the answer.
+    LOSES_ANSWERS = "loses-answers"
+    #: Loses the answer and carries a change out seconds later, if it still may.
+    LATE = "late"
+
+
+_SLOW_S, _LATE_S = 0.7, 1.5
+
+
+class FailingStore(Store):
+    """The store, in one of several modes; may forget its history."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.mode = StoreMode.SOUND
+        self._forgotten_before = 0
+        self._late: set[asyncio.Task[None]] = set()
+
+    def declare(self, version: int, *, added: int, has_second_key: bool) -> None:
+        """Write the declaration in force, as operators do."""
+        value = configuration(version, added=added, has_second_key=has_second_key)
+        self.put("op", "config", value)
+
+    def evacuate(self, domain: str) -> None:
+        """Order that a failure domain gets no new requests."""
+        self.put("op", f"evacuate/{domain}", {})
+
+    def end_evacuation(self, domain: str) -> None:
+        """Take the order back."""
+        self.put("op", f"evacuate/{domain}", None)
+
+    def roll_out(self, service: str, target: str, within: Milliseconds) -> None:
+        """Order that a service moves to another version."""
+        order = {"Service": service, "To": target, "DurationS": within / 1_000}
+        self.put("op", f"rollout/{service}", order)
+
+    def announce(
+        self,
+        endpoint: "RecordingEndpoint",
+        address: str,
+        *,
+        is_draining: bool = False,
+        cold_for: Milliseconds = Milliseconds(0),
+    ) -> None:
+        """Write an endpoint's entry."""
+        value = endpoint.announcement(
+            Address=address,
+            State="draining" if is_draining else "ready",
+            ColdLeftMs=cold_for,
+        )
+        self.put("servers", endpoint.id, value)
+
+    def withdraw(self, endpoint: "RecordingEndpoint") -> None:
+        """Remove an endpoint's entry."""
+        self.put("servers", endpoint.id, None)
+
+    def forget_history(self) -> None:
+        self.counter += 1
+        self._forgotten_before = self.counter
+
+    async def handle(self, request: InboundRequest, responder: Responder) -> None:
+        is_change = request.path.endswith(b"rows-tx")
+        if self.mode is StoreMode.DOWN:
+            responder.send(503, [], b"")
+        elif self.mode is StoreMode.SILENT:
+            await asyncio.Event().wait()
+        elif self.mode is StoreMode.LOSES_ANSWERS:
+            if is_change:
+                await self._change({}, request.body)
+            responder.abort()
+        elif self.mode is StoreMode.LATE and is_change:
+            late = asyncio.create_task(self._change_late(request.body))
+            self._late.add(late)
+            late.add_done_callback(self._late.discard)
+            responder.abort()
+        else:
+            if self.mode is StoreMode.SLOW:
+                await asyncio.sleep(_SLOW_S)
+            await super().handle(request, responder)
+
+    async def _change_late(self, body: bytes) -> None:
+        await asyncio.sleep(_LATE_S)
+        await self._change({}, body)
+
+    async def _feed(
+        self, query: dict[str, str], body: bytes
+    ) -> tuple[int, dict[str, Any]]:
+        if int(query["After"]) < self._forgotten_before:
+            return 410, {}
+        return await super()._feed(query, body)
--- /dev/null
+++ b/fuchsiaroute/platform/tests/recordingendpoint.py
@@ -0,0 +1,167 @@
+"""Endpoints of the soak, with places, faults and a record of their runs."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any
+
+from fuchsiaroute.clock import BootClock, Milliseconds
+from fuchsiaroute.http1 import InboundRequest, Responder, find_header
+from fuchsiaroute.platform.tests.soakwire import ORGANISATION, POOL, TIMEOUT
+from fuchsiaroute.platform.tests.standin import Endpoint
+
+
+@dataclass(kw_only=True)
+class Run:
+    """A request at an endpoint."""
+
+    request_id: str
+    endpoint: str
+    service: str
+    version: str
+    received_at: Milliseconds
+    #: None while the endpoint works on it.
+    ended_at: Milliseconds | None = None
+    #: Rejected before it ran.
+    is_rejected: bool = False
+    #: The last event that the caller has, by the request.
+    resumed_after: int = 0
+    #: What the request says that it should not.
+    faults: tuple[str, ...] = ()
+
+
+@dataclass(kw_only=True)
+class Behaviour:
+    """How a endpoint answers; strengths from 0 to 1."""
+
+    failing: float = 0.0
+    losing_answers: float = 0.0
+    cutting: float = 0.0
+    garbling: float = 0.0
+    slowness: float = 1.0
+
+
+class RecordingEndpoint(Endpoint):
+    """An endpoint with places, service times, faults and a record of its runs."""
+
+    def __init__(
+        self, *, service: str, domain: str, version: str, slots: int, random: Any
+    ) -> None:
+        super().__init__(
+            self._answer,
+            Service=service,
+            Zone=domain,
+            Version=version,
+            Slots=slots,
+        )
+        self.service, self.domain, self.version = service, domain, version
+        self.behaviour = Behaviour()
+        self.runs: list[Run] = []
+        self._random = random
+        self._clock = BootClock()
+        self._slots = slots
+        self._active = 0
+
+    async def _answer(
+        self, endpoint: Endpoint, request: InboundRequest, responder: Responder
+    ) -> None:
+        run = self._record(request)
+        if find_header(request.headers, b"x-expect-instance") != self.id.encode():
+            run.is_rejected = True
+            responder.send(421, [(b"X-Instance-Id", self.id.encode())], b"")
+            return
+        if self._active >= self._slots:
+            run.is_rejected = True
+            responder.send(503, [(b"X-Not-Executed", b"1")], b"")
+            return
+        self._active += 1
+        try:
+            await self._work(run, request, responder)
+        finally:
+            self._active -= 1
+            run.ended_at = self._clock.now()
+
+    def _record(self, request: InboundRequest) -> Run:
+        def text(name: bytes) -> str:
+            return (find_header(request.headers, name) or b"").decode()
+
+        faults = []
+        if find_header(request.headers, b"x-key") is not None:
+            faults.append("the caller's key was passed on")
+        if text(b"x-tenant") != ORGANISATION:
+            faults.append(f"organisation {text(b'x-tenant')!r}")
+        request_id = text(b"x-request-id")
+        if request.body != body_of(request_id):
+            faults.append(f"a body of {len(request.body)} bytes is not the caller's")
+        if request_id not in request.path.decode():
+            faults.append(f"path {request.path!r}")
+        if not 0 < int(text(b"x-deadline-ms") or 0) <= TIMEOUT:
+            faults.append(f"time left {text(b'x-deadline-ms')!r}")
+        run = Run(
+            request_id=request_id,
+            endpoint=self.id,
+            service=self.service,
+            version=self.version,
+            received_at=self._clock.now(),
+            resumed_after=int(text(b"last-event-id") or 0),
+            faults=tuple(faults),
+        )
+        self.runs.append(run)
+        return run
+
+    async def _work(
+        self, run: Run, request: InboundRequest, responder: Responder
+    ) -> None:
+        behaviour, draw = self.behaviour, self._random.random
+        await asyncio.sleep(behaviour.slowness * (0.01 + 0.03 * draw()))
+        if draw() < behaviour.losing_answers:
+            responder.abort()
+        elif draw() < behaviour.failing:
+            responder.send(500, self.headers(request), b"failed")
+        elif self.service == POOL:
+            await self._stream(run, request, responder)
+        elif draw() < behaviour.garbling:
+            # Bytes that belong to no request follow the whole response.
+            responder.send(200, self.headers(request), answer_of(run.request_id))
+            responder._transport.write(b"HTTP/1.1 200 OK\r\nX-Junk: 1\r\n\r\njunk")
+        else:
+            responder.send(200, self.headers(request), answer_of(run.request_id))
+
+    async def _stream(
+        self, run: Run, request: InboundRequest, responder: Responder
+    ) -> None:
+        last = int(request.path.rpartition(b"/")[2])
+        kind = (b"Content-Type", b"text/event-stream")
+        responder.start(200, [*self.headers(request), kind])
+        for number in range(run.resumed_after + 1, last + 1):
+            if self._random.random() < self.behaviour.cutting:
+                # Breaks off in the middle of an event.
+                responder.write(event_of(run.request_id, number)[:-4])
+                await asyncio.sleep(0)
+                responder.abort()
+                return
+            responder.write(event_of(run.request_id, number))
+            await asyncio.sleep(self.behaviour.slowness * 0.03)
+        responder.finish()
+
+
+def session_fields(session: int | None, request_id: str) -> str:
+    """Return the header lines of a prompt whose last shared part is a session's."""
+    if session is None:
+        return ""
+    prompt = f"5e55{session:04x}:300,{request_id.encode().hex()}:40"
+    return f"X-Token-Counts: 340,20\r\nX-Prompt-Prefix: {prompt}\r\n"
+
+
+def body_of(request_id: str) -> bytes:
+    """Return the body that a caller sends."""
+    return f"body of {request_id}".encode()
+
+
+def answer_of(request_id: str) -> bytes:
+    """Return the body of a response that is no stream."""
+    return f"answer to {request_id}".encode()
+
+
+def event_of(request_id: str, number: int) -> bytes:
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: {request_id}:{number}\n\n".encode()
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -6,6 +6,7 @@
 from itertools import pairwise
 
 from fuchsiaroute.clock import Milliseconds
+from fuchsiaroute.platform.tests.recordingendpoint import Run, answer_of, event_of
 from fuchsiaroute.platform.tests.soakwire import (
     APPLY,
     CANARY_SHARE,
@@ -18,9 +19,6 @@
     RETRY_SLACK,
     RETRY_WINDOW,
     TIMEOUT,
-    Run,
-    answer_of,
-    event_of,
 )
 from soak._instances import Instance
 from soak._record import STORE, Attempt, Record
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -4,6 +4,8 @@
 from collections.abc import Awaitable, Callable
 
 from fuchsiaroute.clock import Milliseconds
+from fuchsiaroute.platform.tests.failingstore import StoreMode
+from fuchsiaroute.platform.tests.recordingendpoint import Behaviour, RecordingEndpoint
 from fuchsiaroute.platform.tests.soakwire import (
     APP,
     APPLY,
@@ -11,9 +13,6 @@
     EVACUATE,
     POOL,
     REVOKED_KEY,
-    Behaviour,
-    StoreMode,
-    Worker,
     added_route,
 )
 from soak._fleet import Fleet, Place
@@ -90,9 +89,9 @@
     def _place(self, fault: Fault) -> Place:
         return self._fleet.places[fault.target % len(self._fleet.places)]
 
-    def _worker(self, fault: Fault) -> tuple[Worker, Link]:
-        workers = list(self._fleet.workers.values())
-        return workers[fault.target % len(workers)]
+    def _endpoint(self, fault: Fault) -> tuple[RecordingEndpoint, Link]:
+        endpoints = list(self._fleet.endpoints.values())
+        return endpoints[fault.target % len(endpoints)]
 
     def _disturb(self, name: str, lasts: Milliseconds) -> None:
         now = self._clock.now()
@@ -167,8 +166,8 @@
         await self._harm(place.store, fault)
 
     async def _harm_endpoint(self, fault: Fault) -> None:
-        worker, link = self._worker(fault)
-        self._disturb(worker.id, fault.lasts)
+        endpoint, link = self._endpoint(fault)
+        self._disturb(endpoint.id, fault.lasts)
         await self._harm(link, fault)
 
     async def _harm_store(self, fault: Fault) -> None:
@@ -184,67 +183,69 @@
         self._fleet.store.forget_history()
 
     async def _crash(self, fault: Fault) -> None:
-        worker, link = self._worker(fault)
-        self._disturb(worker.id, Milliseconds(_SILENCE + fault.lasts))
-        worker.close()
+        endpoint, link = self._endpoint(fault)
+        self._disturb(endpoint.id, Milliseconds(_SILENCE + fault.lasts))
+        endpoint.close()
         link.change(LinkState.REFUSING)
         link.reset()
         await self._clock.sleep(_SILENCE)
-        if worker.id in self._fleet.workers:
-            await self._fleet.remove(worker).close()
-        await self._fleet.add_worker(
-            worker.service, worker.domain, version=worker.version
+        if endpoint.id in self._fleet.endpoints:
+            await self._fleet.remove(endpoint).close()
+        await self._fleet.add_endpoint(
+            endpoint.service, endpoint.domain, version=endpoint.version
         )
 
     async def _leave(self, fault: Fault) -> None:
-        worker, link = self._worker(fault)
-        if worker.id in self._leaving:
+        endpoint, link = self._endpoint(fault)
+        if endpoint.id in self._leaving:
             return
-        self._leaving.add(worker.id)
-        await self._fleet.add_worker(
-            worker.service, worker.domain, version=worker.version
+        self._leaving.add(endpoint.id)
+        await self._fleet.add_endpoint(
+            endpoint.service, endpoint.domain, version=endpoint.version
         )
-        self._forbid("draining", DRAIN, worker)
-        self._fleet.announce(worker, State="draining")
+        self._forbid("draining", DRAIN, endpoint)
+        self._fleet.announce(endpoint, is_draining=True)
         await self._clock.sleep(_SERVES_ON)
-        if worker.id not in self._fleet.workers:
+        if endpoint.id not in self._fleet.endpoints:
             return
-        self._fleet.remove(worker)
-        self._disturb(worker.id, _SILENCE)
-        worker.close()
+        self._fleet.remove(endpoint)
+        self._disturb(endpoint.id, _SILENCE)
+        endpoint.close()
         await link.close()
 
-    def _forbid(self, name: str, within: Milliseconds, *workers: Worker) -> None:
+    def _forbid(
+        self, name: str, within: Milliseconds, *endpoints: RecordingEndpoint
+    ) -> None:
         order = Order(
             at=self._clock.now(),
-            endpoints=frozenset(worker.id for worker in workers),
+            endpoints=frozenset(endpoint.id for endpoint in endpoints),
             within=within,
             name=name,
         )
         self._fleet.record.orders.append(order)
 
     async def _cool(self, fault: Fault) -> None:
-        worker, _ = self._worker(fault)
-        if worker.id in self._leaving | self._cold:
+        endpoint, _ = self._endpoint(fault)
+        if endpoint.id in self._leaving | self._cold:
             return
-        self._cold.add(worker.id)
+        self._cold.add(endpoint.id)
         now = self._clock.now()
         # Instances learn of it within the time to apply an order.
         begin, end = Milliseconds(now + APPLY), Milliseconds(now + _COLD)
-        self._fleet.record.cold.add(worker.id, begin, end)
-        self._fleet.announce(worker, ColdLeftMs=_COLD)
+        self._fleet.record.cold.add(endpoint.id, begin, end)
+        self._fleet.announce(endpoint, cold_for=_COLD)
         await self._clock.sleep(_COLD)
-        self._cold.discard(worker.id)
-        if worker.id in self._fleet.workers and worker.id not in self._leaving:
-            self._fleet.announce(worker)
+        self._cold.discard(endpoint.id)
+        if endpoint.id in self._fleet.endpoints and endpoint.id not in self._leaving:
+            self._fleet.announce(endpoint)
 
     async def _sicken(self, fault: Fault) -> None:
-        worker, _ = self._worker(fault)
-        former = worker.behaviour
-        self._disturb(worker.id, fault.lasts)
-        worker.behaviour = _SICK[fault.variant]
+        endpoint, _ = self._endpoint(fault)
+        former = endpoint.behaviour
+        self._disturb(endpoint.id, fault.lasts)
+        endpoint.behaviour = _SICK[fault.variant]
         await self._clock.sleep(fault.lasts)
-        worker.behaviour = former
+        endpoint.behaviour = former
 
     async def _add_route(self, fault: Fault) -> None:
         added = added_route(self._fleet.added_routes)
@@ -271,31 +272,30 @@
             return
         self._evacuated.add(domain)
         begin = fleet.clock.now()
-        fleet.store.put("op", f"evacuate/{domain}", {})
+        fleet.store.evacuate(domain)
         # An order shorter than its time to take effect would check nothing.
         await self._clock.sleep(Milliseconds(EVACUATE + fault.lasts))
-        struck = [item for item in fleet.all_workers if item.domain == domain]
+        struck = [item for item in fleet.all_endpoints if item.domain == domain]
         order = Order(
             at=begin,
             until=fleet.clock.now(),
-            endpoints=frozenset(worker.id for worker in struck),
+            endpoints=frozenset(endpoint.id for endpoint in struck),
             within=EVACUATE,
             name="evacuated",
         )
         fleet.record.orders.append(order)
-        fleet.store.put("op", f"evacuate/{domain}", None)
+        fleet.store.end_evacuation(domain)
         self._evacuated.discard(domain)
 
     async def _roll_out(self, fault: Fault) -> None:
         fleet, service = self._fleet, (APP, POOL)[fault.target % 2]
         for number in range(3):
             domain = fleet.domain(number)
-            worker = await fleet.add_worker(service, domain, version="v2")
+            endpoint = await fleet.add_endpoint(service, domain, version="v2")
             if fault.variant == "bad":
-                worker.behaviour = _BAD_VERSION
+                endpoint.behaviour = _BAD_VERSION
         begin = fleet.clock.now()
-        order = {"Service": service, "To": "v2", "DurationS": _ROLLOUT / 1_000}
-        fleet.store.put("op", f"rollout/{service}", order)
+        fleet.store.roll_out(service, "v2", _ROLLOUT)
         end = Milliseconds(begin + _ROLLOUT)
         if fault.variant == "bad":
             exposure = Exposure(service=service, version="v2", begin=begin, end=end)
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -6,13 +6,12 @@
 from random import Random
 
 from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.platform.tests.failingstore import FailingStore
+from fuchsiaroute.platform.tests.recordingendpoint import RecordingEndpoint
 from fuchsiaroute.platform.tests.soakwire import (
     APP,
     GRACE,
     POOL,
-    FailingStore,
-    Worker,
-    configuration,
     is_ready,
     list_addresses,
     settings_text,
@@ -24,8 +23,8 @@
 
 _PORTS = {"callers": 18_227, "control": 18_224, "peers": 17_340}
 _DOMAINS = ("z0", "z1", "z2")
-_WORKERS_PER_SERVICE = 3
-#: Places of a worker; few enough that bursts fill them.
+_ENDPOINTS_PER_SERVICE = 3
+#: Places of a endpoint; few enough that bursts fill them.
 _SLOTS = {APP: 6, POOL: 16}
 FIRST_VERSION = "v1"
 #: Pause between two looks at whether all instances are ready.
@@ -58,9 +57,9 @@
         self.store = FailingStore()
         self.places: list[Place] = []
         #: Endpoints that are in the store, with their links.
-        self.workers: dict[str, tuple[Worker, Link]] = {}
+        self.endpoints: dict[str, tuple[RecordingEndpoint, Link]] = {}
         #: Every endpoint there ever was.
-        self.all_workers: list[Worker] = []
+        self.all_endpoints: list[RecordingEndpoint] = []
         self.configuration_version = 1
         self.added_routes = 0
         self.has_second_key = True
@@ -83,8 +82,8 @@
         await self.store.listen()
         self.declare()
         for service in (APP, POOL):
-            for number in range(_WORKERS_PER_SERVICE):
-                await self.add_worker(service, self.domain(number))
+            for number in range(_ENDPOINTS_PER_SERVICE):
+                await self.add_endpoint(service, self.domain(number))
         for number in range(self._count):
             self.places.append(await self._place(number))
         for place in self.places:
@@ -105,9 +104,9 @@
             place.instance.close()
             for link in (place.callers, place.control, place.store):
                 await link.close()
-        for worker in self.all_workers:
-            worker.close()
-        for _, link in self.workers.values():
+        for endpoint in self.all_endpoints:
+            endpoint.close()
+        for _, link in self.endpoints.values():
             await link.close()
         self.store.close()
 
@@ -119,43 +118,49 @@
 
     def declare(self) -> None:
         """Write the declaration in force."""
-        value = configuration(
+        self.store.declare(
             self.configuration_version,
             added=self.added_routes,
             has_second_key=self.has_second_key,
         )
-        self.store.put("op", "config", value)
 
-    async def add_worker(
+    async def add_endpoint(
         self, service: str, domain: str, *, version: str = FIRST_VERSION
-    ) -> Worker:
+    ) -> RecordingEndpoint:
         """Start an endpoint and list it in the store."""
-        worker = Worker(
+        endpoint = RecordingEndpoint(
             service=service,
             domain=domain,
             version=version,
             slots=_SLOTS[service],
             random=self.random,
         )
-        await worker.listen()
-        link = Link("127.0.0.1", worker.port)
+        await endpoint.listen()
+        link = Link("127.0.0.1", endpoint.port)
         await link.listen()
-        self.workers[worker.id] = (worker, link)
-        self.all_workers.append(worker)
-        self.announce(worker)
-        return worker
-
-    def announce(self, worker: Worker, **changes: object) -> None:
+        self.endpoints[endpoint.id] = (endpoint, link)
+        self.all_endpoints.append(endpoint)
+        self.announce(endpoint)
+        return endpoint
+
+    def announce(
+        self,
+        endpoint: RecordingEndpoint,
+        *,
+        is_draining: bool = False,
+        cold_for: Milliseconds = Milliseconds(0),
+    ) -> None:
         """Write an endpoint's entry as it is now."""
-        _, link = self.workers[worker.id]
+        _, link = self.endpoints[endpoint.id]
         address = f"127.0.0.1:{link.port}"
-        value = worker.announcement(Address=address, **changes)
-        self.store.put("servers", worker.id, value)
+        self.store.announce(
+            endpoint, address, is_draining=is_draining, cold_for=cold_for
+        )
 
-    def remove(self, worker: Worker) -> Link:
+    def remove(self, endpoint: RecordingEndpoint) -> Link:
         """Remove an endpoint's entry; returns its link."""
-        self.store.put("servers", worker.id, None)
-        return self.workers.pop(worker.id)[1]
+        self.store.withdraw(endpoint)
+        return self.endpoints.pop(endpoint.id)[1]
 
     def write_settings(self, place: Place) -> None:
         """Write an instance's settings file."""
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -7,7 +7,8 @@
 from random import Random
 
 from fuchsiaroute.clock import BootClock, Milliseconds
-from fuchsiaroute.platform.tests.soakwire import RECOVERY, StoreMode
+from fuchsiaroute.platform.tests.failingstore import StoreMode
+from fuchsiaroute.platform.tests.soakwire import RECOVERY
 from soak._checks import CAUSAL, TIMED, Check, Evidence
 from soak._faults import Injector
 from soak._fleet import Fleet
@@ -56,7 +57,7 @@
         network=network,
         folder=folder,
         clock=clock,
-        random=Random(f"workers:{seed}"),
+        random=Random(f"endpoints:{seed}"),
     )
     try:
         await fleet.start()
@@ -77,7 +78,7 @@
         await clock.sleep(LEAD)
     finally:
         await fleet.close()
-    runs = [run for worker in fleet.all_workers for run in worker.runs]
+    runs = [run for endpoint in fleet.all_endpoints for run in endpoint.runs]
     return _judge(
         fleet, Evidence(fleet.record, runs, fleet.instances), has_timed_checks
     )
--- a/soak/_traffic.py
+++ b/soak/_traffic.py
@@ -6,14 +6,13 @@
 from typing import NewType
 
 from fuchsiaroute.clock import Milliseconds
+from fuchsiaroute.platform.tests.recordingendpoint import body_of, session_fields
 from fuchsiaroute.platform.tests.soakwire import (
     KEY,
     REVOKED_KEY,
     Kind,
     added_route,
-    body_of,
     path,
-    session_fields,
 )
 from fuchsiaroute.platform.tests.world import Caller
 from soak._fleet import Fleet, Place
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -6,6 +6,7 @@
 import pytest
 
 from fuchsiaroute.clock import Milliseconds
+from fuchsiaroute.platform.tests.recordingendpoint import Run, answer_of, event_of
 from fuchsiaroute.platform.tests.soakwire import (
     APP,
     DRAIN,
@@ -13,9 +14,6 @@
     POOL,
     REVOKED_KEY,
     Kind,
-    Run,
-    answer_of,
-    event_of,
 )
 from soak._checks import CAUSAL, TIMED, Evidence
 from soak._instances import Life
