--- a/fuchsiaroute/platform/tests/test_node_state.py
+++ b/fuchsiaroute/platform/tests/test_node_state.py
@@ -183,3 +183,21 @@
         assert b"process:was-suspended" in lines
         assert lines.count(b"feed:restarted") == 2
         assert (await world.caller().ask("/read/")).status == 200
+
+
+@pytest.mark.parametrize(
+    ("change", "outcome"),
+    [("", None), ("Bounds.GraceS=3\n", b'"applied"'), ("Ip=\n", b'"kept"')],
+)
+async def test_change_while_the_process_started_is_not_missed(
+    tmp_path: Path, change: str, outcome: bytes | None
+) -> None:
+    async with World(Endpoint()) as world:
+        path = tmp_path / "node.conf"
+        path.write_text(world.settings_text + change)
+        world.node._settings_path = str(path)
+        before = len(world.lines)
+        world.node._reload_if_changed()
+        lines = b"".join(world.lines[before:])
+    assert (b"process:reload" in lines) is (outcome is not None)
+    assert outcome is None or outcome in lines
