Take only a refused connection for proof that nobody listens

Cause: since one failed connection made an endpoint suspect. A connection that is not made within 0.4 s may be the fault of this instance's own slow link, which would make all endpoints suspect at once and refuse requests while places are free.

--- a/fuchsiaroute/forwarding/_attempt.py
+++ b/fuchsiaroute/forwarding/_attempt.py
@@ -10,6 +10,7 @@
     ClientConnection,
     ConnectError,
     ExchangeError,
+    NobodyListensError,
     NoConnectionLeftError,
     ResponseHead,
     encode_request,
@@ -134,11 +135,8 @@
             connection = await self._connections.take(
                 endpoint, is_repeatable=call.route.is_repeatable
             )
-        except NoConnectionLeftError as error:
-            # The endpoint is not to blame, but has no room for this instance.
-            return _failed(reservation, Outcome.REFUSED_FULL, str(error))
         except ConnectError as error:
-            return _failed(reservation, Outcome.FAILED_BEFORE_SENT, str(error))
+            return _not_connected(reservation, error)
         except BaseException:
             reservation.revoke()
             raise
@@ -233,6 +231,16 @@
         )
 
 
+def _not_connected(reservation: Reservation, error: ConnectError) -> AttemptFailure:
+    outcome = Outcome.FAILED_BEFORE_SENT
+    if isinstance(error, NoConnectionLeftError):
+        # The endpoint is not to blame, but has no room for this instance.
+        outcome = Outcome.REFUSED_FULL
+    elif isinstance(error, NobodyListensError):
+        reservation.found_gone()
+    return _failed(reservation, outcome, str(error))
+
+
 def _failed(reservation: Reservation, outcome: Outcome, reason: str) -> AttemptFailure:
     reservation.finish(outcome)
     return AttemptFailure(outcome=outcome, reason=reason)
--- a/fuchsiaroute/http1/__init__.py
+++ b/fuchsiaroute/http1/__init__.py
@@ -11,6 +11,7 @@
     BrokenResponseError,
     ConnectError,
     ExchangeError,
+    NobodyListensError,
     NoConnectionLeftError,
 )
 from fuchsiaroute.http1._messages import (
@@ -34,6 +35,7 @@
     "Headers",
     "InboundRequest",
     "NoConnectionLeftError",
+    "NobodyListensError",
     "Responder",
     "ResponseBody",
     "ResponseHead",
--- a/fuchsiaroute/http1/_client.py
+++ b/fuchsiaroute/http1/_client.py
@@ -11,7 +11,11 @@
 import httptools
 
 from fuchsiaroute.clock import Clock, Milliseconds
-from fuchsiaroute.http1._exceptions import BrokenResponseError, ConnectError
+from fuchsiaroute.http1._exceptions import (
+    BrokenResponseError,
+    ConnectError,
+    NobodyListensError,
+)
 from fuchsiaroute.http1._messages import Headers, find_header
 
 #: Buffered bytes of a response above which the endpoint is not read any further.
@@ -305,7 +309,8 @@
     """
     Open a connection within the time.
 
-    Raises ``ConnectError``; nothing has been sent then.
+    Raises ``ConnectError``, or its subclass ``NobodyListensError``; nothing has been
+    sent then.
     """
     loop = asyncio.get_running_loop()
     try:
@@ -315,6 +320,8 @@
             )
     except TimeoutError:
         raise ConnectError(f"no connection within {within} ms") from None
+    except ConnectionRefusedError as error:
+        raise NobodyListensError(f"connecting failed: {error}") from None
     except OSError as error:
         raise ConnectError(f"connecting failed: {error}") from None
     return protocol
--- a/fuchsiaroute/http1/_exceptions.py
+++ b/fuchsiaroute/http1/_exceptions.py
@@ -9,6 +9,10 @@
     """No connection was made, so that nothing was sent."""
 
 
+class NobodyListensError(ConnectError):
+    """The endpoint's machine answered that nothing listens on the port."""
+
+
 class NoConnectionLeftError(ConnectError):
     """This instance's share of an endpoint's connections is in use."""
 
--- a/fuchsiaroute/pool/_member.py
+++ b/fuchsiaroute/pool/_member.py
@@ -65,6 +65,8 @@
     is_on_trial: bool = False
     #: Share of recent requests that succeeded.
     health: float = 1.0
+    #: Whether the request that ends now found that nobody listens.
+    is_found_gone: bool = False
     #: Mean time of recent requests relative to their kind's mean.
     slowness: float = 1.0
     measured_at: Milliseconds = Milliseconds(0)
@@ -155,8 +157,8 @@
         elif outcome is Outcome.ANSWERED:
             self._succeeded()
         elif outcome in _FAILURES:
-            # Nobody listens where no connection can be made; one try shows that.
-            self._failed(is_certain=outcome is Outcome.FAILED_BEFORE_SENT)
+            self._failed()
+        self.is_found_gone = False
 
     def measured(self, relative_duration: float) -> None:
         """Take over a request's time relative to the mean of its kind."""
@@ -179,10 +181,14 @@
         self.trial_pause = FIRST_TRIAL_PAUSE
         self.apply(EndpointEvent.RECOVERED)
 
-    def _failed(self, *, is_certain: bool) -> None:
+    def _failed(self) -> None:
         self._judged(0.0)
         self.failures_in_row += 1
-        is_suspect = is_certain or self.failures_in_row >= FAILURES_UNTIL_SUSPECT
+        # One try shows that nobody listens; a connection that is not made in time may
+        # be the fault of this instance's link.
+        is_suspect = (
+            self.is_found_gone or self.failures_in_row >= FAILURES_UNTIL_SUSPECT
+        )
         now = self.clock.now()
         if self.state is EndpointState.SUSPECT:
             self.trial_pause = Milliseconds(
--- a/fuchsiaroute/pool/_pool.py
+++ b/fuchsiaroute/pool/_pool.py
@@ -111,6 +111,10 @@
         self._on_started = on_started
         self._on_finish = on_finish
 
+    def found_gone(self) -> None:
+        """Note that nobody listens at the endpoint's address."""
+        self._member.is_found_gone = True
+
     def revoke(self) -> None:
         """Give the place back unused."""
         self.finish(Outcome.REVOKED)
