Keep endpoints whose removal and return come in one answer of the store

Its log: at 13.9 s an instance read the announcements for the first time since the store had been silent, the answer held the removal and the renewal of the same endpoints, the renewals were taken over first in effect, and two seconds later all 94 endpoints were forgotten, here and at the others that had read it so. Ruled out: old news of load, connections, exits, the store's rows themselves. The last row of an answer decides now. Two cases of the test fail before the change.

--- a/fuchsiaroute/catalog/_catalog.py
+++ b/fuchsiaroute/catalog/_catalog.py
@@ -81,6 +81,8 @@
         for row in rows.rows:
             name = EndpointId(row.key)
             if row.value is not None:
+                # One answer may hold the removal before it, too.
+                gone.pop(name, None)
                 self._announce(name, row)
             elif name in self._services:
                 gone[name] = self._services[name]
