Count an endpoint's silence from the send, ignore SIGHUP before all imports

A new case with a status page that takes 450 ms failed before (NOT_SENT) and passes. - the exhausted connection share: the test's streams lasted 0.8 s and the refused requests were tried again for 0.5 to 1 s, so they could get a connection that a stream had left. The streams now last until all others are refused, and the counts are checked as well. - SIGHUP: the signal was ignored after the import of the TLS guard and `signal`.

What is left is the interpreter's own start, before any line of ours runs.

--- a/fuchsiaroute/dispatch/_client.py
+++ b/fuchsiaroute/dispatch/_client.py
@@ -100,10 +100,15 @@
     ) -> httpx.Response:
         """Send the request; return the response once its head has arrived."""
         request = self._request(call, connections.client)
-        timeout = (
-            min(remaining, self._progress_timeout) if call.is_streamed else remaining
-        )
-        async with asyncio.timeout(timeout / MILLISECONDS_PER_SECOND):
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + remaining / MILLISECONDS_PER_SECOND
+        async with asyncio.timeout_at(deadline) as timeout:
+            if call.is_streamed:
+                # Connecting and reading the status have timeouts of their own.
+                progress_timeout = self._progress_timeout / MILLISECONDS_PER_SECOND
+                send_check.on_sent = lambda: timeout.reschedule(
+                    min(deadline, loop.time() + progress_timeout)
+                )
             return await self._send_watched(call, send_check, request, connections)
 
     async def _send_watched(
--- a/fuchsiaroute/dispatch/_send_check.py
+++ b/fuchsiaroute/dispatch/_send_check.py
@@ -1,5 +1,7 @@
 """Checks right before the first byte of a request is sent."""
 
+from collections.abc import Callable
+
 import httpx
 from returns.result import Success
 
@@ -37,6 +39,8 @@
         self.is_new_connection = False
         #: Whether bytes of the request may have been sent.
         self.is_sent = False
+        #: Called right before the first byte of the request is sent.
+        self.on_sent: Callable[[], None] = lambda: None
         #: Status that the endpoint reported when a new connection was checked.
         self.status = EndpointStatus()
 
@@ -50,6 +54,7 @@
                 DispatchOutcome.REVOKED, "the choice of the endpoint is no longer valid"
             )
         self.is_sent = True
+        self.on_sent()
 
     async def _check_incarnation(self) -> None:
         expected = self._call.incarnation
--- a/fuchsiaroute/dispatch/tests/test_client.py
+++ b/fuchsiaroute/dispatch/tests/test_client.py
@@ -40,6 +40,8 @@
         self.posts = 0
         self.connections = 0
         self.is_unresponsive = False
+        #: Delay of the status page, in seconds.
+        self.status_delay = 0.0
         self.posted = asyncio.Event()
         self.closed = asyncio.Event()
 
@@ -70,6 +72,7 @@
     async def _status(self, writer: asyncio.StreamWriter) -> None:
         if self.is_unresponsive:
             await asyncio.sleep(30)
+        await asyncio.sleep(self.status_delay)
         body = b'{"incarnation":%d,"in_flight":%d}' % (
             self.incarnation,
             self.status_in_flight,
@@ -225,6 +228,19 @@
         assert ends == [outcome]
 
 
+async def test_time_to_connect_does_not_count_as_time_without_progress() -> None:
+    """Guards against a slow new connection that is taken for an unresponsive one."""
+    silent = responding(then="hang")
+    async with serving(silent, progress_timeout=SHORT_TIMEOUT) as (endpoint, sender):
+        endpoint.status_delay = 1.5 * SHORT_TIMEOUT / 1_000
+        failure = (await sender.open(call(endpoint))).failure()
+        assert (failure.outcome, failure.verdict) == (
+            DispatchOutcome.SILENT,
+            Verdict.MAY_HAVE_RUN,
+        )
+        assert endpoint.posts == 1
+
+
 async def test_restart_is_detected_before_the_first_byte_is_sent() -> None:
     async with serving(COMPLETE) as (endpoint, dispatcher):
         endpoint.incarnation = 8
--- a/fuchsiaroute/platform/tests/test_node.py
+++ b/fuchsiaroute/platform/tests/test_node.py
@@ -268,16 +268,39 @@
 
 
 async def test_exhausted_connection_share_is_not_a_failure_of_the_endpoint() -> None:
-    endpoint = Endpoint(events(40, pause_s=0.02), Slots=64)
+    released = asyncio.Event()
+
+    async def held(endpoint, request, responder):  # type: ignore[no-untyped-def]
+        headers = [*endpoint.headers(request), (b"Content-Type", b"text/event-stream")]
+        responder.start(200, headers)
+        number = 0
+        while not released.is_set():
+            number += 1
+            responder.write(b"id: %d\ndata: x\n\n" % number)
+            await asyncio.sleep(0.02)
+        responder.finish()
+
+    endpoint = Endpoint(held, Slots=64)
     services = [{"Name": "app", "MaxConnections": 4}]
     configuration = {**CONFIGURATION, "Services": services}
     async with NodeHarness(endpoint, configuration=configuration) as harness:
         callers = [harness.caller() for _ in range(8)]
         for number, caller in enumerate(callers):
             await caller.send("/stream/", request_id=f"q{number}")
+        # The streams hold their connections until all other requests are refused.
+        await harness.until(
+            lambda: (
+                b"".join(harness.lines).count(b"request:refused")
+                == len(callers) - len(endpoint.requests)
+            )
+        )
+        released.set()
         replies = [await caller.receive() for caller in callers]
         member = harness.node._parts.pool.members("app")[0]  # type: ignore[arg-type]
-    assert {reply.status for reply in replies} == {200, 503}
+    statuses = [reply.status for reply in replies]
+    assert set(statuses) == {200, 503}
+    assert statuses.count(200) == len(endpoint.requests)
+    assert all(reply.is_whole for reply in replies)
     assert member.failures_in_row == 0
 
 
--- a/soak/program.py
+++ b/soak/program.py
@@ -5,9 +5,16 @@
 arguments are passed to ``fuchsiaroute``.
 """
 
-import os
-import sys
-import time
+import _signal  # type: ignore[import-not-found]
+
+# The default action of SIGHUP ends the process; the node handles it later. This comes
+# before all imports, which take most of the start-up time, and uses the module that is
+# part of the interpreter.
+_signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
+
+import os  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
 
 _NANOSECONDS = 1_000_000
 
