Wait for larger models' answers, and keep the weak one until they have begun

Change: times without an answer are observations; the timeout is above the largest recent time, and at least the target for an escalation; the largest model comes first where two runs don't fit the target, one does, and weak answers are common; the weak answer is held until the first event of the larger one; the rest of a stream goes to the head of the queue and asks for an endpoint until its deadline; escalations leave one attempt and a quarter of the retry budget; none at an instance that is stopping. The log line of a request tells when its answer started and its prompt tokens.

--- a/fuchsiaroute/forwarding/__init__.py
+++ b/fuchsiaroute/forwarding/__init__.py
@@ -8,6 +8,7 @@
 from fuchsiaroute.forwarding._endpoint_client import EndpointClient
 from fuchsiaroute.forwarding._forwarder import Forwarder
 from fuchsiaroute.forwarding._latency_estimator import LatencyEstimator
+from fuchsiaroute.forwarding._model_choice import CascadeTimes, ModelChoice
 from fuchsiaroute.forwarding._request_resolver import RequestResolver
 from fuchsiaroute.forwarding._stream_relay import StreamRelay
 
@@ -16,11 +17,13 @@
     "AttemptRunner",
     "BufferedRelay",
     "Call",
+    "CascadeTimes",
     "ConnectionPool",
     "Counters",
     "EndpointClient",
     "Forwarder",
     "LatencyEstimator",
+    "ModelChoice",
     "RequestResolver",
     "StreamRelay",
 ]
--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -14,6 +14,7 @@
     OpenResponse,
 )
 from fuchsiaroute.forwarding._latency_estimator import FIXED_TOKENS, LatencyEstimator
+from fuchsiaroute.forwarding._model_choice import CascadeTimes
 from fuchsiaroute.ids import EndpointId, ModelId, RequestClass, ServiceId, VersionId
 from fuchsiaroute.lifecycle import Outcome
 from fuchsiaroute.linelog import LineLog
@@ -57,10 +58,17 @@
 #: Prompt tokens processed per millisecond, assumed until latencies have been observed;
 #: engines process tens of them.
 INITIAL_TOKENS_PER_MS = 40.0
+#: Queue priority of the rest of a stream: the most urgent one.
+RESUMPTION_PRIORITY = 0
+#: Prompt tokens that every working engine processes in a millisecond with any model.
+MIN_TOKENS_PER_MS = 15.0
 #: Remaining time below which a request is not retried.
 MIN_REMAINING_TO_RETRY = Milliseconds(40)
-#: Share of the retry budget that escalations leave to retries of failed attempts.
-ESCALATION_RESERVE = 0.15
+#: Share of the retry budget that escalations leave to retries of failed attempts and to
+#: the resumption of broken streams.
+ESCALATION_RESERVE = 0.25
+#: Attempts that an escalation leaves for the resumption of its stream.
+RESUME_RESERVE = 1
 #: A response counts as slow in the comparison of versions if its time to first byte
 #: exceeds the mean by this factor and by this excess; prompts that are not cached yet
 #: take a few times the mean.
@@ -104,6 +112,7 @@
         log: LineLog,
         new_budget: Callable[[], WindowedRetryBudget],
         on_session: Callable[[Call], None],
+        is_stopping: Callable[[], bool],
     ) -> None:
         self._pool = pool
         self._queue = queue
@@ -115,6 +124,7 @@
         self._log = log
         self._new_budget = new_budget
         self._on_session = on_session
+        self._is_stopping = is_stopping
         self._budgets: dict[ServiceId, WindowedRetryBudget] = {}
 
     def record_request(self, call: Call) -> None:
@@ -136,9 +146,11 @@
 
     def may_escalate(self, call: Call) -> bool:
         """Return whether a larger model may be asked; charges the retry budget."""
+        reserve = RESUME_RESERVE if call.route.is_resumable else 0
         if (
-            not call.route.is_repeatable
-            or call.possible_runs >= call.route.max_attempts
+            self._is_stopping()
+            or not call.route.is_repeatable
+            or call.possible_runs + reserve >= call.route.max_attempts
         ):
             return False
         if not self._retry_budget(call.service).spend(reserve_share=ESCALATION_RESERVE):
@@ -152,13 +164,21 @@
         *,
         model: ModelId | None,
         resume_after: EventId | None = None,
+        is_escalation: bool = False,
+        is_resumption: bool = False,
     ) -> OpenResponse | AttemptFailure | NoReservation:
-        """Reserve an endpoint and send the request to it."""
+        """
+        Reserve an endpoint and send the request to it.
+
+        The rest of a stream that the caller has begun to receive (``is_resumption``)
+        is queued before all new requests.
+        """
         demand = self._demand(call, model)
+        priority = RESUMPTION_PRIORITY if is_resumption else call.priority
         reservation = await self._queue.reserve(
             call.as_request(),
             demand,
-            priority=call.priority,
+            priority=priority,
             max_wait=self._max_wait(call),
             deprioritise_after=self._max_wait_in_time(call, demand.work),
         )
@@ -167,7 +187,7 @@
             reservation = await self._queue.reserve(
                 call.as_request(),
                 self._demand(call, model, excludes_failed=False),
-                priority=call.priority,
+                priority=priority,
                 max_wait=self._max_wait(call),
                 deprioritise_after=self._max_wait_in_time(call, demand.work),
             )
@@ -182,10 +202,14 @@
             reservation,
             model=model,
             resume_after=resume_after,
-            head_timeout=self._head_timeout(call, model, reservation.backlog),
+            head_timeout=self._head_timeout(
+                call, model, reservation.backlog, is_escalation=is_escalation
+            ),
         )
         if isinstance(result, AttemptFailure):
             self._record_failure(call, result, endpoint.id, endpoint.version)
+            if result.outcome is Outcome.SILENT:
+                self._record_unanswered(call, model, result, reservation.backlog)
             return result
         if result.fields.unreadable:
             self._log.write(
@@ -277,8 +301,28 @@
         target = max(call.route.latency_target, 1)
         return self._pool.min_backlog(call.service, self._versions(call)) / target
 
+    def cascade_times(self, call: Call) -> CascadeTimes:
+        """Return the times that decide which model of the route is asked first."""
+        models = call.route.models
+        waited = self._clock.now() - call.inbound.arrived_at
+        return CascadeTimes(
+            smallest=self._learned_latency(call, models[0]) if models else None,
+            largest=self._learned_latency(call, models[-1]) if models else None,
+            left=call.route.latency_target - waited,
+            relative_backlog=self.relative_backlog(call),
+        )
+
+    def _learned_latency(self, call: Call, model: ModelId) -> float | None:
+        tokens = call.fields.prompt_tokens
+        return self._latencies.mean(call.route.name, model, tokens)
+
     def _head_timeout(
-        self, call: Call, model: ModelId | None, backlog: float
+        self,
+        call: Call,
+        model: ModelId | None,
+        backlog: float,
+        *,
+        is_escalation: bool,
     ) -> Milliseconds:
         """Return how long to wait for the response head before a retry."""
         remaining = call.remaining(self._clock)
@@ -297,7 +341,14 @@
             deviations=TIMEOUT_DEVIATIONS,
         )
         if timeout is None:
-            timeout = call.route.latency_target * INITIAL_TIMEOUT_SHARE
+            timeout = max(
+                call.route.latency_target * INITIAL_TIMEOUT_SHARE,
+                call.fields.prompt_tokens / MIN_TOKENS_PER_MS if is_stream else 0.0,
+            )
+        if is_escalation:
+            # The weak answer is of little use, and it is no better if it is sent sooner
+            # than the latency target.
+            timeout = max(timeout, call.route.latency_target)
         timeout += BACKLOG_TIMEOUT_FACTOR * backlog
         maximum = remaining * MAX_TIMEOUT_SHARE
         return Milliseconds(round(min(max(timeout, minimum), maximum)))
@@ -331,6 +382,17 @@
             self._latencies.add(call.route.name, model or "", tokens, work)
         self._counters.add("attempts", "answered" if not is_bad else "failed")
 
+    def _record_unanswered(
+        self,
+        call: Call,
+        model: ModelId | None,
+        failure: AttemptFailure,
+        backlog: float,
+    ) -> None:
+        work = Milliseconds(round(max(failure.duration - backlog, 0)))
+        tokens = call.fields.prompt_tokens
+        self._latencies.add_unanswered(call.route.name, model or "", tokens, work)
+
     def _record_failure(
         self,
         call: Call,
--- a/fuchsiaroute/forwarding/_buffered_relay.py
+++ b/fuchsiaroute/forwarding/_buffered_relay.py
@@ -59,6 +59,7 @@
     def _respond(self, call: Call, response: OpenResponse, body: bytes) -> CallResult:
         self._runner.record_complete_response(call, response)
         headers = caller_headers(response.head.headers)
+        call.answer_started_at = self._clock.now()
         call.responder.send(response.head.status, headers, body)
         return CallResult(
             ending=Ending.ANSWERED,
--- a/fuchsiaroute/forwarding/_call.py
+++ b/fuchsiaroute/forwarding/_call.py
@@ -48,6 +48,8 @@
     #: Number of sends that may have run the request: all except those that certainly
     #: did not, such as rejected ones.
     possible_runs: int = 0
+    #: Monotonic instant at which the endpoint's answer was first passed on.
+    answer_started_at: Milliseconds | None = None
     #: Retries charged to the retry budget.
     charged_retries: int = 0
     #: Why attempts failed, for the log.
--- a/fuchsiaroute/forwarding/_endpoint_client.py
+++ b/fuchsiaroute/forwarding/_endpoint_client.py
@@ -39,6 +39,8 @@
 
     outcome: Outcome
     reason: str
+    #: Time from the start of the attempt to its failure.
+    duration: Milliseconds = Milliseconds(0)
 
     @property
     def verdict(self) -> Verdict:
@@ -174,7 +176,8 @@
                 self._connections.discard(endpoint.id, connection)
                 reservation.finish(outcome)
         if head is None:
-            return AttemptFailure(outcome=outcome, reason=reason)
+            duration = Milliseconds(self._clock.now() - started_at)
+            return AttemptFailure(outcome=outcome, reason=reason, duration=duration)
         reservation.answer_started()
         response = OpenResponse(
             connection=connection,
--- a/fuchsiaroute/forwarding/_forwarder.py
+++ b/fuchsiaroute/forwarding/_forwarder.py
@@ -192,6 +192,8 @@
             organisation=call.organisation,
             status=call.responder.status,
             took_ms=duration,
+            answer_started_ms=_since(call.inbound.arrived_at, call.answer_started_at),
+            prompt_tokens=call.fields.prompt_tokens,
             time_left_ms=call.remaining(self._clock),
             sent_to=call.sent_to,
             may_have_run=not call.is_not_run,
@@ -200,3 +202,7 @@
             store_silent_ms=self._store_unreachable_for(),
             **fields,
         )
+
+
+def _since(start: Milliseconds, instant: Milliseconds | None) -> Milliseconds | None:
+    return None if instant is None else Milliseconds(instant - start)
--- a/fuchsiaroute/forwarding/_stream_relay.py
+++ b/fuchsiaroute/forwarding/_stream_relay.py
@@ -3,13 +3,14 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from fuchsiaroute.clock import Clock
+from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.confidence import Answer, ConfidenceUnknown, is_weak
 from fuchsiaroute.forwarding._attempt_runner import AttemptRunner, NoReservation
 from fuchsiaroute.forwarding._buffered_relay import MAX_BODY_BYTES
 from fuchsiaroute.forwarding._call import Call
 from fuchsiaroute.forwarding._endpoint_client import AttemptFailure, OpenResponse
 from fuchsiaroute.forwarding._events import EventSplitter, EventTooLongError
+from fuchsiaroute.forwarding._model_choice import ModelChoice
 from fuchsiaroute.forwarding._result import CallResult, Ending, refused_result
 from fuchsiaroute.http1 import ExchangeError
 from fuchsiaroute.ids import ModelId
@@ -26,6 +27,8 @@
 #: Share of the route's maximum event gap after which an idle stream is resumed at
 #: another endpoint; the rest is left for that endpoint's first event.
 IDLE_TIMEOUT_SHARE = 0.7
+#: Interval between two attempts to get an endpoint for the rest of a stream.
+RESUME_RETRY_INTERVAL = Milliseconds(50)
 MILLISECONDS_PER_SECOND = 1_000
 
 
@@ -34,6 +37,8 @@
     """State of a stream that is being relayed."""
 
     response: OpenResponse
+    #: Weak answer to relay if ``response`` ends before its first event.
+    fallback: OpenResponse | None = None
     splitter: EventSplitter = field(default_factory=EventSplitter)
     resumptions: int = 0
 
@@ -42,29 +47,39 @@
     """
     Relays events as they arrive.
 
-    On a route with several models, the smallest one answers first. A weak answer is
-    held back while the largest model is asked, and is relayed if that fails.
+    On a route with several models, the smallest one usually answers first. A weak
+    answer is held back until the largest model's first event has arrived, and is
+    relayed if none does.
     """
 
-    def __init__(self, runner: AttemptRunner, *, clock: Clock, log: LineLog) -> None:
+    def __init__(
+        self,
+        runner: AttemptRunner,
+        *,
+        choice: ModelChoice,
+        clock: Clock,
+        log: LineLog,
+    ) -> None:
         self._runner = runner
+        self._choice = choice
         self._clock = clock
         self._log = log
 
     async def serve(self, call: Call) -> CallResult:
         """Serve ``call``; nothing is sent on ``NO_PLACE`` or ``ATTEMPTS_FAILED``."""
         models = call.route.models
-        model = models[0] if models else None
+        model = self._choice.first(call.route, self._runner.cascade_times(call))
         weak_response: OpenResponse | None = None
         try:
             while True:
-                result = await self._runner.attempt(call, model=model)
+                result = await self._runner.attempt(
+                    call, model=model, is_escalation=weak_response is not None
+                )
                 if isinstance(result, OpenResponse) and result.is_success:
                     if weak_response is not None:
-                        weak_response.close(Outcome.CANCELLED)
-                        return await self._relay(call, result, is_escalated=True)
+                        return await self._relay(call, result, fallback=weak_response)
                     if not self._should_escalate(call, result):
-                        return await self._relay(call, result, is_escalated=False)
+                        return await self._relay(call, result)
                     weak_response, model = result, models[-1]
                 elif weak_response is not None and self._may_retry_escalation(
                     call, result
@@ -72,7 +87,7 @@
                     _discard(result)
                 elif weak_response is not None:
                     _discard(result)
-                    return await self._relay(call, weak_response, is_escalated=False)
+                    return await self._relay(call, weak_response)
                 elif isinstance(result, NoReservation) or not self._may_retry(call):
                     return await self._fail(call, result)
                 else:
@@ -107,6 +122,9 @@
         threshold = CONFIDENCE_THRESHOLD * max(
             1.0 - THRESHOLD_REDUCTION * relative_backlog, 0.0
         )
+        self._choice.record_smallest(
+            call.route, is_weak=is_weak(answer, threshold=CONFIDENCE_THRESHOLD)
+        )
         if not is_weak(answer, threshold=threshold):
             return False
         is_allowed = self._runner.may_escalate(call)
@@ -143,15 +161,21 @@
         return self._result(call, _RelayState(result), Ending.ANSWERED, False)
 
     async def _relay(
-        self, call: Call, response: OpenResponse, *, is_escalated: bool
+        self,
+        call: Call,
+        response: OpenResponse,
+        *,
+        fallback: OpenResponse | None = None,
     ) -> CallResult:
-        state = _RelayState(response)
+        """
+        Relay ``response``, or ``fallback`` if ``response`` ends before its first event.
+
+        ``fallback`` is the weak answer that ``response`` replaces.
+        """
+        state = _RelayState(response, fallback=fallback)
         ending = Ending.BROKEN_OFF
         outcome = Outcome.CANCELLED
         try:
-            call.responder.start(
-                response.head.status, caller_headers(response.head.headers)
-            )
             if await self._relay_events(call, state):
                 ending, outcome = Ending.ANSWERED, Outcome.ANSWERED
         finally:
@@ -159,9 +183,22 @@
         if ending is Ending.ANSWERED:
             self._runner.record_complete_response(call, state.response)
             call.responder.finish()
+        elif state.fallback is not None:
+            return await self._relay(call, state.fallback)
         else:
             call.responder.abort()
-        return self._result(call, state, ending, is_escalated)
+        return self._result(call, state, ending, is_escalated=fallback is not None)
+
+    def _start(self, call: Call, state: _RelayState) -> None:
+        """Send the response head, unless it has been sent."""
+        if call.responder.is_started:
+            return
+        call.answer_started_at = self._clock.now()
+        head = state.response.head
+        call.responder.start(head.status, caller_headers(head.headers))
+        if state.fallback is not None:
+            state.fallback.close(Outcome.CANCELLED)
+            state.fallback = None
 
     async def _relay_events(self, call: Call, state: _RelayState) -> bool:
         """Relay the stream; return whether it reached its end."""
@@ -180,9 +217,11 @@
                     return False
                 continue
             if not data:
+                self._start(call, state)
                 responder.write(state.splitter.incomplete)
                 return True
             if complete:
+                self._start(call, state)
                 responder.write(complete)
                 await responder.drain()
 
@@ -199,9 +238,15 @@
                 call,
                 model=previous.model,
                 resume_after=EventId(last_id.decode("latin-1")) if last_id else None,
+                is_resumption=True,
             )
-            if isinstance(result, NoReservation):
+            if isinstance(result, NoReservation) and state.fallback is not None:
                 return False
+            if isinstance(result, NoReservation):
+                # Only another endpoint can finish a stream that the caller has begun
+                # to receive, so this waits for one until the deadline.
+                await self._clock.sleep(RESUME_RETRY_INTERVAL)
+                continue
             if isinstance(result, AttemptFailure):
                 continue
             if not result.is_success:
--- a/fuchsiaroute/forwarding/tests/test_parts.py
+++ b/fuchsiaroute/forwarding/tests/test_parts.py
@@ -90,3 +90,18 @@
     spent = sum(budget.spend(reserve_share=0.2) for _ in range(20))
     assert spent == 8
     assert sum(budget.spend() for _ in range(20)) == 2
+
+
+def test_spent_retries_leave_the_window() -> None:
+    """Guards against a budget that stays exhausted after one bad window."""
+    clock = ManualClock()
+    budget = WindowedRetryBudget(
+        clock=clock, window=Milliseconds(10_000), ratio=0.0, slack=lambda: 3.0
+    )
+    assert sum(budget.spend() for _ in range(10)) == 3
+    clock.tick(Milliseconds(9_999))
+    assert not budget.spend()
+    clock.tick(Milliseconds(1))
+    assert sum(budget.spend() for _ in range(10)) == 3
+    clock.tick(Milliseconds(5_000))
+    assert not budget.spend()
--- a/fuchsiaroute/node/_gossip_exchange.py
+++ b/fuchsiaroute/node/_gossip_exchange.py
@@ -222,9 +222,12 @@
         now = self._clock.now()
         updates: list[SessionUpdate] = []
         for session, binding in self._tracker.sessions.recent():
-            age = Milliseconds(now - binding.served_at)
-            if age > MAX_SESSION_AGE or len(updates) >= MAX_SESSIONS:
+            if len(updates) >= MAX_SESSIONS:
                 break
+            age = Milliseconds(now - binding.served_at)
+            if age > MAX_SESSION_AGE:
+                # Sessions that peers have reported are not in order of their age.
+                continue
             key = session_key(SessionHash(session))
             if any(self._tracker.is_in_canary_share(name, key) for name in services):
                 updates.append(SessionUpdate(session, binding.version, age))
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -15,6 +15,7 @@
     EndpointClient,
     Forwarder,
     LatencyEstimator,
+    ModelChoice,
     RequestResolver,
     StreamRelay,
 )
@@ -327,12 +328,15 @@
             log=self.log,
             new_budget=self._retry_budget,
             on_session=self._gossip_session,
+            is_stopping=lambda: self.is_stopping,
         )
         return Forwarder(
             resolver=RequestResolver(self.catalog, clock=self._clock),
             runner=runner,
             buffered=BufferedRelay(runner, clock=self._clock),
-            stream=StreamRelay(runner, clock=self._clock, log=self.log),
+            stream=StreamRelay(
+                runner, choice=ModelChoice(), clock=self._clock, log=self.log
+            ),
             catalog=self.catalog,
             counters=self.counters,
             clock=self._clock,
--- a/fuchsiaroute/staging/_sessions.py
+++ b/fuchsiaroute/staging/_sessions.py
@@ -45,10 +45,10 @@
     ) -> None:
         """Record that a session was served ``age`` milliseconds ago."""
         served_at = Milliseconds(self._clock.now() - age)
-        binding = self._bindings.pop(session, None)
+        binding = self._bindings.get(session)
         if binding is not None and binding.served_at >= served_at:
-            self._bindings[session] = binding
             return
+        self._bindings.pop(session, None)
         self._bindings[session] = SessionBinding(version, served_at)
         self._trim()
 
