Stop using endpoints that say they leave, and pause those that ask for it

Change: the adapter decodes both; the pool takes a leaving process out at once, for new requests and for reservations that have not been sent, until a process with another start is announced, whatever its announcement says in between. Peers are told by gossip (a trailing field with a default, so that instances of the former version are understood and understand). A pause keeps every kind of request and trial away from the endpoint until its end, and load rises again over 2 s. If all endpoints of a service pause for longer than the caller can wait, it gets 503 at once with the soonest end and up to half of it more. Malformed values, dates and text are ignored and logged; a negative time is none, and more than 30 days are shortened to that. Log lines endpoint:leaving and endpoint:paused, counter endpoint_notices.

--- a/fuchsiaroute/forwarding/__init__.py
+++ b/fuchsiaroute/forwarding/__init__.py
@@ -6,6 +6,7 @@
 from fuchsiaroute.forwarding._connection_pool import ConnectionPool
 from fuchsiaroute.forwarding._counters import LATENCY_BOUNDS_MS, Counters
 from fuchsiaroute.forwarding._endpoint_client import EndpointClient
+from fuchsiaroute.forwarding._endpoint_notices import EndpointNotices
 from fuchsiaroute.forwarding._forwarder import Forwarder
 from fuchsiaroute.forwarding._latency_estimator import LatencyEstimator
 from fuchsiaroute.forwarding._model_choice import CascadeTimes, ModelChoice
@@ -21,6 +22,7 @@
     "ConnectionPool",
     "Counters",
     "EndpointClient",
+    "EndpointNotices",
     "Forwarder",
     "LatencyEstimator",
     "ModelChoice",
--- a/fuchsiaroute/forwarding/_endpoint_client.py
+++ b/fuchsiaroute/forwarding/_endpoint_client.py
@@ -6,6 +6,7 @@
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.forwarding._call import Call
 from fuchsiaroute.forwarding._connection_pool import ConnectionPool
+from fuchsiaroute.forwarding._endpoint_notices import EndpointNotices
 from fuchsiaroute.http1 import (
     ClientConnection,
     ConnectError,
@@ -113,9 +114,16 @@
 class EndpointClient:
     """Sends requests to endpoints and checks the heads of their responses."""
 
-    def __init__(self, *, clock: Clock, connections: ConnectionPool) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        connections: ConnectionPool,
+        notices: EndpointNotices,
+    ) -> None:
         self._clock = clock
         self._connections = connections
+        self._notices = notices
 
     async def send(
         self,
@@ -194,6 +202,7 @@
         self, call: Call, response: OpenResponse
     ) -> OpenResponse | AttemptFailure:
         status = response.head.status
+        self._notices.record(call, response.reservation.endpoint, response.fields)
         if response.fields.is_not_run:
             is_misdirected = status == _MISDIRECTED
             outcome = (
--- a/fuchsiaroute/gossip/_messages.py
+++ b/fuchsiaroute/gossip/_messages.py
@@ -127,6 +127,8 @@
     #: Age in milliseconds of the store's latest answer at any instance that watches
     #: the table, by table.
     answer_ages: dict[str, int]
+    #: Id and start of each endpoint process that has said in an answer that it leaves.
+    leaving: list[tuple[str, int]] = []
 
 
 _DECODER = msgspec.msgpack.Decoder(GossipMessage | TableUpdate)
--- a/fuchsiaroute/node/_gossip_exchange.py
+++ b/fuchsiaroute/node/_gossip_exchange.py
@@ -21,6 +21,7 @@
     ServiceId,
     VersionId,
 )
+from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.platform import NodeSettings, Row, Rows
 from fuchsiaroute.pool import EndpointPool, Load
 from fuchsiaroute.sequential import Evidence
@@ -54,6 +55,7 @@
         feeds: dict[str, TableFeed],
         is_ready: Callable[[], bool],
         clock: Clock,
+        log: LineLog,
     ) -> None:
         self._settings = settings
         self._catalog = catalog
@@ -63,6 +65,7 @@
         self._feeds = feeds
         self._is_ready = is_ready
         self._clock = clock
+        self._log = log
         self._loads: dict[InstanceId, dict[EndpointId, Load]] = {}
         #: Monotonic time of the latest response of the store to a watch by any peer,
         #: by table.
@@ -109,6 +112,9 @@
                 for name in self._feeds
                 if (age := self.answer_age(name)) is not None
             },
+            leaving=[
+                (str(name), started_at) for name, started_at in self._pool.leaving()
+            ],
         )
 
     def apply(self, message: GossipMessage) -> None:
@@ -134,6 +140,7 @@
             answered_at = Milliseconds(now - age)
             latest = self._answered_at.get(name, answered_at)
             self._answered_at[name] = max(latest, answered_at)
+        self._apply_leaving(message)
         for session_update in message.sessions:
             self._tracker.sessions.record_served(
                 session_update.session,
@@ -141,6 +148,16 @@
                 age=Milliseconds(session_update.age),
             )
 
+    def _apply_leaving(self, message: GossipMessage) -> None:
+        for name, started_at in message.leaving:
+            if self._pool.mark_leaving(EndpointId(name), started_at):
+                self._log.write(
+                    "endpoint:leaving",
+                    endpoint=name,
+                    born=started_at,
+                    source=message.instance,
+                )
+
     def apply_table_update(self, update: TableUpdate) -> bool:
         """Apply relayed changes of a table; return whether they were new."""
         feed = self._feeds.get(update.table)
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -13,6 +13,7 @@
     ConnectionPool,
     Counters,
     EndpointClient,
+    EndpointNotices,
     Forwarder,
     LatencyEstimator,
     ModelChoice,
@@ -103,7 +104,7 @@
         self.counters = Counters()
         self.store = PlatformStore(settings.store, clock=clock)
         self.pool = EndpointPool(instance=settings.instance, clock=clock, random=random)
-        self.queue = RequestQueue(self.pool, clock=clock)
+        self.queue = RequestQueue(self.pool, clock=clock, random=random)
         self.catalog = Catalog(pool=self.pool, clock=clock, log=log, drain=bounds.drain)
         self.liveness = Liveness(
             instance=settings.instance, clock=clock, dead_after=MEMBER_TIMEOUT
@@ -137,6 +138,7 @@
             },
             is_ready=self.is_ready,
             clock=clock,
+            log=log,
         )
         self.gossip = GossipNode(
             liveness=self.liveness,
@@ -320,7 +322,16 @@
         runner = AttemptRunner(
             pool=self.pool,
             queue=self.queue,
-            client=EndpointClient(clock=self._clock, connections=self.connections),
+            client=EndpointClient(
+                clock=self._clock,
+                connections=self.connections,
+                notices=EndpointNotices(
+                    self.pool,
+                    counters=self.counters,
+                    log=self.log,
+                    on_leaving=self.gossip.send_soon,
+                ),
+            ),
             tracker=self.tracker,
             latencies=LatencyEstimator(),
             counters=self.counters,
--- a/fuchsiaroute/platform/_headers.py
+++ b/fuchsiaroute/platform/_headers.py
@@ -24,6 +24,13 @@
 _CONFIDENCE = b"x-confidence"
 #: Set by an endpoint that has not run the request and never will.
 _NOT_RUN = b"x-not-executed"
+#: Set to 1 by an endpoint that is about to stop.
+_LEAVING = b"server-leaving"
+_IS_LEAVING = b"1"
+_RETRY_AFTER = b"retry-after"
+#: Limits the time to a value that the clock can add.
+_MAX_RETRY_AFTER_SECONDS = 30.0 * 24 * 3_600
+_UNAVAILABLE = 503
 #: 421: the address belongs to another endpoint, which did not run the request.
 _MISDIRECTED = 421
 #: The confidence field is a percentage.
@@ -94,6 +101,11 @@
     is_not_run: bool
     #: The model's confidence in its answer, from 0 to 1; None if it states none.
     confidence: float | None
+    #: Whether the endpoint is about to stop and wants no new requests.
+    is_leaving: bool = False
+    #: Time for which the endpoint wants no requests from this instance; None if it
+    #: states none.
+    back_off: Milliseconds | None = None
     #: Names of malformed fields, which count as absent.
     unreadable: tuple[str, ...] = ()
 
@@ -173,13 +185,24 @@
     """Decode an endpoint's header section."""
     value = find_header(headers, _CONFIDENCE)
     confidence = _parse_confidence(value)
-    is_unreadable = value is not None and confidence is None
+    unreadable = []
+    if value is not None and confidence is None:
+        unreadable.append(_CONFIDENCE.decode())
+    # At an address that belongs to another endpoint now, the fields speak of that one.
+    is_misdirected = status == _MISDIRECTED
+    leaving = None if is_misdirected else find_header(headers, _LEAVING)
+    delay = find_header(headers, _RETRY_AFTER) if status == _UNAVAILABLE else None
+    back_off = _parse_retry_after(delay)
+    if delay is not None and back_off is None:
+        unreadable.append(_RETRY_AFTER.decode())
     return ResponseFields(
         request_id=find_header(headers, _REQUEST_ID),
         is_signed=find_header(headers, _SIGNATURE) is not None,
-        is_not_run=status == _MISDIRECTED or find_header(headers, _NOT_RUN) is not None,
+        is_not_run=is_misdirected or find_header(headers, _NOT_RUN) is not None,
         confidence=confidence,
-        unreadable=(_CONFIDENCE.decode(),) if is_unreadable else (),
+        is_leaving=leaving is not None and leaving.strip() == _IS_LEAVING,
+        back_off=back_off,
+        unreadable=tuple(unreadable),
     )
 
 
@@ -217,6 +240,24 @@
     return confidence if confidence is None or math.isfinite(confidence) else None
 
 
+def _parse_retry_after(value: bytes | None) -> Milliseconds | None:
+    """
+    Return a time in seconds, which may have a fraction, as milliseconds.
+
+    A negative number means no time at all. Text, a date and numbers that are not finite
+    return None, and times of more than 30 days are shortened to that.
+    """
+    try:
+        seconds = float(value) if value is not None else None
+    except ValueError:
+        # read_response lists the field in ``unreadable``.
+        return None
+    if seconds is None or not math.isfinite(seconds):
+        return None
+    bounded = min(max(seconds, 0.0), _MAX_RETRY_AFTER_SECONDS)
+    return Milliseconds(math.ceil(bounded * 1_000))
+
+
 def _parse_number(value: bytes | None) -> int | None:
     if value is None or not value.strip().isdigit():
         return None
--- a/fuchsiaroute/platform/tests/standin.py
+++ b/fuchsiaroute/platform/tests/standin.py
@@ -180,6 +180,10 @@
         self.requests: list[InboundRequest] = []
         self.answer = answer or complete
         self.abandoned = 0
+        #: Whether all answers say that the endpoint is leaving.
+        self.is_leaving = False
+        #: ``Retry-After`` of the rejections; None to answer requests.
+        self.pause: str | None = None
         self._announced = announced
 
     def announcement(self, **changes: object) -> dict[str, object]:
@@ -199,6 +203,10 @@
 
     async def handle(self, request: InboundRequest, responder: Responder) -> None:
         self.requests.append(request)
+        if self.pause is not None:
+            retry_after = (b"Retry-After", self.pause.encode())
+            responder.send(503, [(b"X-Not-Executed", b"1"), retry_after], b"")
+            return
         try:
             await self.answer(self, request, responder)
         except asyncio.CancelledError:
@@ -207,10 +215,13 @@
 
     def headers(self, request: InboundRequest) -> list[tuple[bytes, bytes]]:
         """Return the fields of a signed response to ``request``."""
-        return [
+        headers = [
             (b"X-Request-Id", find_header(request.headers, b"x-request-id") or b""),
             (b"X-Response-Signature", self.id.encode()),
         ]
+        if self.is_leaving:
+            headers.append((b"Server-Leaving", b"1"))
+        return headers
 
 
 async def complete(
--- a/fuchsiaroute/platform/tests/test_decode.py
+++ b/fuchsiaroute/platform/tests/test_decode.py
@@ -307,3 +307,46 @@
     fields = read_response(200, [(b"X-Confidence", value)])
     assert fields.unreadable == (() if is_readable else ("x-confidence",))
     assert (fields.confidence is not None) is is_readable
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        (b"2", 2_000),
+        (b"0.25", 250),
+        (b" 3 ", 3_000),
+        (b"0", 0),
+        (b"-4", 0),
+        (b"31536000000", 30 * 24 * 3_600_000),
+        (b"1e400", None),
+        (b"nan", None),
+        (b"soon", None),
+        (b"", None),
+        (b"Fri, 04 Dec 2026 06:00:00 GMT", None),
+    ],
+)
+def test_pause_that_an_endpoint_asks_for(value: bytes, expected: int | None) -> None:
+    fields = read_response(503, [(b"Retry-After", value)])
+    assert fields.back_off == expected
+    assert fields.unreadable == (("retry-after",) if expected is None else ())
+
+
+@pytest.mark.parametrize("status", [200, 429, 500, 502])
+def test_retry_after_of_other_statuses_is_not_a_pause(status: int) -> None:
+    assert read_response(status, [(b"Retry-After", b"2")]).back_off is None
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "expected"),
+    [
+        (200, b"1", True),
+        (500, b"1", True),
+        (503, b"1", True),
+        (200, b"0", False),
+        (200, b"yes", False),
+        # The answer is another endpoint's, which has taken over the address.
+        (421, b"1", False),
+    ],
+)
+def test_endpoint_that_is_leaving(status: int, value: bytes, expected: bool) -> None:
+    assert read_response(status, [(b"Server-Leaving", value)]).is_leaving is expected
--- a/fuchsiaroute/pool/_member.py
+++ b/fuchsiaroute/pool/_member.py
@@ -16,6 +16,9 @@
 MAX_TRIAL_DELAY = Milliseconds(4_000)
 #: Time for which an endpoint that answered "full" gets no requests.
 FULL_BACKOFF = Milliseconds(100)
+#: Time within which the load of an endpoint that has asked for a pause rises again to
+#: its capacity.
+RAMP_TIME = Milliseconds(2_000)
 #: Weight of the newest request in the moving averages of latency and success rate.
 EWMA_WEIGHT = 0.2
 #: Half-life with which latency and success rate of an unused endpoint return to 1.
@@ -59,6 +62,8 @@
     peer_work: float = 0.0
     cold_until: Milliseconds = Milliseconds(0)
     full_until: Milliseconds = Milliseconds(0)
+    #: End of the pause that the endpoint has asked for; 0 if it never did.
+    paused_until: Milliseconds = Milliseconds(0)
     failures_in_row: int = 0
     trial_delay: Milliseconds = INITIAL_TRIAL_DELAY
     trial_at: Milliseconds = Milliseconds(0)
@@ -107,6 +112,18 @@
         """Return whether the endpoint answered "full" within ``FULL_BACKOFF``."""
         return self.clock.now() < self.full_until
 
+    @property
+    def is_paused(self) -> bool:
+        """Return whether the endpoint has asked for no requests until later."""
+        return self.clock.now() < self.paused_until
+
+    @property
+    def ramp_share(self) -> float:
+        """Return the share of its capacity to use, which rises after a pause."""
+        if not self.paused_until:
+            return 1.0
+        return min((self.clock.now() - self.paused_until) / RAMP_TIME, 1.0)
+
     @property
     def current_relative_latency(self) -> float:
         """Return the relative latency, which returns to 1 while it is not updated."""
--- a/fuchsiaroute/pool/_pool.py
+++ b/fuchsiaroute/pool/_pool.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 from random import Random
+from typing import Any
 
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.deployment import Endpoint, Service
@@ -35,6 +36,8 @@
 #: Exponent of the success rate in the score: an endpoint at which half of the requests
 #: fail counts as eight times as loaded.
 SUCCESS_RATE_EXPONENT = 3.0
+#: Endpoints of which a pause or a leaving is remembered.
+MAX_REMEMBERED_ENDPOINTS = 10_000
 #: Maximum random increase of a score, so that instances with the same loads do not all
 #: select the same endpoint.
 SCORE_JITTER = 0.1
@@ -47,6 +50,8 @@
     NONE = "none"
     #: Every usable endpoint is at its capacity.
     FULL = "full"
+    #: Every usable endpoint has asked for no requests until later.
+    PAUSED = "paused"
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -98,7 +103,8 @@
     @property
     def is_usable(self) -> bool:
         """Return whether the request may still be sent to the endpoint."""
-        return self._member.state not in (EndpointState.LEAVING, EndpointState.OUT)
+        is_gone = self._member.state in (EndpointState.LEAVING, EndpointState.OUT)
+        return not is_gone and not self._member.is_paused
 
     def answer_started(self) -> None:
         """Record that the endpoint has started to answer."""
@@ -144,6 +150,11 @@
         self._clock = clock
         self._random = random
         self._members: dict[EndpointId, PoolMember] = {}
+        #: Start of each process that has said in an answer that it leaves, and the end
+        #: of the pauses that processes have asked for. They outlast announcements,
+        #: which may be removed and written again for the same process.
+        self._leaving: dict[EndpointId, int] = {}
+        self._pauses: dict[EndpointId, tuple[int, Milliseconds]] = {}
         self._by_service: dict[ServiceId, list[PoolMember]] = {}
         self._services: Mapping[ServiceId, Service] = {}
         self._evacuated: frozenset[FailureDomainId] = frozenset()
@@ -246,9 +257,10 @@
             self._update_cold_rate(member)
         member.endpoint = endpoint
         member.mark_cold(endpoint.cold_remaining)
+        self._apply_pause(member)
         listed = (
             EndpointEvent.LISTED_LEAVING
-            if endpoint.is_draining
+            if endpoint.is_draining or self._has_said_leaving(endpoint)
             else EndpointEvent.LISTED_LIVE
         )
         member.apply(listed)
@@ -270,14 +282,70 @@
         if member is not None:
             member.mark_cold(duration)
 
+    def mark_leaving(self, endpoint: EndpointId, started_at: int) -> bool:
+        """
+        Stop using the process of an endpoint that has said in an answer that it leaves.
+
+        This holds until a process with another start is announced under the id. Returns
+        whether it is new.
+        """
+        if self._leaving.get(endpoint) == started_at:
+            return False
+        if self._leaving.get(endpoint, 0) > started_at:
+            return False
+        self._leaving[endpoint] = started_at
+        _trim(self._leaving)
+        member = self._members.get(endpoint)
+        if member is not None and member.endpoint.started_at == started_at:
+            member.apply(EndpointEvent.LISTED_LEAVING)
+        return True
+
+    def leaving(self) -> list[tuple[EndpointId, int]]:
+        """Return the announced endpoints that said they leave, with their starts."""
+        return [
+            (name, started_at)
+            for name, started_at in self._leaving.items()
+            if name in self._members
+            and self._members[name].endpoint.started_at == started_at
+        ]
+
+    def pause(
+        self, endpoint: EndpointId, started_at: int, duration: Milliseconds
+    ) -> bool:
+        """
+        Send no requests to an endpoint for ``duration``, as its process has asked.
+
+        A shorter pause does not end a longer one. Returns whether one has begun.
+        """
+        now = self._clock.now()
+        until = Milliseconds(now + duration)
+        known_start, known_until = self._pauses.get(endpoint, (started_at, 0))
+        if known_start == started_at and known_until >= until:
+            return False
+        self._pauses[endpoint] = (started_at, until)
+        _trim(self._pauses)
+        member = self._members.get(endpoint)
+        if member is not None:
+            self._apply_pause(member)
+        return known_until <= now
+
+    def soonest_return(self, demand: Demand) -> Milliseconds:
+        """Return the time until the first endpoint's pause ends; 0 without pauses."""
+        now = self._clock.now()
+        return Milliseconds(
+            min(
+                (
+                    max(member.paused_until - now, 0)
+                    for member in self._candidates(demand)
+                    if member.is_usable
+                ),
+                default=0,
+            )
+        )
+
     def choose(self, demand: Demand) -> Reservation | NoChoice:
         """Select an endpoint and count the request there."""
-        candidates = [
-            member
-            for member in self.members(demand.service)
-            if member.endpoint.id not in demand.excluded
-            and (demand.versions is None or member.endpoint.version in demand.versions)
-        ]
+        candidates = self._candidates(demand)
         usable = [member for member in candidates if member.is_usable]
         trial = self._due_trial(candidates, demand, has_others=bool(usable))
         if trial is not None:
@@ -285,12 +353,30 @@
         if not usable:
             return NoChoice.NONE
         available = [member for member in usable if self._has_capacity(member, demand)]
+        if not available and all(member.is_paused for member in usable):
+            return NoChoice.PAUSED
         if not available:
             return NoChoice.FULL
         return Reservation(self._select(available, demand), work=demand.work)
 
     # Private
 
+    def _candidates(self, demand: Demand) -> list[PoolMember]:
+        return [
+            member
+            for member in self.members(demand.service)
+            if member.endpoint.id not in demand.excluded
+            and (demand.versions is None or member.endpoint.version in demand.versions)
+        ]
+
+    def _has_said_leaving(self, endpoint: Endpoint) -> bool:
+        return self._leaving.get(endpoint.id) == endpoint.started_at
+
+    def _apply_pause(self, member: PoolMember) -> None:
+        started_at, until = self._pauses.get(member.endpoint.id, (0, Milliseconds(0)))
+        if started_at == member.endpoint.started_at:
+            member.paused_until = until
+
     def _due_trial(
         self, candidates: list[PoolMember], demand: Demand, *, has_others: bool
     ) -> PoolMember | None:
@@ -313,7 +399,7 @@
         return None
 
     def _has_capacity(self, member: PoolMember, demand: Demand) -> bool:
-        if member.is_full or member.backlog > demand.max_backlog:
+        if member.is_full or member.is_paused or member.backlog > demand.max_backlog:
             return False
         if member.is_cold and not member.cold_limiter.is_allowed():
             return False
@@ -323,7 +409,9 @@
         service = self._services.get(member.endpoint.service)
         is_engine = service is not None and service.engine is not None
         per_slot = ENGINE_LOAD_PER_SLOT if is_engine else PLAIN_LOAD_PER_SLOT
-        return member.endpoint.slots * per_slot
+        capacity = member.endpoint.slots * per_slot
+        share = member.ramp_share
+        return capacity if share == 1.0 else max(capacity * share, 1.0)
 
     def _select(self, members: list[PoolMember], demand: Demand) -> PoolMember:
         if not demand.affinity:
@@ -379,7 +467,7 @@
             service = self._services.get(member.endpoint.service)
             if service is not None:
                 member.mark_cold(service.cold_period)
-            if member.endpoint.is_draining:
+            if member.endpoint.is_draining or self._has_said_leaving(member.endpoint):
                 member.apply(EndpointEvent.LISTED_LEAVING)
 
     def _index(self) -> None:
@@ -389,6 +477,12 @@
         self._by_service = by_service
 
 
+def _trim(entries: dict[EndpointId, Any]) -> None:
+    """Remove the oldest entries above ``MAX_REMEMBERED_ENDPOINTS``."""
+    while len(entries) > MAX_REMEMBERED_ENDPOINTS:
+        del entries[next(iter(entries))]
+
+
 def _is_new_process(previous: Endpoint, current: Endpoint) -> bool:
     """Return whether an endpoint's id now belongs to a different process."""
     return (previous.host, previous.port, previous.started_at, previous.service) != (
--- a/fuchsiaroute/pool/_request_queue.py
+++ b/fuchsiaroute/pool/_request_queue.py
@@ -4,6 +4,7 @@
 import itertools
 from collections import Counter
 from dataclasses import dataclass, field, replace
+from random import Random
 
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.fairness import FairQueue, Ticket
@@ -24,6 +25,9 @@
 #: Bounds of the retry-after time of refused requests.
 MIN_RETRY_AFTER = Milliseconds(100)
 MAX_RETRY_AFTER = Milliseconds(2_000)
+#: Maximum random increase of the retry-after time during a pause of all endpoints, so
+#: that the callers do not all return when it ends.
+PAUSE_RETRY_SPREAD = 0.5
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -67,9 +71,10 @@
     that ends starts the next waiting request at once.
     """
 
-    def __init__(self, pool: EndpointPool, *, clock: Clock) -> None:
+    def __init__(self, pool: EndpointPool, *, clock: Clock, random: Random) -> None:
         self._pool = pool
         self._clock = clock
+        self._random = random
         self._numbers = itertools.count(1)
         self._queues: dict[_QueueKey, FairQueue] = {}
         self._statistics: dict[ServiceId, _ServiceStatistics] = {}
@@ -104,6 +109,10 @@
                 return self._count_running(statistics, request.organisation, chosen)
             if chosen is NoChoice.NONE:
                 return QueueRefusal(reason=chosen, retry_after=MAX_RETRY_AFTER)
+            if chosen is NoChoice.PAUSED:
+                soonest = self._pool.soonest_return(demand)
+                if soonest > min(max_wait, max(deprioritise_after, 0)):
+                    return self._pause_refusal(soonest)
         now = self._clock.now()
         ticket = Ticket(
             number=next(self._numbers),
@@ -139,7 +148,7 @@
             waiter = self._waiters[ticket.number]
             if not waiter.future.done():
                 chosen = self._pool.choose(waiter.demand)
-                if chosen is NoChoice.FULL:
+                if chosen in (NoChoice.FULL, NoChoice.PAUSED):
                     return
                 self._record_start(statistics)
                 if isinstance(chosen, Reservation):
@@ -227,6 +236,14 @@
             )
         statistics.started_at = now
 
+    def _pause_refusal(self, soonest: Milliseconds) -> QueueRefusal:
+        """Return a refusal until the end of a pause, with callers spread over time."""
+        spread = 1.0 + PAUSE_RETRY_SPREAD * self._random.random()
+        return QueueRefusal(
+            reason=NoChoice.PAUSED,
+            retry_after=Milliseconds(max(round(soonest * spread), MIN_RETRY_AFTER)),
+        )
+
     @staticmethod
     def _refusal(wait: float) -> QueueRefusal:
         bounded = min(max(round(wait), MIN_RETRY_AFTER), MAX_RETRY_AFTER)
--- a/fuchsiaroute/pool/tests/test_request_queue.py
+++ b/fuchsiaroute/pool/tests/test_request_queue.py
@@ -9,6 +9,7 @@
 
 from fuchsiaroute.clock import ManualClock, Milliseconds
 from fuchsiaroute.ids import (
+    EndpointId,
     InstanceId,
     OrganisationId,
     ProductId,
@@ -51,7 +52,7 @@
         )
         self.pool.update_services({SERVICE: service(is_engine=True)})
         self.pool.announce(endpoint("a", slots=2))
-        self.queue = RequestQueue(self.pool, clock=self.clock)
+        self.queue = RequestQueue(self.pool, clock=self.clock, random=Random(1))
         self.order: list[str] = []
 
     async def enter(
@@ -267,3 +268,29 @@
     assert 0.3 < overall < 0.7
     shares = {session: served[session] / sent[session] for session in sent}
     assert min(shares.values()) > overall / 4, shares
+
+
+async def test_request_is_refused_at_once_while_all_endpoints_are_paused() -> None:
+    """Load pattern: every endpoint asks for a pause that no caller can wait for."""
+    harness = QueueHarness()
+    harness.pool.pause(EndpointId("a"), 1, Milliseconds(5_000))
+    refusals = [await harness.enter() for _ in range(20)]
+    delays = set()
+    for refusal in refusals:
+        assert isinstance(refusal, QueueRefusal)
+        assert refusal.reason is NoChoice.PAUSED
+        delays.add(refusal.retry_after)
+    assert min(delays) >= 5_000
+    assert max(delays) <= 7_500
+    assert len(delays) > 10
+
+
+async def test_request_waits_for_a_pause_that_ends_in_time() -> None:
+    harness = QueueHarness()
+    harness.pool.pause(EndpointId("a"), 1, Milliseconds(400))
+    entering = asyncio.create_task(harness.enter())
+    await run_pending_tasks()
+    assert not entering.done()
+    harness.clock.tick(Milliseconds(400))
+    harness.queue.wake()
+    assert isinstance(await entering, Reservation)
