Serve on through a store that is restored from an older copy

A restored store gives out versions again and states a higher era; the code compared versions across eras: orders of the copy looked new or old by accident, conditions of the former era could win, a completed roll-out could start again.

Change: a position in the store is (era, version), a type of its own that orders by era first (store/_position.py); only the adapter forms it. A watch from a former era, or a position that the store doesn't have, leads to a read of the whole table; responses of a former era are dropped; a condition of a former era demands that the row is absent; a write during a change of eras has an unknown outcome. The first reader of a new era relays the whole table (in large fleets), and hints carry the era; hints without one, of former versions, count in the era that is held. What is held goes before the copy: newer declarations, evacuations and orders that it lacks for 10 s, leaving endpoints; removed ones are held back for 2 s, announcements get 2 s to be renewed. A roll-out's elapsed time never decreases.

Weighed: an era per row (more fields in every message) and a fence in the store's rows (a call an instance) instead of the packed position.

--- a/fuchsiaroute/catalog/_catalog.py
+++ b/fuchsiaroute/catalog/_catalog.py
@@ -1,9 +1,11 @@
 """The deployment, orders and endpoints as an instance holds them."""
 
 from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
 from functools import singledispatchmethod
 
-from fuchsiaroute.catalog._removals import PendingRemovals
+from fuchsiaroute.catalog._removals import RENEWAL_TIME, PendingRemovals
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.deployment import Deployment, RolloutOrder
 from fuchsiaroute.ids import EndpointId, FailureDomainId, ServiceId
@@ -18,11 +20,27 @@
     RolloutOrderRemoved,
     Row,
     Rows,
+    Table,
     UnknownOrder,
     decode_endpoint,
     decode_order,
 )
 from fuchsiaroute.pool import EndpointPool
+from fuchsiaroute.store import era_of
+
+#: Time after a restore of the store within which operators are expected to write again
+#: what they wrote after the copy was made. Until then, orders that the copy lacks hold.
+REWRITE_TIME = Milliseconds(10_000)
+#: Time for which removed endpoints are remembered; copies are some seconds old.
+REMOVAL_MEMORY = Milliseconds(30_000)
+
+
+@dataclass(frozen=True, kw_only=True)
+class _HeldBack:
+    """An announcement of an endpoint that had been removed before a restore."""
+
+    row: Row
+    due: Milliseconds
 
 
 class Catalog:
@@ -31,6 +49,10 @@
 
     A declaration is never replaced by an older one. An endpoint whose row cannot be
     decoded is not used; the row is logged once for each revision.
+
+    After a restore of the store from a copy, what is held in memory goes before the
+    copy: newer declarations, evacuations and roll-outs that the copy lacks, endpoints
+    that are leaving or were removed. Rows that are written again then replace it.
     """
 
     def __init__(
@@ -47,8 +69,20 @@
         self._pending_removals = PendingRemovals(clock=clock, drain=drain)
         self._evacuated: set[FailureDomainId] = set()
         self._services: dict[EndpointId, ServiceId] = {}
+        self._draining: set[EndpointId] = set()
         #: Start of the latest announced incarnation, by endpoint.
         self._started_at: dict[EndpointId, int] = {}
+        #: Start and time of removal of endpoints that were removed recently.
+        self._removed: dict[EndpointId, tuple[int, Milliseconds]] = {}
+        self._held_back: dict[EndpointId, _HeldBack] = {}
+        #: Orders that a restored copy lacks, and when they end unless written again.
+        self._unconfirmed: dict[OrderChange, Milliseconds] = {}
+        self._restored: set[Table] = set()
+        self._removed_orders: dict[ServiceId, RolloutOrder] = {}
+        #: Called with an order and the same order of a former era of the store.
+        self.on_order_continued: Callable[[RolloutOrder, RolloutOrder], None] = (
+            lambda former, order: None
+        )
         #: The declaration in force; None before the first one is read.
         self.deployment: Deployment | None = None
         #: Instant at which this instance applied the declaration.
@@ -60,19 +94,34 @@
         """Start the time in which endpoints renew announcements after an outage."""
         self._pending_removals.store_recovered()
 
+    def store_restored(self, table: Table) -> None:
+        """Prepare for the whole ``table`` of a store that was restored from a copy."""
+        self._restored.add(table)
+        if table is Table.ENDPOINTS:
+            # Endpoints that announced themselves after the copy was made do so again.
+            self._pending_removals.store_recovered()
+            for name in self._draining:
+                self._pool.mark_leaving(name, self._started_at.get(name, 0))
+
     def apply_orders(self, rows: Rows, is_whole: bool) -> None:
         """Apply rows of operators; ``is_whole`` if ``rows`` is the whole table."""
+        changes = [decode_order(row) for row in rows.rows]
         if is_whole:
-            self._remove_missing_orders(rows)
-        for row in rows.rows:
-            self._apply(decode_order(row))
+            is_restored = Table.ORDERS in self._restored
+            self._restored.discard(Table.ORDERS)
+            self._remove_missing_orders(changes, is_restored=is_restored)
+        for change in changes:
+            self._confirm(change)
+            self._apply(change)
 
     def apply_endpoints(self, rows: Rows, is_whole: bool) -> None:
         """Apply announcements; ``is_whole`` if ``rows`` is the whole table."""
         gone: dict[EndpointId, ServiceId] = {}
         sizes = Counter(self._services.values())
         present = {row.key for row in rows.rows if row.value is not None}
+        is_restored = is_whole and Table.ENDPOINTS in self._restored
         if is_whole:
+            self._restored.discard(Table.ENDPOINTS)
             gone = {
                 name: service
                 for name, service in self._services.items()
@@ -80,7 +129,11 @@
             }
         for row in rows.rows:
             name = EndpointId(row.key)
-            if row.value is not None:
+            self._held_back.pop(name, None)
+            if is_restored and self._was_removed(name, row):
+                due = Milliseconds(self._clock.now() + RENEWAL_TIME)
+                self._held_back[name] = _HeldBack(row=row, due=due)
+            elif row.value is not None:
                 # One answer may also hold an earlier removal of the same endpoint.
                 gone.pop(name, None)
                 self._announce(name, row)
@@ -94,10 +147,17 @@
         self.remove_due()
 
     def remove_due(self) -> None:
-        """Remove endpoints whose deferred removal is due."""
+        """Apply deferred removals and announcements that are due."""
+        now = self._clock.now()
+        for change in [item for item, due in self._unconfirmed.items() if due <= now]:
+            del self._unconfirmed[change]
+            self._apply(change)
+        for name in [key for key, held in self._held_back.items() if held.due <= now]:
+            self._announce(name, self._held_back.pop(name).row)
         for name in self._pending_removals.due():
             self._services.pop(name, None)
-            self._started_at.pop(name, None)
+            self._draining.discard(name)
+            self._remember_removal(name, self._started_at.pop(name, 0))
             self._pool.withdraw(name)
             self._log.write("endpoint:removed", endpoint=name)
 
@@ -113,6 +173,7 @@
                 reason=str(error),
             )
             self._services.pop(name, None)
+            self._draining.discard(name)
             self._pool.withdraw(name)
             return
         if endpoint.started_at < self._started_at.get(name, 0):
@@ -127,6 +188,10 @@
         self._started_at[name] = endpoint.started_at
         self._pending_removals.announced(name)
         self._services[name] = endpoint.service
+        if endpoint.is_draining:
+            self._draining.add(name)
+        else:
+            self._draining.discard(name)
         self._pool.announce(endpoint)
         self._log.write(
             "endpoint:announced",
@@ -139,21 +204,56 @@
             revision=row.revision,
         )
 
-    def _remove_missing_orders(self, rows: Rows) -> None:
-        """Remove orders that ``rows``, the whole table, no longer holds."""
-        present = [decode_order(row) for row in rows.rows]
+    def _was_removed(self, name: EndpointId, row: Row) -> bool:
+        """Return whether a row announces a process that had been removed."""
+        if row.value is None or name not in self._removed:
+            return False
+        try:
+            endpoint = decode_endpoint(name, row.value)
+        except DecodeError:
+            # ``_announce`` logs the row.
+            return False
+        return endpoint.started_at == self._removed[name][0]
+
+    def _remember_removal(self, name: EndpointId, started_at: int) -> None:
+        now = self._clock.now()
+        self._removed.pop(name, None)
+        self._removed[name] = (started_at, now)
+        while now - next(iter(self._removed.values()))[1] > REMOVAL_MEMORY:
+            del self._removed[next(iter(self._removed))]
+
+    def _confirm(self, change: OrderChange) -> None:
+        """Keep an order that was expected to be written again."""
+        removal = _removal_of(change)
+        if removal is not None:
+            self._unconfirmed.pop(removal, None)
+
+    def _remove(self, change: OrderChange, *, is_restored: bool) -> None:
+        """Remove an order, or let it hold until it may have been written again."""
+        if is_restored:
+            due = Milliseconds(self._clock.now() + REWRITE_TIME)
+            self._unconfirmed.setdefault(change, due)
+            self._log.write("order:not-in-copy", order=repr(change))
+        else:
+            self._unconfirmed.pop(change, None)
+            self._apply(change)
+
+    def _remove_missing_orders(
+        self, present: list[OrderChange], *, is_restored: bool
+    ) -> None:
+        """Remove orders that are not in ``present``, which holds the whole table."""
         domains = {
             item.failure_domain
             for item in present
             if isinstance(item, EvacuationOrdered)
         }
         for domain in self._evacuated - domains:
-            self._apply(EvacuationEnded(domain))
+            self._remove(EvacuationEnded(domain), is_restored=is_restored)
         services = {
             item.order.service for item in present if isinstance(item, RolloutOrdered)
         }
         for service in set(self.rollout_orders) - services:
-            self._apply(RolloutOrderRemoved(service))
+            self._remove(RolloutOrderRemoved(service), is_restored=is_restored)
 
     @singledispatchmethod
     def _apply(self, change: OrderChange) -> None:
@@ -182,7 +282,18 @@
         known = self.rollout_orders.get(order.service)
         if known is not None and known.revision >= order.revision:
             return
+        former = known or self._removed_orders.pop(order.service, None)
         self.rollout_orders[order.service] = order
+        if former is not None and _is_continued(former, order):
+            self._log.write(
+                "rollout:order-continued",
+                service=order.service,
+                target=order.target,
+                former=former.revision,
+                revision=order.revision,
+            )
+            self.on_order_continued(former, order)
+            return
         self._log.write(
             "rollout:ordered",
             service=order.service,
@@ -193,7 +304,9 @@
 
     @_apply.register
     def _(self, change: RolloutOrderRemoved) -> None:
-        if self.rollout_orders.pop(change.service, None) is not None:
+        removed = self.rollout_orders.pop(change.service, None)
+        if removed is not None:
+            self._removed_orders[change.service] = removed
             self._log.write("rollout:order-removed", service=change.service)
 
     @_apply.register
@@ -213,3 +326,22 @@
     @_apply.register
     def _(self, change: UnknownOrder) -> None:
         self._log.write("order:unreadable", key=change.key, reason=change.reason)
+
+
+def _removal_of(change: OrderChange) -> OrderChange | None:
+    """Return the change that ends an order; None for a declaration and the like."""
+    if isinstance(change, EvacuationOrdered | EvacuationEnded):
+        return EvacuationEnded(change.failure_domain)
+    if isinstance(change, RolloutOrdered):
+        return RolloutOrderRemoved(change.order.service)
+    if isinstance(change, RolloutOrderRemoved):
+        return change
+    return None
+
+
+def _is_continued(former: RolloutOrder, order: RolloutOrder) -> bool:
+    """Return whether ``order`` is ``former``, read from a restored store."""
+    return (
+        era_of(former.revision) < era_of(order.revision)
+        and former.target == order.target
+    )
--- a/fuchsiaroute/catalog/_feed.py
+++ b/fuchsiaroute/catalog/_feed.py
@@ -10,7 +10,13 @@
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.platform import HistoryGone, PlatformStore, Rows, Table
-from fuchsiaroute.store import StoreError
+from fuchsiaroute.store import (
+    StoreError,
+    StorePosition,
+    era_of,
+    store_position,
+    version_of,
+)
 
 #: Delay after a failed call; each further failure multiplies it by
 #: ``RETRY_DELAY_FACTOR``, up to ``max_retry_delay``.
@@ -51,6 +57,9 @@
     only after a hint. ``on_change(rows, after)`` receives the changes that this
     instance has read from the store, to relay them.
 
+    A store that is restored from a copy begins a new era. ``on_restored()`` is called
+    then, and ``on_change`` receives the whole table with ``after`` None.
+
     ``wait()`` is the time for which the store may hold a watch open without changes;
     ``min_interval`` is the minimum time between the starts of two calls.
     """
@@ -69,7 +78,10 @@
         min_interval: Milliseconds,
         max_retry_delay: Callable[[], Milliseconds],
         is_relayed: Callable[[], bool] = lambda: False,
-        on_change: Callable[[Rows, int], None] = lambda rows, after: None,
+        on_change: Callable[[Rows, StorePosition | None], None] = (
+            lambda rows, after: None
+        ),
+        on_restored: Callable[[], None] = lambda: None,
     ) -> None:
         self._table = table
         self._store = store
@@ -84,21 +96,24 @@
         self._idle_until: Milliseconds | None = None
         self._is_relayed = is_relayed
         self._on_change = on_change
+        self._on_restored = on_restored
+        #: Era of the latest rows that were applied; None before the first.
+        self._era: int | None = None
         self._state = FeedState.STARTING
         self._restart_requested = asyncio.Event()
         self._hinted_at: Milliseconds | None = None
-        self._hint = 0
+        self._hint = StorePosition(0)
         self._retry_delay = float(MIN_RETRY_DELAY)
         self._call_timeout = MIN_CALL_TIMEOUT
         self._answered_at: Milliseconds | None = None
         self._lost_at: Milliseconds | None = None
         #: Revision up to which all changes have been relayed. Answers without changes
         #: leave it as it is, so that each relayed update continues the one before.
-        self._relayed_until: int | None = None
-        #: Revision of the store up to which the table has been read; None before.
-        self.revision: int | None = None
-        #: Revision of the newest change that has been read.
-        self.changed_revision = 0
+        self._relayed_until: StorePosition | None = None
+        #: Position of the store up to which the table has been read; None before.
+        self.revision: StorePosition | None = None
+        #: Position of the newest change that has been read.
+        self.changed_revision = StorePosition(0)
 
     @property
     def is_loaded(self) -> bool:
@@ -106,7 +121,7 @@
         return self.revision is not None
 
     @property
-    def newest_revision(self) -> int:
+    def newest_revision(self) -> StorePosition:
         """Return the highest revision of a change, read or received as a hint."""
         return max(self._hint, self.changed_revision)
 
@@ -121,8 +136,11 @@
             return Milliseconds(0)
         return Milliseconds(self._clock.now() - self._lost_at)
 
-    def hint(self, revision: int) -> None:
+    def hint(self, revision: StorePosition) -> None:
         """Record that a peer has reported a change of the table at ``revision``."""
+        if era_of(revision) == 0 and self._era:
+            # A peer of a version without eras states versions only.
+            revision = store_position(self._era, version_of(revision))
         if revision > self._hint:
             self._hint = revision
             self._hinted_at = self._clock.now()
@@ -147,16 +165,30 @@
             return None
         return Milliseconds(self._clock.now() - self._answered_at)
 
-    def apply_relayed(self, rows: Rows, *, after: int) -> bool:
-        """Apply changes that another instance has read; return whether any is new."""
+    def apply_relayed(self, rows: Rows, *, after: StorePosition | None) -> bool:
+        """
+        Apply changes that another instance has read; return whether any is new.
+
+        ``after`` is None for a whole table, which a restored store has sent.
+        """
+        if after is None:
+            return self._apply_relayed_table(rows)
         if self.revision is None or after > self.revision:
             # Earlier changes are missing. A hint leads to a read from the store.
             return False
         if rows.revision <= self.revision:
             return False
+        if era_of(rows.revision) != era_of(after):
+            return False
         self._apply(rows, is_whole=False)
         return True
 
+    def _apply_relayed_table(self, rows: Rows) -> bool:
+        if self._era is None or era_of(rows.revision) <= self._era:
+            return False
+        self._apply(rows, is_whole=True)
+        return True
+
     async def run(self) -> None:
         """Keep the table up to date until cancelled."""
         while True:
@@ -203,8 +235,11 @@
             return True
         self._record_success(found)
         after = self._relayed_until
+        era = self._era
         self._apply(found, is_whole=is_whole)
-        if after is not None and found.rows:
+        if is_whole and era is not None and era != self._era:
+            self._on_change(found, None)
+        elif after is not None and found.rows:
             self._on_change(found, after)
         return True
 
@@ -223,9 +258,23 @@
         if self.revision is not None and rows.revision < self.revision:
             # Relayed changes are newer than this answer.
             return
+        era = era_of(rows.revision)
+        if self._era is not None and era < self._era:
+            # Peers have relayed changes of a later era meanwhile.
+            return
+        is_restored = self._era is not None and era > self._era
+        if is_restored:
+            self._log.write(
+                "store:restored", table=self._table.value, era=era, former=self._era
+            )
+            self._on_restored()
+        self._era = era
         if rows.rows or is_whole:
             self._relayed_until = rows.revision
-            newest = max((row.revision for row in rows.rows), default=0)
+            newest = max((row.revision for row in rows.rows), default=StorePosition(0))
+            if is_restored:
+                # The hint tells peers of the new era, even if no row has changed.
+                newest = rows.revision
             self.changed_revision = max(self.changed_revision, newest)
             self._on_rows(rows, is_whole)
         self.revision = rows.revision
--- a/fuchsiaroute/gossip/_messages.py
+++ b/fuchsiaroute/gossip/_messages.py
@@ -95,6 +95,9 @@
     after: int
     until: int
     rows: list[RelayedRow]
+    #: Whether ``rows`` is the whole table of a store that was restored from a copy.
+    #: ``after`` equals ``until`` then, so that former versions ignore the update.
+    is_whole: bool = False
 
 
 class GossipMessage(
--- a/fuchsiaroute/node/_gossip_exchange.py
+++ b/fuchsiaroute/node/_gossip_exchange.py
@@ -32,6 +32,7 @@
     SessionHash,
     session_key,
 )
+from fuchsiaroute.store import StorePosition
 
 #: Maximum number of sessions and of heartbeats in a message, which must fit into a
 #: datagram.
@@ -126,7 +127,7 @@
         for name, revision in message.revisions.items():
             feed = self._feeds.get(name)
             if feed is not None:
-                feed.hint(revision)
+                feed.hint(StorePosition(revision))
         for rollout in message.rollouts:
             self._tracker.apply_record(_record(rollout), source=message.instance)
         for item in message.evidence:
@@ -164,10 +165,12 @@
         if feed is None or update.format != FORMAT:
             return False
         rows = tuple(
-            Row(key=r.key, value=r.value, revision=r.revision) for r in update.rows
+            Row(key=r.key, value=r.value, revision=StorePosition(r.revision))
+            for r in update.rows
         )
         return feed.apply_relayed(
-            Rows(rows=rows, revision=update.until), after=update.after
+            Rows(rows=rows, revision=StorePosition(update.until)),
+            after=None if update.is_whole else StorePosition(update.after),
         )
 
     def answer_age(self, table: str) -> Milliseconds | None:
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -41,7 +41,7 @@
 from fuchsiaroute.pool import EndpointPool, RequestQueue
 from fuchsiaroute.retry import WindowedRetryBudget
 from fuchsiaroute.staging import Progress, RolloutDriver, RolloutRecord, RolloutTracker
-from fuchsiaroute.store import Put
+from fuchsiaroute.store import Put, StorePosition, era_of
 
 #: Time without a heartbeat after which an instance counts as dead.
 MEMBER_TIMEOUT = Milliseconds(2_000)
@@ -117,6 +117,7 @@
             session_pause=bounds.session_pause,
             canary_share=bounds.canary_share,
         )
+        self.catalog.on_order_continued = self.tracker.continue_order
         self.orders_feed = self._feed(
             Table.ORDERS, self.catalog.apply_orders, MIN_ORDERS_INTERVAL, random
         )
@@ -158,6 +159,7 @@
             random=random,
             log=log,
             on_read=self.gossip.send_to_all,
+            era=self._store_era,
         )
         self.driver = RolloutDriver(
             instance=settings.instance,
@@ -263,8 +265,19 @@
             max_retry_delay=lambda: self._max_retry_delay(table),
             is_relayed=lambda: self._is_relayed(table),
             on_change=lambda rows, after: self._relay(table, rows, after),
+            on_restored=lambda: self._store_restored(table),
         )
 
+    def _store_era(self) -> int | None:
+        """Return the era of the orders that are held; None before the first read."""
+        revision = self.orders_feed.revision
+        return None if revision is None else era_of(revision)
+
+    def _store_restored(self, table: Table) -> None:
+        """Record that the store was restored, as the new era of a table shows."""
+        self.counters.add("store_restored", table.name.lower())
+        self.catalog.store_restored(table)
+
     def _readers(self, table: Table) -> list[InstanceId]:
         """Return the instances that watch ``table`` and relay its changes."""
         return rendezvous_order(table.name, self.instances())[:READER_COUNT]
@@ -293,18 +306,19 @@
             return Milliseconds(0)
         return self.orders_feed.unreachable_for()
 
-    def _relay(self, table: Table, rows: Rows, after: int) -> None:
+    def _relay(self, table: Table, rows: Rows, after: StorePosition | None) -> None:
         if len(self.instances()) < MIN_FOR_RELAY:
             return
         self.gossip.relay(
             TableUpdate(
                 format=FORMAT,
                 table=table.name,
-                after=after,
+                after=rows.revision if after is None else after,
                 until=rows.revision,
                 rows=[
                     RelayedRow(row.key, row.value, row.revision) for row in rows.rows
                 ],
+                is_whole=after is None,
             )
         )
 
@@ -388,6 +402,7 @@
         deployment = self.catalog.deployment
         return {
             "deployment_version": deployment.version if deployment else 0,
+            "store_era": self._store_era() or 0,
             "store_silent_seconds": self.orders_feed.unreachable_for() / 1_000,
             "endpoints": len(self.pool),
             "instances_alive": len(self.liveness.alive()) + 1,
--- a/fuchsiaroute/platform/_store.py
+++ b/fuchsiaroute/platform/_store.py
@@ -21,16 +21,23 @@
     ResponseBody,
     connect,
     encode_request,
+    find_header,
 )
 from fuchsiaroute.platform._node_settings import Address
 from fuchsiaroute.store import (
+    MAX_ERA,
+    MAX_VERSION,
     Committed,
     Conflict,
     Put,
     Record,
     StoreError,
     StoreErrorKind,
+    StorePosition,
     Transaction,
+    era_of,
+    store_position,
+    version_of,
 )
 
 #: Timeout for connecting to the store, which answers within milliseconds while it
@@ -47,6 +54,8 @@
 MAX_IDLE_TIME = Milliseconds(10_000)
 MILLISECONDS_PER_SECOND = 1_000
 
+#: Number of times that the store was restored from a copy, in all its responses.
+_ERA = b"store-era"
 _OK, _HISTORY_GONE, _CONDITION_FAILED = 200, 410, 412
 #: Statuses of calls that had no effect.
 _NO_EFFECT_STATUSES = frozenset({400, 403, 404, 429, 503, 507})
@@ -73,21 +82,25 @@
 
     key: str
     value: bytes | None
-    #: Increases with each write to the store.
-    revision: int
+    #: Position of the latest write of the row.
+    revision: StorePosition
 
 
 @dataclass(frozen=True, kw_only=True)
 class Rows:
-    """All rows of a table, or those that changed, at one revision."""
+    """All rows of a table, or those that changed, at one position of the store."""
 
     rows: tuple[Row, ...]
-    revision: int
+    revision: StorePosition
 
 
 @dataclass(frozen=True)
 class HistoryGone:
-    """The store has discarded the requested changes; the table must be read again."""
+    """
+    The store does not have the requested changes; the table must be read again.
+
+    It has discarded them, or it was restored from a copy since the requested position.
+    """
 
 
 class _Row(msgspec.Struct):
@@ -107,6 +120,16 @@
     SchemaVersion: int = 0
     # The store's monotonic clock.
     NowMs: float = 0.0
+    # Not part of the body.
+    era: int = 0
+
+    def position(self, version: int) -> StorePosition:
+        return store_position(self.era, version)
+
+    @property
+    def is_in_range(self) -> bool:
+        versions = [self.SchemaVersion, *(row.SchemaVersion for row in self.Rows)]
+        return all(0 <= version <= MAX_VERSION for version in versions)
 
 
 _RESPONSE_DECODER = msgspec.json.Decoder(_StoreResponse)
@@ -120,6 +143,8 @@
     Keys in ``fuchsiaroute.store`` types are ``TABLE/KEY``. A connection on which a
     call failed is closed, since a late response could be mistaken for the response
     to the next call.
+
+    Responses of an era before the latest known one are dropped.
     """
 
     def __init__(self, address: Address, *, clock: Clock) -> None:
@@ -127,9 +152,15 @@
         self._clock = clock
         self._idle: list[ClientConnection] = []
         self._clock_offset: float | None = None
+        self._era = 0
         #: Number of calls by purpose and table.
         self.calls: Counter[str] = Counter()
 
+    @property
+    def era(self) -> int:
+        """Return the latest era that a response has stated; 0 before."""
+        return self._era
+
     def now(self) -> Milliseconds | None:
         """Return the store's monotonic time; None before its first response."""
         if self._clock_offset is None:
@@ -140,7 +171,7 @@
         """Return all rows of a table."""
         rows: list[Row] = []
         start = ""
-        revision: int | None = None
+        revision: StorePosition | None = None
         while True:
             query = {"Table": table.value, "part": "", "Limit": "500"}
             if start:
@@ -152,10 +183,13 @@
             page = answer.unwrap()
             if isinstance(page, HistoryGone):
                 return Failure(_unknown("unexpected status 410 for a table read"))
-            # A watch from the first page's revision returns the changes that were
-            # made while further pages were read.
-            revision = page.SchemaVersion if revision is None else revision
-            rows += _rows(page.Rows)
+            if revision is None:
+                # A watch from the first page's position returns the changes that were
+                # made while further pages were read.
+                revision = page.position(page.SchemaVersion)
+            elif era_of(revision) != page.era:
+                return Failure(_unknown("the store was restored during a table read"))
+            rows += _rows(page.Rows, page.era)
             if not page.HasMore or not page.Rows:
                 return Success(Rows(rows=tuple(rows), revision=revision))
             start = page.Rows[-1].Key + "\0"
@@ -164,19 +198,19 @@
         self,
         table: Table,
         *,
-        after: int,
+        after: StorePosition,
         wait: Milliseconds,
         within: Milliseconds = CALL_TIMEOUT,
     ) -> Result[Rows | HistoryGone, StoreError]:
         """
-        Return the changes after a revision, or none once ``wait`` has passed.
+        Return the changes after a position, or none once ``wait`` has passed.
 
         ``within`` is the time allowed in addition for the store and the network.
         """
         wait = min(wait, MAX_WATCH_WAIT)
         query = {
             "Table": table.value,
-            "After": str(after),
+            "After": str(version_of(after)),
             "WaitMs": str(wait),
         }
         timeout = Milliseconds(wait + within)
@@ -187,17 +221,28 @@
         page = answer.unwrap()
         if isinstance(page, HistoryGone):
             return Success(page)
-        revision = max(page.SchemaVersion, after)
-        return Success(Rows(rows=tuple(_rows(page.Rows)), revision=revision))
+        if page.era != era_of(after):
+            return Success(HistoryGone())
+        revision = max(page.position(page.SchemaVersion), after)
+        return Success(Rows(rows=tuple(_rows(page.Rows, page.era)), revision=revision))
 
     async def commit(
         self, transaction: Transaction
     ) -> Result[Committed | Conflict, StoreError]:
-        """Apply ``transaction`` atomically."""
+        """
+        Apply ``transaction`` atomically.
+
+        A check of a position in a former era demands that the row is absent: it is
+        either lost, or its present position comes back as a conflict.
+        """
+        era = self._era
         body = msgspec.json.encode(
             {
                 "Precondition": [
-                    {**_row_address(check.key), "SchemaVersion": check.version}
+                    {
+                        **_row_address(check.key),
+                        "SchemaVersion": _checked_version(check.version, era),
+                    }
                     for check in transaction.checks
                 ],
                 "Puts": [_put(put) for put in transaction.puts],
@@ -209,19 +254,21 @@
         if isinstance(result, Failure):
             return Failure(result.failure())
         response = result.unwrap()
+        if response.head.status not in (_OK, _CONDITION_FAILED):
+            return Failure(_error(response.head.status))
+        decoded = self._decode(response)
         if response.head.status == _OK:
-            written = _decode_response(response).map(
-                lambda answer: answer.SchemaVersion
-            )
+            if self._era != era and era:
+                return Failure(_unknown("the store was restored during a write"))
+            written = decoded.map(lambda answer: answer.position(answer.SchemaVersion))
             # The writes took effect, even if the body is malformed.
-            return Success(Committed(version=written.value_or(0)))
-        if response.head.status != _CONDITION_FAILED:
-            return Failure(_error(response.head.status))
-        decoded = _decode_response(response)
+            return Success(Committed(version=written.value_or(StorePosition(0))))
         if isinstance(decoded, Failure):
             return Failure(decoded.failure())
-        rows = decoded.unwrap().Rows
-        by_key = {f"{row.Table}/{row.Key}": _rows([row]) for row in rows}
+        answer = decoded.unwrap()
+        by_key = {
+            f"{row.Table}/{row.Key}": _rows([row], answer.era) for row in answer.Rows
+        }
         records = []
         for check in transaction.checks:
             found = by_key.get(check.key)
@@ -251,11 +298,39 @@
         if isinstance(result, Failure):
             return Failure(result.failure())
         response = result.unwrap()
-        if response.head.status == _HISTORY_GONE:
-            return Success(HistoryGone())
-        if response.head.status != _OK:
+        if response.head.status not in (_OK, _HISTORY_GONE):
             return Failure(_error(response.head.status))
-        return _decode_response(response).map(self._update_clock_offset)
+        if response.head.status == _HISTORY_GONE:
+            era = self._read_era(response)
+            return era.map(lambda _: HistoryGone())
+        return self._decode(response).map(self._update_clock_offset)
+
+    def _decode(self, response: ResponseBody) -> Result[_StoreResponse, StoreError]:
+        era = self._read_era(response)
+        if isinstance(era, Failure):
+            return Failure(era.failure())
+        decoded = _decode_response(response)
+        if isinstance(decoded, Failure):
+            return decoded
+        answer = decoded.unwrap()
+        if not answer.is_in_range:
+            return Failure(_unknown("malformed response: a version is out of range"))
+        answer.era = era.unwrap()
+        return Success(answer)
+
+    def _read_era(self, response: ResponseBody) -> Result[int, StoreError]:
+        """Return the era of a response; a former era and a malformed one fail."""
+        value = find_header(response.head.headers, _ERA)
+        if value is None:
+            # A platform without restores does not send the field.
+            return Success(self._era)
+        if not value.strip().isdigit() or int(value) > MAX_ERA:
+            return Failure(_unknown(f"malformed era {value[:40]!r}"))
+        era = int(value)
+        if era < self._era:
+            return Failure(_unknown(f"response of era {era}, before era {self._era}"))
+        self._era = era
+        return Success(era)
 
     def _update_clock_offset(self, answer: _StoreResponse) -> _StoreResponse:
         if answer.NowMs:
@@ -332,7 +407,7 @@
     return {**_row_address(put.key), "Value": base64.b64encode(put.value).decode()}
 
 
-def _rows(wire_rows: Iterable[_Row]) -> list[Row]:
+def _rows(wire_rows: Iterable[_Row], era: int) -> list[Row]:
     rows = []
     for row in wire_rows:
         value: bytes | None = None
@@ -342,10 +417,15 @@
             except binascii.Error:
                 # The decoder of the row rejects the empty value and logs the key.
                 value = b""
-        rows.append(Row(key=row.Key, value=value, revision=row.SchemaVersion))
+        position = store_position(era, row.SchemaVersion)
+        rows.append(Row(key=row.Key, value=value, revision=position))
     return rows
 
 
+def _checked_version(position: int, era: int) -> int:
+    return version_of(position) if era_of(position) == era else 0
+
+
 def _record(key: str, row: Row | None) -> Record:
     if row is None or row.value is None:
         return Record(key=key, value=b"", version=0)
--- a/fuchsiaroute/platform/tests/standin.py
+++ b/fuchsiaroute/platform/tests/standin.py
@@ -65,7 +65,9 @@
     """
     Rows with one revision counter.
 
-    ``is_down`` answers 503 to every call, ``is_silent`` answers none.
+    ``is_down`` answers 503 to every call, ``is_silent`` answers none. ``restore`` goes
+    back to a copy and begins a new era, which all responses state unless ``era`` is
+    None.
     """
 
     def __init__(self) -> None:
@@ -75,6 +77,7 @@
         self.is_down = False
         self.is_silent = False
         self.calls: list[str] = []
+        self.era: int | None = 1
         self._changed = asyncio.Event()
 
     def put(self, table: str, key: str, value: object | None) -> None:
@@ -85,6 +88,23 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def copy(self) -> tuple[dict[tuple[str, str], tuple[bytes | None, int]], int]:
+        """Return a copy to restore the store from later."""
+        return dict(self.rows), self.counter
+
+    def restore(
+        self, copy: tuple[dict[tuple[str, str], tuple[bytes | None, int]], int]
+    ) -> None:
+        """Lose all that was written after ``copy`` and give out its versions again."""
+        rows, self.counter = copy
+        self.rows = dict(rows)
+        if self.era is not None:
+            self.era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+        for connection in list(self.connections):
+            connection.close()
+
     def value(self, table: str, key: str) -> Any:
         data, _ = self.rows.get((table, key), (None, 0))
         return None if data is None else json.loads(data)
@@ -94,8 +114,9 @@
         self.calls.append(name)
         if self.is_silent:
             await asyncio.Event().wait()
+        headers = [(b"Store-Era", b"%d" % self.era)] if self.era is not None else []
         if self.is_down:
-            responder.send(503, [], b"")
+            responder.send(503, headers, b"")
             return
         query = {
             key: values[0]
@@ -110,7 +131,9 @@
         }[name]
         status, body = await answer(query, request.body)
         body = {**body, "SchemaVersion": self.counter, "NowMs": SystemClock().now()}
-        responder.send(status, [], json.dumps(body).encode())
+        if self.era is not None:
+            headers = [(b"Store-Era", b"%d" % self.era)]
+        responder.send(status, headers, json.dumps(body).encode())
 
     async def _get(
         self, query: dict[str, str], body: bytes
@@ -130,6 +153,8 @@
     ) -> tuple[int, dict[str, Any]]:
         deadline = asyncio.get_running_loop().time() + int(query["WaitMs"]) / 1_000
         while True:
+            if int(query["After"]) > self.counter:
+                return 410, {}
             rows = [
                 self._row(table, key)
                 for table, key in self.rows
--- a/fuchsiaroute/staging/_driver.py
+++ b/fuchsiaroute/staging/_driver.py
@@ -21,6 +21,7 @@
     Record,
     StoreError,
     Transaction,
+    era_of,
 )
 
 #: Time that an instance leaves to each instance ranked before it to write first.
@@ -117,14 +118,16 @@
         record = self._tracker.record(order.service)
         if record is None:
             return Progress.RUNNING
-        if record.progress is not Progress.RUNNING:
-            return None
-        if self._tracker.is_suspended(order.service, order.revision):
+        is_running = record.progress is Progress.RUNNING
+        if is_running and self._tracker.is_suspended(order.service, order.revision):
             return Progress.ROLLED_BACK
-        if self._tracker.may_complete(
+        if is_running and self._tracker.may_complete(
             order, base_version_load=self._base_version_load(order)
         ):
             return Progress.COMPLETED
+        if era_of(record.order) < era_of(order.revision):
+            # The store was restored from a copy, which may lack the record.
+            return record.progress
         return None
 
     def _turn(self, order: RolloutOrder) -> int:
@@ -147,7 +150,7 @@
                 started=store_now,
             )
         else:
-            record = replace(known, progress=progress)
+            record = replace(known, progress=progress, order=order.revision)
         key = self._record_key(order.service)
         version = self._versions.get(order.service, 0)
         answer = await self._store.commit(
--- a/fuchsiaroute/staging/_tracker.py
+++ b/fuchsiaroute/staging/_tracker.py
@@ -18,6 +18,7 @@
     share_of_sessions,
 )
 from fuchsiaroute.staging._sessions import SessionVersions
+from fuchsiaroute.store import era_of
 
 #: Hash of a session's key; equal at all instances.
 SessionHash = NewType("SessionHash", int)
@@ -75,6 +76,8 @@
         self._records: dict[ServiceId, RolloutRecord] = {}
         self._counts: dict[tuple[ServiceId, int], RolloutCounts] = {}
         self._suspended: set[tuple[ServiceId, int]] = set()
+        #: Longest time since the start of each roll-out.
+        self._elapsed: dict[tuple[ServiceId, VersionId], int] = {}
         #: Versions that sessions are bound to.
         self.sessions = SessionVersions(clock=clock, pause=session_pause)
 
@@ -82,7 +85,7 @@
         """Return the record of the current order; None if it has not started."""
         order = self._orders.get(service)
         record = self._records.get(service)
-        if order is None or record is None or record.order != order.revision:
+        if order is None or record is None or not _belongs_to(record, order):
             return None
         return record
 
@@ -93,7 +96,7 @@
     def apply_record(self, record: RolloutRecord, *, source: str) -> None:
         """Store a record unless a newer one is held."""
         known = self._records.get(record.service)
-        if known is not None and _sort_key(known) >= _sort_key(record):
+        if known is not None and self._sort_key(known) >= self._sort_key(record):
             return
         self._records[record.service] = record
         self._log.write(
@@ -106,10 +109,34 @@
             source=source,
         )
 
+    def continue_order(self, former: RolloutOrder, order: RolloutOrder) -> None:
+        """Keep the state of ``former`` for the same order in a later era."""
+        old = (former.service, former.revision)
+        new = (order.service, order.revision)
+        if old in self._suspended:
+            self._suspended.add(new)
+        if old in self._counts:
+            self._counts[new] = self._counts.pop(old)
+
+    def _sort_key(self, record: RolloutRecord) -> tuple[int, int, int]:
+        """Return a key by which a newer record sorts after an older one."""
+        order = self._orders.get(record.service)
+        position = record.order
+        if order is not None and _belongs_to(record, order):
+            position = order.revision
+        return position, record.progress.value, record.order
+
     def elapsed(self, record: RolloutRecord) -> Milliseconds:
-        """Return the time since a roll-out started; 0 without the store's clock."""
+        """
+        Return the time since a roll-out started; 0 without the store's clock.
+
+        It never decreases, even if the clock of a restored store has stepped back.
+        """
         now = self._store_now()
-        return Milliseconds(max(now - record.started, 0) if now is not None else 0)
+        elapsed = max(now - record.started, 0) if now is not None else 0
+        key = (record.service, record.target)
+        self._elapsed[key] = max(self._elapsed.get(key, 0), elapsed)
+        return Milliseconds(self._elapsed[key])
 
     def allowed_versions(
         self,
@@ -256,8 +283,18 @@
 
 
 def _rollout_id(order: RolloutOrder) -> RolloutId:
-    return RolloutId(f"{order.service}:{order.revision}")
+    """Return an id that an order keeps when the store is restored from a copy."""
+    return RolloutId(f"{order.service}:{order.target}")
 
 
-def _sort_key(record: RolloutRecord) -> tuple[int, int]:
-    return record.order, record.progress.value
+def _belongs_to(record: RolloutRecord, order: RolloutOrder) -> bool:
+    """
+    Return whether ``record`` is the state of ``order``.
+
+    An order that is read again in another era of the store has another position there,
+    and its record may not have been written again yet.
+    """
+    is_same_era = era_of(record.order) == era_of(order.revision)
+    if is_same_era:
+        return record.order == order.revision
+    return record.target == order.target
--- a/fuchsiaroute/store/__init__.py
+++ b/fuchsiaroute/store/__init__.py
@@ -28,6 +28,14 @@
     OrderFault,
 )
 from fuchsiaroute.store._object_store import ObjectStore
+from fuchsiaroute.store._position import (
+    MAX_ERA,
+    MAX_VERSION,
+    StorePosition,
+    era_of,
+    store_position,
+    version_of,
+)
 from fuchsiaroute.store._rating import Rating, RatingPage, RatingService
 from fuchsiaroute.store._table_store import (
     ABSENT,
@@ -45,6 +53,8 @@
 __all__ = [
     "ABSENT",
     "BUDGETS",
+    "MAX_ERA",
+    "MAX_VERSION",
     "Check",
     "CircuitBreaker",
     "CircuitState",
@@ -77,10 +87,14 @@
     "StoreErrorKind",
     "StoreFault",
     "StoreFunction",
+    "StorePosition",
     "StoreView",
     "TableStore",
     "TimedOut",
     "TokenBucket",
     "Transaction",
+    "era_of",
     "run_with_timeout",
+    "store_position",
+    "version_of",
 ]
