Update what is computed over all instances only when it changes

Timed alone (benches/bench_instance.py, 195 instances): each tick of 100 ms sorted all names and added up the loads of all peers (803 us), each received message rebuilt the set of living instances (131 us), and each question whether readers relay a table ranked all instances by hash (307 us, two or more a request and 20 a second).

Change: the living instances are one tuple until one of them may have died or a new one is heard; names, readers and the pool's shares follow from its identity; a message changes the sums of peers' loads by its difference; changes of the living are logged a round, not a message.

--- a/fuchsiaroute/gossip/_liveness.py
+++ b/fuchsiaroute/gossip/_liveness.py
@@ -1,5 +1,6 @@
 """Detects which other instances are alive, from heartbeat counters."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from fuchsiaroute.clock import Clock, Milliseconds
@@ -32,6 +33,20 @@
     added_at: Milliseconds = Milliseconds(0)
 
 
+@dataclass(kw_only=True, slots=True)
+class _Selection:
+    """Members that were alive when they were selected."""
+
+    members: tuple[MemberInfo, ...] = ()
+    #: Earliest instant at which one of them may be dead; None without members.
+    expires_at: Milliseconds | None = None
+    is_valid: bool = False
+
+    def is_outdated(self, now: Milliseconds) -> bool:
+        is_expired = self.expires_at is not None and now >= self.expires_at
+        return is_expired or not self.is_valid
+
+
 class Liveness:
     """
     Heartbeat counters of all instances, merged from every sender.
@@ -52,6 +67,8 @@
         #: Members whose heartbeats were forwarded by others while this instance has
         #: no addresses of them, with the instant of the first such heartbeat.
         self._unknown_members: dict[InstanceId, Milliseconds] = {}
+        self._alive = _Selection()
+        self._presumed_alive = _Selection()
         #: This instance's own heartbeat counter.
         self.count = 1
 
@@ -61,8 +78,14 @@
         return tuple(self._members.values())
 
     def alive(self) -> tuple[MemberInfo, ...]:
-        """Return the other instances that are alive."""
-        return tuple(item for item in self._members.values() if self.is_alive(item))
+        """
+        Return the other instances that are alive.
+
+        The same tuple is returned until the set of these instances may have changed.
+        """
+        if self._alive.is_outdated(self._clock.now()):
+            self._alive = self._select(lambda item: item.last_heartbeat_at)
+        return self._alive.members
 
     def presumed_alive(self) -> tuple[MemberInfo, ...]:
         """
@@ -70,18 +93,32 @@
 
         A member that was added less than ``dead_after`` ago and has sent no heartbeat
         yet is included. Otherwise, budgets that all instances share would be divided
-        among too few instances after a start.
+        among too few instances after a start. The same tuple is returned until the set
+        of these instances may have changed.
         """
+        if self._presumed_alive.is_outdated(self._clock.now()):
+            self._presumed_alive = self._select(_last_sign)
+        return self._presumed_alive.members
+
+    def _select(
+        self, last_sign: Callable[[MemberInfo], Milliseconds | None]
+    ) -> "_Selection":
+        """Return the members whose last sign of life is recent, and until when."""
         now = self._clock.now()
-        return tuple(
-            item
-            for item in self._members.values()
-            if self.is_alive(item)
-            or (
-                item.last_heartbeat_at is None
-                and now - item.added_at < self._dead_after
-            )
-        )
+        members = []
+        expires_at: Milliseconds | None = None
+        for item in self._members.values():
+            sign = last_sign(item)
+            if sign is None or now - sign >= self._dead_after:
+                continue
+            members.append(item)
+            expiry = Milliseconds(sign + self._dead_after)
+            expires_at = expiry if expires_at is None else min(expires_at, expiry)
+        return _Selection(members=tuple(members), expires_at=expires_at, is_valid=True)
+
+    def _invalidate(self) -> None:
+        self._alive.is_valid = False
+        self._presumed_alive.is_valid = False
 
     def has_unknown_members(self, min_age: Milliseconds) -> bool:
         """Return whether peers have reported an unknown member for ``min_age``."""
@@ -108,6 +145,7 @@
         known = self._members.get(member.instance)
         if known is None:
             member.added_at = self._clock.now()
+            self._invalidate()
             self._members[member.instance] = member
             self._unknown_members.pop(member.instance, None)
             return True
@@ -129,12 +167,27 @@
         if member is None:
             self._unknown_members.setdefault(name, self._clock.now())
         elif heartbeat.count > member.count:
+            if not self.is_alive(member):
+                self._invalidate()
             member.count = heartbeat.count
             member.is_ready = heartbeat.is_ready
             member.last_heartbeat_at = self._clock.now()
 
-    def heartbeats(self) -> list[Heartbeat]:
-        """Return the latest heartbeats of living instances, for forwarding."""
-        return [
-            Heartbeat(item.instance, item.count, item.is_ready) for item in self.alive()
-        ]
+    def heartbeats(self, *, limit: int | None = None) -> list[Heartbeat]:
+        """
+        Return the latest heartbeats of living instances, for forwarding.
+
+        With ``limit``, they are taken in turns from one round to the next.
+        """
+        alive = self.alive()
+        if limit is not None and len(alive) > limit:
+            start = self.count * limit % len(alive)
+            alive = (alive + alive[:limit])[start : start + limit]
+        return [Heartbeat(item.instance, item.count, item.is_ready) for item in alive]
+
+
+def _last_sign(member: MemberInfo) -> Milliseconds:
+    """Return when a member was last heard, or became known if it never was."""
+    if member.last_heartbeat_at is None:
+        return member.added_at
+    return member.last_heartbeat_at
--- a/fuchsiaroute/gossip/_node.py
+++ b/fuchsiaroute/gossip/_node.py
@@ -72,6 +72,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         #: Members that were alive when changes were last logged.
         self._logged_alive: set[InstanceId] = set()
+        self._logged_members: tuple[MemberInfo, ...] = ()
         self._sent_at = Milliseconds(0)
         self._flush: asyncio.TimerHandle | None = None
 
@@ -142,8 +143,8 @@
         for heartbeat in message.heartbeats:
             self._liveness.merge(heartbeat)
         self._on_message(message)
-        self._log_liveness_changes()
         if is_new:
+            self._log_liveness_changes()
             self.send_soon()
 
     def error_received(self, exc: Exception) -> None:
@@ -184,7 +185,11 @@
         return member.failure_domain == self._failure_domain
 
     def _log_liveness_changes(self) -> None:
-        alive = {member.instance for member in self._liveness.alive()}
+        members = self._liveness.alive()
+        if members is self._logged_members:
+            return
+        self._logged_members = members
+        alive = {member.instance for member in members}
         for name in alive - self._logged_alive:
             self._log.write("instance:heard", member=name, alive=len(alive))
         for name in self._logged_alive - alive:
--- a/fuchsiaroute/node/_gossip_exchange.py
+++ b/fuchsiaroute/node/_gossip_exchange.py
@@ -7,8 +7,8 @@
 from fuchsiaroute.gossip import (
     FORMAT,
     GossipMessage,
-    Heartbeat,
     Liveness,
+    MemberInfo,
     RolloutEvidence,
     RolloutUpdate,
     SessionUpdate,
@@ -67,7 +67,8 @@
         self._is_ready = is_ready
         self._clock = clock
         self._log = log
-        self._loads: dict[InstanceId, dict[EndpointId, Load]] = {}
+        #: Members that were alive when loads were last removed.
+        self._alive: tuple[MemberInfo, ...] = ()
         #: Monotonic time of the latest response of the store to a watch by any peer,
         #: by table.
         self._answered_at: dict[str, Milliseconds] = {}
@@ -87,7 +88,7 @@
                 str(name): (load.requests, round(load.work))
                 for name, load in self._pool.own_loads().items()
             },
-            heartbeats=self._heartbeats(),
+            heartbeats=self._liveness.heartbeats(limit=MAX_HEARTBEATS),
             revisions={
                 name: feed.newest_revision for name, feed in self._feeds.items()
             },
@@ -121,9 +122,10 @@
     def apply(self, message: GossipMessage) -> None:
         """Apply the message of another instance."""
         instance = InstanceId(message.instance)
-        self._loads[instance] = {
-            EndpointId(name): Load(*load) for name, load in message.loads.items()
-        }
+        self._pool.update_peer(
+            instance,
+            {EndpointId(name): Load(*load) for name, load in message.loads.items()},
+        )
         for name, revision in message.revisions.items():
             feed = self._feeds.get(name)
             if feed is not None:
@@ -185,19 +187,11 @@
         return min(ages, default=None)
 
     def refresh(self) -> None:
-        """Pass the loads of live instances to the pool; called periodically."""
-        alive = {member.instance for member in self._liveness.alive()}
-        self._loads = {
-            name: loads for name, loads in self._loads.items() if name in alive
-        }
-        self._pool.update_peer_loads(self._loads)
-
-    def _heartbeats(self) -> list[Heartbeat]:
-        heartbeats = self._liveness.heartbeats()
-        if len(heartbeats) <= MAX_HEARTBEATS:
-            return heartbeats
-        start = self._liveness.count * MAX_HEARTBEATS % len(heartbeats)
-        return (heartbeats + heartbeats)[start : start + MAX_HEARTBEATS]
+        """Remove the loads of dead instances from the pool; called periodically."""
+        alive = self._liveness.alive()
+        if alive is not self._alive:
+            self._alive = alive
+            self._pool.keep_peers(item.instance for item in alive)
 
     def _evidence(self) -> list[RolloutEvidence]:
         items = []
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -20,7 +20,14 @@
     RequestResolver,
     StreamRelay,
 )
-from fuchsiaroute.gossip import FORMAT, GossipNode, Liveness, RelayedRow, TableUpdate
+from fuchsiaroute.gossip import (
+    FORMAT,
+    GossipNode,
+    Liveness,
+    MemberInfo,
+    RelayedRow,
+    TableUpdate,
+)
 from fuchsiaroute.hashing import rendezvous_order
 from fuchsiaroute.http1 import BodyBudget, ServerLimits
 from fuchsiaroute.ids import InstanceId, ServiceId
@@ -99,6 +106,11 @@
         self._settings = settings
         self._clock = clock
         self.is_stopping = False
+        #: What ``instances`` was computed from and its result, and the readers of each
+        #: table among these.
+        self._members: tuple[MemberInfo, ...] | None = None
+        self._instances: tuple[InstanceId, ...] = (settings.instance,)
+        self._readers_of: dict[Table, list[InstanceId]] = {}
         bounds = settings.bounds
         self.log = log
         self.counters = Counters()
@@ -210,12 +222,24 @@
             for service in self.catalog.rollout_orders
         )
 
-    def instances(self) -> list[InstanceId]:
-        """Return the instances that share limits and budgets, including this one."""
-        return [
-            self._settings.instance,
-            *(member.instance for member in self.liveness.presumed_alive()),
-        ]
+    def instances(self) -> tuple[InstanceId, ...]:
+        """
+        Return the instances that share limits and budgets, including this one.
+
+        The same tuple is returned until instances have come or gone, since each request
+        asks for it.
+        """
+        members = self.liveness.presumed_alive()
+        if members is not self._members:
+            self._members = members
+            names = (
+                self._settings.instance,
+                *(member.instance for member in members),
+            )
+            if set(names) != set(self._instances):
+                self._instances = names
+                self._readers_of = {}
+        return self._instances
 
     def limits(self) -> ServerLimits:
         """Return the current limits on callers' requests."""
@@ -280,7 +304,12 @@
 
     def _readers(self, table: Table) -> list[InstanceId]:
         """Return the instances that watch ``table`` and relay its changes."""
-        return rendezvous_order(table.name, self.instances())[:READER_COUNT]
+        names = self.instances()
+        readers = self._readers_of.get(table)
+        if readers is None:
+            readers = rendezvous_order(table.name, names)[:READER_COUNT]
+            self._readers_of[table] = readers
+        return readers
 
     def _is_relayed(self, table: Table) -> bool:
         """Return whether readers relay the changes of a table to this instance."""
--- a/fuchsiaroute/pool/_member.py
+++ b/fuchsiaroute/pool/_member.py
@@ -1,8 +1,8 @@
 """State and statistics that an instance holds for one endpoint."""
 
 import math
-from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.deployment import Endpoint
@@ -35,8 +35,7 @@
 _USABLE = frozenset({EndpointState.COLD, EndpointState.WARMING, EndpointState.WARM})
 
 
-@dataclass(frozen=True, slots=True)
-class Load:
+class Load(NamedTuple):
     """The requests that one instance has at an endpoint."""
 
     #: Requests in flight.
@@ -45,6 +44,14 @@
     work: float
 
 
+@dataclass(slots=True)
+class PeerLoad:
+    """Sum of the loads that the other instances reported of an endpoint."""
+
+    requests: int = 0
+    work: float = 0.0
+
+
 @dataclass(kw_only=True, slots=True)
 class PoolMember:
     """State and statistics of one endpoint; times are of the monotonic clock."""
@@ -57,9 +64,8 @@
     own_load: int = 0
     #: Expected milliseconds of work of own requests whose answer has not started.
     own_work: float = 0.0
-    #: Requests in flight, and their work, as reported by the other instances.
-    peer_load: int = 0
-    peer_work: float = 0.0
+    #: Updated by the pool whenever another instance reports its load.
+    peers: PeerLoad = field(default_factory=PeerLoad)
     cold_until: Milliseconds = Milliseconds(0)
     full_until: Milliseconds = Milliseconds(0)
     #: End of the pause that the endpoint has asked for; 0 if it never did.
@@ -81,12 +87,12 @@
     @property
     def load(self) -> int:
         """Return the requests in flight, including those of other instances."""
-        return self.own_load + self.peer_load
+        return self.own_load + self.peers.requests
 
     @property
     def backlog(self) -> float:
         """Return the expected milliseconds of work queued before a new request."""
-        return self.own_work + self.peer_work
+        return self.own_work + self.peers.work
 
     @property
     def is_cold(self) -> bool:
@@ -148,14 +154,6 @@
             until = Milliseconds(self.clock.now() + duration)
             self.cold_until = max(self.cold_until, until)
 
-    def set_peer_loads(self, loads: Iterable[Load]) -> None:
-        """Replace the loads that other instances reported."""
-        self.peer_load = 0
-        self.peer_work = 0.0
-        for load in loads:
-            self.peer_load += load.requests
-            self.peer_work += load.work
-
     def add_request(self, work: float) -> None:
         """Count a request that is about to be sent."""
         self.own_load += 1
--- a/fuchsiaroute/pool/_pool.py
+++ b/fuchsiaroute/pool/_pool.py
@@ -19,7 +19,7 @@
 )
 from fuchsiaroute.lifecycle import EndpointEvent, EndpointState, Outcome
 from fuchsiaroute.pool._cold_rate_limiter import ColdRateLimiter
-from fuchsiaroute.pool._member import Load, PoolMember
+from fuchsiaroute.pool._member import Load, PeerLoad, PoolMember
 
 #: Requests in flight per slot at which an endpoint of a plain service gets no more; a
 #: request then waits about as long at the endpoint as it runs.
@@ -150,6 +150,9 @@
         self._clock = clock
         self._random = random
         self._members: dict[EndpointId, PoolMember] = {}
+        #: Loads of other instances, and their sums by endpoint.
+        self._peer_loads: dict[InstanceId, Mapping[EndpointId, Load]] = {}
+        self._peer_totals: dict[EndpointId, PeerLoad] = {}
         #: Start of each process that has said in an answer that it leaves, and the end
         #: of the pauses that processes have asked for. They outlast announcements,
         #: which may be removed and written again for the same process.
@@ -159,6 +162,7 @@
         self._services: Mapping[ServiceId, Service] = {}
         self._evacuated: frozenset[FailureDomainId] = frozenset()
         self._instances: tuple[InstanceId, ...] = (instance,)
+        self._given_instances: Sequence[InstanceId] = ()
 
     def __contains__(self, endpoint: EndpointId) -> bool:
         return endpoint in self._members
@@ -218,8 +222,15 @@
         for member in self._members.values():
             self._update_cold_rate(member)
 
-    def update_instances(self, instances: Iterable[InstanceId]) -> None:
-        """Replace the live instances; this one is always included."""
+    def update_instances(self, instances: Sequence[InstanceId]) -> None:
+        """
+        Replace the live instances; this one is always included.
+
+        ``instances`` must not be changed later: the same sequence is not read again.
+        """
+        if instances is self._given_instances:
+            return
+        self._given_instances = instances
         names = tuple(sorted({*instances, self._instance}))
         if names == self._instances:
             return
@@ -227,16 +238,35 @@
         for member in self._members.values():
             self._update_cold_rate(member)
 
-    def update_peer_loads(
-        self, loads: Mapping[InstanceId, Mapping[EndpointId, Load]]
+    def update_peer(
+        self, instance: InstanceId, loads: Mapping[EndpointId, Load]
     ) -> None:
-        """Replace the loads that other instances reported."""
-        by_endpoint: dict[EndpointId, list[Load]] = {}
-        for instance_loads in loads.values():
-            for name, load in instance_loads.items():
-                by_endpoint.setdefault(name, []).append(load)
-        for name, member in self._members.items():
-            member.set_peer_loads(by_endpoint.get(name, ()))
+        """
+        Replace the loads that another instance reported.
+
+        The sums over all instances are updated by the difference, so that the work
+        does not grow with the number of instances.
+        """
+        former = self._peer_loads.pop(instance, {})
+        if loads:
+            self._peer_loads[instance] = loads
+        totals = self._peer_totals
+        for name, (requests, work) in former.items():
+            total = totals[name]
+            total.requests -= requests
+            total.work -= work
+        for name, (requests, work) in loads.items():
+            total = totals.setdefault(name, PeerLoad())
+            total.requests += requests
+            total.work += work
+
+    def keep_peers(self, instances: Iterable[InstanceId]) -> None:
+        """Remove the loads of all other instances than ``instances``."""
+        for instance in self._peer_loads.keys() - set(instances):
+            self.update_peer(instance, {})
+        for name in self._peer_totals.keys() - self._members.keys():
+            if not self._peer_totals[name].requests:
+                del self._peer_totals[name]
 
     def update_evacuated(self, domains: Iterable[FailureDomainId]) -> None:
         """Replace the evacuated failure domains, which get no new requests."""
@@ -253,6 +283,7 @@
                 endpoint=endpoint,
                 cold_limiter=ColdRateLimiter(endpoint.id, clock=self._clock),
             )
+            member.peers = self._peer_totals.setdefault(endpoint.id, PeerLoad())
             self._members[endpoint.id] = member
             self._update_cold_rate(member)
         member.endpoint = endpoint
--- a/fuchsiaroute/pool/tests/test_pool.py
+++ b/fuchsiaroute/pool/tests/test_pool.py
@@ -147,7 +147,7 @@
 
 def test_load_of_other_instances_counts() -> None:
     pool = new_pool(ManualClock(), endpoint("a"), endpoint("b"))
-    pool.update_peer_loads({InstanceId("peer"): {EndpointId("a"): Load(6, 0.0)}})
+    pool.update_peer(InstanceId("peer"), {EndpointId("a"): Load(6, 0.0)})
     assert {chosen(pool) for _ in range(20)} == {"b"}
 
 
--- a/fuchsiaroute/staging/_driver.py
+++ b/fuchsiaroute/staging/_driver.py
@@ -1,6 +1,6 @@
 """Advances ordered roll-outs by conditional writes to the store."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
 from typing import Protocol
 
@@ -62,7 +62,7 @@
         orders: Mapping[ServiceId, RolloutOrder],
         clock: Clock,
         log: LineLog,
-        instances: Callable[[], list[InstanceId]],
+        instances: Callable[[], Sequence[InstanceId]],
         base_version_load: Callable[[RolloutOrder], int],
         store_now: Callable[[], Milliseconds | None],
         record_key: Callable[[ServiceId], str],
