Soak: a store that is restored, endpoints that leave by answer or ask for a pause

The three kinds are drawn from a stream of their own, so the kept schedules hold the same faults as before. An endpoint that has said it leaves must get nothing later than the drain bound after its first such answer, from any undisturbed instance.

--- a/fuchsiaroute/platform/tests/failing_store.py
+++ b/fuchsiaroute/platform/tests/failing_store.py
@@ -1,6 +1,7 @@
 """Stand-in of the platform's store with injected faults."""
 
 import asyncio
+import json
 from enum import Enum
 from typing import Any
 
@@ -75,6 +76,33 @@
         """Remove an endpoint's announcement."""
         self.put("servers", endpoint.id, None)
 
+    def operators_and_endpoints_rows(self) -> dict[tuple[str, str], bytes | None]:
+        """Return the values of the rows that the system does not write."""
+        return {
+            key: value
+            for key, (value, _) in self.rows.items()
+            if key[0] in ("op", "servers")
+        }
+
+    def write_again(
+        self,
+        lost: dict[tuple[str, str], bytes | None],
+        restored: dict[tuple[str, str], bytes | None],
+    ) -> None:
+        """Write what a restore has undone, unless it was written anew since."""
+        present = self.operators_and_endpoints_rows()
+        for key in lost.keys() | restored.keys():
+            is_unchanged = present.get(key) == restored.get(key)
+            value = lost.get(key)
+            if is_unchanged and value != restored.get(key):
+                self.put(*key, None if value is None else json.loads(value))
+
+    def restore(
+        self, copy: tuple[dict[tuple[str, str], tuple[bytes | None, int]], int]
+    ) -> None:
+        super().restore(copy)
+        self._dropped_before = min(self._dropped_before, self.counter)
+
     def drop_history(self) -> None:
         self.counter += 1
         self._dropped_before = self.counter
--- a/fuchsiaroute/platform/tests/recording_endpoint.py
+++ b/fuchsiaroute/platform/tests/recording_endpoint.py
@@ -56,6 +56,8 @@
         self.service, self.domain, self.version = service, domain, version
         self.behaviour = Behaviour()
         self.runs: list[Run] = []
+        #: Time of the first answer that said that the endpoint leaves.
+        self.said_leaving_at: Milliseconds | None = None
         self._random = random
         self._clock = BootClock()
         self._slots = slots
@@ -80,6 +82,11 @@
             self._active -= 1
             run.ended_at = self._clock.now()
 
+    def headers(self, request: InboundRequest) -> list[tuple[bytes, bytes]]:
+        if self.is_leaving and self.said_leaving_at is None:
+            self.said_leaving_at = self._clock.now()
+        return super().headers(request)
+
     def _record(self, request: InboundRequest) -> Run:
         def text(name: bytes) -> str:
             return (find_header(request.headers, name) or b"").decode()
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -85,7 +85,12 @@
 
 
 def _schedule(case: SoakCase) -> tuple[Fault, ...]:
-    return draw_schedule(case.seed, length=case.length, rate=case.rate)
+    return draw_schedule(
+        case.seed,
+        length=case.length,
+        rate=case.rate,
+        has_added_kinds=case.has_added_kinds,
+    )
 
 
 async def _run_all(
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -39,6 +39,10 @@
     "garbling": Behaviour(garbling=0.4),
     "slow": Behaviour(slowness=10.0),
 }
+#: Time for which the store is away before it comes back from a copy, and after which
+#: operators and endpoints write again what it has lost.
+_AWAY_TIME = Milliseconds(300)
+_REWRITE_TIME = Milliseconds(700)
 _BAD_VERSION_BEHAVIOUR = Behaviour(failing=0.6)
 _ROLLOUT_DURATION = Milliseconds(8_000)
 #: Additional callers during a burst.
@@ -79,6 +83,9 @@
             FaultKind.EVACUATE: self._evacuate,
             FaultKind.ROLLOUT: self._start_rollout,
             FaultKind.BURST: self._burst,
+            FaultKind.RESTORE: self._restore,
+            FaultKind.ENDPOINT_SAYS_LEAVING: self._leave_by_answer,
+            FaultKind.ENDPOINT_PAUSES: self._pause_endpoint,
         }
 
     async def inject(self, fault: Fault) -> None:
@@ -186,6 +193,57 @@
         self._record_disturbance(STORE, Milliseconds(0))
         self._fleet.store.drop_history()
 
+    async def _restore(self, fault: Fault) -> None:
+        """Lose what was written while the fault lasted."""
+        store = self._fleet.store
+        copy = store.copy()
+        await self._clock.sleep(fault.lasts)
+        self._record_disturbance(
+            STORE, Milliseconds(_AWAY_TIME + _REWRITE_TIME + _STORE_RECOVERY_TIME)
+        )
+        store.mode = StoreMode.DOWN
+        await self._clock.sleep(_AWAY_TIME)
+        lost = store.operators_and_endpoints_rows()
+        store.restore(copy)
+        restored = store.operators_and_endpoints_rows()
+        if store.mode is StoreMode.DOWN:
+            store.mode = StoreMode.SOUND
+        await self._clock.sleep(_REWRITE_TIME)
+        store.write_again(lost, restored)
+
+    async def _leave_by_answer(self, fault: Fault) -> None:
+        """Let an endpoint leave that says so in its answers and nowhere else."""
+        endpoint, link = self._endpoint(fault)
+        if endpoint.id in self._draining:
+            return
+        self._draining.add(endpoint.id)
+        await self._fleet.add_endpoint(
+            endpoint.service, endpoint.domain, version=endpoint.version
+        )
+        endpoint.is_leaving = True
+        await self._clock.sleep(_DRAIN_DURATION)
+        if endpoint.said_leaving_at is not None:
+            order = OperatorOrder(
+                at=endpoint.said_leaving_at,
+                endpoints=frozenset({endpoint.id}),
+                effective_within=DRAIN,
+                name="said leaving",
+            )
+            self._fleet.record.orders.append(order)
+        if endpoint.id not in self._fleet.endpoints:
+            return
+        self._fleet.remove(endpoint)
+        self._record_disturbance(endpoint.id, _CRASH_DETECTION_TIME)
+        endpoint.close()
+        await link.close()
+
+    async def _pause_endpoint(self, fault: Fault) -> None:
+        endpoint, _ = self._endpoint(fault)
+        self._record_disturbance(endpoint.id, fault.lasts)
+        endpoint.pause = f"{fault.lasts / 1_000:.2f}"
+        await self._clock.sleep(fault.lasts)
+        endpoint.pause = None
+
     async def _crash_endpoint(self, fault: Fault) -> None:
         endpoint, link = self._endpoint(fault)
         self._record_disturbance(
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -31,6 +31,10 @@
     EVACUATE = "evacuate"
     ROLLOUT = "rollout"
     BURST = "burst"
+    #: The store comes back from a copy, and operators and endpoints write again.
+    RESTORE = "restore"
+    ENDPOINT_SAYS_LEAVING = "endpoint-says-leaving"
+    ENDPOINT_PAUSES = "endpoint-pauses"
 
 
 #: Variants by kind, drawn with equal probability.
@@ -60,6 +64,13 @@
 #: Kinds that occur at most once per schedule: a roll-out and stops in turn last for
 #: most of it, and killing all instances hides the effects of other faults.
 _AT_MOST_ONCE = (FaultKind.ROLLOUT, FaultKind.KILL_ALL, FaultKind.STOP_IN_TURN)
+#: Kinds that are drawn separately, at the given rate a second, so that the schedules of
+#: seeds that once failed keep all their faults.
+_ADDED_RATES = {
+    FaultKind.RESTORE: 0.1,
+    FaultKind.ENDPOINT_SAYS_LEAVING: 0.1,
+    FaultKind.ENDPOINT_PAUSES: 0.15,
+}
 _MIN_DURATION, _MAX_DURATION = Milliseconds(200), Milliseconds(4_000)
 #: Time before the first fault, in which all instances start to serve, and after the
 #: last request.
@@ -85,17 +96,26 @@
 
 
 def draw_schedule(
-    seed: int, *, length: Milliseconds, rate: float = FAULTS_PER_SECOND
+    seed: int,
+    *,
+    length: Milliseconds,
+    rate: float = FAULTS_PER_SECOND,
+    has_added_kinds: bool = True,
 ) -> tuple[Fault, ...]:
     """
     Return the faults of a seed, ordered by start time.
 
     ``length`` is the schedule's duration in milliseconds, by which every fault has
     ended; ``rate`` is the number of faults per second. Faults overlap, also those of
-    one series. Equal arguments give equal schedules.
+    one series. Equal arguments give equal schedules. Without ``has_added_kinds``, they
+    are the schedules from before these kinds existed.
     """
     random = Random(f"schedule:{seed}")
-    kinds = [kind for kind in FaultKind if kind not in _AT_MOST_ONCE]
+    kinds = [
+        kind
+        for kind in FaultKind
+        if kind not in _AT_MOST_ONCE and kind not in _ADDED_RATES
+    ]
     found: list[Fault] = []
     for kind in _AT_MOST_ONCE:
         if random.random() < 1 / 3:
@@ -112,9 +132,20 @@
         for _ in range(count - 1):
             later = Milliseconds(first.at + random.randint(0, first.lasts))
             found.append(_draw(random, kind, later, length))
+    if has_added_kinds:
+        found += _draw_added(seed, length)
     return tuple(sorted(found, key=lambda fault: fault.at))
 
 
+def _draw_added(seed: int, length: Milliseconds) -> list[Fault]:
+    random = Random(f"added:{seed}")
+    return [
+        _draw(random, kind, SETTLE_TIME, length)
+        for kind, rate in _ADDED_RATES.items()
+        for _ in range(round(rate * length / 1_000 + random.random() - 0.5))
+    ]
+
+
 def _draw(
     random: Random, kind: FaultKind, begin: Milliseconds, end: Milliseconds
 ) -> Fault:
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -20,6 +20,8 @@
     length: Milliseconds
     instances: int
     rate: float = FAULTS_PER_SECOND
+    #: Whether the schedule holds the kinds of faults that were added last.
+    has_added_kinds: bool = True
     #: Cause of the failure; empty for a schedule that has not failed.
     cause: str = ""
 
@@ -29,6 +31,7 @@
         seed=74034915,
         length=Milliseconds(30_000),
         instances=6,
+        has_added_kinds=False,
         cause="SIGHUP terminated a process that had not installed its handler yet",
     ),
     SoakCase(
@@ -36,6 +39,7 @@
         length=Milliseconds(20_000),
         instances=4,
         rate=0.9,
+        has_added_kinds=False,
         cause="the soak test ended an evacuation while a second one was active",
     ),
     SoakCase(
@@ -43,18 +47,21 @@
         length=Milliseconds(20_000),
         instances=4,
         rate=0.9,
+        has_added_kinds=False,
         cause="the soak test counted an instance that no caller chose as down",
     ),
     SoakCase(
         seed=1803733383,
         length=Milliseconds(30_000),
         instances=6,
+        has_added_kinds=False,
         cause="the soak test listed a draining endpoint as ready again",
     ),
     SoakCase(
         seed=598043014,
         length=Milliseconds(20_000),
         instances=6,
+        has_added_kinds=False,
         cause=(
             "instances started at the same time had found only some of the others, and "
             "divided the request rate of cold endpoints among too few"
