Refuse requests at once while all endpoints are paused, those that wait too

Cause: read again: a request that found others waiting joined the queue, and those that waited when the last endpoint asked for a pause stayed until their longest wait. Change: both are refused with the soonest end of a pause, if they cannot wait for it. Measured: the new case of the queue (a waiter and a newcomer behind it).

--- a/fuchsiaroute/pool/_pool.py
+++ b/fuchsiaroute/pool/_pool.py
@@ -158,6 +158,8 @@
         #: which may be removed and written again for the same process.
         self._leaving: dict[EndpointId, int] = {}
         self._pauses: dict[EndpointId, tuple[int, Milliseconds]] = {}
+        #: End of the last of these pauses.
+        self._paused_until = Milliseconds(0)
         self._by_service: dict[ServiceId, list[PoolMember]] = {}
         self._services: Mapping[ServiceId, Service] = {}
         self._evacuated: frozenset[FailureDomainId] = frozenset()
@@ -354,6 +356,7 @@
         if known_start == started_at and known_until >= until:
             return False
         self._pauses[endpoint] = (started_at, until)
+        self._paused_until = max(self._paused_until, until)
         _trim(self._pauses)
         member = self._members.get(endpoint)
         if member is not None:
@@ -361,8 +364,14 @@
         return known_until <= now
 
     def soonest_return(self, demand: Demand) -> Milliseconds:
-        """Return the time until the first endpoint's pause ends; 0 without pauses."""
+        """
+        Return the time until the first pause ends if all usable endpoints are paused.
+
+        It is 0 if one of them is not, or if there is none.
+        """
         now = self._clock.now()
+        if now >= self._paused_until:
+            return Milliseconds(0)
         return Milliseconds(
             min(
                 (
--- a/fuchsiaroute/pool/_request_queue.py
+++ b/fuchsiaroute/pool/_request_queue.py
@@ -101,6 +101,9 @@
         ``deprioritise_after`` starts after those that can still be answered in time.
         """
         statistics = self._statistics.setdefault(demand.service, _ServiceStatistics())
+        soonest = self._pool.soonest_return(demand)
+        if soonest > min(max_wait, max(deprioritise_after, 0)):
+            return self._pause_refusal(soonest)
         key = (demand.service, demand.versions, demand.excluded)
         queue = self._queues.get(key)
         if queue is None:
@@ -109,10 +112,6 @@
                 return self._count_running(statistics, request.organisation, chosen)
             if chosen is NoChoice.NONE:
                 return QueueRefusal(reason=chosen, retry_after=MAX_RETRY_AFTER)
-            if chosen is NoChoice.PAUSED:
-                soonest = self._pool.soonest_return(demand)
-                if soonest > min(max_wait, max(deprioritise_after, 0)):
-                    return self._pause_refusal(soonest)
         now = self._clock.now()
         ticket = Ticket(
             number=next(self._numbers),
@@ -148,6 +147,8 @@
             waiter = self._waiters[ticket.number]
             if not waiter.future.done():
                 chosen = self._pool.choose(waiter.demand)
+                if chosen is NoChoice.PAUSED:
+                    self._refuse_paused(queue)
                 if chosen in (NoChoice.FULL, NoChoice.PAUSED):
                     return
                 self._record_start(statistics)
@@ -236,6 +237,17 @@
             )
         statistics.started_at = now
 
+    def _refuse_paused(self, queue: FairQueue) -> None:
+        """Refuse requests whose wait ends before the pause of all endpoints does."""
+        now = self._clock.now()
+        for ticket in list(queue):
+            waiter = self._waiters[ticket.number]
+            soonest = self._pool.soonest_return(waiter.demand)
+            if ticket.latest_start < now + soonest:
+                queue.remove(ticket)
+                if not waiter.future.done():
+                    waiter.future.set_result(self._pause_refusal(soonest))
+
     def _pause_refusal(self, soonest: Milliseconds) -> QueueRefusal:
         """Return a refusal until the end of a pause, with callers spread over time."""
         spread = 1.0 + PAUSE_RETRY_SPREAD * self._random.random()
--- a/fuchsiaroute/pool/tests/test_request_queue.py
+++ b/fuchsiaroute/pool/tests/test_request_queue.py
@@ -294,3 +294,19 @@
     harness.clock.tick(Milliseconds(400))
     harness.queue.wake()
     assert isinstance(await entering, Reservation)
+
+
+async def test_waiting_request_is_refused_as_soon_as_all_endpoints_are_paused() -> None:
+    harness = QueueHarness()
+    held = await harness.fill()
+    waiting = asyncio.create_task(harness.enter())
+    await run_pending_tasks()
+    harness.pool.pause(EndpointId("a"), 1, Milliseconds(9_000))
+    newcomer = await harness.enter()
+    for reservation in held:
+        reservation.finish(Outcome.ANSWERED)
+    await run_pending_tasks()
+    for refusal in (newcomer, await waiting):
+        assert isinstance(refusal, QueueRefusal)
+        assert refusal.reason is NoChoice.PAUSED
+        assert refusal.retry_after >= 9_000
