Move notices of processes and the memory for restores into modules of their own

No change of behaviour: pool/_process_notices.py holds what endpoints have said in their answers, catalog/_restore_memory.py what goes before a restored copy.

--- a/fuchsiaroute/catalog/_catalog.py
+++ b/fuchsiaroute/catalog/_catalog.py
@@ -2,10 +2,10 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import singledispatchmethod
 
-from fuchsiaroute.catalog._removals import RENEWAL_TIME, PendingRemovals
+from fuchsiaroute.catalog._removals import PendingRemovals
+from fuchsiaroute.catalog._restore_memory import RemovedEndpoints, UnconfirmedOrders
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.deployment import Deployment, RolloutOrder
 from fuchsiaroute.ids import EndpointId, FailureDomainId, ServiceId
@@ -28,20 +28,6 @@
 from fuchsiaroute.pool import EndpointPool
 from fuchsiaroute.store import era_of
 
-#: Time after a restore of the store within which operators are expected to write again
-#: what they wrote after the copy was made. Until then, orders that the copy lacks hold.
-REWRITE_TIME = Milliseconds(10_000)
-#: Time for which removed endpoints are remembered; copies are some seconds old.
-REMOVAL_MEMORY = Milliseconds(30_000)
-
-
-@dataclass(frozen=True, kw_only=True)
-class _HeldBack:
-    """An announcement of an endpoint that had been removed before a restore."""
-
-    row: Row
-    due: Milliseconds
-
 
 class Catalog:
     """
@@ -72,11 +58,9 @@
         self._draining: set[EndpointId] = set()
         #: Start of the latest announced incarnation, by endpoint.
         self._started_at: dict[EndpointId, int] = {}
-        #: Start and time of removal of endpoints that were removed recently.
-        self._removed: dict[EndpointId, tuple[int, Milliseconds]] = {}
-        self._held_back: dict[EndpointId, _HeldBack] = {}
-        #: Orders that a restored copy lacks, and when they end unless written again.
-        self._unconfirmed: dict[OrderChange, Milliseconds] = {}
+        self._removed = RemovedEndpoints(clock=clock)
+        self._unconfirmed = UnconfirmedOrders(clock=clock)
+        #: Tables whose whole content is expected from a restored store.
         self._restored: set[Table] = set()
         self._removed_orders: dict[ServiceId, RolloutOrder] = {}
         #: Called with an order and the same order of a former era of the store.
@@ -111,7 +95,7 @@
             self._restored.discard(Table.ORDERS)
             self._remove_missing_orders(changes, is_restored=is_restored)
         for change in changes:
-            self._confirm(change)
+            self._unconfirmed.confirm(change)
             self._apply(change)
 
     def apply_endpoints(self, rows: Rows, is_whole: bool) -> None:
@@ -129,10 +113,9 @@
             }
         for row in rows.rows:
             name = EndpointId(row.key)
-            self._held_back.pop(name, None)
+            self._removed.replace(name)
             if is_restored and self._was_removed(name, row):
-                due = Milliseconds(self._clock.now() + RENEWAL_TIME)
-                self._held_back[name] = _HeldBack(row=row, due=due)
+                self._removed.hold_back(name, row)
             elif row.value is not None:
                 # One answer may also hold an earlier removal of the same endpoint.
                 gone.pop(name, None)
@@ -148,16 +131,14 @@
 
     def remove_due(self) -> None:
         """Apply deferred removals and announcements that are due."""
-        now = self._clock.now()
-        for change in [item for item, due in self._unconfirmed.items() if due <= now]:
-            del self._unconfirmed[change]
+        for change in self._unconfirmed.due():
             self._apply(change)
-        for name in [key for key, held in self._held_back.items() if held.due <= now]:
-            self._announce(name, self._held_back.pop(name).row)
+        for name, row in self._removed.due():
+            self._announce(name, row)
         for name in self._pending_removals.due():
             self._services.pop(name, None)
             self._draining.discard(name)
-            self._remember_removal(name, self._started_at.pop(name, 0))
+            self._removed.remember(name, self._started_at.pop(name, 0))
             self._pool.withdraw(name)
             self._log.write("endpoint:removed", endpoint=name)
 
@@ -206,36 +187,22 @@
 
     def _was_removed(self, name: EndpointId, row: Row) -> bool:
         """Return whether a row announces a process that had been removed."""
-        if row.value is None or name not in self._removed:
+        if row.value is None:
             return False
         try:
             endpoint = decode_endpoint(name, row.value)
         except DecodeError:
             # ``_announce`` logs the row.
             return False
-        return endpoint.started_at == self._removed[name][0]
-
-    def _remember_removal(self, name: EndpointId, started_at: int) -> None:
-        now = self._clock.now()
-        self._removed.pop(name, None)
-        self._removed[name] = (started_at, now)
-        while now - next(iter(self._removed.values()))[1] > REMOVAL_MEMORY:
-            del self._removed[next(iter(self._removed))]
-
-    def _confirm(self, change: OrderChange) -> None:
-        """Keep an order that was expected to be written again."""
-        removal = _removal_of(change)
-        if removal is not None:
-            self._unconfirmed.pop(removal, None)
+        return self._removed.was_removed(name, endpoint.started_at)
 
     def _remove(self, change: OrderChange, *, is_restored: bool) -> None:
         """Remove an order, or let it hold until it may have been written again."""
         if is_restored:
-            due = Milliseconds(self._clock.now() + REWRITE_TIME)
-            self._unconfirmed.setdefault(change, due)
+            self._unconfirmed.defer(change)
             self._log.write("order:not-in-copy", order=repr(change))
         else:
-            self._unconfirmed.pop(change, None)
+            self._unconfirmed.confirm(change)
             self._apply(change)
 
     def _remove_missing_orders(
@@ -328,17 +295,6 @@
         self._log.write("order:unreadable", key=change.key, reason=change.reason)
 
 
-def _removal_of(change: OrderChange) -> OrderChange | None:
-    """Return the change that ends an order; None for a declaration and the like."""
-    if isinstance(change, EvacuationOrdered | EvacuationEnded):
-        return EvacuationEnded(change.failure_domain)
-    if isinstance(change, RolloutOrdered):
-        return RolloutOrderRemoved(change.order.service)
-    if isinstance(change, RolloutOrderRemoved):
-        return change
-    return None
-
-
 def _is_continued(former: RolloutOrder, order: RolloutOrder) -> bool:
     """Return whether ``order`` is ``former``, read from a restored store."""
     return (
--- a/fuchsiaroute/platform/tests/test_store_restore.py
+++ b/fuchsiaroute/platform/tests/test_store_restore.py
@@ -69,7 +69,7 @@
         assert (len(one.requests), len(other.requests)) == (0, 4)
         harness.store.put("op", "evacuate/z1", {})
         await asyncio.sleep(0.4)
-        assert not harness.node._parts.catalog._unconfirmed
+        assert len(harness.node._parts.catalog._unconfirmed) == 0
         harness.store.put("op", "evacuate/z1", None)
         await until_logged(harness, b"evacuation:ended")
 
--- a/fuchsiaroute/pool/_pool.py
+++ b/fuchsiaroute/pool/_pool.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from enum import Enum
 from random import Random
-from typing import Any
 
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.deployment import Endpoint, Service
@@ -20,6 +19,7 @@
 from fuchsiaroute.lifecycle import EndpointEvent, EndpointState, Outcome
 from fuchsiaroute.pool._cold_rate_limiter import ColdRateLimiter
 from fuchsiaroute.pool._member import Load, PeerLoad, PoolMember
+from fuchsiaroute.pool._process_notices import ProcessNotices
 
 #: Requests in flight per slot at which an endpoint of a plain service gets no more; a
 #: request then waits about as long at the endpoint as it runs.
@@ -36,8 +36,6 @@
 #: Exponent of the success rate in the score: an endpoint at which half of the requests
 #: fail counts as eight times as loaded.
 SUCCESS_RATE_EXPONENT = 3.0
-#: Endpoints of which a pause or a leaving is remembered.
-MAX_REMEMBERED_ENDPOINTS = 10_000
 #: Maximum random increase of a score, so that instances with the same loads do not all
 #: select the same endpoint.
 SCORE_JITTER = 0.1
@@ -153,13 +151,7 @@
         #: Loads of other instances, and their sums by endpoint.
         self._peer_loads: dict[InstanceId, Mapping[EndpointId, Load]] = {}
         self._peer_totals: dict[EndpointId, PeerLoad] = {}
-        #: Start of each process that has said in an answer that it leaves, and the end
-        #: of the pauses that processes have asked for. They outlast announcements,
-        #: which may be removed and written again for the same process.
-        self._leaving: dict[EndpointId, int] = {}
-        self._pauses: dict[EndpointId, tuple[int, Milliseconds]] = {}
-        #: End of the last of these pauses.
-        self._paused_until = Milliseconds(0)
+        self._notices = ProcessNotices(clock=clock)
         self._by_service: dict[ServiceId, list[PoolMember]] = {}
         self._services: Mapping[ServiceId, Service] = {}
         self._evacuated: frozenset[FailureDomainId] = frozenset()
@@ -290,10 +282,10 @@
             self._update_cold_rate(member)
         member.endpoint = endpoint
         member.mark_cold(endpoint.cold_remaining)
-        self._apply_pause(member)
+        member.paused_until = self._notices.paused_until(endpoint)
         listed = (
             EndpointEvent.LISTED_LEAVING
-            if endpoint.is_draining or self._has_said_leaving(endpoint)
+            if endpoint.is_draining or self._notices.is_leaving(endpoint)
             else EndpointEvent.LISTED_LIVE
         )
         member.apply(listed)
@@ -322,24 +314,19 @@
         This holds until a process with another start is announced under the id. Returns
         whether it is new.
         """
-        if self._leaving.get(endpoint) == started_at:
+        if not self._notices.record_leaving(endpoint, started_at):
             return False
-        if self._leaving.get(endpoint, 0) > started_at:
-            return False
-        self._leaving[endpoint] = started_at
-        _trim(self._leaving)
         member = self._members.get(endpoint)
-        if member is not None and member.endpoint.started_at == started_at:
+        if member is not None and self._notices.is_leaving(member.endpoint):
             member.apply(EndpointEvent.LISTED_LEAVING)
         return True
 
     def leaving(self) -> list[tuple[EndpointId, int]]:
         """Return the announced endpoints that said they leave, with their starts."""
         return [
-            (name, started_at)
-            for name, started_at in self._leaving.items()
-            if name in self._members
-            and self._members[name].endpoint.started_at == started_at
+            (name, member.endpoint.started_at)
+            for name, member in self._members.items()
+            if self._notices.is_leaving(member.endpoint)
         ]
 
     def pause(
@@ -350,18 +337,11 @@
 
         A shorter pause does not end a longer one. Returns whether one has begun.
         """
-        now = self._clock.now()
-        until = Milliseconds(now + duration)
-        known_start, known_until = self._pauses.get(endpoint, (started_at, 0))
-        if known_start == started_at and known_until >= until:
-            return False
-        self._pauses[endpoint] = (started_at, until)
-        self._paused_until = max(self._paused_until, until)
-        _trim(self._pauses)
+        is_begun = self._notices.record_pause(endpoint, started_at, duration)
         member = self._members.get(endpoint)
         if member is not None:
-            self._apply_pause(member)
-        return known_until <= now
+            member.paused_until = self._notices.paused_until(member.endpoint)
+        return is_begun
 
     def soonest_return(self, demand: Demand) -> Milliseconds:
         """
@@ -369,9 +349,9 @@
 
         It is 0 if one of them is not, or if there is none.
         """
-        now = self._clock.now()
-        if now >= self._paused_until:
+        if not self._notices.has_pauses:
             return Milliseconds(0)
+        now = self._clock.now()
         return Milliseconds(
             min(
                 (
@@ -409,14 +389,6 @@
             and (demand.versions is None or member.endpoint.version in demand.versions)
         ]
 
-    def _has_said_leaving(self, endpoint: Endpoint) -> bool:
-        return self._leaving.get(endpoint.id) == endpoint.started_at
-
-    def _apply_pause(self, member: PoolMember) -> None:
-        started_at, until = self._pauses.get(member.endpoint.id, (0, Milliseconds(0)))
-        if started_at == member.endpoint.started_at:
-            member.paused_until = until
-
     def _due_trial(
         self, candidates: list[PoolMember], demand: Demand, *, has_others: bool
     ) -> PoolMember | None:
@@ -507,7 +479,8 @@
             service = self._services.get(member.endpoint.service)
             if service is not None:
                 member.mark_cold(service.cold_period)
-            if member.endpoint.is_draining or self._has_said_leaving(member.endpoint):
+            is_leaving = self._notices.is_leaving(member.endpoint)
+            if member.endpoint.is_draining or is_leaving:
                 member.apply(EndpointEvent.LISTED_LEAVING)
 
     def _index(self) -> None:
@@ -517,12 +490,6 @@
         self._by_service = by_service
 
 
-def _trim(entries: dict[EndpointId, Any]) -> None:
-    """Remove the oldest entries above ``MAX_REMEMBERED_ENDPOINTS``."""
-    while len(entries) > MAX_REMEMBERED_ENDPOINTS:
-        del entries[next(iter(entries))]
-
-
 def _is_new_process(previous: Endpoint, current: Endpoint) -> bool:
     """Return whether an endpoint's id now belongs to a different process."""
     return (previous.host, previous.port, previous.started_at, previous.service) != (
