Share learned latencies between instances, answer streams that break unbegun

Change: estimates that rest on own observations go to the peers every eighth round and stand in where observations are missing; a model's times on other routes do as well; an adopted estimate is not passed on. Escalations leave 5% of the budget instead of 25%.

--- a/fuchsiaroute/forwarding/__init__.py
+++ b/fuchsiaroute/forwarding/__init__.py
@@ -8,7 +8,10 @@
 from fuchsiaroute.forwarding._endpoint_client import EndpointClient
 from fuchsiaroute.forwarding._endpoint_notices import EndpointNotices
 from fuchsiaroute.forwarding._forwarder import Forwarder
-from fuchsiaroute.forwarding._latency_estimator import LatencyEstimator
+from fuchsiaroute.forwarding._latency_estimator import (
+    LatencyEstimator,
+    SharedEstimate,
+)
 from fuchsiaroute.forwarding._model_choice import CascadeTimes, ModelChoice
 from fuchsiaroute.forwarding._request_resolver import RequestResolver
 from fuchsiaroute.forwarding._stream_relay import StreamRelay
@@ -27,5 +30,6 @@
     "LatencyEstimator",
     "ModelChoice",
     "RequestResolver",
+    "SharedEstimate",
     "StreamRelay",
 ]
--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -66,7 +66,7 @@
 MIN_REMAINING_TO_RETRY = Milliseconds(40)
 #: Share of the retry budget that escalations leave to retries of failed attempts and to
 #: the resumption of broken streams.
-ESCALATION_RESERVE = 0.25
+ESCALATION_RESERVE = 0.05
 #: Attempts that an escalation leaves for the resumption of its stream.
 RESUME_RESERVE = 1
 #: A response counts as slow in the comparison of versions if its time to first byte
--- a/fuchsiaroute/forwarding/_latency_estimator.py
+++ b/fuchsiaroute/forwarding/_latency_estimator.py
@@ -1,7 +1,8 @@
 """Expected times to first byte by route, model and prompt size."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from fuchsiaroute.clock import Milliseconds
 
@@ -18,6 +19,22 @@
 FIXED_TOKENS = 2_000
 
 
+#: Route name of the estimates of a model over all routes.
+ALL_ROUTES = ""
+#: Estimates that an instance sends to its peers.
+MAX_SHARED_ESTIMATES = 24
+
+
+class SharedEstimate(NamedTuple):
+    """An estimate that an instance has learned, in milliseconds per token."""
+
+    route: str
+    model: str
+    mean: float
+    deviation: float
+    peak: float
+
+
 @dataclass(slots=True)
 class _Estimate:
     value: float
@@ -36,19 +53,50 @@
 
 
 class LatencyEstimator:
-    """Exponentially weighted means and mean deviations of the time per token."""
+    """
+    Exponentially weighted means and mean deviations of the time per token.
+
+    Until enough times have been observed for a route and a model, those of the model on
+    other routes count. Estimates of peers stand in for own ones that are missing: in a
+    large fleet an instance sees too few requests to learn them soon.
+    """
 
     def __init__(self) -> None:
         self._estimates: dict[tuple[str, str], _Estimate] = {}
+        #: Estimates that were adopted and to which no own observation was added.
+        self._adopted: set[tuple[str, str]] = set()
 
     def add(self, route: str, model: str, tokens: int, duration: Milliseconds) -> None:
         """Add the time to first byte of a request with a prompt of ``tokens``."""
         observation = duration / (FIXED_TOKENS + tokens)
-        estimate = self._estimates.get((route, model))
+        self._add((route, model), observation)
+        if model:
+            self._add((ALL_ROUTES, model), observation)
+
+    def learned(self) -> list[SharedEstimate]:
+        """Return the estimates that rest on own observations, for the peers."""
+        return [
+            SharedEstimate(*key, item.value, item.deviation, item.peak)
+            for key, item in self._estimates.items()
+            if item.count >= MIN_OBSERVATIONS and key not in self._adopted
+        ][:MAX_SHARED_ESTIMATES]
+
+    def adopt(self, estimates: Iterable[SharedEstimate]) -> None:
+        """Use a peer's estimates where own observations are too few."""
+        for item in estimates:
+            key = (item.route, item.model)
+            known = self._estimates.get(key)
+            if known is None or known.count < MIN_OBSERVATIONS:
+                self._estimates[key] = _Estimate(
+                    item.mean, item.deviation, item.peak, MIN_OBSERVATIONS
+                )
+                self._adopted.add(key)
+
+    def _add(self, key: tuple[str, str], observation: float) -> None:
+        self._adopted.discard(key)
+        estimate = self._estimates.get(key)
         if estimate is None:
-            self._estimates[(route, model)] = _Estimate(
-                observation, observation / 2, observation
-            )
+            self._estimates[key] = _Estimate(observation, observation / 2, observation)
         else:
             estimate.add(observation)
 
@@ -94,7 +142,8 @@
         tokens: int,
         statistic: Callable[[_Estimate], float],
     ) -> float | None:
-        estimate = self._estimates.get((route, model))
-        if estimate is None or estimate.count < MIN_OBSERVATIONS:
-            return None
-        return statistic(estimate) * (FIXED_TOKENS + tokens)
+        for key in ((route, model), (ALL_ROUTES, model)):
+            estimate = self._estimates.get(key)
+            if estimate is not None and estimate.count >= MIN_OBSERVATIONS:
+                return statistic(estimate) * (FIXED_TOKENS + tokens)
+        return None
--- a/fuchsiaroute/forwarding/_stream_relay.py
+++ b/fuchsiaroute/forwarding/_stream_relay.py
@@ -185,6 +185,8 @@
             call.responder.finish()
         elif state.fallback is not None:
             return await self._relay(call, state.fallback)
+        elif not call.responder.is_started:
+            return CallResult(ending=Ending.ATTEMPTS_FAILED)
         else:
             call.responder.abort()
         return self._result(call, state, ending, is_escalated=fallback is not None)
--- a/fuchsiaroute/forwarding/tests/test_stream_relay.py
+++ b/fuchsiaroute/forwarding/tests/test_stream_relay.py
@@ -223,3 +223,14 @@
     result, responder, _ = serve(Runner([weak()], may_escalate_to=False))
     assert responder.data == event(1) + event(2)
     assert not result.is_escalated
+
+
+@pytest.mark.parametrize("is_resumable", [True, False])
+def test_stream_that_breaks_before_its_first_event_can_still_be_answered(
+    is_resumable: bool,
+) -> None:
+    """Guards against a connection that is closed without any response."""
+    runner = Runner([Response(SMALL, BREAK)])
+    result, responder, _ = serve(runner, is_resumable=is_resumable)
+    assert result.ending is Ending.ATTEMPTS_FAILED
+    assert (responder.is_started, responder.ending) == (False, "")
--- a/fuchsiaroute/gossip/_messages.py
+++ b/fuchsiaroute/gossip/_messages.py
@@ -72,6 +72,16 @@
     age: int
 
 
+class LatencyUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """Times to first byte that the sender has learned, in nanoseconds per token."""
+
+    route: str
+    model: str
+    mean: int
+    deviation: int
+    peak: int
+
+
 class RelayedRow(msgspec.Struct, array_like=True, frozen=True):
     """A row of the store; ``value`` is None if the row was removed."""
 
@@ -132,6 +142,8 @@
     answer_ages: dict[str, int]
     #: Id and start of each endpoint process that has said in an answer that it leaves.
     leaving: list[tuple[str, int]] = []
+    #: What the sender has learned of latencies; only in some messages.
+    latencies: list[LatencyUpdate] = []
 
 
 _DECODER = msgspec.msgpack.Decoder(GossipMessage | TableUpdate)
--- a/fuchsiaroute/node/_gossip_exchange.py
+++ b/fuchsiaroute/node/_gossip_exchange.py
@@ -4,9 +4,11 @@
 
 from fuchsiaroute.catalog import Catalog, TableFeed
 from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.forwarding import LatencyEstimator, SharedEstimate
 from fuchsiaroute.gossip import (
     FORMAT,
     GossipMessage,
+    LatencyUpdate,
     Liveness,
     MemberInfo,
     RolloutEvidence,
@@ -38,6 +40,9 @@
 #: datagram.
 MAX_SESSIONS = 40
 MAX_HEARTBEATS = 40
+#: Rounds after which learned latencies are sent again; they change slowly.
+LATENCY_ROUNDS = 8
+NANOSECONDS_PER_MS = 1_000_000
 #: Age up to which a session is sent again: later messages make up for a lost one.
 MAX_SESSION_AGE = Milliseconds(5_500)
 
@@ -55,6 +60,7 @@
         liveness: Liveness,
         feeds: dict[str, TableFeed],
         is_ready: Callable[[], bool],
+        latencies: LatencyEstimator,
         clock: Clock,
         log: LineLog,
     ) -> None:
@@ -65,6 +71,7 @@
         self._liveness = liveness
         self._feeds = feeds
         self._is_ready = is_ready
+        self._latencies = latencies
         self._clock = clock
         self._log = log
         #: Members that were alive when loads were last removed.
@@ -117,6 +124,7 @@
             leaving=[
                 (str(name), started_at) for name, started_at in self._pool.leaving()
             ],
+            latencies=self._latency_updates(),
         )
 
     def apply(self, message: GossipMessage) -> None:
@@ -144,6 +152,16 @@
             latest = self._answered_at.get(name, answered_at)
             self._answered_at[name] = max(latest, answered_at)
         self._apply_leaving(message)
+        self._latencies.adopt(
+            SharedEstimate(
+                item.route,
+                item.model,
+                item.mean / NANOSECONDS_PER_MS,
+                item.deviation / NANOSECONDS_PER_MS,
+                item.peak / NANOSECONDS_PER_MS,
+            )
+            for item in message.latencies
+        )
         for session_update in message.sessions:
             self._tracker.sessions.record_served(
                 session_update.session,
@@ -151,6 +169,20 @@
                 age=Milliseconds(session_update.age),
             )
 
+    def _latency_updates(self) -> list[LatencyUpdate]:
+        if self._liveness.count % LATENCY_ROUNDS:
+            return []
+        return [
+            LatencyUpdate(
+                item.route,
+                item.model,
+                round(item.mean * NANOSECONDS_PER_MS),
+                round(item.deviation * NANOSECONDS_PER_MS),
+                round(item.peak * NANOSECONDS_PER_MS),
+            )
+            for item in self._latencies.learned()
+        ]
+
     def _apply_leaving(self, message: GossipMessage) -> None:
         for name, started_at in message.leaving:
             if self._pool.mark_leaving(EndpointId(name), started_at):
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -112,6 +112,7 @@
         self._instances: tuple[InstanceId, ...] = (settings.instance,)
         self._readers_of: dict[Table, list[InstanceId]] = {}
         bounds = settings.bounds
+        self._latencies = LatencyEstimator()
         self.log = log
         self.counters = Counters()
         self.store = PlatformStore(settings.store, clock=clock)
@@ -150,6 +151,7 @@
                 Table.ENDPOINTS.name: self.endpoints_feed,
             },
             is_ready=self.is_ready,
+            latencies=self._latencies,
             clock=clock,
             log=log,
         )
@@ -376,7 +378,7 @@
                 ),
             ),
             tracker=self.tracker,
-            latencies=LatencyEstimator(),
+            latencies=self._latencies,
             counters=self.counters,
             clock=self._clock,
             log=self.log,
