--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -230,12 +230,7 @@
                 name="said leaving",
             )
             self._fleet.record.orders.append(order)
-        if endpoint.id not in self._fleet.endpoints:
-            return
-        self._fleet.remove(endpoint)
-        self._record_disturbance(endpoint.id, _CRASH_DETECTION_TIME)
-        endpoint.close()
-        await link.close()
+        await self._end_endpoint(endpoint, link)
 
     async def _pause_endpoint(self, fault: Fault) -> None:
         endpoint, _ = self._endpoint(fault)
@@ -270,6 +265,10 @@
         self._record_endpoint_order("draining", DRAIN, endpoint)
         self._fleet.announce(endpoint, is_draining=True)
         await self._clock.sleep(_DRAIN_DURATION)
+        await self._end_endpoint(endpoint, link)
+
+    async def _end_endpoint(self, endpoint: RecordingEndpoint, link: Link) -> None:
+        """End an endpoint that has left, unless it has crashed meanwhile."""
         if endpoint.id not in self._fleet.endpoints:
             return
         self._fleet.remove(endpoint)
