Keep orders that a copy lacks if the table is read again

Cause: read again: a second read of the whole table within the 10 s for operators (the store dropped its history right after the restore) ended an evacuation at once. Measured: the new case failed before and passes.

--- a/fuchsiaroute/catalog/_catalog.py
+++ b/fuchsiaroute/catalog/_catalog.py
@@ -198,11 +198,13 @@
 
     def _remove(self, change: OrderChange, *, is_restored: bool) -> None:
         """Remove an order, or let it hold until it may have been written again."""
+        if change in self._unconfirmed:
+            # The table is read again before operators have written to it again.
+            return
         if is_restored:
             self._unconfirmed.defer(change)
             self._log.write("order:not-in-copy", order=repr(change))
         else:
-            self._unconfirmed.confirm(change)
             self._apply(change)
 
     def _remove_missing_orders(
--- a/fuchsiaroute/catalog/_restore_memory.py
+++ b/fuchsiaroute/catalog/_restore_memory.py
@@ -75,6 +75,9 @@
     def __len__(self) -> int:
         return len(self._due)
 
+    def __contains__(self, removal: OrderChange) -> bool:
+        return removal in self._due
+
     def defer(self, removal: OrderChange) -> None:
         """Defer the removal of an order."""
         due = Milliseconds(self._clock.now() + REWRITE_TIME)
--- a/fuchsiaroute/platform/tests/test_catalog.py
+++ b/fuchsiaroute/platform/tests/test_catalog.py
@@ -9,7 +9,7 @@
 from fuchsiaroute.clock import ManualClock, Milliseconds
 from fuchsiaroute.ids import InstanceId
 from fuchsiaroute.linelog import LineLog
-from fuchsiaroute.platform import Row, Rows
+from fuchsiaroute.platform import Row, Rows, Table
 from fuchsiaroute.platform.tests.standin import Endpoint
 from fuchsiaroute.pool import EndpointPool
 
@@ -58,3 +58,23 @@
     clock.tick(LONG)
     catalog.remove_due()
     assert len(pool) == int(is_kept)
+
+
+def test_order_that_a_copy_lacks_holds_until_it_may_be_written_again() -> None:
+    """The whole table is read a second time right after the restore."""
+    clock = ManualClock()
+    pool = EndpointPool(instance=InstanceId("me"), clock=clock, random=Random(1))
+    log = LineLog(clock=clock, instance="me", write=len)
+    catalog = Catalog(pool=pool, clock=clock, log=log, drain=DRAIN)
+    catalog.apply_endpoints(Rows(rows=(announced(1),), revision=1), is_whole=True)
+    order = Row(key="evacuate/z1", value=b"{}", revision=2)
+    catalog.apply_orders(Rows(rows=(order,), revision=2), is_whole=True)
+    catalog.store_restored(Table.ORDERS)
+    for _ in range(2):
+        catalog.apply_orders(Rows(rows=(), revision=1 << 48), is_whole=True)
+        clock.tick(Milliseconds(4_000))
+        catalog.remove_due()
+        assert catalog._evacuated == {"z1"}
+    clock.tick(Milliseconds(4_000))
+    catalog.remove_due()
+    assert not catalog._evacuated
