--- a/benches/bench_instance.py
+++ b/benches/bench_instance.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import itertools
 import json
 import time
 from collections.abc import Callable
@@ -147,6 +148,19 @@
     ]
 
 
+def membership_work_of(parts: NodeParts) -> list[Work]:
+    """Return what an instance does when another one comes, and the first read."""
+    names = parts.instances()
+    halves = itertools.cycle((names, names[:-1]))
+    return [
+        Work(
+            name="an instance comes or goes",
+            run=lambda: parts.pool.update_instances(next(halves)),
+            per_second=0,
+        ),
+    ]
+
+
 def request_work_of(parts: NodeParts) -> list[Work]:
     """Return what each request needs to know of the fleet."""
     return [
@@ -180,7 +194,7 @@
             total += share
             print(f"  {work.name:32} {each:8.0f} us {share:8.3%} of a core")
         print(f"  {'in all':32} {'':8}    {total:8.3%}")
-        for work in request_work_of(parts):
+        for work in [*membership_work_of(parts), *request_work_of(parts)]:
             print(f"  {work.name:32} {microseconds(work.run):8.0f} us a call")
 
 
--- a/fuchsiaroute/pool/_pool.py
+++ b/fuchsiaroute/pool/_pool.py
@@ -152,7 +152,8 @@
         self._peer_loads: dict[InstanceId, Mapping[EndpointId, Load]] = {}
         self._peer_totals: dict[EndpointId, PeerLoad] = {}
         self._notices = ProcessNotices(clock=clock)
-        self._by_service: dict[ServiceId, list[PoolMember]] = {}
+        #: Built again at its next use after endpoints have come or gone.
+        self._by_service: dict[ServiceId, list[PoolMember]] | None = None
         self._services: Mapping[ServiceId, Service] = {}
         self._evacuated: frozenset[FailureDomainId] = frozenset()
         self._instances: tuple[InstanceId, ...] = (instance,)
@@ -166,6 +167,8 @@
 
     def members(self, service: ServiceId) -> Sequence[PoolMember]:
         """Return the announced endpoints of a service."""
+        if self._by_service is None:
+            self._by_service = self._index()
         return self._by_service.get(service, ())
 
     def versions(self, service: ServiceId) -> frozenset[VersionId]:
@@ -294,12 +297,12 @@
             # cold state.
             member.apply(EndpointEvent.WARMED_UP)
         self._apply_evacuation(member)
-        self._index()
+        self._by_service = None
 
     def withdraw(self, endpoint: EndpointId) -> None:
         """Remove an endpoint whose announcement was removed."""
         if self._members.pop(endpoint, None) is not None:
-            self._index()
+            self._by_service = None
 
     def mark_cold(self, endpoint: EndpointId, duration: Milliseconds) -> None:
         """Limit an endpoint, if it is announced, to its cold rate for ``duration``."""
@@ -483,11 +486,11 @@
             if member.endpoint.is_draining or is_leaving:
                 member.apply(EndpointEvent.LISTED_LEAVING)
 
-    def _index(self) -> None:
+    def _index(self) -> dict[ServiceId, list[PoolMember]]:
         by_service: dict[ServiceId, list[PoolMember]] = {}
         for member in self._members.values():
             by_service.setdefault(member.endpoint.service, []).append(member)
-        self._by_service = by_service
+        return by_service
 
 
 def _is_new_process(previous: Endpoint, current: Endpoint) -> bool:
--- a/fuchsiaroute/pool/tests/test_pool.py
+++ b/fuchsiaroute/pool/tests/test_pool.py
@@ -1,6 +1,7 @@
 """Selection of endpoints that are leaving, cold, suspect, loaded or evacuated."""
 
 from collections import Counter
+from collections.abc import Sequence
 from dataclasses import replace
 from random import Random
 
@@ -8,6 +9,7 @@
 
 from fuchsiaroute.clock import ManualClock, Milliseconds
 from fuchsiaroute.deployment import Endpoint, EngineProfile, Service
+from fuchsiaroute.hashing import rendezvous_order
 from fuchsiaroute.ids import (
     EndpointId,
     FailureDomainId,
@@ -16,7 +18,14 @@
     VersionId,
 )
 from fuchsiaroute.lifecycle import Outcome
-from fuchsiaroute.pool import Demand, EndpointPool, Load, NoChoice, Reservation
+from fuchsiaroute.pool import (
+    Demand,
+    EndpointPool,
+    Load,
+    NoChoice,
+    Reservation,
+    _cold_rate_limiter,
+)
 
 SERVICE = ServiceId("s")
 DEMAND = Demand(service=SERVICE)
@@ -433,3 +442,33 @@
     pool.pause(EndpointId("b"), BORN, Milliseconds(4_000))
     assert chosen(pool) is NoChoice.PAUSED
     assert pool.soonest_return(DEMAND) == 4_000
+
+
+def test_instances_are_ranked_only_for_cold_endpoints(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """
+    Load pattern: hundreds of instances start together before thousands of endpoints.
+
+    Each instance sees the others come one by one. Ranking them for every endpoint each
+    time took the processor for minutes.
+    """
+    ranked: list[str] = []
+
+    def counting(key: str, names: Sequence[InstanceId]) -> list[InstanceId]:
+        ranked.append(key)
+        return rendezvous_order(key, names)
+
+    monkeypatch.setattr(_cold_rate_limiter, "rendezvous_order", counting)
+    clock = ManualClock()
+    cold = endpoint("cold", cold_remaining=Milliseconds(3_000))
+    warm = [endpoint(f"warm{number}") for number in range(300)]
+    declared = service(cold_requests_per_second=10.0)
+    pool = new_pool(clock, cold, *warm, declared=declared)
+    for count in range(1, 100):
+        pool.update_instances([InstanceId(f"n{number}") for number in range(count)])
+    assert ranked == []
+    for _ in range(20):
+        chosen(pool)
+    assert set(ranked) <= {"cold"}
+    assert len(ranked) == 1
