--- a/fuchsiaroute/platform/tests/failing_store.py
+++ b/fuchsiaroute/platform/tests/failing_store.py
@@ -26,6 +26,10 @@
     LATE = "late"
 
 
+#: Values, None if removed, and versions of rows by table and key.
+ForeignRows = dict[tuple[str, str], tuple[bytes | None, int]]
+#: Tables that operators and endpoints write.
+_FOREIGN_TABLES = ("op", "servers")
 _SLOW_SECONDS, _LATE_SECONDS = 0.7, 1.5
 
 
@@ -76,25 +80,18 @@
         """Remove an endpoint's announcement."""
         self.put("servers", endpoint.id, None)
 
-    def operators_and_endpoints_rows(self) -> dict[tuple[str, str], bytes | None]:
-        """Return the values of the rows that the system does not write."""
-        return {
-            key: value
-            for key, (value, _) in self.rows.items()
-            if key[0] in ("op", "servers")
-        }
+    def operators_and_endpoints_rows(self) -> ForeignRows:
+        """Return values and versions of the rows that the system does not write."""
+        return {key: row for key, row in self.rows.items() if key[0] in _FOREIGN_TABLES}
 
-    def write_again(
-        self,
-        lost: dict[tuple[str, str], bytes | None],
-        restored: dict[tuple[str, str], bytes | None],
-    ) -> None:
+    def write_again(self, lost: ForeignRows, restored: ForeignRows) -> None:
         """Write what a restore has undone, unless it was written anew since."""
         present = self.operators_and_endpoints_rows()
+        absent = (None, 0)
         for key in lost.keys() | restored.keys():
-            is_unchanged = present.get(key) == restored.get(key)
-            value = lost.get(key)
-            if is_unchanged and value != restored.get(key):
+            former = restored.get(key, absent)
+            value, _ = lost.get(key, absent)
+            if present.get(key, absent) == former and value != former[0]:
                 self.put(*key, None if value is None else json.loads(value))
 
     def restore(
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -67,4 +67,16 @@
             "divided the request rate of cold endpoints among too few"
         ),
     ),
+    SoakCase(
+        seed=2022399685,
+        length=Milliseconds(15_000),
+        instances=4,
+        cause="the soak test removed an evacuation that was ordered after a restore",
+    ),
+    SoakCase(
+        seed=1834070375,
+        length=Milliseconds(15_000),
+        instances=4,
+        cause="the soak test undid what endpoints wrote between two restores",
+    ),
 )
