--- a/fuchsiaroute/catalog/_catalog.py
+++ b/fuchsiaroute/catalog/_catalog.py
@@ -113,7 +113,7 @@
             }
         for row in rows.rows:
             name = EndpointId(row.key)
-            self._removed.replace(name)
+            self._removed.drop_held_back(name)
             if is_restored and self._was_removed(name, row):
                 self._removed.hold_back(name, row)
             elif row.value is not None:
--- a/fuchsiaroute/catalog/_restore_memory.py
+++ b/fuchsiaroute/catalog/_restore_memory.py
@@ -50,7 +50,7 @@
         due = Milliseconds(self._clock.now() + RENEWAL_TIME)
         self._held_back[name] = (row, due)
 
-    def replace(self, name: EndpointId) -> None:
+    def drop_held_back(self, name: EndpointId) -> None:
         """Drop an announcement that is held back, as a later row has arrived."""
         self._held_back.pop(name, None)
 
