Log what a stopping instance still owes its callers

The logs could not tell the hypotheses of the incident apart: cut_off counted running handlers only, a request that the exit cancels was logged as abandoned by its caller, and no line said when a request was read relative to SIGTERM.

process:stopping and process:stopped now count callers' connections by state and the bytes not yet sent; the last line of each request has after_stop_ms; a request that the exit cancels is logged as request:cut-off. No decision is changed.

--- a/fuchsiaroute/forwarding/_forwarder.py
+++ b/fuchsiaroute/forwarding/_forwarder.py
@@ -52,6 +52,8 @@
         log: LineLog,
         store_unreachable_for: Callable[[], Milliseconds],
         is_behind: Callable[[], bool],
+        is_ended: Callable[[], bool],
+        after_stop: Callable[[Milliseconds], Milliseconds | None],
     ) -> None:
         self._resolver = resolver
         self._runner = runner
@@ -63,6 +65,8 @@
         self._log = log
         self._store_unreachable_for = store_unreachable_for
         self._is_behind = is_behind
+        self._is_ended = is_ended
+        self._after_stop = after_stop
         #: Requests in progress.
         self.active = 0
 
@@ -100,7 +104,10 @@
         except TimeoutError:
             self._respond_overdue(call)
         except asyncio.CancelledError:
-            self._record(call, "request:abandoned", None)
+            is_cut = self._is_ended()
+            self._record(
+                call, "request:cut-off" if is_cut else "request:abandoned", None
+            )
             raise
         if result is None:
             return
@@ -192,6 +199,7 @@
             organisation=call.organisation,
             status=call.responder.status,
             took_ms=duration,
+            after_stop_ms=self._after_stop(call.inbound.arrived_at),
             answer_started_ms=_since(call.inbound.arrived_at, call.answer_started_at),
             prompt_tokens=call.fields.prompt_tokens,
             time_left_ms=call.remaining(self._clock),
--- a/fuchsiaroute/http1/__init__.py
+++ b/fuchsiaroute/http1/__init__.py
@@ -23,13 +23,19 @@
     find_header,
 )
 from fuchsiaroute.http1._responder import Responder
-from fuchsiaroute.http1._server import Handler, ServerConnection, ServerLimits
+from fuchsiaroute.http1._server import (
+    ConnectionState,
+    Handler,
+    ServerConnection,
+    ServerLimits,
+)
 
 __all__ = [
     "BodyBudget",
     "BrokenResponseError",
     "ClientConnection",
     "ConnectError",
+    "ConnectionState",
     "ExchangeError",
     "Handler",
     "Headers",
--- a/fuchsiaroute/http1/_server.py
+++ b/fuchsiaroute/http1/_server.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import cast
 
 import httptools
@@ -38,6 +39,19 @@
     idle_timeout: Milliseconds
 
 
+class ConnectionState(Enum):
+    """What a caller's connection is owed, from nothing to a whole response."""
+
+    #: Nothing: no request has arrived since the last response was sent.
+    IDLE = "idle"
+    #: Bytes of a response whose handler has ended are still unsent.
+    SENDING = "sending"
+    #: A request has arrived in part.
+    RECEIVING = "receiving"
+    #: A request has been read, and its handler runs or has not started yet.
+    ANSWERING = "answering"
+
+
 @dataclass
 class _Incoming:
     """A request while it is being received."""
@@ -93,6 +107,20 @@
         """Return whether no request is being received or answered."""
         return self._active is None and self._started_at is None
 
+    @property
+    def state(self) -> ConnectionState:
+        """Return what the caller is owed."""
+        if self._active is not None:
+            return ConnectionState.ANSWERING
+        if self._started_at is not None:
+            return ConnectionState.RECEIVING
+        return ConnectionState.SENDING if self.unsent_bytes else ConnectionState.IDLE
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of responses that the operating system has not taken."""
+        return self._transport.get_write_buffer_size()
+
     def close_after_response(self) -> None:
         """Close the connection after the response in progress."""
         if self._active is not None:
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -106,6 +106,10 @@
         self._settings = settings
         self._clock = clock
         self.is_stopping = False
+        #: Monotonic instant of the signal to stop; None before it.
+        self.stop_began_at: Milliseconds | None = None
+        #: Whether the process is about to exit and closes its connections.
+        self.is_ended = False
         #: What ``instances`` was computed from and its result, and the readers of each
         #: table among these.
         self._members: tuple[MemberInfo, ...] | None = None
@@ -399,8 +403,15 @@
             log=self.log,
             store_unreachable_for=self._store_unreachable_for,
             is_behind=lambda: self.orders_feed.is_behind,
+            is_ended=lambda: self.is_ended,
+            after_stop=self._after_stop,
         )
 
+    def _after_stop(self, instant: Milliseconds) -> Milliseconds | None:
+        """Return the time from the signal to stop to ``instant``; None without one."""
+        began_at = self.stop_began_at
+        return None if began_at is None else Milliseconds(instant - began_at)
+
     def _retry_budget(self) -> WindowedRetryBudget:
         bounds = self._settings.bounds
         slack = bounds.retry_slack * RETRY_SLACK_SHARE
--- a/fuchsiaroute/node/_run.py
+++ b/fuchsiaroute/node/_run.py
@@ -4,6 +4,7 @@
 import dataclasses
 import os
 import signal
+from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
 from random import Random
 from typing import Any
@@ -192,8 +193,14 @@
         parts = self._parts
         parts.is_stopping = True
         parts.gossip.send_soon()
-        self._log.write("process:stopping", active=parts.forwarder.active)
         started_at = self._clock.now()
+        parts.stop_began_at = started_at
+        self._log.write(
+            "process:stopping",
+            active=parts.forwarder.active,
+            connections=self._connection_counts(),
+            grace_ms=self._settings.bounds.grace,
+        )
         for connection in list(self._caller_connections):
             connection.close_after_response()
         max_duration = self._settings.bounds.grace - SIGKILL_MARGIN
@@ -203,6 +210,9 @@
                 break
             await self._clock.sleep(IDLE_CHECK_INTERVAL)
         remaining = parts.forwarder.active
+        connections = self._connection_counts()
+        unsent = sum(item.unsent_bytes for item in self._caller_connections)
+        parts.is_ended = True
         for server in self._servers:
             server.close()
         for connection in list(self._caller_connections | self._control_connections):
@@ -214,10 +224,17 @@
             "process:stopped",
             took_ms=self._clock.now() - started_at,
             cut_off=remaining,
+            connections=connections,
+            unsent_bytes=unsent,
             store_calls=parts.store.calls,
         )
         self._log.flush()
 
+    def _connection_counts(self) -> dict[str, int]:
+        """Return the number of callers' connections by state."""
+        counts = Counter(item.state.value for item in self._caller_connections)
+        return dict(counts)
+
 
 def run_node(settings_path: str | None = None) -> None:
     """Run an instance until it is stopped; raises ``NodeSettingsError`` at startup."""
