Reproduce answers cut by the exit of a stopping instance

Callers that use open connections until the process is gone lose answers around SIGTERM.

- a request that was read, but whose handler had not started, is not counted at the exit;
- bytes of complete answers that were not sent yet are not counted at the exit.

--- a/fuchsiaroute/platform/tests/node_harness.py
+++ b/fuchsiaroute/platform/tests/node_harness.py
@@ -109,6 +109,11 @@
         reader = self._reader
         return reader is not None and not reader.at_eof()
 
+    async def connect(self) -> None:
+        self._reader, self._writer = await asyncio.open_connection(
+            "127.0.0.1", self._port
+        )
+
     async def send(
         self,
         path: str,
@@ -121,9 +126,8 @@
         extra: str = "",
     ) -> None:
         if self._writer is None:
-            self._reader, self._writer = await asyncio.open_connection(
-                "127.0.0.1", self._port
-            )
+            await self.connect()
+        assert self._writer is not None
         head = f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
         head += f"X-Request-Id: {request_id}\r\n{extra}"
         if key is not None:
@@ -175,11 +179,13 @@
         *endpoints: Endpoint,
         configuration: dict[str, Any] | None = CONFIGURATION,
         clock: Clock | None = None,
+        grace_s: float = 8,
     ) -> None:
         self.store = Store()
         self.endpoints = endpoints
         self.lines: list[bytes] = []
         self._configuration = configuration
+        self._grace_s = grace_s
         self._callers: list[Caller] = []
         self._clock = clock or BootClock()
 
@@ -198,12 +204,13 @@
             f"Listen.Directory=127.0.0.1:{self.control}\n"
             f"PortRange={peer},{peer}\n"
             f"Platform.Address=127.0.0.1:{self.store.port}\n"
+            f"Bounds.GraceS={self._grace_s}\n"
         )
         settings = parse_node_settings(self.settings_text)
         clock = self._clock
         log = LineLog(clock=clock, instance="me", write=self._write)
         self.node = Node(settings, clock=clock, log=log, random=Random(1))
-        self._task = asyncio.create_task(self.node.run())
+        self.node_task = asyncio.create_task(self.node.run())
         if self._configuration is not None:
             await self.until(lambda: self.node._parts.is_ready())
             await self.until(lambda: len(self.node._parts.pool) >= len(self.endpoints))
@@ -215,8 +222,8 @@
         for caller in self._callers:
             caller.close()
         self.node._stop.set()
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
+        self.node_task.cancel()
+        await asyncio.gather(self.node_task, return_exceptions=True)
         for task in self.node._tasks:
             task.cancel()
         for server in self.node._servers:
--- /dev/null
+++ b/fuchsiaroute/platform/tests/test_stop.py
@@ -0,0 +1,122 @@
+"""A stopping instance, whose callers use open connections until it has gone."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+import pytest
+
+from fuchsiaroute.clock import BootClock, Milliseconds
+from fuchsiaroute.http1 import ConnectionState, InboundRequest, Responder
+from fuchsiaroute.node._run import IDLE_CHECK_INTERVAL, MIN_SHUTDOWN_TIME
+from fuchsiaroute.platform.tests.node_harness import HOST, NodeHarness, Reply
+from fuchsiaroute.platform.tests.standin import Endpoint, complete, events
+
+#: Time that is not enough for the responses of slow endpoints below.
+SHORT_GRACE_S = 2
+#: Time from the signal to stop after which an idle instance exits.
+_IDLE_EXIT_S = MIN_SHUTDOWN_TIME / 1_000
+_REQUEST = (
+    f"POST /read/ HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: late\r\nX-Key: key\r\n"
+    "X-Deadline-Ms: 3000\r\nContent-Length: 4\r\n\r\nbody"
+).encode()
+
+
+async def answer_late(
+    endpoint: Endpoint, request: InboundRequest, responder: Responder
+) -> None:
+    await asyncio.sleep(2.5)
+    await complete(endpoint, request, responder)
+
+
+async def answer_large(
+    endpoint: Endpoint, request: InboundRequest, responder: Responder
+) -> None:
+    responder.send(200, endpoint.headers(request), b"x" * 6_000_000)
+
+
+def is_resolved(reply: Reply) -> bool:
+    """Return whether a caller has all that it is owed or knows where it stands."""
+    return reply.is_whole and reply.status in {200, 502, 503, 504}
+
+
+# Requests that a stopping instance admitted, although they took longer than the time
+# until its exit, ended with a closed connection.
+@pytest.mark.parametrize(
+    ("path", "answer", "sent_after_s"),
+    [
+        ("/stream/", events(50, pause_s=0.05), 0.6),
+        ("/once/", events(50, pause_s=0.05), 0.6),
+        ("/stream/", events(50, pause_s=0.05), 1.4),
+        ("/read/", answer_late, 0.6),
+        ("/write/", answer_late, 0.6),
+    ],
+)
+async def test_request_during_a_stop_is_never_cut_off(
+    path: str, answer, sent_after_s: float
+) -> None:
+    endpoint = Endpoint(answer)
+    async with NodeHarness(endpoint, grace_s=SHORT_GRACE_S) as harness:
+        caller = harness.caller()
+        await caller.connect()
+        harness.node._stop.set()
+        await asyncio.sleep(sent_after_s)
+        reply = await caller.ask(path)
+    assert is_resolved(reply)
+    assert reply.status != 503 or not endpoint.requests
+
+
+class _SendsAtExit(BootClock):
+    """Delivers a request in the turn of the event loop in which the exit is decided."""
+
+    def __init__(self) -> None:
+        self.deliver_at: int | None = None
+        self.deliver: Callable[[], None] = lambda: None
+
+    async def sleep(self, duration: Milliseconds) -> None:
+        await super().sleep(duration)
+        is_due = self.deliver_at is not None and self.now() >= self.deliver_at
+        if is_due and duration == IDLE_CHECK_INTERVAL:
+            self.deliver_at = None
+            self.deliver()
+
+
+# A request that had been read, but whose handler had not started, was not counted when
+# the instance decided to exit, and its connection was closed.
+async def test_request_read_as_the_instance_exits_is_answered() -> None:
+    clock = _SendsAtExit()
+    async with NodeHarness(Endpoint(), clock=clock) as harness:
+        caller = harness.caller()
+        await caller.connect()
+        await harness.until(lambda: harness.node._caller_connections)
+        (connection,) = harness.node._caller_connections
+        clock.deliver = lambda: connection.data_received(_REQUEST)
+        clock.deliver_at = clock.now() + MIN_SHUTDOWN_TIME
+        harness.node._stop.set()
+        reply = await caller.receive()
+    assert (reply.status, reply.is_whole) == (200, True)
+
+
+# An instance without running handlers exited while bytes of complete answers had not
+# been sent yet to callers that read slowly; the exit of the process discards them.
+async def test_instance_does_not_exit_before_its_answers_are_sent() -> None:
+    async with NodeHarness(Endpoint(answer_large)) as harness:
+        loop = asyncio.get_running_loop()
+        with socket.socket() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+            caller.setblocking(False)
+            await loop.sock_connect(caller, ("127.0.0.1", harness.frontend))
+            await loop.sock_sendall(caller, _REQUEST)
+            await harness.until(
+                lambda: any(
+                    item.state is ConnectionState.SENDING
+                    for item in harness.node._caller_connections
+                )
+            )
+            (connection,) = harness.node._caller_connections
+            harness.node._stop.set()
+            await asyncio.sleep(_IDLE_EXIT_S + 0.5)
+            while connection.unsent_bytes:
+                assert not harness.node_task.done()
+                await loop.sock_recv(caller, 262_144)
+            await asyncio.wait_for(harness.node_task, 5)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,7 +1,6 @@
 """Runs the soak test: ``python -m soak SEED...``."""
 
 import asyncio
-import socket
 import sys
 import tempfile
 from collections.abc import Sequence
@@ -12,15 +11,12 @@
 from cyclopts import App, Parameter
 
 from fuchsiaroute.clock import Milliseconds
+from soak._networks import claim_network
 from soak._run import Result, run
 from soak._schedule import FAULTS_PER_SECOND, Fault, draw_schedule
 from soak.regressions import REGRESSION_CASES, SoakCase
 
 app = App(name="soak", help=__doc__)
-#: Values of N for the loopback networks 127.0.N.0/24; each run uses one.
-_NETWORKS = range(10, 250)
-#: Port bound on a network while a run uses it, to keep other runs off.
-_CLAIM_PORT = 17_341
 _MAX_PRINTED_VIOLATIONS = 5
 _SEED_RANGE = 1 << 31
 
@@ -101,7 +97,7 @@
 
     async def work() -> None:
         nonlocal failed
-        claim, network = _claim_network()
+        claim, network = claim_network()
         while waiting:
             number, case = waiting.pop(0)
             run_folder = folder / f"{number}-{case.seed}"
@@ -123,20 +119,6 @@
     return failed
 
 
-def _claim_network() -> tuple[socket.socket, int]:
-    """Return a socket and the network it reserves until the socket is closed."""
-    for network in _NETWORKS:
-        claim = socket.socket()
-        try:
-            claim.bind((f"127.0.{network}.254", _CLAIM_PORT))
-        except OSError:
-            # Another run has reserved this network.
-            claim.close()
-        else:
-            return claim, network
-    raise RuntimeError("all loopback networks are in use by other runs")
-
-
 def _report(seed: int, result: Result, folder: Path) -> None:
     verdict = "kept" if result.has_passed else f"BROKEN, logs in {folder}"
     print(
