Admit requests during a stop only if they end before the exit

Callers saw streams end without their last event around SIGTERM to the instance that served them. Cause: a stopping instance admitted every request until its exit 7.7 s after SIGTERM, however long it would take. Callers that use an open connection until the process is gone send some in the last seconds; these were passed on to an endpoint and cut.

So nothing that is admitted late outlives the process, without regard to how long streams of a deployment are.

--- /dev/null
+++ b/fuchsiaroute/draining/__init__.py
@@ -0,0 +1,11 @@
+"""Shutdown of an instance: which requests it still admits, and when it may exit."""
+
+from fuchsiaroute.draining._drain import (
+    LATE_ARRIVAL,
+    MIN_DRAIN_TIME,
+    SIGKILL_MARGIN,
+    Drain,
+    Phase,
+)
+
+__all__ = ["LATE_ARRIVAL", "MIN_DRAIN_TIME", "SIGKILL_MARGIN", "Drain", "Phase"]
--- /dev/null
+++ b/fuchsiaroute/draining/_drain.py
@@ -0,0 +1,112 @@
+"""Phases of a shutdown, and which requests can end before its end."""
+
+from collections.abc import Callable
+from enum import Enum
+
+from fuchsiaroute.clock import Clock, Milliseconds
+
+#: Minimum time from SIGTERM to exit, as callers may still use a cached directory
+#: response that lists this instance.
+MIN_DRAIN_TIME = Milliseconds(3_500)
+#: Time before SIGKILL at which requests that are still running are ended; the rest is
+#: left for sending what their callers get instead, and for exiting.
+SIGKILL_MARGIN = Milliseconds(300)
+#: Time after SIGTERM from which only callers arrive that do not follow the directory.
+LATE_ARRIVAL = Milliseconds(3_000)
+
+
+class Phase(Enum):
+    """State of an instance between SIGTERM and its exit."""
+
+    SERVING = "serving"
+    #: The directory no longer lists the instance; most requests are still admitted.
+    DRAINING = "draining"
+    #: As ``DRAINING``; streams are only admitted if they certainly end in time.
+    DRAINING_LATE = "draining-late"
+    #: Running requests are ended.
+    ENDED = "ended"
+
+
+class Drain:
+    """
+    Decides which requests a stopping instance admits, and when it may exit.
+
+    A caller whose request is refused at once asks another instance; one whose stream is
+    cut by the exit has lost it. So a request is admitted only if it is expected to end
+    before the exit.
+
+    Parameters
+    ----------
+    longest
+        Milliseconds that a request of a route takes at most as far as is known, or
+        None.
+
+    """
+
+    def __init__(self, *, clock: Clock, longest: Callable[[str], float | None]) -> None:
+        self._clock = clock
+        self._longest = longest
+        self._began_at: Milliseconds | None = None
+        self._ends_at = Milliseconds(0)
+        self._has_ended = False
+
+    @property
+    def phase(self) -> Phase:
+        """Return the state of the shutdown."""
+        if self._began_at is None:
+            return Phase.SERVING
+        if self._has_ended or self.time_left() <= 0:
+            return Phase.ENDED
+        if self._clock.now() - self._began_at > LATE_ARRIVAL:
+            return Phase.DRAINING_LATE
+        return Phase.DRAINING
+
+    @property
+    def is_draining(self) -> bool:
+        """Return whether the shutdown has begun."""
+        return self._began_at is not None
+
+    def begin(self, *, grace: Milliseconds) -> None:
+        """Begin the shutdown; ``grace`` is the time until SIGKILL."""
+        self._began_at = self._clock.now()
+        self._ends_at = Milliseconds(self._began_at + grace - SIGKILL_MARGIN)
+
+    def end(self) -> None:
+        """End the shutdown: nothing is admitted any more."""
+        self._has_ended = True
+
+    def time_left(self) -> Milliseconds:
+        """Return the time until running requests are ended."""
+        return Milliseconds(self._ends_at - self._clock.now())
+
+    def may_exit(self) -> bool:
+        """Return whether the instance exits as soon as nothing is owed to a caller."""
+        began_at = self._began_at
+        return began_at is not None and (
+            self._clock.now() - began_at >= MIN_DRAIN_TIME or self.time_left() <= 0
+        )
+
+    def since_begin(self, instant: Milliseconds) -> Milliseconds | None:
+        """Return the time from the begin to ``instant``; None while serving."""
+        if self._began_at is None:
+            return None
+        return Milliseconds(instant - self._began_at)
+
+    def admits(self, route: str, *, is_stream: bool, deadline: Milliseconds) -> bool:
+        """
+        Return whether a request that has just arrived may be served.
+
+        ``deadline`` is the time until the caller must have the final response. A
+        response that is not a stream and has not begun at the end of the shutdown is
+        replaced by a final one, which is not possible for a stream.
+        """
+        phase = self.phase
+        if phase is Phase.SERVING:
+            return True
+        if phase is Phase.ENDED:
+            return False
+        bound: float = deadline
+        if not (is_stream and phase is Phase.DRAINING_LATE):
+            longest = self._longest(route)
+            bound = deadline if longest is None else min(deadline, longest)
+        return bound <= self.time_left()
--- /dev/null
+++ b/fuchsiaroute/draining/tests/test_drain.py
@@ -0,0 +1,89 @@
+"""Which requests a stopping instance admits, and when it may exit."""
+
+import pytest
+
+from fuchsiaroute.clock import ManualClock, Milliseconds
+from fuchsiaroute.draining import LATE_ARRIVAL, MIN_DRAIN_TIME, Drain, Phase
+
+GRACE = Milliseconds(8_000)
+
+
+def drain_at(
+    after: int | None, *, longest: float | None = None
+) -> tuple[Drain, ManualClock]:
+    """Return a drain ``after`` milliseconds of a shutdown; None for none."""
+    clock = ManualClock()
+    drain = Drain(clock=clock, longest=lambda route: longest)
+    if after is not None:
+        drain.begin(grace=GRACE)
+        clock.tick(Milliseconds(after))
+    return drain, clock
+
+
+@pytest.mark.parametrize(
+    ("after", "phase", "may_exit"),
+    [
+        (None, Phase.SERVING, False),
+        (0, Phase.DRAINING, False),
+        (LATE_ARRIVAL, Phase.DRAINING, False),
+        (LATE_ARRIVAL + 1, Phase.DRAINING_LATE, False),
+        (MIN_DRAIN_TIME, Phase.DRAINING_LATE, True),
+        (7_699, Phase.DRAINING_LATE, True),
+        (7_700, Phase.ENDED, True),
+    ],
+)
+def test_phase_and_exit_follow_the_time_since_the_signal(
+    after: int | None, phase: Phase, may_exit: bool
+) -> None:
+    drain, _ = drain_at(after)
+    assert (drain.phase, drain.may_exit()) == (phase, may_exit)
+
+
+# Streams that took longer than the time until the exit were admitted and then cut.
+@pytest.mark.parametrize(
+    ("after", "is_stream", "deadline", "longest", "expected"),
+    [
+        (None, True, 25_000, 15_000.0, True),
+        # What is known to be short is admitted; a deadline is a bound as well.
+        (500, True, 25_000, 5_000.0, True),
+        (500, True, 25_000, 9_000.0, False),
+        (500, True, 25_000, None, False),
+        (500, True, 5_000, None, True),
+        (500, True, 5_000, 9_000.0, True),
+        # Later, only the deadline of a stream is certain.
+        (3_001, True, 8_000, 1_000.0, False),
+        (3_001, True, 4_000, 9_000.0, True),
+        (3_001, False, 8_000, 1_000.0, True),
+        (3_001, False, 8_000, 5_000.0, False),
+        (7_500, False, 4_000, 100.0, True),
+        (7_500, False, 4_000, 300.0, False),
+        (7_700, False, 4_000, 0.0, False),
+    ],
+)
+def test_request_is_admitted_only_if_it_ends_before_the_exit(
+    after: int | None,
+    is_stream: bool,
+    deadline: int,
+    longest: float | None,
+    expected: bool,
+) -> None:
+    drain, _ = drain_at(after, longest=longest)
+    assert (
+        drain.admits("route", is_stream=is_stream, deadline=Milliseconds(deadline))
+        is expected
+    )
+
+
+def test_nothing_is_admitted_after_an_early_end() -> None:
+    drain, _ = drain_at(4_000, longest=10.0)
+    drain.end()
+    assert drain.phase is Phase.ENDED
+    assert not drain.admits("route", is_stream=False, deadline=Milliseconds(10))
+
+
+def test_short_grace_ends_before_the_minimum_drain_time() -> None:
+    clock = ManualClock()
+    drain = Drain(clock=clock, longest=lambda route: None)
+    drain.begin(grace=Milliseconds(2_000))
+    clock.tick(Milliseconds(1_700))
+    assert drain.may_exit()
--- a/fuchsiaroute/forwarding/_forwarder.py
+++ b/fuchsiaroute/forwarding/_forwarder.py
@@ -6,10 +6,12 @@
 from fuchsiaroute.catalog import Catalog
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.deployment import RequestKind
+from fuchsiaroute.draining import Drain, Phase
 from fuchsiaroute.forwarding._attempt_runner import AttemptRunner
 from fuchsiaroute.forwarding._buffered_relay import BufferedRelay
 from fuchsiaroute.forwarding._call import Call
 from fuchsiaroute.forwarding._counters import Counters
+from fuchsiaroute.forwarding._latency_estimator import LatencyEstimator
 from fuchsiaroute.forwarding._request_resolver import Rejection, RequestResolver
 from fuchsiaroute.forwarding._result import CallResult, Ending
 from fuchsiaroute.forwarding._stream_relay import StreamRelay
@@ -22,6 +24,12 @@
 RETRY_DELAY_AFTER_FAILURE = Milliseconds(100)
 MILLISECONDS_PER_SECOND = 1_000
 _INTERNAL_ERROR, _BAD_GATEWAY, _UNAVAILABLE, _GATEWAY_TIMEOUT = 500, 502, 503, 504
+#: Last lines of requests whose responses would have taken longer.
+_UNFINISHED_EVENTS = frozenset(
+    {"request:overdue", "request:abandoned", "request:cut-off"}
+)
+#: Durations of whole responses are learned by route alone.
+_ANY_MODEL, _NO_TOKENS = "", 0
 #: Status codes of rejected requests, which are not sent to any endpoint.
 _STATUSES = {
     RefusalReason.NOT_PERMITTED: 404,
@@ -52,8 +60,8 @@
         log: LineLog,
         store_unreachable_for: Callable[[], Milliseconds],
         is_behind: Callable[[], bool],
-        is_ended: Callable[[], bool],
-        after_stop: Callable[[Milliseconds], Milliseconds | None],
+        drain: Drain,
+        durations: LatencyEstimator,
     ) -> None:
         self._resolver = resolver
         self._runner = runner
@@ -65,8 +73,8 @@
         self._log = log
         self._store_unreachable_for = store_unreachable_for
         self._is_behind = is_behind
-        self._is_ended = is_ended
-        self._after_stop = after_stop
+        self._drain = drain
+        self._durations = durations
         #: Requests in progress.
         self.active = 0
 
@@ -92,10 +100,17 @@
             self.active -= 1
 
     async def _serve(self, call: Call) -> None:
+        is_stream = call.route.kind is RequestKind.STREAMING
+        is_admitted = self._drain.admits(
+            call.route.name,
+            is_stream=is_stream,
+            deadline=call.remaining(self._clock),
+        )
+        if not is_admitted:
+            self._respond_unanswered(call, CallResult(ending=Ending.STOPPING))
+            return
         self._runner.record_request(call)
-        relay = self._buffered.serve
-        if call.route.kind is RequestKind.STREAMING:
-            relay = self._stream.serve
+        relay = self._stream.serve if is_stream else self._buffered.serve
         seconds = max(call.remaining(self._clock), 0) / MILLISECONDS_PER_SECOND
         result: CallResult | None = None
         try:
@@ -104,7 +119,7 @@
         except TimeoutError:
             self._respond_overdue(call)
         except asyncio.CancelledError:
-            is_cut = self._is_ended()
+            is_cut = self._drain.phase is Phase.ENDED
             self._record(
                 call, "request:cut-off" if is_cut else "request:abandoned", None
             )
@@ -178,6 +193,7 @@
         deployment = self._catalog.deployment
         self._counters.add("requests", event.partition(":")[2], call.route.name)
         self._counters.observe(call.route.name, duration)
+        self._learn_duration(call, event, duration)
         fields = {}
         if result is not None:
             fields = {
@@ -199,7 +215,7 @@
             organisation=call.organisation,
             status=call.responder.status,
             took_ms=duration,
-            after_stop_ms=self._after_stop(call.inbound.arrived_at),
+            after_stop_ms=self._drain.since_begin(call.inbound.arrived_at),
             answer_started_ms=_since(call.inbound.arrived_at, call.answer_started_at),
             prompt_tokens=call.fields.prompt_tokens,
             time_left_ms=call.remaining(self._clock),
@@ -211,6 +227,15 @@
             **fields,
         )
 
+    def _learn_duration(self, call: Call, event: str, duration: Milliseconds) -> None:
+        """Add the time of a whole response, or a lower bound of it."""
+        if event == "request:answered":
+            self._durations.add(call.route.name, _ANY_MODEL, _NO_TOKENS, duration)
+        elif event in _UNFINISHED_EVENTS:
+            self._durations.add_unanswered(
+                call.route.name, _ANY_MODEL, _NO_TOKENS, duration
+            )
+
 
 def _since(start: Milliseconds, instant: Milliseconds | None) -> Milliseconds | None:
     return None if instant is None else Milliseconds(instant - start)
--- a/fuchsiaroute/forwarding/_result.py
+++ b/fuchsiaroute/forwarding/_result.py
@@ -17,6 +17,8 @@
     NO_PLACE = "no-place"
     #: Nothing was sent: all attempts failed.
     ATTEMPTS_FAILED = "attempts-failed"
+    #: Nothing was sent: the instance stops before the request could end.
+    STOPPING = "stopping"
     #: The stream was aborted before its end.
     BROKEN_OFF = "broken-off"
 
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -6,6 +6,7 @@
 from fuchsiaroute.catalog import Catalog, TableFeed
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.deployment import Endpoint, RolloutOrder
+from fuchsiaroute.draining import Drain
 from fuchsiaroute.forwarding import (
     AttemptRunner,
     BufferedRelay,
@@ -87,6 +88,8 @@
 #: a different window from their retries.
 RETRY_SHARE = 0.9
 RETRY_SLACK_SHARE = 0.6
+#: Mean deviations above the mean duration of a route's responses that count as usual.
+DURATION_DEVIATIONS = 6.0
 #: Share of the memory limit that request bodies may use.
 BODY_SHARE = 0.2
 _BYTES_PER_MB = 1_000_000
@@ -105,11 +108,6 @@
     ) -> None:
         self._settings = settings
         self._clock = clock
-        self.is_stopping = False
-        #: Monotonic instant of the signal to stop; None before it.
-        self.stop_began_at: Milliseconds | None = None
-        #: Whether the process is about to exit and closes its connections.
-        self.is_ended = False
         #: What ``instances`` was computed from and its result, and the readers of each
         #: table among these.
         self._members: tuple[MemberInfo, ...] | None = None
@@ -117,6 +115,8 @@
         self._readers_of: dict[Table, list[InstanceId]] = {}
         bounds = settings.bounds
         self._latencies = LatencyEstimator()
+        self._durations = LatencyEstimator()
+        self.drain = Drain(clock=clock, longest=self._longest_duration)
         self.log = log
         self.counters = Counters()
         self.store = PlatformStore(settings.store, clock=clock)
@@ -214,7 +214,7 @@
     def is_ready(self) -> bool:
         """Return whether callers may send requests to this instance."""
         return (
-            not self.is_stopping
+            not self.drain.is_draining
             and self.catalog.deployment is not None
             and self.endpoints_feed.is_loaded
             and self._has_rollout_records()
@@ -388,7 +388,7 @@
             log=self.log,
             new_budget=self._retry_budget,
             on_session=self._gossip_session,
-            is_stopping=lambda: self.is_stopping,
+            is_stopping=lambda: self.drain.is_draining,
         )
         return Forwarder(
             resolver=RequestResolver(self.catalog, clock=self._clock),
@@ -403,14 +403,13 @@
             log=self.log,
             store_unreachable_for=self._store_unreachable_for,
             is_behind=lambda: self.orders_feed.is_behind,
-            is_ended=lambda: self.is_ended,
-            after_stop=self._after_stop,
+            drain=self.drain,
+            durations=self._durations,
         )
 
-    def _after_stop(self, instant: Milliseconds) -> Milliseconds | None:
-        """Return the time from the signal to stop to ``instant``; None without one."""
-        began_at = self.stop_began_at
-        return None if began_at is None else Milliseconds(instant - began_at)
+    def _longest_duration(self, route: str) -> float | None:
+        """Return the time that is not exceeded by usual responses of a route."""
+        return self._durations.upper(route, "", 0, deviations=DURATION_DEVIATIONS)
 
     def _retry_budget(self) -> WindowedRetryBudget:
         bounds = self._settings.bounds
--- a/fuchsiaroute/node/_run.py
+++ b/fuchsiaroute/node/_run.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from fuchsiaroute.clock import BootClock, Clock, Milliseconds
+from fuchsiaroute.draining import Phase
 from fuchsiaroute.http1 import Handler, ServerConnection
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.node._metrics import METRICS_PATH
@@ -25,11 +26,6 @@
 TICK = Milliseconds(100)
 #: Delay of a tick above which the process counts as having been suspended.
 MIN_SUSPENSION = Milliseconds(1_000)
-#: Minimum time from SIGTERM to exit, as callers may still use a cached directory
-#: response that lists this instance.
-MIN_SHUTDOWN_TIME = Milliseconds(3_500)
-#: Time before SIGKILL at which the process exits by itself.
-SIGKILL_MARGIN = Milliseconds(300)
 #: Interval at which a stopping instance checks whether it is idle.
 IDLE_CHECK_INTERVAL = Milliseconds(50)
 #: Settings that a reload applies; identity and listening addresses need a restart.
@@ -114,7 +110,7 @@
                 limits=self._parts.limits,
                 budget=self._parts.bodies,
                 open_connections=connections,
-                is_draining=lambda: self._parts.is_stopping,
+                is_draining=lambda: self._parts.drain.is_draining,
             )
 
         server = await asyncio.get_running_loop().create_server(
@@ -187,14 +183,14 @@
         """
         Become unready, so that callers use other instances, and serve until idle.
 
-        This takes at least ``MIN_SHUTDOWN_TIME``. Requests that are still active
-        shortly before SIGKILL are cut off.
+        This takes at least ``MIN_DRAIN_TIME``. Requests that are still active shortly
+        before SIGKILL are cut off.
         """
         parts = self._parts
-        parts.is_stopping = True
-        parts.gossip.send_soon()
+        drain = parts.drain
         started_at = self._clock.now()
-        parts.stop_began_at = started_at
+        drain.begin(grace=self._settings.bounds.grace)
+        parts.gossip.send_soon()
         self._log.write(
             "process:stopping",
             active=parts.forwarder.active,
@@ -203,16 +199,14 @@
         )
         for connection in list(self._caller_connections):
             connection.close_after_response()
-        max_duration = self._settings.bounds.grace - SIGKILL_MARGIN
-        while self._clock.now() - started_at < max_duration:
-            may_exit = self._clock.now() - started_at >= MIN_SHUTDOWN_TIME
-            if may_exit and parts.forwarder.active == 0:
+        while drain.phase is not Phase.ENDED:
+            if drain.may_exit() and parts.forwarder.active == 0:
                 break
             await self._clock.sleep(IDLE_CHECK_INTERVAL)
+        drain.end()
         remaining = parts.forwarder.active
         connections = self._connection_counts()
         unsent = sum(item.unsent_bytes for item in self._caller_connections)
-        parts.is_ended = True
         for server in self._servers:
             server.close()
         for connection in list(self._caller_connections | self._control_connections):
--- a/fuchsiaroute/platform/tests/test_node.py
+++ b/fuchsiaroute/platform/tests/test_node.py
@@ -257,7 +257,7 @@
         await early.send("/stream/")
         await harness.until(lambda: endpoint.requests)
         harness.node._stop.set()
-        await harness.until(lambda: harness.node._parts.is_stopping)
+        await harness.until(lambda: harness.node._parts.drain.is_draining)
         ready = await harness.ask_control("/api/ready")
         assert ready.status == 503
         late = await harness.caller().ask("/read/", request_id="late")
--- a/fuchsiaroute/platform/tests/test_stop.py
+++ b/fuchsiaroute/platform/tests/test_stop.py
@@ -7,15 +7,16 @@
 import pytest
 
 from fuchsiaroute.clock import BootClock, Milliseconds
+from fuchsiaroute.draining import MIN_DRAIN_TIME
 from fuchsiaroute.http1 import ConnectionState, InboundRequest, Responder
-from fuchsiaroute.node._run import IDLE_CHECK_INTERVAL, MIN_SHUTDOWN_TIME
+from fuchsiaroute.node._run import IDLE_CHECK_INTERVAL
 from fuchsiaroute.platform.tests.node_harness import HOST, NodeHarness, Reply
 from fuchsiaroute.platform.tests.standin import Endpoint, complete, events
 
 #: Time that is not enough for the responses of slow endpoints below.
 SHORT_GRACE_S = 2
 #: Time from the signal to stop after which an idle instance exits.
-_IDLE_EXIT_S = MIN_SHUTDOWN_TIME / 1_000
+_IDLE_EXIT_S = MIN_DRAIN_TIME / 1_000
 _REQUEST = (
     f"POST /read/ HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: late\r\nX-Key: key\r\n"
     "X-Deadline-Ms: 3000\r\nContent-Length: 4\r\n\r\nbody"
@@ -91,7 +92,7 @@
         await harness.until(lambda: harness.node._caller_connections)
         (connection,) = harness.node._caller_connections
         clock.deliver = lambda: connection.data_received(_REQUEST)
-        clock.deliver_at = clock.now() + MIN_SHUTDOWN_TIME
+        clock.deliver_at = clock.now() + MIN_DRAIN_TIME
         harness.node._stop.set()
         reply = await caller.receive()
     assert (reply.status, reply.is_whole) == (200, True)
