Decide the exit of a stopping instance by its connections

Callers whose request arrived as the instance exited saw their connection closed although the request had been read. Cause: the exit looked at the number of running handlers. A handler starts one turn of the event loop after its request was read, a request that has arrived in part has none yet, and pipelined requests wait without one, so all of these counted as nothing.

ServerConnection.state says what a caller is owed; the instance exits when no connection has a request that was read in whole or in part and not answered. The decision and the closing of the connections happen in one turn of the event loop, so nothing can be read between them.

test_request_read_as_the_instance_exits_is_answered delivers a request in the turn in which the exit is decided.

--- a/fuchsiaroute/node/_run.py
+++ b/fuchsiaroute/node/_run.py
@@ -11,7 +11,7 @@
 
 from fuchsiaroute.clock import BootClock, Clock, Milliseconds
 from fuchsiaroute.draining import Phase
-from fuchsiaroute.http1 import Handler, ServerConnection
+from fuchsiaroute.http1 import ConnectionState, Handler, ServerConnection
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.node._metrics import METRICS_PATH
 from fuchsiaroute.node._parts import NodeParts
@@ -26,8 +26,10 @@
 TICK = Milliseconds(100)
 #: Delay of a tick above which the process counts as having been suspended.
 MIN_SUSPENSION = Milliseconds(1_000)
-#: Interval at which a stopping instance checks whether it is idle.
+#: Interval at which a stopping instance checks what callers wait for.
 IDLE_CHECK_INTERVAL = Milliseconds(50)
+#: States of connections whose callers wait for something.
+_OWED = frozenset({ConnectionState.RECEIVING, ConnectionState.ANSWERING})
 #: Settings that a reload applies; identity and listening addresses need a restart.
 RELOADABLE_SETTINGS = frozenset({"bounds", "store", "memory_mb", "max_descriptors"})
 #: Maximum number of connections that wait to be accepted, per listening socket.
@@ -181,7 +183,7 @@
 
     async def _shut_down(self) -> None:
         """
-        Become unready, so that callers use other instances, and serve until idle.
+        Become unready, then serve until no caller waits for anything.
 
         This takes at least ``MIN_DRAIN_TIME``. Requests that are still active shortly
         before SIGKILL are cut off.
@@ -200,7 +202,7 @@
         for connection in list(self._caller_connections):
             connection.close_after_response()
         while drain.phase is not Phase.ENDED:
-            if drain.may_exit() and parts.forwarder.active == 0:
+            if drain.may_exit() and self._is_settled():
                 break
             await self._clock.sleep(IDLE_CHECK_INTERVAL)
         drain.end()
@@ -224,6 +226,10 @@
         )
         self._log.flush()
 
+    def _is_settled(self) -> bool:
+        """Return whether no caller waits for anything from this instance."""
+        return not any(item.state in _OWED for item in self._caller_connections)
+
     def _connection_counts(self) -> dict[str, int]:
         """Return the number of callers' connections by state."""
         counts = Counter(item.state.value for item in self._caller_connections)
