Keep a stopping instance until its answers are sent

Callers that read slowly got a part of their answer when the instance that served them was stopped. Cause: a response counted as done when its bytes were handed to the transport. The process then exited, at the earliest 3.5 s after SIGTERM, and the exit discards what the transport has not sent. cut_off was 0, so the log showed a clean stop.

Evidence: seven answers of 6.5 MB read at 0.6 to 1.5 MB/s by their callers around one SIGTERM; six were cut, and process:stopped had unsent_bytes 10,730,037.

The exit now waits for connections with unsent bytes like for those with requests, until 0.1 s before SIGKILL.

--- a/fuchsiaroute/draining/__init__.py
+++ b/fuchsiaroute/draining/__init__.py
@@ -1,6 +1,7 @@
 """Shutdown of an instance: which requests it still admits, and when it may exit."""
 
 from fuchsiaroute.draining._drain import (
+    EXIT_MARGIN,
     LATE_ARRIVAL,
     MIN_DRAIN_TIME,
     SIGKILL_MARGIN,
@@ -8,4 +9,11 @@
     Phase,
 )
 
-__all__ = ["LATE_ARRIVAL", "MIN_DRAIN_TIME", "SIGKILL_MARGIN", "Drain", "Phase"]
+__all__ = [
+    "EXIT_MARGIN",
+    "LATE_ARRIVAL",
+    "MIN_DRAIN_TIME",
+    "SIGKILL_MARGIN",
+    "Drain",
+    "Phase",
+]
--- a/fuchsiaroute/draining/_drain.py
+++ b/fuchsiaroute/draining/_drain.py
@@ -11,6 +11,8 @@
 #: Time before SIGKILL at which requests that are still running are ended; the rest is
 #: left for sending what their callers get instead, and for exiting.
 SIGKILL_MARGIN = Milliseconds(300)
+#: Time before SIGKILL at which the process exits by itself.
+EXIT_MARGIN = Milliseconds(100)
 #: Time after SIGTERM from which only callers arrive that do not follow the directory.
 LATE_ARRIVAL = Milliseconds(3_000)
 
@@ -48,6 +50,7 @@
         self._longest = longest
         self._began_at: Milliseconds | None = None
         self._ends_at = Milliseconds(0)
+        self._exits_at = Milliseconds(0)
         self._has_ended = False
 
     @property
@@ -70,6 +73,7 @@
         """Begin the shutdown; ``grace`` is the time until SIGKILL."""
         self._began_at = self._clock.now()
         self._ends_at = Milliseconds(self._began_at + grace - SIGKILL_MARGIN)
+        self._exits_at = Milliseconds(self._began_at + grace - EXIT_MARGIN)
 
     def end(self) -> None:
         """End the shutdown: nothing is admitted any more."""
@@ -79,6 +83,10 @@
         """Return the time until running requests are ended."""
         return Milliseconds(self._ends_at - self._clock.now())
 
+    def time_to_exit(self) -> Milliseconds:
+        """Return the time for which the process may still send what it has."""
+        return Milliseconds(self._exits_at - self._clock.now())
+
     def may_exit(self) -> bool:
         """Return whether the instance exits as soon as nothing is owed to a caller."""
         began_at = self._began_at
--- a/fuchsiaroute/node/_run.py
+++ b/fuchsiaroute/node/_run.py
@@ -29,7 +29,7 @@
 #: Interval at which a stopping instance checks what callers wait for.
 IDLE_CHECK_INTERVAL = Milliseconds(50)
 #: States of connections whose callers wait for something.
-_OWED = frozenset({ConnectionState.RECEIVING, ConnectionState.ANSWERING})
+_OWED = frozenset(ConnectionState) - {ConnectionState.IDLE}
 #: Settings that a reload applies; identity and listening addresses need a restart.
 RELOADABLE_SETTINGS = frozenset({"bounds", "store", "memory_mb", "max_descriptors"})
 #: Maximum number of connections that wait to be accepted, per listening socket.
@@ -205,12 +205,14 @@
             if drain.may_exit() and self._is_settled():
                 break
             await self._clock.sleep(IDLE_CHECK_INTERVAL)
-        drain.end()
         remaining = parts.forwarder.active
         connections = self._connection_counts()
-        unsent = sum(item.unsent_bytes for item in self._caller_connections)
+        drain.end()
         for server in self._servers:
             server.close()
+        while drain.time_to_exit() > 0 and self._has_unsent_bytes():
+            await self._clock.sleep(IDLE_CHECK_INTERVAL)
+        unsent = sum(item.unsent_bytes for item in self._caller_connections)
         for connection in list(self._caller_connections | self._control_connections):
             connection.close()
         parts.gossip.close()
@@ -230,6 +232,9 @@
         """Return whether no caller waits for anything from this instance."""
         return not any(item.state in _OWED for item in self._caller_connections)
 
+    def _has_unsent_bytes(self) -> bool:
+        return any(item.unsent_bytes for item in self._caller_connections)
+
     def _connection_counts(self) -> dict[str, int]:
         """Return the number of callers' connections by state."""
         counts = Counter(item.state.value for item in self._caller_connections)
