Answer requests that are in progress at the end of a stop

Callers whose request was still at an endpoint, in the queue or half received 0.3 s before SIGKILL saw their connection closed. A closed connection promises nothing, so a request that had not run could not be repeated, and one that may have run could not be told from it. Cause: the exit closed all connections, whatever they were owed.

At the end of the drain, the time limit of each request in progress is set to now: it gets 503 with Retry-After if no endpoint can have run it, else 504; a request that has arrived in part gets 503. Only a stream that has begun is aborted, as nothing else can be sent on it. The process then waits, until 0.1 s before SIGKILL, until these are sent.

test_request_without_a_response_gets_one_at_the_end_of_a_stop: all four cases failed before (connection closed without an answer) and pass now.

--- a/fuchsiaroute/forwarding/_forwarder.py
+++ b/fuchsiaroute/forwarding/_forwarder.py
@@ -75,6 +75,8 @@
         self._is_behind = is_behind
         self._drain = drain
         self._durations = durations
+        #: Timeouts of the requests that are being served.
+        self._timeouts: set[asyncio.Timeout] = set()
         #: Requests in progress.
         self.active = 0
 
@@ -99,6 +101,13 @@
         finally:
             self.active -= 1
 
+    def end_all(self) -> None:
+        """Send final responses to all requests in progress; abort started streams."""
+        now = asyncio.get_running_loop().time()
+        for timeout in self._timeouts:
+            if not timeout.expired():
+                timeout.reschedule(now)
+
     async def _serve(self, call: Call) -> None:
         is_stream = call.route.kind is RequestKind.STREAMING
         is_admitted = self._drain.admits(
@@ -114,16 +123,16 @@
         seconds = max(call.remaining(self._clock), 0) / MILLISECONDS_PER_SECOND
         result: CallResult | None = None
         try:
-            async with asyncio.timeout(seconds):
+            async with asyncio.timeout(seconds) as timeout:
+                self._timeouts.add(timeout)
                 result = await relay(call)
         except TimeoutError:
             self._respond_overdue(call)
         except asyncio.CancelledError:
-            is_cut = self._drain.phase is Phase.ENDED
-            self._record(
-                call, "request:cut-off" if is_cut else "request:abandoned", None
-            )
+            self._record(call, self._cut_event("request:abandoned"), None)
             raise
+        finally:
+            self._timeouts.discard(timeout)
         if result is None:
             return
         if result.ending in (Ending.NO_PLACE, Ending.ATTEMPTS_FAILED):
@@ -145,14 +154,18 @@
             self._record(call, "request:failed", result)
 
     def _respond_overdue(self, call: Call) -> None:
-        """Send the final response, or abort a started one, at the deadline."""
+        """Send the final response, or abort a started one, when its time is over."""
         if call.responder.is_started:
             call.responder.abort()
         elif call.is_not_run:
             self._respond(call, _UNAVAILABLE, [retry_after(RETRY_DELAY_AFTER_FAILURE)])
         else:
             self._respond(call, _GATEWAY_TIMEOUT, [])
-        self._record(call, "request:overdue", None)
+        self._record(call, self._cut_event("request:overdue"), None)
+
+    def _cut_event(self, event: str) -> str:
+        """Return the event of a request that ended before its response was whole."""
+        return "request:cut-off" if self._drain.phase is Phase.ENDED else event
 
     def _respond_internal_error(self, call: Call, error: Exception) -> None:
         """Send the final response, or abort a started one, after an exception."""
--- a/fuchsiaroute/http1/_server.py
+++ b/fuchsiaroute/http1/_server.py
@@ -126,6 +126,11 @@
         if self._active is not None:
             self._active.close_after_response()
 
+    def reject_partial_request(self) -> None:
+        """Reject a request that has arrived in part; no handler has seen it."""
+        if self.state is ConnectionState.RECEIVING:
+            self._reject(503)
+
     def close(self) -> None:
         """Close the connection; call it once no request is in progress."""
         self._transport.close()
--- a/fuchsiaroute/node/_run.py
+++ b/fuchsiaroute/node/_run.py
@@ -185,8 +185,9 @@
         """
         Become unready, then serve until no caller waits for anything.
 
-        This takes at least ``MIN_DRAIN_TIME``. Requests that are still active shortly
-        before SIGKILL are cut off.
+        This takes at least ``MIN_DRAIN_TIME``. Shortly before SIGKILL, requests that
+        are still in progress get a final response in place of the endpoint's; a stream
+        that has begun is aborted.
         """
         parts = self._parts
         drain = parts.drain
@@ -210,7 +211,10 @@
         drain.end()
         for server in self._servers:
             server.close()
-        while drain.time_to_exit() > 0 and self._has_unsent_bytes():
+        parts.forwarder.end_all()
+        for connection in list(self._caller_connections):
+            connection.reject_partial_request()
+        while drain.time_to_exit() > 0 and not self._is_settled():
             await self._clock.sleep(IDLE_CHECK_INTERVAL)
         unsent = sum(item.unsent_bytes for item in self._caller_connections)
         for connection in list(self._caller_connections | self._control_connections):
@@ -232,9 +236,6 @@
         """Return whether no caller waits for anything from this instance."""
         return not any(item.state in _OWED for item in self._caller_connections)
 
-    def _has_unsent_bytes(self) -> bool:
-        return any(item.unsent_bytes for item in self._caller_connections)
-
     def _connection_counts(self) -> dict[str, int]:
         """Return the number of callers' connections by state."""
         counts = Counter(item.state.value for item in self._caller_connections)
--- a/fuchsiaroute/platform/tests/node_harness.py
+++ b/fuchsiaroute/platform/tests/node_harness.py
@@ -135,7 +135,11 @@
         if deadline is not None:
             head += f"X-Deadline-Ms: {deadline}\r\n"
         head += f"Content-Length: {len(body)}\r\n\r\n"
-        self._writer.write(head.encode() + body)
+        self.write(head.encode() + body)
+
+    def write(self, data: bytes) -> None:
+        assert self._writer is not None
+        self._writer.write(data)
 
     async def receive(self) -> Reply:
         assert self._reader is not None
--- a/fuchsiaroute/platform/tests/test_stop.py
+++ b/fuchsiaroute/platform/tests/test_stop.py
@@ -11,7 +11,7 @@
 from fuchsiaroute.http1 import ConnectionState, InboundRequest, Responder
 from fuchsiaroute.node._run import IDLE_CHECK_INTERVAL
 from fuchsiaroute.platform.tests.node_harness import HOST, NodeHarness, Reply
-from fuchsiaroute.platform.tests.standin import Endpoint, complete, events
+from fuchsiaroute.platform.tests.standin import Endpoint, complete, events, hang
 
 #: Time that is not enough for the responses of slow endpoints below.
 SHORT_GRACE_S = 2
@@ -67,6 +67,37 @@
     assert reply.status != 503 or not endpoint.requests
 
 
+# Requests that were in progress at the end of a stop had their connections closed, so
+# that callers did not learn whether they may have run.
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        # Sent to an endpoint that does not answer.
+        (_REQUEST, 504),
+        (_REQUEST.replace(b"/read/", b"/write/"), 504),
+        (_REQUEST.replace(b"/read/", b"/stream/"), 504),
+        # The body has not arrived; no endpoint has seen the request.
+        (_REQUEST[:-1], 503),
+    ],
+)
+async def test_request_without_a_response_gets_one_at_the_end_of_a_stop(
+    data: bytes, status: int
+) -> None:
+    endpoint = Endpoint(hang)
+    async with NodeHarness(endpoint, grace_s=SHORT_GRACE_S) as harness:
+        caller = harness.caller()
+        await caller.connect()
+        caller.write(data)
+        if status == 504:
+            await harness.until(lambda: endpoint.requests)
+        harness.node._stop.set()
+        reply = await caller.receive()
+        await harness.until(harness.node_task.done)
+    assert (reply.status, reply.is_whole) == (status, True)
+    assert (b"retry-after" in reply.headers) is (status == 503)
+    assert b'"unsent_bytes":0' in harness.lines[-1]
+
+
 class _SendsAtExit(BootClock):
     """Delivers a request in the turn of the event loop in which the exit is decided."""
 
