Answer all requests that were read before a connection closes

Callers that send a request behind another one on a connection saw it closed without an answer when the instance stopped, or when faulty input followed. Cause: whether the connection is closed after a response was fixed for the response in progress, and requests read behind it were dropped. And if that response had begun, faulty input did not close the connection at all: it ignored what its caller sent until a timeout.

Whether a response is the last one is now decided when its head is written, and is true only if no request waits behind it; after faulty input the connection is closed after the last response that is due.

test_requests_read_before_a_close_are_answered (three of its four cases) and test_connection_closes_after_a_begun_response_that_a_fault_follows failed before and pass now.

--- a/fuchsiaroute/http1/_responder.py
+++ b/fuchsiaroute/http1/_responder.py
@@ -17,7 +17,8 @@
     Writes one response.
 
     A response that cannot be completed is aborted, so that the caller never mistakes
-    it for a complete one.
+    it for a complete one. ``is_last`` tells, when the head is written, whether the
+    connection is to be closed after this response.
     """
 
     def __init__(
@@ -28,12 +29,14 @@
         is_head: bool,
         supports_chunked: bool,
         on_finished: Callable[["Responder"], None],
+        is_last: Callable[[], bool] = lambda: False,
     ) -> None:
         self._transport = transport
         self._keep_alive = keep_alive
         self._is_head = is_head
         self._is_chunked = supports_chunked
         self._on_finished = on_finished
+        self._is_last = is_last
         self._writable = asyncio.Event()
         self._writable.set()
         #: Whether the first byte of the response has been written.
@@ -43,11 +46,6 @@
         #: Status of the response; 0 before it has started.
         self.status = 0
 
-    def close_after_response(self) -> None:
-        """Close the connection once this response is complete."""
-        if not self.is_started:
-            self._keep_alive = False
-
     @property
     def keeps_connection(self) -> bool:
         """Return whether the connection stays open after this response."""
@@ -60,6 +58,7 @@
         fields = list(headers)
         if status not in _BODILESS:
             fields.append((b"Content-Length", b"%d" % len(body)))
+        self._keep_alive = self._keep_alive and not self._is_last()
         if not self._keep_alive:
             fields.append(_CLOSE)
         self.is_started = True
@@ -76,8 +75,7 @@
         fields = list(headers)
         if self._is_chunked:
             fields.append(_CHUNKED)
-        else:
-            self._keep_alive = False
+        self._keep_alive = self._keep_alive and self._is_chunked and not self._is_last()
         if not self._keep_alive:
             fields.append(_CLOSE)
         self.is_started = True
--- a/fuchsiaroute/http1/_server.py
+++ b/fuchsiaroute/http1/_server.py
@@ -121,11 +121,6 @@
         """Return the bytes of responses that the operating system has not taken."""
         return self._transport.get_write_buffer_size()
 
-    def close_after_response(self) -> None:
-        """Close the connection after the response in progress."""
-        if self._active is not None:
-            self._active.close_after_response()
-
     def reject_partial_request(self) -> None:
         """Reject a request that has arrived in part; no handler has seen it."""
         if self.state is ConnectionState.RECEIVING:
@@ -254,6 +249,7 @@
             is_head=incoming.method == b"HEAD",
             supports_chunked=self._parser.get_http_version() != "1.0",
             on_finished=self._response_finished,
+            is_last=self._is_last,
         )
         self._waiting.append((request, responder))
         if self._active is None:
@@ -288,8 +284,6 @@
     def _serve_next(self) -> None:
         request, responder = self._waiting.popleft()
         self._active = responder
-        if self._is_draining():
-            responder.close_after_response()
         self._task = asyncio.get_running_loop().create_task(
             self._run(request, responder)
         )
@@ -316,6 +310,12 @@
         self._transport.resume_reading()
         if self._waiting:
             self._serve_next()
+        elif self._ignores_input:
+            self._transport.close()
+
+    def _is_last(self) -> bool:
+        """Return whether no request is served after those that have been read."""
+        return (self._ignores_input or self._is_draining()) and not self._waiting
 
     def _count_header_bytes(self, size: int) -> None:
         self._incoming.header_bytes += size
@@ -324,7 +324,12 @@
             self._reject(431)
 
     def _reject(self, status: int) -> None:
-        """Send ``status`` and close; close only after a response in progress."""
+        """
+        Send ``status`` and close.
+
+        If responses to earlier requests are due, no status is sent, and the connection
+        is closed after the last of them.
+        """
         self._ignores_input = True
         self._discard_body()
         headers: Headers = [(b"Retry-After", b"1")] if status in (408, 503) else []
@@ -337,9 +342,6 @@
         )
         if self._active is None:
             responder.send(status, headers, b"")
-        else:
-            # No status is sent: the connection closes after the response in progress.
-            self._active.close_after_response()
 
     def _discard_body(self) -> None:
         self._budget.release(self._body_size)
--- a/fuchsiaroute/http1/tests/test_server.py
+++ b/fuchsiaroute/http1/tests/test_server.py
@@ -28,6 +28,7 @@
     """A listening server that records the requests passed to its handler."""
 
     def __init__(self, handler: Handler | None = None) -> None:
+        self.is_draining = False
         self.requests: list[InboundRequest] = []
         self.cancelled = 0
         self._handler = handler or self._echo
@@ -43,6 +44,7 @@
                 limits=lambda: LIMITS,
                 budget=self.budget,
                 open_connections=self._open,
+                is_draining=lambda: self.is_draining,
             ),
             "127.0.0.1",
             0,
@@ -161,6 +163,51 @@
     assert b"Connection: close" in received
 
 
+# Requests that had been read behind another one were dropped without an answer when the
+# connection was to be closed after that one.
+@pytest.mark.parametrize("is_draining", [False, True])
+@pytest.mark.parametrize("is_followed_by_fault", [False, True])
+async def test_requests_read_before_a_close_are_answered(
+    is_draining: bool, is_followed_by_fault: bool
+) -> None:
+    async with Server() as server:
+
+        async def begin_to_drain(request: InboundRequest, responder: Responder) -> None:
+            await asyncio.sleep(0)
+            server.is_draining = is_draining
+            await server._echo(request, responder)
+
+        server._handler = begin_to_drain
+        one = b"POST /%d HTTP/1.1\r\n" + HOST + b"Content-Length: 1\r\n\r\n%d"
+        data = b"".join(one % (n, n) for n in range(3))
+        received = await server.exchange(
+            data + (b"nonsense\r\n\r\n" if is_followed_by_fault else b"")
+        )
+    parts = received.split(b"HTTP/1.1 ")[1:]
+    assert [part[-1:] for part in parts] == [b"0", b"1", b"2"]
+    closes = [b"Connection: close" in part for part in parts]
+    assert closes == [False, False, is_draining or is_followed_by_fault]
+
+
+# A connection on which a fault arrived during a response that had begun stayed open but
+# ignored all that its caller sent from then on.
+async def test_connection_closes_after_a_begun_response_that_a_fault_follows() -> None:
+    async def begin(request: InboundRequest, responder: Responder) -> None:
+        responder.start(200, [])
+        await asyncio.sleep(0.05)
+        responder.write(b"rest")
+        responder.finish()
+
+    async with Server(begin) as server:
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"GET / HTTP/1.1\r\n" + HOST + b"\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"nonsense\r\n\r\n")
+        async with asyncio.timeout(2):
+            assert await reader.read() == b"4\r\nrest\r\n0\r\n\r\n"
+        writer.close()
+
+
 async def test_pipelined_requests_are_answered_in_order() -> None:
     one = b"POST /%d HTTP/1.1\r\n" + HOST + b"Content-Length: 1\r\n\r\n%d"
     async with Server() as server:
--- a/fuchsiaroute/node/_run.py
+++ b/fuchsiaroute/node/_run.py
@@ -200,8 +200,6 @@
             connections=self._connection_counts(),
             grace_ms=self._settings.bounds.grace,
         )
-        for connection in list(self._caller_connections):
-            connection.close_after_response()
         while drain.phase is not Phase.ENDED:
             if drain.may_exit() and self._is_settled():
                 break
