Send final responses also after a suspension during a stop

Callers of an instance that was suspended during its stop until after the grace saw their connections closed without an answer. Cause: the time for sending final responses was already over when the process woke up, so it closed the connections before the handlers of the requests had run once more.

At least 50 ms remain after the end of the drain. The platform may have killed the process by then; if it has not, its callers learn where they stand.

test_final_responses_are_sent_after_a_suspension_during_a_stop failed before (connection closed) and passes now.

--- a/fuchsiaroute/draining/_drain.py
+++ b/fuchsiaroute/draining/_drain.py
@@ -13,6 +13,8 @@
 SIGKILL_MARGIN = Milliseconds(300)
 #: Time before SIGKILL at which the process exits by itself.
 EXIT_MARGIN = Milliseconds(100)
+#: Minimum time from the end of the drain to the exit, if the process was suspended.
+MIN_SEND_TIME = Milliseconds(50)
 #: Time after SIGTERM from which only callers arrive that do not follow the directory.
 LATE_ARRIVAL = Milliseconds(3_000)
 
@@ -76,8 +78,11 @@
         self._exits_at = Milliseconds(self._began_at + grace - EXIT_MARGIN)
 
     def end(self) -> None:
-        """End the shutdown: nothing is admitted any more."""
+        """End the drain: nothing is admitted any more."""
         self._has_ended = True
+        self._exits_at = Milliseconds(
+            max(self._exits_at, self._clock.now() + MIN_SEND_TIME)
+        )
 
     def time_left(self) -> Milliseconds:
         """Return the time until running requests are ended."""
--- a/fuchsiaroute/draining/tests/test_drain.py
+++ b/fuchsiaroute/draining/tests/test_drain.py
@@ -3,7 +3,14 @@
 import pytest
 
 from fuchsiaroute.clock import ManualClock, Milliseconds
-from fuchsiaroute.draining import LATE_ARRIVAL, MIN_DRAIN_TIME, Drain, Phase
+from fuchsiaroute.draining import (
+    EXIT_MARGIN,
+    LATE_ARRIVAL,
+    MIN_DRAIN_TIME,
+    MIN_SEND_TIME,
+    Drain,
+    Phase,
+)
 
 GRACE = Milliseconds(8_000)
 
@@ -87,3 +94,18 @@
     drain.begin(grace=Milliseconds(2_000))
     clock.tick(Milliseconds(1_700))
     assert drain.may_exit()
+
+
+@pytest.mark.parametrize(
+    ("after", "expected"),
+    [
+        # What is left until shortly before SIGKILL, and a minimum after a suspension.
+        (3_500, GRACE - EXIT_MARGIN - 3_500),
+        (7_700, 200),
+        (60_000, MIN_SEND_TIME),
+    ],
+)
+def test_time_to_send_final_responses(after: int, expected: int) -> None:
+    drain, _ = drain_at(after)
+    drain.end()
+    assert drain.time_to_exit() == expected
--- a/fuchsiaroute/platform/tests/test_stop.py
+++ b/fuchsiaroute/platform/tests/test_stop.py
@@ -98,6 +98,32 @@
     assert b'"unsent_bytes":0' in harness.lines[-1]
 
 
+class _SteppedClock(BootClock):
+    """A clock that shows the time after the process was suspended."""
+
+    def __init__(self) -> None:
+        self.suspended_for = 0
+
+    def now(self) -> Milliseconds:
+        return Milliseconds(super().now() + self.suspended_for)
+
+
+# An instance that was suspended during its stop until after the grace closed its
+# connections before their final responses were written.
+async def test_final_responses_are_sent_after_a_suspension_during_a_stop() -> None:
+    clock = _SteppedClock()
+    endpoint = Endpoint(hang)
+    async with NodeHarness(endpoint, clock=clock) as harness:
+        caller = harness.caller()
+        await caller.send("/read/", deadline=None)
+        await harness.until(lambda: endpoint.requests)
+        harness.node._stop.set()
+        await harness.until(lambda: harness.node._parts.drain.is_draining)
+        clock.suspended_for = 60_000
+        reply = await caller.receive()
+    assert (reply.status, reply.is_whole) == (504, True)
+
+
 class _SendsAtExit(BootClock):
     """Delivers a request in the turn of the event loop in which the exit is decided."""
 
