Let the soak see answers that are cut at a stop

The soak could not see it: no check asked for the end of an answer that had begun, all routes ended after 3 s, streams had at most 20 events of 30 ms, answers were tiny, and callers left a stopping instance after one answer.

- Check "stops", untimed: within the grace of a SIGTERM (and 1 s), a request that reached an endpoint, or whose answer had begun, does not end with a closed connection.
Excused are the rule's cases only: unplanned disturbance, the endpoint broke off, the time was over, or an early request at which the endpoint worked into the last sixth of the grace.
Check "unread", timed: a request that no endpoint received is not closed unanswered later than the time in which a close crosses it.
- Callers that use one instance whatever the directory says, and connect to it again while it listens; streams of up to 10 s; answers of up to 4 MB read at 2 MB/s over links with small buffers.
- Series of stops that overlap: several instances at once or staggered, after SIGHUP, SIGTERM twice, just after the start, with the store away, with new routes and an evacuation.

--- a/fuchsiaroute/platform/tests/node_harness.py
+++ b/fuchsiaroute/platform/tests/node_harness.py
@@ -121,9 +121,7 @@
         extra: str = "",
     ) -> None:
         if self._writer is None:
-            self._reader, self._writer = await asyncio.open_connection(
-                "127.0.0.1", self._port
-            )
+            self._reader, self._writer = await self._open()
         head = f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
         head += f"X-Request-Id: {request_id}\r\n{extra}"
         if key is not None:
@@ -146,11 +144,11 @@
             try:
                 if b"content-length" in headers:
                     size = int(headers[b"content-length"])
-                    body = await self._reader.readexactly(size)
+                    body = await self._read(size)
                 else:
                     while True:
                         size = int(await self._reader.readuntil(b"\r\n"), 16)
-                        body += await self._reader.readexactly(size)
+                        body += await self._read(size)
                         await self._reader.readexactly(2)
                         if size == 0:
                             break
@@ -158,6 +156,13 @@
                 is_whole = False
         return Reply(int(lines[0].split()[1]), headers, body, is_whole)
 
+    async def _open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection("127.0.0.1", self._port)
+
+    async def _read(self, size: int) -> bytes:
+        assert self._reader is not None
+        return await self._reader.readexactly(size)
+
     async def ask(self, path: str, **options: object) -> Reply:
         await self.send(path, **options)  # type: ignore[arg-type]
         return await self.receive()
--- a/fuchsiaroute/platform/tests/recording_endpoint.py
+++ b/fuchsiaroute/platform/tests/recording_endpoint.py
@@ -6,9 +6,24 @@
 
 from fuchsiaroute.clock import BootClock, Milliseconds
 from fuchsiaroute.http1 import InboundRequest, Responder, find_header
-from fuchsiaroute.platform.tests.soak_platform import ORGANISATION, POOL, TIMEOUT
+from fuchsiaroute.platform.tests.soak_platform import (
+    LONG_STREAMS,
+    ORGANISATION,
+    POOL,
+    RouteKind,
+)
 from fuchsiaroute.platform.tests.standin import Endpoint
 
+#: Pauses between the events of short and long streams.
+_EVENT_INTERVAL_S, _LONG_EVENT_INTERVAL_S = 0.03, 0.1
+#: Events a second of a long stream.
+LONG_EVENTS_PER_SECOND = 1 / _LONG_EVENT_INTERVAL_S
+
+
+_FILLER = b"."
+#: Bytes of a wrong large answer that are kept.
+_MAX_KEPT_BYTES = 200
+
 
 @dataclass(kw_only=True)
 class Run:
@@ -23,6 +38,8 @@
     ended_at: Milliseconds | None = None
     #: Whether the endpoint rejected the request without running it.
     is_rejected: bool = False
+    #: Whether the endpoint closed the connection without a complete answer.
+    is_broken_off: bool = False
     #: ``Last-Event-Id`` of the request; 0 without one.
     resumed_after: int = 0
     #: Header fields or body content that the router should not have sent.
@@ -101,7 +118,8 @@
             faults.append(f"a body of {len(request.body)} bytes is not the caller's")
         if request_id not in request.path.decode():
             faults.append(f"path {request.path!r}")
-        if not 0 < int(text(b"x-deadline-ms") or 0) <= TIMEOUT:
+        timeout = RouteKind.of_path(request.path.decode()).timeout
+        if not 0 < int(text(b"x-deadline-ms") or 0) <= timeout:
             faults.append(f"time left {text(b'x-deadline-ms')!r}")
         run = Run(
             request_id=request_id,
@@ -119,8 +137,10 @@
         self, run: Run, request: InboundRequest, responder: Responder
     ) -> None:
         behaviour, draw = self.behaviour, self._random.random
+        answer = answer_of(run.request_id, _length_of(request))
         await asyncio.sleep(behaviour.slowness * (0.01 + 0.03 * draw()))
         if draw() < behaviour.losing_answers:
+            run.is_broken_off = True
             responder.abort()
         elif draw() < behaviour.failing:
             responder.send(500, self.headers(request), b"failed")
@@ -128,15 +148,17 @@
             await self._stream(run, request, responder)
         elif draw() < behaviour.garbling:
             # Unsolicited bytes follow the complete response.
-            responder.send(200, self.headers(request), answer_of(run.request_id))
+            responder.send(200, self.headers(request), answer)
             responder._transport.write(b"HTTP/1.1 200 OK\r\nX-Junk: 1\r\n\r\njunk")
         else:
-            responder.send(200, self.headers(request), answer_of(run.request_id))
+            responder.send(200, self.headers(request), answer)
 
     async def _stream(
         self, run: Run, request: InboundRequest, responder: Responder
     ) -> None:
-        last = int(request.path.rpartition(b"/")[2])
+        last = _length_of(request)
+        is_long = RouteKind.of_path(request.path.decode()) in LONG_STREAMS
+        interval_s = _LONG_EVENT_INTERVAL_S if is_long else _EVENT_INTERVAL_S
         kind = (b"Content-Type", b"text/event-stream")
         responder.start(200, [*self.headers(request), kind])
         for number in range(run.resumed_after + 1, last + 1):
@@ -144,13 +166,19 @@
                 # The connection ends in the middle of an event.
                 responder.write(event_of(run.request_id, number)[:-4])
                 await asyncio.sleep(0)
+                run.is_broken_off = True
                 responder.abort()
                 return
             responder.write(event_of(run.request_id, number))
-            await asyncio.sleep(self.behaviour.slowness * 0.03)
+            await asyncio.sleep(self.behaviour.slowness * interval_s)
         responder.finish()
 
 
+def _length_of(request: InboundRequest) -> int:
+    """Return the number of events, or of bytes of filler, that a request asks for."""
+    return int(request.path.rpartition(b"/")[2])
+
+
 def session_fields(session: int | None, request_id: str) -> str:
     """Return header lines of a prompt whose only shared part belongs to a session."""
     if session is None:
@@ -164,9 +192,15 @@
     return f"body of {request_id}".encode()
 
 
-def answer_of(request_id: str) -> bytes:
-    """Return the body of a response that is not a stream."""
-    return f"answer to {request_id}".encode()
+def answer_of(request_id: str, filler: int = 0) -> bytes:
+    """Return the body of a response that is not a stream, with bytes of filler."""
+    return f"answer to {request_id}".encode() + _FILLER * filler
+
+
+def without_filler(body: bytes, filler: int) -> bytes:
+    """Return a body without its filler; its beginning if the filler is not whole."""
+    head = body.rstrip(_FILLER)
+    return head if len(body) - len(head) == filler else body[:_MAX_KEPT_BYTES]
 
 
 def event_of(request_id: str, number: int) -> bytes:
--- a/fuchsiaroute/platform/tests/soak_platform.py
+++ b/fuchsiaroute/platform/tests/soak_platform.py
@@ -12,6 +12,7 @@
     "ContactMs": 3_000,
     "DrainMs": 2_000,
     "GraceS": 8,
+    "LossSlackMs": 200,
     "ConfigApplyMs": 2_000,
     "EvacuateMs": 5_000,
     "RollbackMs": 5_000,
@@ -30,6 +31,7 @@
 CONTACT = Milliseconds(round(BOUNDS["ContactMs"]))
 DRAIN = Milliseconds(round(BOUNDS["DrainMs"]))
 GRACE = Milliseconds(round(BOUNDS["GraceS"] * 1_000))
+LOSS_SLACK = Milliseconds(round(BOUNDS["LossSlackMs"]))
 APPLY = Milliseconds(round(BOUNDS["ConfigApplyMs"]))
 EVACUATE = Milliseconds(round(BOUNDS["EvacuateMs"]))
 RECOVERY = Milliseconds(round(BOUNDS["RecoveryS"] * 1_000))
@@ -44,8 +46,8 @@
 
 KEY, REVOKED_KEY, ORGANISATION = "key", "leaked", "org"
 APP, POOL = "app", "pool"
-#: Timeout of all routes.
-TIMEOUT = Milliseconds(3_000)
+#: Timeouts of routes.
+TIMEOUT, LONG_TIMEOUT = Milliseconds(3_000), Milliseconds(15_000)
 
 
 class RouteKind(Enum):
@@ -57,37 +59,69 @@
     STREAM = "stream"
     #: A stream that must not be resumed.
     ONCE = "once"
+    #: Streams of several seconds, with and without resumption.
+    LONG = "long"
+    LONG_ONCE = "long-once"
+    #: A repeatable request whose answer has some megabytes.
+    LARGE = "large"
 
     @property
     def may_repeat(self) -> bool:
-        return self in (RouteKind.READ, RouteKind.STREAM)
+        return self in (
+            RouteKind.READ,
+            RouteKind.STREAM,
+            RouteKind.LONG,
+            RouteKind.LARGE,
+        )
 
     @property
     def is_stream(self) -> bool:
-        return self in (RouteKind.STREAM, RouteKind.ONCE)
+        return self in SHORT_STREAMS or self in LONG_STREAMS
+
+    @property
+    def timeout(self) -> Milliseconds:
+        is_short = self in SHORT_KINDS
+        return TIMEOUT if is_short else LONG_TIMEOUT
+
+    @classmethod
+    def of_path(cls, target: str) -> "RouteKind":
+        """Return the kind of the route that a path matches."""
+        name = target.split("/")[1]
+        return cls.READ if name.startswith(_ADDED_PREFIX) else cls(name)
 
 
+_ADDED_PREFIX = "added-"
+SHORT_STREAMS = (RouteKind.STREAM, RouteKind.ONCE)
+SHORT_KINDS = (RouteKind.READ, RouteKind.WRITE, *SHORT_STREAMS)
+LONG_STREAMS = (RouteKind.LONG, RouteKind.LONG_ONCE)
 MAX_ATTEMPTS = {
     RouteKind.READ: 3,
     RouteKind.WRITE: 2,
     RouteKind.STREAM: 3,
     RouteKind.ONCE: 2,
+    RouteKind.LONG: 3,
+    RouteKind.LONG_ONCE: 2,
+    RouteKind.LARGE: 3,
 }
 _PLATFORM_KIND = {
     RouteKind.READ: "idempotent",
     RouteKind.WRITE: "non_idempotent",
     RouteKind.STREAM: "streaming",
     RouteKind.ONCE: "streaming",
+    RouteKind.LONG: "streaming",
+    RouteKind.LONG_ONCE: "streaming",
+    RouteKind.LARGE: "idempotent",
 }
 
 
-def path(kind: RouteKind, request_id: str, events: int) -> str:
-    return f"/{kind.value}/{request_id}/{events}"
+def path(kind: RouteKind, request_id: str, length: int) -> str:
+    """Return a path; ``length`` is the number of events, or of bytes of filler."""
+    return f"/{kind.value}/{request_id}/{length}"
 
 
 def added_route(number: int) -> str:
     """Return the name of a route that a later declaration adds."""
-    return f"added-{number}"
+    return f"{_ADDED_PREFIX}{number}"
 
 
 def _route(name: str, kind: RouteKind) -> dict[str, object]:
@@ -98,8 +132,8 @@
         "Kind": _PLATFORM_KIND[kind],
         "Service": POOL if kind.is_stream else APP,
         "MaxAttempts": MAX_ATTEMPTS[kind],
-        "Resumable": kind is RouteKind.STREAM,
-        "TimeoutMs": TIMEOUT,
+        "Resumable": kind.is_stream and kind.may_repeat,
+        "TimeoutMs": kind.timeout,
         "TargetLatencyMs": 400,
         "GapTargetMs": 1_000,
     }
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -89,7 +89,7 @@
         case.seed,
         length=case.length,
         rate=case.rate,
-        has_added_kinds=case.has_added_kinds,
+        generation=case.generation,
     )
 
 
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -2,11 +2,11 @@
 
 from bisect import bisect_left
 from collections import defaultdict
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from itertools import pairwise
 
 from fuchsiaroute.clock import Milliseconds
-from fuchsiaroute.platform.tests.recording_endpoint import Run, answer_of, event_of
+from fuchsiaroute.platform.tests.recording_endpoint import answer_of, event_of
 from fuchsiaroute.platform.tests.soak_platform import (
     APPLY,
     CANARY_SHARE,
@@ -18,10 +18,10 @@
     RETRY_RATIO,
     RETRY_SLACK,
     RETRY_WINDOW,
-    TIMEOUT,
 )
-from soak._instances import Instance
-from soak._record import STORE, CallerRequest, Record
+from soak._evidence import Check, Evidence
+from soak._record import STORE, CallerRequest
+from soak._stop_checks import check_stops, check_unread
 
 #: Statuses that guarantee that the request has not run and never will.
 _NOT_RUN = frozenset({408, 421, 429, 503})
@@ -33,35 +33,6 @@
 _SECOND = Milliseconds(1_000)
 MAX_MEMORY_MB = 300
 
-Check = Callable[["Evidence"], Iterator[str]]
-
-
-class Evidence:
-    """The record of a run, with the endpoint runs indexed by request."""
-
-    def __init__(
-        self, record: Record, runs: Sequence[Run], instances: Sequence[Instance]
-    ) -> None:
-        self.record = record
-        self.runs = runs
-        self.instances = instances
-        self.requests = {item.request_id: item for item in record.requests}
-        self.runs_by_request: dict[str, list[Run]] = defaultdict(list)
-        for run in runs:
-            if not run.is_rejected:
-                self.runs_by_request[run.request_id].append(run)
-
-    def was_undisturbed(self, request: CallerRequest, until: Milliseconds) -> bool:
-        """
-        Return whether the request's instance and the store were undisturbed.
-
-        The time checked begins CONTACT before the request was sent and ends at
-        ``until``.
-        """
-        begin = Milliseconds(request.sent_at - CONTACT)
-        names = (request.instance, STORE)
-        return self.record.disturbances.is_undisturbed(names, begin, until)
-
 
 def check_runs(evidence: Evidence) -> Iterator[str]:
     """Check that endpoints ran only requests that callers sent, correctly forwarded."""
@@ -164,7 +135,7 @@
 def check_timeouts(evidence: Evidence) -> Iterator[str]:
     """Check that each request has its final answer soon after its timeout."""
     for request in evidence.record.requests:
-        last = Milliseconds(request.sent_at + TIMEOUT + _ANSWER_SLACK)
+        last = Milliseconds(request.sent_at + request.kind.timeout + _ANSWER_SLACK)
         if request.ended_at > last and evidence.was_undisturbed(
             request, request.ended_at
         ):
@@ -302,6 +273,7 @@
     "denials": check_denials,
     "routes-kept": check_routes,
     "processes": check_processes,
+    "stops": check_stops,
     "directory": check_directory,
     "recovery": check_recovery,
 }
@@ -310,6 +282,7 @@
     "orders": check_orders,
     "new-routes": check_new_routes,
     "timeouts": check_timeouts,
+    "unread": check_unread,
     "abandoned": check_abandoned,
     "cold": check_cold,
     "repeats": check_repeats,
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -20,10 +20,9 @@
 from soak._proxy import Link, LinkState
 from soak._record import STORE, BadRollout, OperatorOrder
 from soak._schedule import Fault, FaultKind
+from soak._stop_faults import START_TIME, Stops
 from soak._traffic import Traffic
 
-#: Time after its start for which a process counts as disturbed.
-_START_TIME = Milliseconds(1_000)
 #: Time after which the platform removes a crashed endpoint from the store.
 _CRASH_DETECTION_TIME = Milliseconds(3_600)
 #: Time for which a draining endpoint still serves.
@@ -61,13 +60,14 @@
         self._evacuated: set[str] = set()
         self._draining: set[str] = set()
         self._cold: set[str] = set()
+        stops = Stops(fleet, self.inject)
         self._actions: dict[FaultKind, _Action] = {
             FaultKind.PAUSE: self._pause,
             FaultKind.KILL: self._kill,
             FaultKind.KILL_ALL: self._kill_all,
-            FaultKind.STOP: self._stop,
-            FaultKind.STOP_IN_TURN: self._stop_in_turn,
-            FaultKind.RELOAD: self._reload,
+            FaultKind.STOP: stops.stop,
+            FaultKind.STOP_IN_TURN: stops.stop_in_turn,
+            FaultKind.RELOAD: stops.reload,
             FaultKind.CLOCK_STEP: self._step_clock,
             FaultKind.CALLER_LINK: self._disturb_caller_link,
             FaultKind.STORE_LINK: self._disturb_store_link,
@@ -86,6 +86,7 @@
             FaultKind.RESTORE: self._restore,
             FaultKind.ENDPOINT_SAYS_LEAVING: self._leave_by_answer,
             FaultKind.ENDPOINT_PAUSES: self._pause_endpoint,
+            FaultKind.STOP_SERIES: stops.stop_series,
         }
 
     async def inject(self, fault: Fault) -> None:
@@ -116,37 +117,16 @@
     async def _kill(self, fault: Fault) -> None:
         instance = self._node(fault).instance
         self._record_disturbance(
-            instance.name, Milliseconds(RESTART_DELAY + _START_TIME)
+            instance.name, Milliseconds(RESTART_DELAY + START_TIME)
         )
         instance.signal(signal.SIGKILL)
 
     async def _kill_all(self, fault: Fault) -> None:
         for node in self._fleet.nodes:
             name = node.instance.name
-            self._record_disturbance(name, Milliseconds(RESTART_DELAY + _START_TIME))
+            self._record_disturbance(name, Milliseconds(RESTART_DELAY + START_TIME))
             node.instance.signal(signal.SIGKILL)
 
-    async def _stop(self, fault: Fault) -> None:
-        await self._stop_instance(self._node(fault))
-
-    async def _stop_instance(self, node: Node) -> None:
-        begin = self._clock.now()
-        # A suspended process does not handle SIGTERM, so the time until it has ended is
-        # known only afterwards.
-        await node.instance.stop()
-        end = Milliseconds(self._clock.now() + RESTART_DELAY + _START_TIME)
-        self._fleet.record.disturbances.add(node.instance.name, begin, end)
-
-    async def _stop_in_turn(self, fault: Fault) -> None:
-        for node in self._fleet.nodes:
-            await self._stop_instance(node)
-
-    async def _reload(self, fault: Fault) -> None:
-        node = self._node(fault)
-        node.settings["memory"] = 250 + fault.target % 50
-        self._fleet.write_settings(node)
-        node.instance.signal(signal.SIGHUP)
-
     async def _step_clock(self, fault: Fault) -> None:
         instance = self._node(fault).instance
         self._record_disturbance(instance.name, fault.lasts)
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -200,7 +200,7 @@
 
     async def _build_node(self, number: int) -> Node:
         name, ip = f"n{number}", f"127.0.{self._network}.{number + 1}"
-        callers = Link(ip, _PORTS["callers"])
+        callers = Link(ip, _PORTS["callers"], is_narrow=True)
         control = Link(ip, _PORTS["control"])
         store = Link("127.0.0.1", self.store.port)
         for link in (callers, control, store):
--- a/soak/_instances.py
+++ b/soak/_instances.py
@@ -35,6 +35,8 @@
         self.name = name
         self.ended_processes: list[EndedProcess] = []
         self.peak_memory_mb = 0.0
+        #: When the first SIGTERM was sent, by process index.
+        self.stopped_at: dict[int, Milliseconds] = {}
         self._clock = clock
         self._grace = grace
         self._settings_file = folder / f"{name}.conf"
@@ -82,13 +84,17 @@
             return
         if number in (signal.SIGTERM, signal.SIGKILL):
             self._is_end_requested = True
+        if number is signal.SIGTERM:
+            self.stopped_at.setdefault(self.process_index, self._clock.now())
         self._process.send_signal(number)
 
     async def stop(self) -> None:
         """Send SIGTERM, and SIGKILL if the process runs after the grace period."""
         process_index = self.process_index
+        if self._process is None:
+            return
         self.signal(signal.SIGTERM)
-        deadline = self._clock.now() + self._grace
+        deadline = self.stopped_at[process_index] + self._grace
         while self.process_index == process_index and self._clock.now() < deadline:
             await self._clock.sleep(_POLL_INTERVAL)
         if self.process_index == process_index:
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 _CHUNK_BYTES = 65_536
+_SEGMENT_BYTES, _NARROW_BUFFER_BYTES = 1_460, 65_536
 #: Delay of each chunk on a delayed link; a few round trips between failure domains.
 _DELAY_S = 0.15
 _LINGER_ZERO = struct.pack("ii", 1, 0)
@@ -33,8 +34,10 @@
 class Link:
     """Forwards connections to one server and injects the faults of its state."""
 
-    def __init__(self, host: str, port: int) -> None:
+    def __init__(self, host: str, port: int, *, is_narrow: bool = False) -> None:
         self._target = (host, port)
+        #: Whether buffers and segments are small, as between machines.
+        self._is_narrow = is_narrow
         self._state = LinkState.SOUND
         self._state_changed = asyncio.Event()
         self._connections: set[_Connection] = set()
@@ -86,10 +89,14 @@
             _reset(writer)
             return
         try:
-            upstream = await asyncio.open_connection(*self._target)
+            upstream = await self._connect()
         except OSError:
             _reset(writer)
             return
+        if self._is_narrow:
+            _socket_of(writer).setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, _NARROW_BUFFER_BYTES
+            )
         connection = _Connection(writer, upstream[1])
         self._connections.add(connection)
         try:
@@ -105,6 +112,22 @@
             writer.close()
             upstream[1].close()
 
+    async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        if not self._is_narrow:
+            return await asyncio.open_connection(*self._target)
+        connected = socket.socket()
+        connected.setblocking(False)
+        # The server's send buffer grows with the size of segments, which on loopback
+        # would hold a whole large response.
+        connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, _SEGMENT_BYTES)
+        connected.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _NARROW_BUFFER_BYTES)
+        try:
+            await asyncio.get_running_loop().sock_connect(connected, self._target)
+        except OSError:
+            connected.close()
+            raise
+        return await asyncio.open_connection(sock=connected)
+
     async def _forward(
         self,
         connection: "_Connection",
@@ -143,8 +166,13 @@
             _reset(writer)
 
 
+def _socket_of(writer: asyncio.StreamWriter) -> socket.socket:
+    found: socket.socket = writer.get_extra_info("socket")
+    return found
+
+
 def _reset(writer: asyncio.StreamWriter) -> None:
-    connected = writer.get_extra_info("socket")
+    connected = _socket_of(writer)
     if connected is not None and connected.fileno() >= 0:
         connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
     writer.transport.abort()
--- a/soak/_record.py
+++ b/soak/_record.py
@@ -17,6 +17,8 @@
     key: str
     #: Number of events in the response if it is a stream, else 0.
     events: int
+    #: Bytes of filler in a large response; ``body`` is without them.
+    filler: int = 0
     instance: str
     #: Index among the processes that the instance has run, from 0.
     process_index: int
@@ -29,6 +31,8 @@
     is_whole: bool = False
     is_signed: bool = False
     is_abandoned: bool = False
+    #: Whether the other end closed the connection before the answer was complete.
+    is_closed: bool = False
     #: Requests with the same number belong to one session.
     session: int | None = None
 
@@ -44,6 +48,7 @@
 
     begin: Milliseconds
     end: Milliseconds
+    is_planned: bool = False
 
 
 @dataclass
@@ -52,16 +57,31 @@
 
     spans: dict[str, list[Span]] = field(default_factory=dict)
 
-    def add(self, name: str, begin: Milliseconds, end: Milliseconds) -> None:
+    def add(
+        self,
+        name: str,
+        begin: Milliseconds,
+        end: Milliseconds,
+        *,
+        is_planned: bool = False,
+    ) -> None:
         """Add a disturbance of ``name`` from ``begin`` to ``end``."""
-        self.spans.setdefault(name, []).append(Span(begin=begin, end=end))
+        span = Span(begin=begin, end=end, is_planned=is_planned)
+        self.spans.setdefault(name, []).append(span)
 
     def is_undisturbed(
-        self, names: Iterable[str], begin: Milliseconds, end: Milliseconds
+        self,
+        names: Iterable[str],
+        begin: Milliseconds,
+        end: Milliseconds,
+        *,
+        ignores_planned: bool = False,
     ) -> bool:
         """Return whether none of ``names`` was disturbed from ``begin`` to ``end``."""
         return not any(
-            span.begin <= end and begin <= span.end
+            span.begin <= end
+            and begin <= span.end
+            and not (ignores_planned and span.is_planned)
             for name in names
             for span in self.spans.get(name, ())
         )
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -9,7 +9,8 @@
 from fuchsiaroute.clock import BootClock, Milliseconds
 from fuchsiaroute.platform.tests.failing_store import StoreMode
 from fuchsiaroute.platform.tests.soak_platform import RECOVERY
-from soak._checks import TIMED_CHECKS, UNTIMED_CHECKS, Check, Evidence
+from soak._checks import TIMED_CHECKS, UNTIMED_CHECKS
+from soak._evidence import Check, Evidence
 from soak._faults import Injector
 from soak._fleet import Fleet
 from soak._schedule import SETTLE_TIME, Fault
@@ -61,6 +62,7 @@
         await fleet.start()
         traffic = Traffic(fleet, seed=seed)
         traffic.start(_CALLERS_PER_INSTANCE * instances)
+        traffic.start_staying()
         begin = clock.now()
         injector = Injector(fleet, traffic)
         faults = []
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -35,6 +35,8 @@
     RESTORE = "restore"
     ENDPOINT_SAYS_LEAVING = "endpoint-says-leaving"
     ENDPOINT_PAUSES = "endpoint-pauses"
+    #: Some instances stop at overlapping times.
+    STOP_SERIES = "stop-series"
 
 
 #: Variants by kind, drawn with equal probability.
@@ -60,17 +62,31 @@
         "slow",
     ),
     FaultKind.ROLLOUT: ("good", "bad"),
+    FaultKind.STOP_SERIES: (
+        "at-once",
+        "staggered",
+        "reloaded",
+        "repeated",
+        "just-started",
+        "store-away",
+        "reconfigured",
+    ),
 }
 #: Kinds that occur at most once per schedule: a roll-out and stops in turn last for
 #: most of it, and killing all instances hides the effects of other faults.
 _AT_MOST_ONCE = (FaultKind.ROLLOUT, FaultKind.KILL_ALL, FaultKind.STOP_IN_TURN)
 #: Kinds that are drawn separately, at the given rate a second, so that the schedules of
-#: seeds that once failed keep all their faults.
-_ADDED_RATES = {
-    FaultKind.RESTORE: 0.1,
-    FaultKind.ENDPOINT_SAYS_LEAVING: 0.1,
-    FaultKind.ENDPOINT_PAUSES: 0.15,
-}
+#: seeds that once failed keep all their faults; one entry for each generation of kinds.
+_ADDED_RATES: tuple[dict[FaultKind, float], ...] = (
+    {
+        FaultKind.RESTORE: 0.1,
+        FaultKind.ENDPOINT_SAYS_LEAVING: 0.1,
+        FaultKind.ENDPOINT_PAUSES: 0.15,
+    },
+    {FaultKind.STOP_SERIES: 0.1},
+)
+_ADDED_KINDS = frozenset(kind for rates in _ADDED_RATES for kind in rates)
+LAST_GENERATION = len(_ADDED_RATES)
 _MIN_DURATION, _MAX_DURATION = Milliseconds(200), Milliseconds(4_000)
 #: Time before the first fault, in which all instances start to serve, and after the
 #: last request.
@@ -100,21 +116,21 @@
     *,
     length: Milliseconds,
     rate: float = FAULTS_PER_SECOND,
-    has_added_kinds: bool = True,
+    generation: int = LAST_GENERATION,
 ) -> tuple[Fault, ...]:
     """
     Return the faults of a seed, ordered by start time.
 
     ``length`` is the schedule's duration in milliseconds, by which every fault has
     ended; ``rate`` is the number of faults per second. Faults overlap, also those of
-    one series. Equal arguments give equal schedules. Without ``has_added_kinds``, they
-    are the schedules from before these kinds existed.
+    one series. Equal arguments give equal schedules. Those of an earlier ``generation``
+    are without the kinds that were added after it.
     """
     random = Random(f"schedule:{seed}")
     kinds = [
         kind
         for kind in FaultKind
-        if kind not in _AT_MOST_ONCE and kind not in _ADDED_RATES
+        if kind not in _AT_MOST_ONCE and kind not in _ADDED_KINDS
     ]
     found: list[Fault] = []
     for kind in _AT_MOST_ONCE:
@@ -132,16 +148,16 @@
         for _ in range(count - 1):
             later = Milliseconds(first.at + random.randint(0, first.lasts))
             found.append(_draw(random, kind, later, length))
-    if has_added_kinds:
-        found += _draw_added(seed, length)
+    for added in range(generation):
+        found += _draw_added(seed, added, length)
     return tuple(sorted(found, key=lambda fault: fault.at))
 
 
-def _draw_added(seed: int, length: Milliseconds) -> list[Fault]:
-    random = Random(f"added:{seed}")
+def _draw_added(seed: int, generation: int, length: Milliseconds) -> list[Fault]:
+    random = Random(f"added:{seed}" if generation == 0 else f"{generation}:{seed}")
     return [
         _draw(random, kind, SETTLE_TIME, length)
-        for kind, rate in _ADDED_RATES.items()
+        for kind, rate in _ADDED_RATES[generation].items()
         for _ in range(round(rate * length / 1_000 + random.random() - 0.5))
     ]
 
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from fuchsiaroute.clock import Milliseconds
-from soak._schedule import FAULTS_PER_SECOND
+from soak._schedule import FAULTS_PER_SECOND, LAST_GENERATION
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -20,8 +20,8 @@
     length: Milliseconds
     instances: int
     rate: float = FAULTS_PER_SECOND
-    #: Whether the schedule holds the kinds of faults that were added last.
-    has_added_kinds: bool = True
+    #: Generation of kinds of faults up to which the schedule holds them.
+    generation: int = LAST_GENERATION
     #: Cause of the failure; empty for a schedule that has not failed.
     cause: str = ""
 
@@ -31,7 +31,7 @@
         seed=74034915,
         length=Milliseconds(30_000),
         instances=6,
-        has_added_kinds=False,
+        generation=0,
         cause="SIGHUP terminated a process that had not installed its handler yet",
     ),
     SoakCase(
@@ -39,7 +39,7 @@
         length=Milliseconds(20_000),
         instances=4,
         rate=0.9,
-        has_added_kinds=False,
+        generation=0,
         cause="the soak test ended an evacuation while a second one was active",
     ),
     SoakCase(
@@ -47,21 +47,21 @@
         length=Milliseconds(20_000),
         instances=4,
         rate=0.9,
-        has_added_kinds=False,
+        generation=0,
         cause="the soak test counted an instance that no caller chose as down",
     ),
     SoakCase(
         seed=1803733383,
         length=Milliseconds(30_000),
         instances=6,
-        has_added_kinds=False,
+        generation=0,
         cause="the soak test listed a draining endpoint as ready again",
     ),
     SoakCase(
         seed=598043014,
         length=Milliseconds(20_000),
         instances=6,
-        has_added_kinds=False,
+        generation=0,
         cause=(
             "instances started at the same time had found only some of the others, and "
             "divided the request rate of cold endpoints among too few"
@@ -71,12 +71,14 @@
         seed=2022399685,
         length=Milliseconds(15_000),
         instances=4,
+        generation=1,
         cause="the soak test removed an evacuation that was ordered after a restore",
     ),
     SoakCase(
         seed=1834070375,
         length=Milliseconds(15_000),
         instances=4,
+        generation=1,
         cause="the soak test undid what endpoints wrote between two restores",
     ),
 )
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -15,7 +15,8 @@
     REVOKED_KEY,
     RouteKind,
 )
-from soak._checks import TIMED_CHECKS, UNTIMED_CHECKS, Evidence
+from soak._checks import TIMED_CHECKS, UNTIMED_CHECKS
+from soak._evidence import Evidence
 from soak._instances import EndedProcess
 from soak._record import STORE, BadRollout, CallerRequest, OperatorOrder, Record
 
@@ -37,6 +38,7 @@
             name="n0",
             ended_processes=[],
             peak_memory_mb=20.0,
+            stopped_at={},
             log_text=lambda: '{"event":"x"}',
         )
         for kind in RouteKind:
