Soak: slow readers on instances that become idle; the last stop counts

A slow reader now asks for reads and large answers only, so that its instance has no request in progress while an answer is still unsent. A cut belongs to the last SIGTERM before it: with two stops of one instance within 9 s, the first one was taken, and times and excuses were counted from it.

--- a/soak/_stop_checks.py
+++ b/soak/_stop_checks.py
@@ -63,16 +63,15 @@
 
 
 def _stop_of(evidence: Evidence, request: CallerRequest) -> Milliseconds | None:
-    """Return when the instance was told to stop around whose stop a request ended."""
-    for instance in evidence.instances:
-        for stopped_at in instance.stopped_at.values():
-            last = stopped_at + GRACE + _AFTER_GRACE
-            if (
-                instance.name == request.instance
-                and stopped_at <= request.ended_at <= last
-            ):
-                return stopped_at
-    return None
+    """Return the last SIGTERM of its instance to whose stop the end belongs."""
+    times = [
+        stopped_at
+        for instance in evidence.instances
+        if instance.name == request.instance
+        for stopped_at in instance.stopped_at.values()
+        if stopped_at <= request.ended_at <= stopped_at + GRACE + _AFTER_GRACE
+    ]
+    return max(times, default=None)
 
 
 def _is_undisturbed(evidence: Evidence, cut: _Cut) -> bool:
--- a/soak/_traffic.py
+++ b/soak/_traffic.py
@@ -50,7 +50,7 @@
 _SESSION_COUNT = 30
 #: Callers of each instance that use no other one, and what they ask for.
 _STAYING_PER_INSTANCE = 2
-_STAYING_KINDS = (SHORT_KINDS, LONG_STREAMS, (*LONG_STREAMS, RouteKind.LARGE))
+_STAYING_KINDS = (SHORT_KINDS, LONG_STREAMS, (RouteKind.READ, RouteKind.LARGE))
 
 
 class Traffic:
--- a/soak/tests/test_stop_checks.py
+++ b/soak/tests/test_stop_checks.py
@@ -133,6 +133,23 @@
     assert len(list(check_stops(evidence_of({}, sound, broken)))) == 1
 
 
+# Guards against an excuse that counts from the stop of an earlier process.
+@pytest.mark.parametrize(
+    ("stopped_again_at", "is_reported"),
+    [
+        pytest.param(from_stop(2_000), True, id="cut early in the second stop"),
+        pytest.param(from_stop(7_500), False, id="cut before the second stop"),
+    ],
+)
+def test_cut_belongs_to_the_last_stop_before_it(
+    stopped_again_at: Milliseconds, is_reported: bool
+) -> None:
+    ended_at = from_stop(7_400)
+    evidence = evidence_of({"ended_at": ended_at}, {"ended_at": ended_at})
+    evidence.instances[0].stopped_at[1] = stopped_again_at
+    assert len(list(check_stops(evidence))) == is_reported
+
+
 # Guards against reports of what a fault has cut, and against an excuse by planned work.
 @pytest.mark.parametrize(
     ("name", "begin", "end", "is_planned", "kind", "is_reported"),
