--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -29,58 +29,32 @@
     RelayedRow,
     TableUpdate,
 )
-from fuchsiaroute.hashing import rendezvous_order
 from fuchsiaroute.http1 import BodyBudget, ServerLimits
-from fuchsiaroute.ids import InstanceId, ServiceId
+from fuchsiaroute.ids import InstanceId
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.node._control import ControlHandler
 from fuchsiaroute.node._gossip_exchange import GossipExchange
 from fuchsiaroute.node._instance_registry import InstanceRegistry
 from fuchsiaroute.node._metrics import MetricsHandler
+from fuchsiaroute.node._rollout_rows import rollout_record_key, rollout_status_put
+from fuchsiaroute.node._table_readers import TableReaders
 from fuchsiaroute.platform import (
     NodeSettings,
     PlatformStore,
-    RolloutStatus,
     Rows,
     Table,
-    row_key,
-    status_put,
 )
 from fuchsiaroute.pool import EndpointPool, RequestQueue
 from fuchsiaroute.retry import WindowedRetryBudget
-from fuchsiaroute.staging import Progress, RolloutDriver, RolloutRecord, RolloutTracker
-from fuchsiaroute.store import Put, StorePosition, era_of
+from fuchsiaroute.staging import RolloutDriver, RolloutTracker
+from fuchsiaroute.store import StorePosition, era_of
 
 #: Time without a heartbeat after which an instance counts as dead.
 MEMBER_TIMEOUT = Milliseconds(2_000)
-#: Watch duration at the one instance that uses short watches: it detects a store that
-#: no longer responds within this time plus the timeout of a call.
-SHORT_WATCH = Milliseconds(2_000)
-#: Watch duration at the other instances, whose peers send them the latest revision and
-#: so reveal changes that a watch missed.
-LONG_WATCH = Milliseconds(25_000)
 #: Maximum time after a new declaration for which an instance stays unready until
 #: it has the progress of all roll-outs. Peers send it within two gossip rounds, and
 #: the store returns it as a conflict.
 MAX_ROLLOUT_WAIT = Milliseconds(1_000)
-#: Number of instances from which on a few readers watch the store and relay changes to
-#: all others. With fewer instances, the readers' short watches cause as many calls as
-#: long watches by all instances.
-MIN_FOR_RELAY = 16
-#: Readers of each table. Changes still arrive while one reader is partitioned; if both
-#: are, the other instances watch the table themselves.
-READER_COUNT = 2
-#: Watch duration of readers. Other instances watch the table themselves if the readers'
-#: latest response is too old, so this must stay well below the drain bound.
-READER_WATCH = Milliseconds(900)
-#: Maximum delay between two attempts of a reader to reach the store during an outage.
-MAX_READER_RETRY_DELAY = Milliseconds(1_000)
-#: Maximum delay of the other instances. After the outage, they receive the changes from
-#: the readers.
-MAX_RETRY_DELAY = Milliseconds(3_000)
-#: Maximum age of the readers' latest response, as a share of the drain bound, for which
-#: an instance relies on them.
-RELAY_AGE_SHARE = 0.6
 #: Minimum interval between two reads of a table; announcements change in bursts.
 MIN_ENDPOINTS_INTERVAL = Milliseconds(400)
 MIN_ORDERS_INTERVAL = Milliseconds(100)
@@ -93,11 +67,6 @@
 #: Share of the memory limit that request bodies may use.
 BODY_SHARE = 0.2
 _BYTES_PER_MB = 1_000_000
-_STATUSES = {
-    Progress.RUNNING: RolloutStatus.RUNNING,
-    Progress.COMPLETED: RolloutStatus.COMPLETED,
-    Progress.ROLLED_BACK: RolloutStatus.ROLLED_BACK,
-}
 
 
 class NodeParts:
@@ -108,11 +77,9 @@
     ) -> None:
         self._settings = settings
         self._clock = clock
-        #: What ``instances`` was computed from and its result, and the readers of each
-        #: table among these.
+        #: What ``instances`` was computed from and its result.
         self._members: tuple[MemberInfo, ...] | None = None
         self._instances: tuple[InstanceId, ...] = (settings.instance,)
-        self._readers_of: dict[Table, list[InstanceId]] = {}
         bounds = settings.bounds
         self._latencies = LatencyEstimator()
         self._durations = LatencyEstimator()
@@ -135,6 +102,12 @@
             canary_share=bounds.canary_share,
         )
         self.catalog.on_order_continued = self.tracker.continue_order
+        self._readers = TableReaders(
+            instance=settings.instance,
+            instances=self.instances,
+            answer_age=lambda table: self.exchange.answer_age(table),
+            drain=lambda: self._settings.bounds.drain,
+        )
         self.orders_feed = self._feed(
             Table.ORDERS, self.catalog.apply_orders, MIN_ORDERS_INTERVAL, random
         )
@@ -189,8 +162,8 @@
             instances=self.instances,
             base_version_load=self._base_version_load,
             store_now=self.store.now,
-            record_key=_record_key,
-            status_put=_status_put,
+            record_key=rollout_record_key,
+            status_put=rollout_status_put,
             on_change=self.gossip.send_soon,
         )
         self.connections = ConnectionPool(
@@ -244,7 +217,6 @@
             )
             if set(names) != set(self._instances):
                 self._instances = names
-                self._readers_of = {}
         return self._instances
 
     def limits(self) -> ServerLimits:
@@ -290,10 +262,10 @@
             random=random,
             on_rows=on_rows,
             on_recovered=self.catalog.store_recovered,
-            wait=lambda: self._watch_duration(table),
+            wait=lambda: self._readers.watch_duration(table),
             min_interval=interval,
-            max_retry_delay=lambda: self._max_retry_delay(table),
-            is_relayed=lambda: self._is_relayed(table),
+            max_retry_delay=lambda: self._readers.max_retry_delay(table),
+            is_relayed=lambda: self._readers.is_relayed(table),
             on_change=lambda rows, after: self._relay(table, rows, after),
             on_restored=lambda: self._store_restored(table),
         )
@@ -308,41 +280,14 @@
         self.counters.add("store_restored", table.name.lower())
         self.catalog.store_restored(table)
 
-    def _readers(self, table: Table) -> list[InstanceId]:
-        """Return the instances that watch ``table`` and relay its changes."""
-        names = self.instances()
-        readers = self._readers_of.get(table)
-        if readers is None:
-            readers = rendezvous_order(table.name, names)[:READER_COUNT]
-            self._readers_of[table] = readers
-        return readers
-
-    def _is_relayed(self, table: Table) -> bool:
-        """Return whether readers relay the changes of a table to this instance."""
-        names = self.instances()
-        if len(names) < MIN_FOR_RELAY or self._settings.instance in self._readers(
-            table
-        ):
-            return False
-        age = self.exchange.answer_age(table.name)
-        drain = self._settings.bounds.drain
-        return age is not None and age < RELAY_AGE_SHARE * drain
-
-    def _max_retry_delay(self, table: Table) -> Milliseconds:
-        """Return the maximum delay between two attempts to reach the store."""
-        names = self.instances()
-        is_reader = self._settings.instance in self._readers(table)
-        is_small = len(names) < MIN_FOR_RELAY
-        return MAX_READER_RETRY_DELAY if is_small or is_reader else MAX_RETRY_DELAY
-
     def _store_unreachable_for(self) -> Milliseconds:
         """Return for how long this instance may have missed changes of orders."""
-        if self._is_relayed(Table.ORDERS):
+        if self._readers.is_relayed(Table.ORDERS):
             return Milliseconds(0)
         return self.orders_feed.unreachable_for()
 
     def _relay(self, table: Table, rows: Rows, after: StorePosition | None) -> None:
-        if len(self.instances()) < MIN_FOR_RELAY:
+        if not self._readers.has_relay:
             return
         self.gossip.relay(
             TableUpdate(
@@ -357,16 +302,6 @@
             )
         )
 
-    def _watch_duration(self, table: Table) -> Milliseconds:
-        """Return the time for which the store may hold a watch open."""
-        names = self.instances()
-        if len(names) >= MIN_FOR_RELAY and self._settings.instance in self._readers(
-            table
-        ):
-            return READER_WATCH
-        is_first = min(names) == self._settings.instance
-        return SHORT_WATCH if is_first else LONG_WATCH
-
     def _forwarder(self) -> Forwarder:
         runner = AttemptRunner(
             pool=self.pool,
@@ -461,11 +396,3 @@
     header_timeout=Milliseconds(3_000),
     idle_timeout=Milliseconds(15_000),
 )
-
-
-def _record_key(service: ServiceId) -> str:
-    return row_key(Table.ROLLOUTS, service)
-
-
-def _status_put(record: RolloutRecord) -> Put:
-    return status_put(record.service, record.target, _STATUSES[record.progress])
--- /dev/null
+++ b/fuchsiaroute/node/_table_readers.py
@@ -0,0 +1,92 @@
+"""Which instances read the store's tables, and how often."""
+
+from collections.abc import Callable
+
+from fuchsiaroute.clock import Milliseconds
+from fuchsiaroute.hashing import rendezvous_order
+from fuchsiaroute.ids import InstanceId
+from fuchsiaroute.platform import Table
+
+#: Watch duration at the one instance that uses short watches: it detects a store that
+#: no longer responds within this time plus the timeout of a call.
+SHORT_WATCH = Milliseconds(2_000)
+#: Watch duration at the other instances, whose peers send them the latest revision and
+#: so reveal changes that a watch missed.
+LONG_WATCH = Milliseconds(25_000)
+#: Number of instances from which on a few readers watch the store and relay changes to
+#: all others. With fewer instances, the readers' short watches cause as many calls as
+#: long watches by all instances.
+MIN_FOR_RELAY = 16
+#: Readers of each table. Changes still arrive while one reader is partitioned; if both
+#: are, the other instances watch the table themselves.
+READER_COUNT = 2
+#: Watch duration of readers. Other instances watch the table themselves if the readers'
+#: latest response is too old, so this must stay well below the drain bound.
+READER_WATCH = Milliseconds(900)
+#: Maximum delay between two attempts of a reader to reach the store during an outage.
+MAX_READER_RETRY_DELAY = Milliseconds(1_000)
+#: Maximum delay of the other instances. After the outage, they receive the changes from
+#: the readers.
+MAX_RETRY_DELAY = Milliseconds(3_000)
+#: Maximum age of the readers' latest response, as a share of the drain bound, for which
+#: an instance relies on them.
+RELAY_AGE_SHARE = 0.6
+
+
+class TableReaders:
+    """
+    Assigns a few readers to each table in a large fleet.
+
+    Readers watch the store and relay changes to the other instances.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: InstanceId,
+        instances: Callable[[], tuple[InstanceId, ...]],
+        answer_age: Callable[[str], Milliseconds | None],
+        drain: Callable[[], Milliseconds],
+    ) -> None:
+        self._instance = instance
+        self._instances = instances
+        self._answer_age = answer_age
+        self._drain = drain
+        #: Instances for which ``_readers_of`` was computed.
+        self._names: tuple[InstanceId, ...] = ()
+        self._readers_of: dict[Table, list[InstanceId]] = {}
+
+    @property
+    def has_relay(self) -> bool:
+        """Return whether readers relay changes."""
+        return len(self._instances()) >= MIN_FOR_RELAY
+
+    def is_relayed(self, table: Table) -> bool:
+        """Return whether readers relay the changes of a table to this instance."""
+        if not self.has_relay or self._is_reader(table):
+            return False
+        age = self._answer_age(table.name)
+        return age is not None and age < RELAY_AGE_SHARE * self._drain()
+
+    def max_retry_delay(self, table: Table) -> Milliseconds:
+        """Return the maximum delay between two attempts to reach the store."""
+        is_patient = self.has_relay and not self._is_reader(table)
+        return MAX_RETRY_DELAY if is_patient else MAX_READER_RETRY_DELAY
+
+    def watch_duration(self, table: Table) -> Milliseconds:
+        """Return the time for which the store may hold a watch open."""
+        if self.has_relay and self._is_reader(table):
+            return READER_WATCH
+        is_first = min(self._instances()) == self._instance
+        return SHORT_WATCH if is_first else LONG_WATCH
+
+    def _is_reader(self, table: Table) -> bool:
+        names = self._instances()
+        if names is not self._names:
+            self._names = names
+            self._readers_of = {}
+        readers = self._readers_of.get(table)
+        if readers is None:
+            readers = rendezvous_order(table.name, names)[:READER_COUNT]
+            self._readers_of[table] = readers
+        return self._instance in readers
