Keep a silent stream at its endpoint unless another one can continue it

Callers saw streams without their last event although the endpoint went on with them, most likely in a stop, but at any time. Cause: after a pause of 0.7 of the route's longest gap, the relay closed the endpoint's response before it knew whether the retry budget allowed another run and whether any endpoint could take it. If not, the caller's stream was cut: by the budget at once, without an endpoint at the deadline or the end of the drain. In a stop the budget shrinks, as it follows the requests of the last seconds.

A silent endpoint is now given up only when another one is reserved for the rest of the stream, without waiting for one; until then its events are read on. A weak answer that is held back is still relayed in place of a silent one.

test_pause_of_an_endpoint_does_not_end_streams_that_cannot_be_resumed (30 of 40 streams cut) and test_pause_of_a_leaving_endpoint_does_not_end_a_stream failed before and pass now.

--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -166,23 +166,29 @@
         resume_after: EventId | None = None,
         is_escalation: bool = False,
         is_resumption: bool = False,
+        waits_for_place: bool = True,
+        before_send: Callable[[], None] = lambda: None,
     ) -> OpenResponse | AttemptFailure | NoReservation:
         """
         Reserve an endpoint and send the request to it.
 
         The rest of a stream that the caller has begun to receive (``is_resumption``)
-        is queued before all new requests.
+        is queued before all new requests. Unless it ``waits_for_place``, it is sent
+        only if an endpoint that has not failed this request has capacity now.
+        ``before_send`` is called once an endpoint is reserved.
         """
         demand = self._demand(call, model)
         priority = RESUMPTION_PRIORITY if is_resumption else call.priority
+        max_wait = self._max_wait(call) if waits_for_place else Milliseconds(0)
         reservation = await self._queue.reserve(
             call.as_request(),
             demand,
             priority=priority,
-            max_wait=self._max_wait(call),
+            max_wait=max_wait,
             deprioritise_after=self._max_wait_in_time(call, demand.work),
         )
-        if isinstance(reservation, QueueRefusal) and call.excluded:
+        is_refused = isinstance(reservation, QueueRefusal)
+        if is_refused and call.excluded and waits_for_place:
             # An endpoint that failed this request before is better than none.
             reservation = await self._queue.reserve(
                 call.as_request(),
@@ -193,6 +199,7 @@
             )
         if isinstance(reservation, QueueRefusal):
             return NoReservation(refusal=reservation)
+        before_send()
         endpoint = reservation.endpoint
         if call.session is not None:
             self._tracker.sessions.record_served(call.session, endpoint.version)
--- a/fuchsiaroute/forwarding/_stream_relay.py
+++ b/fuchsiaroute/forwarding/_stream_relay.py
@@ -30,6 +30,8 @@
 #: Interval between two attempts to get an endpoint for the rest of a stream.
 RESUME_RETRY_INTERVAL = Milliseconds(50)
 MILLISECONDS_PER_SECOND = 1_000
+#: Reason in the log for giving up a stream without data.
+_SILENCE = "silence"
 
 
 @dataclass(slots=True)
@@ -211,11 +213,12 @@
                     data = await state.response.read()
                 complete = state.splitter.feed(data) if data else b""
             except TimeoutError:
-                if not await self._resume(call, state, Outcome.SILENT, "silence"):
+                if not await self._replace_silent(call, state):
                     return False
                 continue
             except (ExchangeError, EventTooLongError) as error:
-                if not await self._resume(call, state, Outcome.TRUNCATED, str(error)):
+                self._give_up(call, state, Outcome.TRUNCATED, str(error))
+                if not await self._resume(call, state, str(error)):
                     return False
                 continue
             if not data:
@@ -227,46 +230,85 @@
                 responder.write(complete)
                 await responder.drain()
 
-    async def _resume(
+    def _give_up(
         self, call: Call, state: _RelayState, outcome: Outcome, reason: str
-    ) -> bool:
-        """Resume a broken stream at another endpoint; return whether it succeeded."""
-        previous = state.response
-        self._runner.record_broken_response(call, previous, reason)
-        previous.close(outcome)
-        last_id = state.splitter.last_id
+    ) -> None:
+        """End the stream's run at its endpoint."""
+        self._runner.record_broken_response(call, state.response, reason)
+        state.response.close(outcome)
+
+    async def _replace_silent(self, call: Call, state: _RelayState) -> bool:
+        """
+        Resume a silent stream at another endpoint if one can take it now.
+
+        Otherwise its endpoint may still go on with it, unless there is a weak answer to
+        relay instead. Return False if the stream was given up and not resumed.
+        """
+        if state.fallback is not None:
+            self._give_up(call, state, Outcome.SILENT, _SILENCE)
+            return await self._resume(call, state, _SILENCE)
+        call.excluded.add(state.response.reservation.endpoint.id)
+        if not self._runner.may_retry(call):
+            return True
+        result = await self._runner.attempt(
+            call,
+            model=state.response.model,
+            resume_after=_last_event_id(state),
+            is_resumption=True,
+            waits_for_place=False,
+            before_send=lambda: self._give_up(call, state, Outcome.SILENT, _SILENCE),
+        )
+        if isinstance(result, NoReservation):
+            return True
+        if self._continue_with(call, state, result, _SILENCE):
+            return True
+        return await self._resume(call, state, _SILENCE)
+
+    async def _resume(self, call: Call, state: _RelayState, reason: str) -> bool:
+        """Resume a stream that was given up; return whether it succeeded."""
+        model = state.response.model
         while call.route.is_resumable and self._runner.may_retry(call):
             result = await self._runner.attempt(
                 call,
-                model=previous.model,
-                resume_after=EventId(last_id.decode("latin-1")) if last_id else None,
+                model=model,
+                resume_after=_last_event_id(state),
                 is_resumption=True,
             )
-            if isinstance(result, NoReservation) and state.fallback is not None:
-                return False
             if isinstance(result, NoReservation):
+                if state.fallback is not None:
+                    return False
                 # Only another endpoint can finish a stream that the caller has begun
                 # to receive, so this waits for one until the deadline.
                 await self._clock.sleep(RESUME_RETRY_INTERVAL)
-                continue
-            if isinstance(result, AttemptFailure):
-                continue
-            if not result.is_success:
-                result.close(Outcome.CANCELLED)
-                continue
-            state.response = result
-            state.splitter.discard_incomplete()
-            state.resumptions += 1
-            self._log.write(
-                "request:resumed",
-                request=call.request_id,
-                endpoint=result.reservation.endpoint.id,
-                after=last_id.decode("latin-1") if last_id else None,
-                reason=reason,
-            )
-            return True
+            elif self._continue_with(call, state, result, reason):
+                return True
         return False
 
+    def _continue_with(
+        self,
+        call: Call,
+        state: _RelayState,
+        result: OpenResponse | AttemptFailure,
+        reason: str,
+    ) -> bool:
+        """Relay the rest of the stream from ``result`` if it is a success."""
+        if isinstance(result, AttemptFailure):
+            return False
+        if not result.is_success:
+            result.close(Outcome.CANCELLED)
+            return False
+        state.response = result
+        state.splitter.discard_incomplete()
+        state.resumptions += 1
+        self._log.write(
+            "request:resumed",
+            request=call.request_id,
+            endpoint=result.reservation.endpoint.id,
+            after=_last_event_id(state),
+            reason=reason,
+        )
+        return True
+
     def _idle_timeout(self, call: Call) -> float | None:
         """Return the seconds without data after which to resume; None for no limit."""
         route = call.route
@@ -290,6 +332,12 @@
         )
 
 
+def _last_event_id(state: _RelayState) -> EventId | None:
+    """Return the id of the last event that was relayed."""
+    last_id = state.splitter.last_id
+    return EventId(last_id.decode("latin-1")) if last_id else None
+
+
 def _discard(result: OpenResponse | AttemptFailure | NoReservation) -> None:
     """Close a response that is not relayed."""
     if isinstance(result, OpenResponse):
