Learn the duration of a route from successes only

Callers could see streams cut by a stop after a burst of errors: error responses come at once and counted as durations of whole responses, so that the stopping instance admitted streams that could not end in time. 150 errors shortened a learned bound of 7.5 s to 0.4 s. Found by the review of the incident.

test_errors_do_not_shorten_the_usual_duration_of_a_route failed before and passes now.

--- a/fuchsiaroute/forwarding/_forwarder.py
+++ b/fuchsiaroute/forwarding/_forwarder.py
@@ -241,8 +241,9 @@
         )
 
     def _learn_duration(self, call: Call, event: str, duration: Milliseconds) -> None:
-        """Add the time of a whole response, or a lower bound of it."""
-        if event == "request:answered":
+        """Add the time of a whole success, or a lower bound of it."""
+        is_success = 200 <= call.responder.status < 300
+        if event == "request:answered" and is_success:
             self._durations.add(call.route.name, _ANY_MODEL, _NO_TOKENS, duration)
         elif event in _UNFINISHED_EVENTS:
             self._durations.add_unanswered(
