Count the grace of a stop from the signal

Callers of an instance whose event loop was busy at SIGTERM could lose their answers to SIGKILL: the grace was counted from the turn of the loop that handled the signal, so the drain ended late by as much.

The signal's instant is recorded by a handler that Python runs between two instructions, and process:stopping says how much later it was handled. Running requests are ended 0.5 s before SIGKILL in place of 0.3 s, which leaves more time to a process that gets too little of the processor.

--- a/fuchsiaroute/draining/_drain.py
+++ b/fuchsiaroute/draining/_drain.py
@@ -10,7 +10,7 @@
 MIN_DRAIN_TIME = Milliseconds(3_500)
 #: Time before SIGKILL at which requests that are still running are ended; the rest is
 #: left for sending what their callers get instead, and for exiting.
-SIGKILL_MARGIN = Milliseconds(300)
+SIGKILL_MARGIN = Milliseconds(500)
 #: Time before SIGKILL at which the process exits by itself.
 EXIT_MARGIN = Milliseconds(100)
 #: Minimum time from the end of the drain to the exit, if the process was suspended.
@@ -71,11 +71,11 @@
         """Return whether the shutdown has begun."""
         return self._began_at is not None
 
-    def begin(self, *, grace: Milliseconds) -> None:
-        """Begin the shutdown; ``grace`` is the time until SIGKILL."""
-        self._began_at = self._clock.now()
-        self._ends_at = Milliseconds(self._began_at + grace - SIGKILL_MARGIN)
-        self._exits_at = Milliseconds(self._began_at + grace - EXIT_MARGIN)
+    def begin(self, *, grace: Milliseconds, signalled_at: Milliseconds) -> None:
+        """Begin the shutdown; ``grace`` is the time from the signal to SIGKILL."""
+        self._began_at = signalled_at
+        self._ends_at = Milliseconds(signalled_at + grace - SIGKILL_MARGIN)
+        self._exits_at = Milliseconds(signalled_at + grace - EXIT_MARGIN)
 
     def end(self) -> None:
         """End the drain: nothing is admitted any more."""
@@ -100,7 +100,7 @@
         )
 
     def since_begin(self, instant: Milliseconds) -> Milliseconds | None:
-        """Return the time from the begin to ``instant``; None while serving."""
+        """Return the time from the signal to ``instant``; None while serving."""
         if self._began_at is None:
             return None
         return Milliseconds(instant - self._began_at)
--- a/fuchsiaroute/draining/tests/test_drain.py
+++ b/fuchsiaroute/draining/tests/test_drain.py
@@ -8,6 +8,7 @@
     LATE_ARRIVAL,
     MIN_DRAIN_TIME,
     MIN_SEND_TIME,
+    SIGKILL_MARGIN,
     Drain,
     Phase,
 )
@@ -22,7 +23,7 @@
     clock = ManualClock()
     drain = Drain(clock=clock, longest=lambda route: longest)
     if after is not None:
-        drain.begin(grace=GRACE)
+        drain.begin(grace=GRACE, signalled_at=clock.now())
         clock.tick(Milliseconds(after))
     return drain, clock
 
@@ -35,8 +36,8 @@
         (LATE_ARRIVAL, Phase.DRAINING, False),
         (LATE_ARRIVAL + 1, Phase.DRAINING_LATE, False),
         (MIN_DRAIN_TIME, Phase.DRAINING_LATE, True),
-        (7_699, Phase.DRAINING_LATE, True),
-        (7_700, Phase.ENDED, True),
+        (7_499, Phase.DRAINING_LATE, True),
+        (7_500, Phase.ENDED, True),
     ],
 )
 def test_phase_and_exit_follow_the_time_since_the_signal(
@@ -62,9 +63,9 @@
         (3_001, True, 4_000, 9_000.0, True),
         (3_001, False, 8_000, 1_000.0, True),
         (3_001, False, 8_000, 5_000.0, False),
-        (7_500, False, 4_000, 100.0, True),
-        (7_500, False, 4_000, 300.0, False),
-        (7_700, False, 4_000, 0.0, False),
+        (7_300, False, 4_000, 100.0, True),
+        (7_300, False, 4_000, 300.0, False),
+        (7_500, False, 4_000, 0.0, False),
     ],
 )
 def test_request_is_admitted_only_if_it_ends_before_the_exit(
@@ -88,11 +89,22 @@
     assert not drain.admits("route", is_stream=False, deadline=Milliseconds(10))
 
 
+# The grace was counted from the handling of the signal, which a busy event loop delays.
+def test_grace_is_counted_from_the_signal() -> None:
+    clock = ManualClock()
+    drain = Drain(clock=clock, longest=lambda route: None)
+    signalled_at = clock.now()
+    clock.tick(Milliseconds(1_000))
+    drain.begin(grace=GRACE, signalled_at=signalled_at)
+    assert drain.time_left() == GRACE - SIGKILL_MARGIN - 1_000
+    assert drain.since_begin(clock.now()) == 1_000
+
+
 def test_short_grace_ends_before_the_minimum_drain_time() -> None:
     clock = ManualClock()
     drain = Drain(clock=clock, longest=lambda route: None)
-    drain.begin(grace=Milliseconds(2_000))
-    clock.tick(Milliseconds(1_700))
+    drain.begin(grace=Milliseconds(2_000), signalled_at=clock.now())
+    clock.tick(Milliseconds(1_500))
     assert drain.may_exit()
 
 
@@ -101,7 +113,7 @@
     [
         # What is left until shortly before SIGKILL, and a minimum after a suspension.
         (3_500, GRACE - EXIT_MARGIN - 3_500),
-        (7_700, 200),
+        (7_500, 400),
         (60_000, MIN_SEND_TIME),
     ],
 )
--- a/fuchsiaroute/node/_run.py
+++ b/fuchsiaroute/node/_run.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
 from random import Random
+from types import FrameType
 from typing import Any
 
 from fuchsiaroute.clock import BootClock, Clock, Milliseconds
@@ -22,6 +23,7 @@
     load_node_settings,
 )
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 #: Interval of periodic work.
 TICK = Milliseconds(100)
 #: Delay of a tick above which the process counts as having been suspended.
@@ -58,12 +60,16 @@
         self._servers: list[asyncio.Server] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._stop = asyncio.Event()
+        self._stop_signal_at: Milliseconds | None = None
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
-        loop.add_signal_handler(signal.SIGINT, self._stop.set)
+        for number in STOP_SIGNALS:
+            loop.add_signal_handler(number, self._stop.set)
+            # The event loop is still woken up, and calls its handler.
+            signal.signal(number, self._record_stop_signal)
+            signal.siginterrupt(number, False)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._reload_if_changed()
         parts = self._parts
@@ -84,6 +90,11 @@
         await self._stop.wait()
         await self._shut_down()
 
+    def _record_stop_signal(self, number: int, frame: FrameType | None) -> None:
+        """Record when a signal arrived, as a busy event loop handles it later."""
+        if self._stop_signal_at is None:
+            self._stop_signal_at = self._clock.now()
+
     async def _listen(self) -> None:
         parts, settings = self._parts, self._settings
         await self._serve(
@@ -191,11 +202,13 @@
         """
         parts = self._parts
         drain = parts.drain
-        started_at = self._clock.now()
-        drain.begin(grace=self._settings.bounds.grace)
+        now = self._clock.now()
+        started_at = now if self._stop_signal_at is None else self._stop_signal_at
+        drain.begin(grace=self._settings.bounds.grace, signalled_at=started_at)
         parts.gossip.send_soon()
         self._log.write(
             "process:stopping",
+            handled_after_ms=now - started_at,
             active=parts.forwarder.active,
             connections=self._connection_counts(),
             grace_ms=self._settings.bounds.grace,
