Admit short requests in a stop without having seen their duration

Callers of an instance that had been started recently were refused for the whole stop if their deadline was longer than the grace, although their requests are answered in milliseconds.

A response that is not a stream is replaced by a final one at the end of the drain, so its route's latency target is bound enough; for streams the deadline still decides.

test_short_requests_are_admitted_without_experience (two cases) failed before and passes now.

--- a/fuchsiaroute/draining/_drain.py
+++ b/fuchsiaroute/draining/_drain.py
@@ -105,13 +105,22 @@
             return None
         return Milliseconds(instant - self._began_at)
 
-    def admits(self, route: str, *, is_stream: bool, deadline: Milliseconds) -> bool:
+    def admits(
+        self,
+        route: str,
+        *,
+        is_stream: bool,
+        deadline: Milliseconds,
+        latency_target: Milliseconds = Milliseconds(0),
+    ) -> bool:
         """
-        Return whether a request that has just arrived may be served.
+        Return whether a request that has not been sent to an endpoint may be served.
 
         ``deadline`` is the time until the caller must have the final response. A
         response that is not a stream and has not begun at the end of the shutdown is
-        replaced by a final one, which is not possible for a stream.
+        replaced by a final one, which is not possible for a stream. So for a stream of
+        unknown duration only the deadline counts, for others the ``latency_target`` of
+        their route if it is not 0.
         """
         phase = self.phase
         if phase is Phase.SERVING:
@@ -121,5 +130,7 @@
         bound: float = deadline
         if not (is_stream and phase is Phase.DRAINING_LATE):
             longest = self._longest(route)
+            if longest is None and not is_stream and latency_target:
+                longest = latency_target
             bound = deadline if longest is None else min(deadline, longest)
         return bound <= self.time_left()
--- a/fuchsiaroute/forwarding/_forwarder.py
+++ b/fuchsiaroute/forwarding/_forwarder.py
@@ -110,12 +110,7 @@
 
     async def _serve(self, call: Call) -> None:
         is_stream = call.route.kind is RequestKind.STREAMING
-        is_admitted = self._drain.admits(
-            call.route.name,
-            is_stream=is_stream,
-            deadline=call.remaining(self._clock),
-        )
-        if not is_admitted:
+        if not self._is_admitted(call):
             self._respond_unanswered(call, CallResult(ending=Ending.STOPPING))
             return
         self._runner.record_request(call)
@@ -142,6 +137,14 @@
         else:
             self._record(call, "request:answered", result)
 
+    def _is_admitted(self, call: Call) -> bool:
+        return self._drain.admits(
+            call.route.name,
+            is_stream=call.route.kind is RequestKind.STREAMING,
+            deadline=call.remaining(self._clock),
+            latency_target=call.route.latency_target,
+        )
+
     def _respond_unanswered(self, call: Call, result: CallResult) -> None:
         """Send the final response if no endpoint's response can be forwarded."""
         if call.is_not_run:
