Ask again before a waiting request is sent in a stop

Callers could see a stream cut by a stop that had waited in the queue until it could no longer end: whether it can was decided on its arrival only, and never for requests that waited at SIGTERM.

Once an endpoint is reserved, a request that has not been sent anywhere is asked about again, and refused as not run if it cannot end any more. no_place is "stopping" for both refusals.

test_stream_that_waited_too_long_is_refused_instead_of_cut failed before and passes now (its grace is 3.2 s, since running requests are ended 0.2 s earlier than when it was written; with 3 s it would be refused on arrival).

--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -15,6 +15,7 @@
 )
 from fuchsiaroute.forwarding._latency_estimator import FIXED_TOKENS, LatencyEstimator
 from fuchsiaroute.forwarding._model_choice import CascadeTimes
+from fuchsiaroute.forwarding._stop_admission import STOPPING_REFUSAL, StopAdmission
 from fuchsiaroute.ids import EndpointId, ModelId, RequestClass, ServiceId, VersionId
 from fuchsiaroute.lifecycle import Outcome
 from fuchsiaroute.linelog import LineLog
@@ -113,6 +114,7 @@
         new_budget: Callable[[], WindowedRetryBudget],
         on_session: Callable[[Call], None],
         is_stopping: Callable[[], bool],
+        admission: StopAdmission,
     ) -> None:
         self._pool = pool
         self._queue = queue
@@ -125,6 +127,7 @@
         self._new_budget = new_budget
         self._on_session = on_session
         self._is_stopping = is_stopping
+        self._admission = admission
         self._budgets: dict[ServiceId, WindowedRetryBudget] = {}
 
     def record_request(self, call: Call) -> None:
@@ -199,6 +202,10 @@
             )
         if isinstance(reservation, QueueRefusal):
             return NoReservation(refusal=reservation)
+        if not call.sent_to and not self._admission.admits(call):
+            # It has waited for too long to end before the instance does.
+            reservation.revoke()
+            return NoReservation(refusal=STOPPING_REFUSAL)
         before_send()
         endpoint = reservation.endpoint
         if call.session is not None:
--- a/fuchsiaroute/forwarding/_forwarder.py
+++ b/fuchsiaroute/forwarding/_forwarder.py
@@ -13,7 +13,8 @@
 from fuchsiaroute.forwarding._counters import Counters
 from fuchsiaroute.forwarding._latency_estimator import LatencyEstimator
 from fuchsiaroute.forwarding._request_resolver import Rejection, RequestResolver
-from fuchsiaroute.forwarding._result import CallResult, Ending
+from fuchsiaroute.forwarding._result import CallResult, Ending, refused_result
+from fuchsiaroute.forwarding._stop_admission import STOPPING_REFUSAL, StopAdmission
 from fuchsiaroute.forwarding._stream_relay import StreamRelay
 from fuchsiaroute.http1 import Headers, InboundRequest, Responder
 from fuchsiaroute.linelog import LineLog
@@ -61,6 +62,7 @@
         store_unreachable_for: Callable[[], Milliseconds],
         is_behind: Callable[[], bool],
         drain: Drain,
+        admission: StopAdmission,
         durations: LatencyEstimator,
     ) -> None:
         self._resolver = resolver
@@ -74,6 +76,7 @@
         self._store_unreachable_for = store_unreachable_for
         self._is_behind = is_behind
         self._drain = drain
+        self._admission = admission
         self._durations = durations
         #: Timeouts of the requests that are being served.
         self._timeouts: set[asyncio.Timeout] = set()
@@ -110,8 +113,8 @@
 
     async def _serve(self, call: Call) -> None:
         is_stream = call.route.kind is RequestKind.STREAMING
-        if not self._is_admitted(call):
-            self._respond_unanswered(call, CallResult(ending=Ending.STOPPING))
+        if not self._admission.admits(call):
+            self._respond_unanswered(call, refused_result(STOPPING_REFUSAL))
             return
         self._runner.record_request(call)
         relay = self._stream.serve if is_stream else self._buffered.serve
@@ -137,14 +140,6 @@
         else:
             self._record(call, "request:answered", result)
 
-    def _is_admitted(self, call: Call) -> bool:
-        return self._drain.admits(
-            call.route.name,
-            is_stream=call.route.kind is RequestKind.STREAMING,
-            deadline=call.remaining(self._clock),
-            latency_target=call.route.latency_target,
-        )
-
     def _respond_unanswered(self, call: Call, result: CallResult) -> None:
         """Send the final response if no endpoint's response can be forwarded."""
         if call.is_not_run:
--- a/fuchsiaroute/forwarding/_result.py
+++ b/fuchsiaroute/forwarding/_result.py
@@ -13,12 +13,10 @@
 
     #: The complete response of an endpoint was sent.
     ANSWERED = "answered"
-    #: Nothing was sent: no endpoint had capacity.
+    #: Nothing was sent: no endpoint was reserved.
     NO_PLACE = "no-place"
     #: Nothing was sent: all attempts failed.
     ATTEMPTS_FAILED = "attempts-failed"
-    #: Nothing was sent: the instance stops before the request could end.
-    STOPPING = "stopping"
     #: The stream was aborted before its end.
     BROKEN_OFF = "broken-off"
 
--- a/fuchsiaroute/forwarding/tests/test_escalation.py
+++ b/fuchsiaroute/forwarding/tests/test_escalation.py
@@ -22,6 +22,7 @@
             "clock",
             "log",
             "on_session",
+            "admission",
         )
     )
     return AttemptRunner(
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -19,6 +19,7 @@
     LatencyEstimator,
     ModelChoice,
     RequestResolver,
+    StopAdmission,
     StreamRelay,
 )
 from fuchsiaroute.gossip import (
@@ -303,6 +304,7 @@
         )
 
     def _forwarder(self) -> Forwarder:
+        admission = StopAdmission(self.drain, clock=self._clock)
         runner = AttemptRunner(
             pool=self.pool,
             queue=self.queue,
@@ -324,6 +326,7 @@
             new_budget=self._retry_budget,
             on_session=self._gossip_session,
             is_stopping=lambda: self.drain.is_draining,
+            admission=admission,
         )
         return Forwarder(
             resolver=RequestResolver(self.catalog, clock=self._clock),
@@ -339,6 +342,7 @@
             store_unreachable_for=self._store_unreachable_for,
             is_behind=lambda: self.orders_feed.is_behind,
             drain=self.drain,
+            admission=admission,
             durations=self._durations,
         )
 
--- a/fuchsiaroute/pool/_pool.py
+++ b/fuchsiaroute/pool/_pool.py
@@ -50,6 +50,8 @@
     FULL = "full"
     #: Every usable endpoint has asked for no requests until later.
     PAUSED = "paused"
+    #: The instance stops before the request could end.
+    STOPPING = "stopping"
 
 
 @dataclass(frozen=True, kw_only=True)
