Log: a failing output no longer raises inside request handlers

Callers saw 500 in place of an answer (a buffered request after a failed attempt) or a stream without its end (a stream that had to be resumed), and the instance an exception in ServerConnection._run, when writing to standard output failed with anything but EAGAIN: EPIPE after the reader of the log has ended, ENOSPC, EIO, EBADF. LineLog.write raised the OSError into whatever wrote the line, also into background tasks and the tick.

Cause: _write_to_stdout caught BlockingIOError only.

LineLog now keeps the lines in its bounded buffer, as it does for an output that would block, and writes log:output-failed with the reason, the number of failed writes and their time span once the output accepts data again.

Before: 5 of 5 cases of the new tests of the line log fail (OSError; exit with a traceback), and both cases of test_failing_log_does_not_cut_off_answers (status 500; a 200 that is not whole).

--- a/fuchsiaroute/linelog/_line_log.py
+++ b/fuchsiaroute/linelog/_line_log.py
@@ -3,6 +3,7 @@
 import os
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -29,12 +30,26 @@
         return 0
 
 
+@dataclass(kw_only=True)
+class _OutputFailure:
+    """Writes that failed since the output last accepted data."""
+
+    #: Error of the first failed write.
+    reason: str
+    #: Monotonic time of the first failed write.
+    since: Milliseconds
+    failed_writes: int = 0
+
+
 class LineLog:
     """
     Writes one line per event with its time, name and fields.
 
     The rate is limited per event name. Lines above the limit, and lines that do not
     fit into the buffer, are dropped; their number is logged by event name.
+
+    No method raises an exception if a write to the output fails, since they are called
+    while requests are served. The failure is logged once the output works again.
     """
 
     def __init__(
@@ -51,6 +66,7 @@
         self._tokens: dict[str, tuple[float, Milliseconds]] = {}
         self._dropped: Counter[str] = Counter()
         self._reported_at = clock.now()
+        self._failure: _OutputFailure | None = None
 
     @staticmethod
     def unblock_standard_output() -> None:
@@ -93,10 +109,33 @@
 
     def _drain(self) -> None:
         while self._pending:
-            written = self._write_bytes(bytes(self._pending))
+            try:
+                written = self._write_bytes(bytes(self._pending))
+            except OSError as error:
+                self._record_failed_write(error)
+                return
             if written <= 0:
                 return
             del self._pending[:written]
+        self._report_failed_writes()
+
+    def _record_failed_write(self, error: OSError) -> None:
+        if self._failure is None:
+            self._failure = _OutputFailure(
+                reason=error.strerror or repr(error), since=self._clock.now()
+            )
+        self._failure.failed_writes += 1
+
+    def _report_failed_writes(self) -> None:
+        failure = self._failure
+        if failure is not None:
+            self._failure = None
+            self.write(
+                "log:output-failed",
+                reason=failure.reason,
+                failed_writes=failure.failed_writes,
+                failing_ms=self._clock.now() - failure.since,
+            )
 
     def _take_token(self, event: str) -> bool:
         now = self._clock.now()
--- a/fuchsiaroute/linelog/tests/test_line_log.py
+++ b/fuchsiaroute/linelog/tests/test_line_log.py
@@ -1,6 +1,12 @@
 """Rate limit, buffer limit and reports of dropped lines."""
 
+import errno
 import json
+import os
+import subprocess
+import sys
+
+import pytest
 
 from fuchsiaroute.clock import ManualClock, Milliseconds
 from fuchsiaroute.linelog import LineLog
@@ -15,8 +21,11 @@
     def __init__(self) -> None:
         self.data = b""
         self.free_bytes = 10**9
+        self.error_number: int | None = None
 
     def write(self, data: bytes) -> int:
+        if self.error_number is not None:
+            raise OSError(self.error_number, os.strerror(self.error_number))
         accepted = data[: self.free_bytes]
         self.free_bytes -= len(accepted)
         self.data += accepted
@@ -83,3 +92,55 @@
     output.free_bytes = 10**9
     log.flush()
     assert output.lines[0]["event"] == "event"
+
+
+@pytest.mark.parametrize(
+    "error_number", [errno.EPIPE, errno.ENOSPC, errno.EIO, errno.EBADF]
+)
+def test_failing_output_raises_nothing_and_is_reported_once_it_works(
+    error_number: int,
+) -> None:
+    """An exception of the log in a request handler would cut off an answer."""
+    clock, output = ManualClock(), Output()
+    output.error_number = error_number
+    log = new_log(clock, output)
+    log.write("request:answered", request="first")
+    clock.tick(Milliseconds(500))
+    log.write("request:answered", request="second")
+    log.flush()
+    output.error_number = None
+    log.flush()
+    first, second, report = output.lines
+    assert (first["request"], second["request"]) == ("first", "second")
+    assert report["event"] == "log:output-failed"
+    assert report["reason"] == os.strerror(error_number)
+    assert (report["failed_writes"], report["failing_ms"]) == (3, 500)
+    log.flush()
+    assert len(output.lines) == 3
+
+
+def test_closed_standard_output_does_not_end_the_process() -> None:
+    """The reader of the log is restarted while the instance goes on serving."""
+    program = (
+        "import sys\n"
+        "from fuchsiaroute.clock import SystemClock\n"
+        "from fuchsiaroute.linelog import LineLog\n"
+        "LineLog.unblock_standard_output()\n"
+        "log = LineLog(clock=SystemClock(), instance='i')\n"
+        "sys.stdin.read()\n"
+        "log.write('request:answered')\n"
+        "log.flush()\n"
+        "print('serving', file=sys.stderr)\n"
+    )
+    process = subprocess.Popen(
+        [sys.executable, "-c", program],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
+    assert process.stdout is not None
+    process.stdout.close()
+    process.stdout = None
+    _, errors = process.communicate(timeout=30)
+    assert errors == b"serving\n"
+    assert process.returncode == 0
--- a/fuchsiaroute/platform/tests/test_node.py
+++ b/fuchsiaroute/platform/tests/test_node.py
@@ -1,12 +1,15 @@
 """An instance from the side of callers and endpoints."""
 
 import asyncio
+import errno
+from typing import Any
 
 import pytest
 
 from fuchsiaroute.http1 import find_header
 from fuchsiaroute.platform.tests.node_harness import CONFIGURATION, NodeHarness
 from fuchsiaroute.platform.tests.standin import (
+    Answer,
     Endpoint,
     complete,
     events,
@@ -316,3 +319,30 @@
     assert b"x-response-signature" not in reply.headers
     assert b"request:internal-error" in b"".join(harness.lines)
     assert b"unforeseen" in b"".join(harness.lines)
+
+
+@pytest.mark.parametrize(
+    ("path", "answers", "body"),
+    [
+        ("/read/", (reset, complete), None),
+        ("/stream/", (events(3, cut_after=1), events(3)), stream(1, 2, 3)),
+    ],
+)
+async def test_failing_log_does_not_cut_off_answers(
+    path: str, answers: tuple[Answer, ...], body: bytes | None
+) -> None:
+    """A log line is written before an attempt is repeated or a stream resumed."""
+
+    def fail_to_write(data: bytes) -> int:
+        raise BrokenPipeError(errno.EPIPE, "Broken pipe")
+
+    in_turn = iter(answers)
+
+    async def answer(endpoint: Endpoint, *exchange: Any) -> None:
+        await next(in_turn)(endpoint, *exchange)
+
+    async with NodeHarness(Endpoint(answer), Endpoint(answer)) as harness:
+        harness.node._log._write_bytes = fail_to_write
+        reply = await harness.caller().ask(path)
+    assert (reply.status, reply.is_whole) == (200, True)
+    assert body is None or reply.body == body
