Log: report dropped lines only once the report fits into the buffer

Operators saw fewer dropped lines in log:lines-left-out than were dropped: while the output was full, the report itself did not fit into the buffer, was dropped, and took with it the counts that it held.

flush() now writes buffered lines first and keeps the counts until at most half of the buffer is in use.

Before: 2,000 lines with the output blocked, 932 of them kept: the report counts 20 in place of 1,068. After: 1,068; also if the output fails with ENOSPC.

--- a/fuchsiaroute/linelog/_line_log.py
+++ b/fuchsiaroute/linelog/_line_log.py
@@ -16,6 +16,9 @@
 LINES_PER_SECOND = 200
 #: Largest buffer of lines that the output does not accept yet.
 MAX_PENDING_BYTES = 262_144
+#: Buffered bytes above which dropped lines are not reported: the report itself could be
+#: dropped, and the counts with it.
+MAX_PENDING_BYTES_FOR_REPORT = MAX_PENDING_BYTES // 2
 #: Time between two reports of dropped lines.
 REPORT_INTERVAL = Milliseconds(1_000)
 _STDOUT_DESCRIPTOR = 1
@@ -90,14 +93,16 @@
         self._append(event, line)
 
     def flush(self) -> None:
-        """Write buffered lines, and report dropped lines."""
+        """Write buffered lines, and report dropped lines once the buffer has room."""
+        self._drain()
         now = self._clock.now()
-        if self._dropped and now - self._reported_at >= REPORT_INTERVAL:
+        is_due = now - self._reported_at >= REPORT_INTERVAL
+        has_room = len(self._pending) <= MAX_PENDING_BYTES_FOR_REPORT
+        if self._dropped and is_due and has_room:
             self._reported_at = now
             counts = dict(self._dropped)
             self._dropped.clear()
             self.write("log:lines-left-out", lines=counts)
-        self._drain()
 
     def _append(self, event: str, line: bytes) -> None:
         if len(self._pending) + len(line) > MAX_PENDING_BYTES:
--- a/fuchsiaroute/linelog/tests/test_line_log.py
+++ b/fuchsiaroute/linelog/tests/test_line_log.py
@@ -119,6 +119,27 @@
     assert len(output.lines) == 3
 
 
+@pytest.mark.parametrize("error_number", [None, errno.ENOSPC])
+def test_no_count_of_dropped_lines_is_lost(error_number: int | None) -> None:
+    """A report that did not fit into the full buffer lost the counts it held."""
+    clock, output = ManualClock(), Output()
+    output.free_bytes = 0
+    output.error_number = error_number
+    log = new_log(clock, output)
+    for _ in range(2_000):
+        log.write("event", text="x" * 200)
+        clock.tick(Milliseconds(50))
+        log.flush()
+    assert len(log._pending) <= MAX_PENDING_BYTES
+    output.free_bytes = 10**9
+    output.error_number = None
+    log.flush()
+    events = [line["event"] for line in output.lines]
+    report = output.lines[-1]
+    assert report["event"] == "log:lines-left-out"
+    assert report["lines"] == {"event": 2_000 - events.count("event")}
+
+
 def test_closed_standard_output_does_not_end_the_process() -> None:
     """The reader of the log is restarted while the instance goes on serving."""
     program = (
