Serve: do not cut off callers that read slowly but steadily

Callers of "fuchsiaroute serve" got part of an answer and the end of the connection, if they needed more than 10 s to take what was waiting for them: the write timer aborted the connection 10 s after the write buffer had filled up, however fast the caller was reading in that time. An answer of 1 MB in one part needed 100 kB/s.

Before: test_caller_that_reads_slowly_gets_the_whole_answer (600 kB, timeout 0.3 s, read in 3 s) fails with a partial answer. After: passes; the test of a caller that stops reading passes unchanged.

--- a/fuchsiaroute/serving/_protocol.py
+++ b/fuchsiaroute/serving/_protocol.py
@@ -10,9 +10,9 @@
 
 from fuchsiaroute.clock import Milliseconds
 from fuchsiaroute.gateway import encode_refusal
+from fuchsiaroute.serving._stall_timer import MILLISECONDS_PER_SECOND, StallTimer
 from fuchsiaroute.verdict import Refusal, RefusalReason, Verdict
 
-MILLISECONDS_PER_SECOND = 1_000
 HOST_HEADER = b"host"
 
 
@@ -25,7 +25,7 @@
     #: Maximum time from the first byte of a request head, or for the first request from
     #: the connection, to the end of the head.
     head_timeout: Milliseconds = Milliseconds(10_000)
-    #: Maximum time for which the client may block writing of a response.
+    #: Maximum time for which the client may accept no bytes of a response.
     write_timeout: Milliseconds = Milliseconds(10_000)
     #: Maximum time for which a connection is kept open between two requests.
     idle_timeout: Milliseconds = Milliseconds(30_000)
@@ -62,7 +62,6 @@
         super().__init__(*args, **kwargs)
         self._limits = limits
         self._head_timer: asyncio.TimerHandle | None = None
-        self._write_timer: asyncio.TimerHandle | None = None
         self._is_in_head = True
         self._head_size = 0
         #: Refusals to write once earlier responses are complete. While there are any,
@@ -72,6 +71,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Start the head timer, or refuse the connection if there are too many."""
         super().connection_made(transport)
+        self._stall_timer = StallTimer(transport, timeout=self._limits.write_timeout)
         if len(self.connections) > self._limits.max_connections:
             self._refuse(503, RefusalReason.OVERLOADED, "too many connections")
         else:
@@ -90,18 +90,17 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the timers."""
         self._stop_head_timer()
-        self._stop_write_timer()
+        self._stall_timer.stop()
         super().connection_lost(exc)
 
     def pause_writing(self) -> None:
         """Start the timer that aborts the connection of a client that does not read."""
         super().pause_writing()
-        delay = self._limits.write_timeout / MILLISECONDS_PER_SECOND
-        self._write_timer = self.loop.call_later(delay, self.transport.abort)
+        self._stall_timer.start()
 
     def resume_writing(self) -> None:
-        """Cancel the write timer."""
-        self._stop_write_timer()
+        """Stop that timer."""
+        self._stall_timer.stop()
         super().resume_writing()
 
     def on_message_begin(self) -> None:
@@ -188,11 +187,6 @@
             self._head_timer.cancel()
             self._head_timer = None
 
-    def _stop_write_timer(self) -> None:
-        if self._write_timer is not None:
-            self._write_timer.cancel()
-            self._write_timer = None
-
 
 def _size_of_head(url: bytes, headers: list[tuple[bytes, bytes]]) -> int:
     return len(url) + sum(len(name) + len(value) for name, value in headers)
--- a/fuchsiaroute/serving/_server.py
+++ b/fuchsiaroute/serving/_server.py
@@ -9,11 +9,8 @@
 
 import uvicorn
 
-from fuchsiaroute.serving._protocol import (
-    MILLISECONDS_PER_SECOND,
-    ConnectionLimits,
-    LimitedProtocol,
-)
+from fuchsiaroute.serving._protocol import ConnectionLimits, LimitedProtocol
+from fuchsiaroute.serving._stall_timer import MILLISECONDS_PER_SECOND
 
 AsgiApp = Callable[[Any, Any, Any], Awaitable[None]]
 
--- /dev/null
+++ b/fuchsiaroute/serving/tests/test_delivery.py
@@ -0,0 +1,87 @@
+"""Delivery of answers whose connection is closed, by the server or its stop."""
+
+import asyncio
+import contextlib
+import socket
+
+from fuchsiaroute.clock import Milliseconds
+from fuchsiaroute.serving import ConnectionLimits, HttpServer
+
+LIMITS = ConnectionLimits(write_timeout=Milliseconds(300))
+#: Above the buffer sizes below; less than a transport's high-water mark remains unsent.
+BODY = b"x" * 60_000
+LARGE_BODY = b"x" * 600_000
+SMALL_BUFFER_BYTES = 4_096
+REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
+TIMEOUT_SECONDS = 10.0
+
+
+class Application:
+    """Answers each request with ``body``."""
+
+    def __init__(self, body: bytes = b"done", *, status: int = 200) -> None:
+        self.body = body
+        self.status = status
+
+    async def __call__(self, scope, receive, send):
+        length = str(len(self.body)).encode()
+        headers = [(b"content-length", length)]
+        if self.status != 200:
+            headers.append((b"connection", b"close"))
+        await send(
+            {"type": "http.response.start", "status": self.status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": self.body})
+
+
+@contextlib.asynccontextmanager
+async def connected(app, limits=LIMITS):
+    """Yield a server with small buffers and a client socket, which is not read."""
+    server = HttpServer(app=app, host="127.0.0.1", port=0, limits=limits)
+    server._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+    await server.start()
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    client.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(client, ("127.0.0.1", server.port))
+    try:
+        yield server, client
+    finally:
+        client.close()
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            await server.stop()
+
+
+async def receive_all(client, *, pause_s=0.0):
+    loop = asyncio.get_running_loop()
+    answer = b""
+    async with asyncio.timeout(TIMEOUT_SECONDS):
+        while data := await loop.sock_recv(client, 16_384):
+            answer += data
+            await asyncio.sleep(pause_s)
+    return answer
+
+
+async def send(client, data):
+    await asyncio.get_running_loop().sock_sendall(client, data)
+
+
+async def test_stop_waits_for_a_caller_that_reads_slowly():
+    """The rest of a complete answer is not sent when the stop begins."""
+    async with connected(Application(BODY)) as (server, client):
+        await send(client, REQUEST)
+        await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(server.stop())
+        answer = await receive_all(client, pause_s=0.05)
+        await stopping
+    assert answer.endswith(BODY)
+
+
+async def test_caller_that_reads_slowly_gets_the_whole_answer():
+    """Reading a large answer takes longer than the write timeout."""
+    request = REQUEST.replace(b"host", b"connection: close\r\nhost")
+    async with connected(Application(LARGE_BODY)) as (_, client):
+        await send(client, request)
+        answer = await receive_all(client, pause_s=0.02)
+    assert answer.endswith(LARGE_BODY)
