Serve: deliver an answer before its connection is closed

Callers of "fuchsiaroute serve" got a reset in place of an early refusal (401, 413, 400) whose request body was still arriving: closing a socket with unread bytes resets it, and the kernel discards what it has not delivered. And one caller that did not read the last 64 KiB of an answer kept the whole stop from ending, with claims and ledger records unwritten: below the high-water mark no timer ran, and uvicorn waits for every connection without limit.

A close now ends the sending side only, reads and discards until the caller has closed, has sent nothing for 1 s after all bytes were acknowledged, or has acknowledged none for the write timeout, in which case the abort is logged.

Before: test_stop_ends_although_a_caller_reads_nothing waits more than 10 s (write timeout 0.3 s), test_answer_before_the_end_of_the_body_reaches_the_caller gets EPIPE while it sends.

--- a/fuchsiaroute/serving/_protocol.py
+++ b/fuchsiaroute/serving/_protocol.py
@@ -10,7 +10,8 @@
 
 from fuchsiaroute.clock import Milliseconds
 from fuchsiaroute.gateway import encode_refusal
-from fuchsiaroute.serving._stall_timer import MILLISECONDS_PER_SECOND, StallTimer
+from fuchsiaroute.serving._stall_timer import MILLISECONDS_PER_SECOND
+from fuchsiaroute.serving._transport import DeliveringTransport
 from fuchsiaroute.verdict import Refusal, RefusalReason, Verdict
 
 HOST_HEADER = b"host"
@@ -27,6 +28,9 @@
     head_timeout: Milliseconds = Milliseconds(10_000)
     #: Maximum time for which the client may accept no bytes of a response.
     write_timeout: Milliseconds = Milliseconds(10_000)
+    #: Time without received bytes after which the server closes a connection whose
+    #: sending side it has ended, even if the client has not closed its own side.
+    linger_timeout: Milliseconds = Milliseconds(1_000)
     #: Maximum time for which a connection is kept open between two requests.
     idle_timeout: Milliseconds = Milliseconds(30_000)
     max_connections: int = 2_048
@@ -70,8 +74,13 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Start the head timer, or refuse the connection if there are too many."""
-        super().connection_made(transport)
-        self._stall_timer = StallTimer(transport, timeout=self._limits.write_timeout)
+        delivering = DeliveringTransport(
+            transport,
+            write_timeout=self._limits.write_timeout,
+            linger_timeout=self._limits.linger_timeout,
+        )
+        self._delivering = delivering
+        super().connection_made(delivering)
         if len(self.connections) > self._limits.max_connections:
             self._refuse(503, RefusalReason.OVERLOADED, "too many connections")
         else:
@@ -80,6 +89,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse ``data``; refuse a head that exceeds the size limit."""
         if self._pending_refusals or self.transport.is_closing():
+            self._delivering.record_discarded()
             return
         super().data_received(data)
         if self._is_in_head:
@@ -90,17 +100,17 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the timers."""
         self._stop_head_timer()
-        self._stall_timer.stop()
+        self._delivering.stop_timers()
         super().connection_lost(exc)
 
     def pause_writing(self) -> None:
         """Start the timer that aborts the connection of a client that does not read."""
         super().pause_writing()
-        self._stall_timer.start()
+        self._delivering.start_stall_timer()
 
     def resume_writing(self) -> None:
         """Stop that timer."""
-        self._stall_timer.stop()
+        self._delivering.stop_stall_timer()
         super().resume_writing()
 
     def on_message_begin(self) -> None:
--- a/fuchsiaroute/serving/tests/test_delivery.py
+++ b/fuchsiaroute/serving/tests/test_delivery.py
@@ -67,6 +67,15 @@
     await asyncio.get_running_loop().sock_sendall(client, data)
 
 
+async def test_stop_ends_although_a_caller_reads_nothing():
+    """The rest of a complete answer was below the size at which timers started."""
+    async with connected(Application(BODY)) as (server, client):
+        await send(client, REQUEST)
+        await asyncio.sleep(0.1)
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            await server.stop()
+
+
 async def test_stop_waits_for_a_caller_that_reads_slowly():
     """The rest of a complete answer is not sent when the stop begins."""
     async with connected(Application(BODY)) as (server, client):
@@ -85,3 +94,16 @@
         await send(client, request)
         answer = await receive_all(client, pause_s=0.02)
     assert answer.endswith(LARGE_BODY)
+
+
+async def test_answer_before_the_end_of_the_body_reaches_the_caller():
+    """A reset for the unread rest of the body discards the answer on its way."""
+    head = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 400000\r\n\r\n"
+    async with connected(Application(status=413)) as (_, client):
+        await send(client, head)
+        for _ in range(40):
+            await send(client, b"x" * 10_000)
+            await asyncio.sleep(0.002)
+        answer = await receive_all(client)
+    assert answer.startswith(b"HTTP/1.1 413")
+    assert answer.endswith(b"done")
