Serve: answer pipelined requests that a stop finds or still reads

Callers of "fuchsiaroute serve" that pipeline got the end of the connection in place of an answer: at a stop, uvicorn marks the latest request read as the last one of its connection and closes after it, so a request read behind it while its answer was pending was dropped, without the caller having been told.

A connection is now marked again for each further request, as long as the caller has not got "connection: close" with an earlier response. HttpServer.drain() begins this without closing idle connections; stop() calls it.

Before: test_pipelined_requests_are_answered_by_a_stop[True] gets one answer to two requests. After: two, the second with "connection: close"; fuchsiaroute/serving: 43 tests pass.

--- a/fuchsiaroute/serving/_protocol.py
+++ b/fuchsiaroute/serving/_protocol.py
@@ -1,12 +1,16 @@
 """HTTP/1.1 connections with limits on header size, timeouts and their number."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from http import HTTPStatus
 from typing import Any
 
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import (
+    HttpToolsProtocol,
+    RequestResponseCycle,
+)
 
 from fuchsiaroute.clock import Milliseconds
 from fuchsiaroute.gateway import encode_refusal
@@ -49,6 +53,24 @@
     BUSY = "busy"
 
 
+@dataclass(frozen=True, kw_only=True)
+class _LastExchange:
+    """The exchange after which a connection is closed."""
+
+    cycle: RequestResponseCycle
+    #: Whether the connection would have stayed open after it.
+    was_persistent: bool
+    #: Whether its response head had been sent before, without ``connection: close``.
+    had_head: bool
+
+    @property
+    def may_be_followed(self) -> bool:
+        """Return whether the caller has not been told that it is the last one."""
+        return self.was_persistent and (
+            self.had_head or not self.cycle.response_started
+        )
+
+
 class _HeadTooLargeError(Exception):
     """The request line and headers exceed ``ConnectionLimits.max_head``."""
 
@@ -62,9 +84,18 @@
     error responses immediately, in the middle of a response that is in progress.
     """
 
-    def __init__(self, *args: Any, limits: ConnectionLimits, **kwargs: Any) -> None:
+    def __init__(
+        self,
+        *args: Any,
+        limits: ConnectionLimits,
+        is_draining: Callable[[], bool],
+        **kwargs: Any,
+    ) -> None:
         super().__init__(*args, **kwargs)
         self._limits = limits
+        #: Whether each connection is to be closed after the latest request.
+        self._is_draining = is_draining
+        self._last_exchange: _LastExchange | None = None
         self._head_timer: asyncio.TimerHandle | None = None
         self._is_in_head = True
         self._head_size = 0
@@ -133,6 +164,28 @@
         if _size_of_head(self.url, self.headers) > self._limits.max_head:
             raise _HeadTooLargeError
         super().on_headers_complete()
+        if self._is_draining():
+            self.close_after_response()
+
+    def close_after_response(self) -> None:
+        """Close the connection after the response to the latest request, if any."""
+        cycle = self.cycle
+        if self._pending_refusals or cycle is None or cycle.response_complete:
+            return
+        previous = self._last_exchange
+        if previous is not None and previous.may_be_followed:
+            previous.cycle.keep_alive = True
+        self._last_exchange = _LastExchange(
+            cycle=cycle,
+            was_persistent=cycle.keep_alive,
+            had_head=cycle.response_started,
+        )
+        cycle.keep_alive = False
+
+    def shutdown(self) -> None:
+        """Close the connection if it is idle; otherwise it is closed later."""
+        if self.cycle is None or self.cycle.response_complete:
+            self.transport.close()
 
     def on_response_complete(self) -> None:
         """Start the next request, or write the pending refusals and close."""
--- a/fuchsiaroute/serving/_server.py
+++ b/fuchsiaroute/serving/_server.py
@@ -48,6 +48,7 @@
         port: int,
         limits: ConnectionLimits = DEFAULT_LIMITS,
     ) -> None:
+        self._is_draining = False
         self._socket = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
         config = uvicorn.Config(
             app,
@@ -55,7 +56,9 @@
             access_log=False,
             lifespan="off",
             # uvicorn accepts any callable that returns a protocol.
-            http=partial(LimitedProtocol, limits=limits),  # type: ignore[arg-type]
+            http=partial(  # type: ignore[arg-type]
+                LimitedProtocol, limits=limits, is_draining=lambda: self._is_draining
+            ),
             ws="none",
             timeout_keep_alive=limits.idle_timeout // MILLISECONDS_PER_SECOND,
         )
@@ -80,8 +83,18 @@
         self._task = asyncio.create_task(serving)
         await self._server.accepting.wait()
 
+    def drain(self) -> None:
+        """Announce in each further response that its connection will be closed."""
+        if self._is_draining:
+            return
+        self._is_draining = True
+        for connection in self._server.server_state.connections:
+            if isinstance(connection, LimitedProtocol):
+                connection.close_after_response()
+
     async def stop(self) -> None:
         """Stop accepting connections, complete open requests, then return."""
+        self.drain()
         self._server.should_exit = True
         if self._task is not None:
             await self._task
--- a/fuchsiaroute/serving/tests/test_delivery.py
+++ b/fuchsiaroute/serving/tests/test_delivery.py
@@ -4,6 +4,8 @@
 import contextlib
 import socket
 
+import pytest
+
 from fuchsiaroute.clock import Milliseconds
 from fuchsiaroute.serving import ConnectionLimits, HttpServer
 
@@ -17,13 +19,20 @@
 
 
 class Application:
-    """Answers each request with ``body``."""
+    """Answers with ``body`` once ``is_released`` is set."""
 
     def __init__(self, body: bytes = b"done", *, status: int = 200) -> None:
         self.body = body
         self.status = status
+        self.is_started = asyncio.Event()
+        self.is_released = asyncio.Event()
+        self.is_released.set()
+        self.requests = 0
 
     async def __call__(self, scope, receive, send):
+        self.requests += 1
+        self.is_started.set()
+        await self.is_released.wait()
         length = str(len(self.body)).encode()
         headers = [(b"content-length", length)]
         if self.status != 200:
@@ -107,3 +116,40 @@
         answer = await receive_all(client)
     assert answer.startswith(b"HTTP/1.1 413")
     assert answer.endswith(b"done")
+
+
+@pytest.mark.parametrize("is_sent_after_stop", [False, True])
+async def test_pipelined_requests_are_answered_by_a_stop(is_sent_after_stop):
+    """A request was read behind one whose answer has not begun, and then dropped."""
+    app = Application()
+    app.is_released.clear()
+    async with connected(app) as (server, client):
+        await send(client, REQUEST)
+        await app.is_started.wait()
+        if not is_sent_after_stop:
+            await send(client, REQUEST)
+            await asyncio.sleep(0.05)
+        stopping = asyncio.create_task(server.stop())
+        await asyncio.sleep(0.3)
+        if is_sent_after_stop:
+            await send(client, REQUEST)
+            await asyncio.sleep(0.05)
+        app.is_released.set()
+        answer = await receive_all(client)
+        await stopping
+    assert answer.count(b"HTTP/1.1 200") == 2
+    assert answer.count(b"connection: close") == 1
+    assert app.requests == 2
+
+
+async def test_draining_server_announces_the_end_of_a_connection():
+    """A request crossed the close of a connection that the caller held to be open."""
+    async with connected(Application()) as (server, client):
+        await send(client, REQUEST)
+        first = await asyncio.get_running_loop().sock_recv(client, 65_536)
+        server.drain()
+        await send(client, REQUEST)
+        second = await receive_all(client)
+    assert b"connection: close" not in first
+    assert b"connection: close" in second
+    assert second.endswith(b"done")
