Serve: announce the close of open connections while the advice runs out

Callers that keep a connection saw it end without notice 5 s after SIGTERM, and a request that crossed the close went unanswered: responses during the lifetime of the advice kept the connection open, and the stop then closed it as idle.

Every response after SIGTERM now says "connection: close", so that a caller in use of its connection leaves it before the stop closes it.

Before: test_stopping_entry_announces_the_close_of_open_connections fails, no such header. After: passes; fuchsiaroute/serving: 44 tests pass.

--- a/fuchsiaroute/serving/_run.py
+++ b/fuchsiaroute/serving/_run.py
@@ -111,12 +111,14 @@
         Shut down gracefully.
 
         The entry withdraws from the advice and serves until the advice that callers
-        hold has expired. It then completes its requests, writes claims and ledger
-        records to the store and closes its connections.
+        hold has expired, closing each connection after a response that announces it. It
+        then completes its requests, writes claims and ledger records to the store and
+        closes its connections.
         """
         self._entry.advice.withdraw(self._settings.instance.id)
         if isinstance(self._entry.peers, PeerParts):
             self._entry.peers.leave()
+        self._caller_server.drain()
         await self._clock.sleep(ADVICE_LIFETIME)
         await self._caller_server.stop()
         await self._entry.balancing.cold_slot_ownership.release()
--- a/fuchsiaroute/serving/tests/test_graceful_stop.py
+++ b/fuchsiaroute/serving/tests/test_graceful_stop.py
@@ -1,6 +1,7 @@
 """Order of the steps of a graceful stop, with an entry on a real socket."""
 
 import asyncio
+from collections.abc import AsyncIterator
 
 import httpx
 import pytest
@@ -39,7 +40,8 @@
         await self.has_expired.wait()
 
 
-async def test_stopping_entry_serves_until_its_advice_has_expired() -> None:
+@pytest.fixture
+async def running() -> AsyncIterator[tuple[EntryProcess, AdviceClock]]:
     platform = HttpServer(app=build_platform_app(), host="127.0.0.1", port=0)
     await platform.start()
     clock = AdviceClock()
@@ -53,6 +55,14 @@
     )
     process = EntryProcess(settings=settings, clock=clock)
     await process.start()
+    yield process, clock
+    await platform.stop()
+
+
+async def test_stopping_entry_serves_until_its_advice_has_expired(
+    running: tuple[EntryProcess, AdviceClock],
+) -> None:
+    process, clock = running
     async with httpx.AsyncClient(base_url=process.url, trust_env=False) as client:
         before = (await client.get("/v1/entries")).json()
         assert len(before["entries"]) == 1
@@ -65,4 +75,19 @@
         await stopping
         with pytest.raises(httpx.ConnectError):
             await client.get("/v1/entries")
-    await platform.stop()
+
+
+async def test_stopping_entry_announces_the_close_of_open_connections(
+    running: tuple[EntryProcess, AdviceClock],
+) -> None:
+    """A request crossed the close of a connection that the caller had kept."""
+    process, clock = running
+    async with httpx.AsyncClient(base_url=process.url, trust_env=False) as client:
+        before = await client.get("/v1/entries")
+        stopping = asyncio.create_task(process.stop())
+        await clock.is_waiting.wait()
+        during = await client.get("/v1/entries")
+        clock.has_expired.set()
+        await stopping
+    assert "connection" not in before.headers
+    assert (during.status_code, during.headers["connection"]) == (200, "close")
