Store client: do not reuse connections to a former address

After a SIGHUP with another Platform.Address, an instance went on to call the former store, with the new address in its Host field, as long as that store answered: a call in progress returned its connection to the idle ones, which set_address had closed before, and a watch is always in progress.

A call now notes the address it was begun with, is completed, and its connection is closed if the address has changed meanwhile.

Before: test_call_in_progress_ends_and_its_connection_is_not_used_again reads the former store's row after the change. After: the new store's; the watch in progress is answered in both cases. fuchsiaroute/platform, node and catalog: 246 tests pass.

--- a/fuchsiaroute/platform/_store.py
+++ b/fuchsiaroute/platform/_store.py
@@ -276,7 +276,7 @@
         return Success(Conflict(records=tuple(records)))
 
     def set_address(self, address: Address) -> None:
-        """Use ``address`` from the next call on."""
+        """Use ``address`` from the next call on; calls in progress are completed."""
         if address != self._address:
             self._address = address
             self.close()
@@ -340,11 +340,13 @@
     async def _call(
         self, method: str, target: str, body: bytes, within: Milliseconds
     ) -> Result[ResponseBody, StoreError]:
+        address = self._address
         connection: ClientConnection | None = None
         try:
             async with asyncio.timeout(within / MILLISECONDS_PER_SECOND):
-                connection = await self._connection()
-                connection.send(self._encode(method, target, body), _any_response)
+                connection = await self._connection(address)
+                request = _encode(address, method, target, body)
+                connection.send(request, _any_response)
                 response = await connection.read_whole(limit=MAX_RESPONSE_BYTES)
         except ConnectError as error:
             return Failure(_refused(str(error)))
@@ -357,19 +359,13 @@
         except asyncio.CancelledError:
             _abort(connection)
             raise
-        if connection.is_open:
+        if address != self._address:
+            connection.abort()
+        elif connection.is_open:
             self._idle.append(connection)
         return Success(response)
 
-    def _encode(self, method: str, target: str, body: bytes) -> bytes:
-        headers = [(b"Host", str(self._address).encode())]
-        if body:
-            headers.append((b"Content-Type", b"application/json"))
-        return encode_request(
-            method.encode(), target.encode(), headers, body, has_body=bool(body)
-        )
-
-    async def _connection(self) -> ClientConnection:
+    async def _connection(self, address: Address) -> ClientConnection:
         while self._idle:
             connection = self._idle.pop()
             idle_for = self._clock.now() - connection.idle_since
@@ -377,8 +373,8 @@
                 return connection
             connection.abort()
         return await connect(
-            self._address.host,
-            self._address.port,
+            address.host,
+            address.port,
             clock=self._clock,
             within=CONNECT_TIMEOUT,
         )
@@ -389,6 +385,15 @@
     return f"{table.value}/{key}"
 
 
+def _encode(address: Address, method: str, target: str, body: bytes) -> bytes:
+    headers = [(b"Host", str(address).encode())]
+    if body:
+        headers.append((b"Content-Type", b"application/json"))
+    return encode_request(
+        method.encode(), target.encode(), headers, body, has_body=bool(body)
+    )
+
+
 def _any_response(status: int, headers: Any) -> bool:
     return True
 
