HTTP client: do not close connections to endpoints that read a long body late

A request with a long body failed with 502, and could not be repeated if it was not idempotent, though its endpoint was sound: an endpoint that did not read the body for 3 s closed its receive window, and the kernel counts the time in which bytes wait for the window like that of a dead network path (TCP_USER_TIMEOUT), so it closed the connection. An endpoint may answer, and stream, before it has read a long body; such an answer was cut.

Requests of more than 32 KiB now go without that limit and are limited by their deadline and, where they can be repeated, by the time-out for the response's head. Smaller requests fit into the window and keep the limit; keepalive probes still detect a dead path while no bytes are unacknowledged.

After: it is answered, and the next small request on the same connection has the limit again.

--- a/fuchsiaroute/http1/_client.py
+++ b/fuchsiaroute/http1/_client.py
@@ -27,6 +27,17 @@
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
 MILLISECONDS_PER_SECOND = 1_000
+#: Time for which sent bytes may stay unacknowledged, and bytes may wait for the peer's
+#: receive window, before the kernel closes the connection.
+DEAD_PATH_TIMEOUT = Milliseconds(
+    (KEEPALIVE_IDLE_SECONDS + KEEPALIVE_INTERVAL_SECONDS * KEEPALIVE_PROBES)
+    * MILLISECONDS_PER_SECOND
+)
+#: Stands for the kernel's own limit, which counts no time in which the peer answers.
+_NO_TIMEOUT = Milliseconds(0)
+#: Size of a request up to which it fits into the receive window of an endpoint that
+#: does not read it yet.
+MAX_WINDOW_BYTES = 32 * 1024
 _FIRST_FINAL_STATUS = 200
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
@@ -81,6 +92,7 @@
         self._keeps_open = True
         self._is_writable = True
         self._keep_alive_timeout: Milliseconds | None = None
+        self._dead_path_timeout = DEAD_PATH_TIMEOUT
         #: Monotonic time at which the latest response ended.
         self.idle_since = clock.now()
         #: Number of requests sent on this connection.
@@ -121,6 +133,7 @@
         self._chunks.clear()
         self._buffered = 0
         self.request_count += 1
+        self._limit_unacknowledged_time(len(data))
         self._transport.write(data)
 
     async def head(self) -> ResponseHead:
@@ -282,6 +295,19 @@
 
     # Private
 
+    def _limit_unacknowledged_time(self, size: int) -> None:
+        """
+        Set the time after which the kernel closes the connection while sending.
+
+        An endpoint may read a large request late. Its closed receive window would count
+        as a dead path; the request's deadline limits such a request instead.
+        """
+        timeout = DEAD_PATH_TIMEOUT if size <= MAX_WINDOW_BYTES else _NO_TIMEOUT
+        if timeout != self._dead_path_timeout:
+            self._dead_path_timeout = timeout
+            sock = self._transport.get_extra_info("socket")
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout)
+
     def _complete(self) -> None:
         if not self._is_writable:
             # The endpoint responded before it had read the whole request; the rest of
@@ -350,9 +376,4 @@
         socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS
     )
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(
-        socket.IPPROTO_TCP,
-        socket.TCP_USER_TIMEOUT,
-        (KEEPALIVE_IDLE_SECONDS + KEEPALIVE_INTERVAL_SECONDS * KEEPALIVE_PROBES)
-        * MILLISECONDS_PER_SECOND,
-    )
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, DEAD_PATH_TIMEOUT)
--- a/fuchsiaroute/http1/tests/test_client.py
+++ b/fuchsiaroute/http1/tests/test_client.py
@@ -15,6 +15,7 @@
     connect,
     find_header,
 )
+from fuchsiaroute.http1._client import DEAD_PATH_TIMEOUT
 
 OK = b"HTTP/1.1 200 OK\r\n"
 ID = b"Id: %s\r\n"
@@ -229,3 +230,34 @@
     assert not connection.is_open
     finished.set()
     server.close()
+
+
+async def test_endpoint_that_reads_a_long_body_late_is_not_cut_off() -> None:
+    """Bytes that wait for the endpoint to read counted as a dead network path."""
+    body = b"x" * 8_000_000
+    # Longer than the time within which the kernel detects a dead path.
+    seconds_until_read = 4.0
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        await asyncio.sleep(seconds_until_read)
+        await reader.readexactly(len(body))
+        writer.write(OK + b"Content-Length: 4\r\n\r\nread")
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(OK + b"Content-Length: 4\r\n\r\nnext")
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    connection = await connect(
+        "127.0.0.1", port, clock=SystemClock(), within=Milliseconds(2_000)
+    )
+    head = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body)
+    connection.send(head + body, matches)
+    async with asyncio.timeout(20):
+        found = await connection.read_whole(limit=1_000)
+    assert found.data == b"read"
+    assert await exchange(connection) == (200, b"next")
+    sock = connection._transport.get_extra_info("socket")
+    timeout = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+    assert timeout == DEAD_PATH_TIMEOUT
+    server.close()
