--- a/fuchsiaroute/linelog/_line_log.py
+++ b/fuchsiaroute/linelog/_line_log.py
@@ -3,6 +3,7 @@
 import os
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -15,6 +16,9 @@
 LINES_PER_SECOND = 200
 #: Largest buffer of lines that the output does not accept yet.
 MAX_PENDING_BYTES = 262_144
+#: Buffered bytes above which dropped lines are not reported: the report itself could be
+#: dropped, and the counts with it.
+MAX_PENDING_BYTES_FOR_REPORT = MAX_PENDING_BYTES // 2
 #: Time between two reports of dropped lines.
 REPORT_INTERVAL = Milliseconds(1_000)
 _STDOUT_DESCRIPTOR = 1
@@ -29,12 +33,26 @@
         return 0
 
 
+@dataclass(kw_only=True)
+class _OutputFailure:
+    """Writes that failed since the output last accepted data."""
+
+    #: Error of the first failed write.
+    reason: str
+    #: Monotonic time of the first failed write.
+    since: Milliseconds
+    failed_writes: int = 0
+
+
 class LineLog:
     """
     Writes one line per event with its time, name and fields.
 
     The rate is limited per event name. Lines above the limit, and lines that do not
     fit into the buffer, are dropped; their number is logged by event name.
+
+    No method raises an exception if a write to the output fails, since they are called
+    while requests are served. The failure is logged once the output works again.
     """
 
     def __init__(
@@ -51,6 +69,7 @@
         self._tokens: dict[str, tuple[float, Milliseconds]] = {}
         self._dropped: Counter[str] = Counter()
         self._reported_at = clock.now()
+        self._failure: _OutputFailure | None = None
 
     @staticmethod
     def unblock_standard_output() -> None:
@@ -74,14 +93,16 @@
         self._append(event, line)
 
     def flush(self) -> None:
-        """Write buffered lines, and report dropped lines."""
+        """Write buffered lines, and report dropped lines once the buffer has room."""
+        self._drain()
         now = self._clock.now()
-        if self._dropped and now - self._reported_at >= REPORT_INTERVAL:
+        is_due = now - self._reported_at >= REPORT_INTERVAL
+        has_room = len(self._pending) <= MAX_PENDING_BYTES_FOR_REPORT
+        if self._dropped and is_due and has_room:
             self._reported_at = now
             counts = dict(self._dropped)
             self._dropped.clear()
             self.write("log:lines-left-out", lines=counts)
-        self._drain()
 
     def _append(self, event: str, line: bytes) -> None:
         if len(self._pending) + len(line) > MAX_PENDING_BYTES:
@@ -93,10 +114,33 @@
 
     def _drain(self) -> None:
         while self._pending:
-            written = self._write_bytes(bytes(self._pending))
+            try:
+                written = self._write_bytes(bytes(self._pending))
+            except OSError as error:
+                self._record_failed_write(error)
+                return
             if written <= 0:
                 return
             del self._pending[:written]
+        self._report_failed_writes()
+
+    def _record_failed_write(self, error: OSError) -> None:
+        if self._failure is None:
+            self._failure = _OutputFailure(
+                reason=error.strerror or repr(error), since=self._clock.now()
+            )
+        self._failure.failed_writes += 1
+
+    def _report_failed_writes(self) -> None:
+        failure = self._failure
+        if failure is not None:
+            self._failure = None
+            self.write(
+                "log:output-failed",
+                reason=failure.reason,
+                failed_writes=failure.failed_writes,
+                failing_ms=self._clock.now() - failure.since,
+            )
 
     def _take_token(self, event: str) -> bool:
         now = self._clock.now()
--- a/fuchsiaroute/serving/_protocol.py
+++ b/fuchsiaroute/serving/_protocol.py
@@ -1,18 +1,23 @@
 """HTTP/1.1 connections with limits on header size, timeouts and their number."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from http import HTTPStatus
 from typing import Any
 
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import (
+    HttpToolsProtocol,
+    RequestResponseCycle,
+)
 
 from fuchsiaroute.clock import Milliseconds
 from fuchsiaroute.gateway import encode_refusal
+from fuchsiaroute.serving._stall_timer import MILLISECONDS_PER_SECOND
+from fuchsiaroute.serving._transport import DeliveringTransport
 from fuchsiaroute.verdict import Refusal, RefusalReason, Verdict
 
-MILLISECONDS_PER_SECOND = 1_000
 HOST_HEADER = b"host"
 
 
@@ -25,8 +30,11 @@
     #: Maximum time from the first byte of a request head, or for the first request from
     #: the connection, to the end of the head.
     head_timeout: Milliseconds = Milliseconds(10_000)
-    #: Maximum time for which the client may block writing of a response.
+    #: Maximum time for which the client may accept no bytes of a response.
     write_timeout: Milliseconds = Milliseconds(10_000)
+    #: Time without received bytes after which the server closes a connection whose
+    #: sending side it has ended, even if the client has not closed its own side.
+    linger_timeout: Milliseconds = Milliseconds(1_000)
     #: Maximum time for which a connection is kept open between two requests.
     idle_timeout: Milliseconds = Milliseconds(30_000)
     max_connections: int = 2_048
@@ -45,6 +53,24 @@
     BUSY = "busy"
 
 
+@dataclass(frozen=True, kw_only=True)
+class _LastExchange:
+    """The exchange after which a connection is closed."""
+
+    cycle: RequestResponseCycle
+    #: Whether the connection would have stayed open after it.
+    was_persistent: bool
+    #: Whether its response head had been sent before, without ``connection: close``.
+    had_head: bool
+
+    @property
+    def may_be_followed(self) -> bool:
+        """Return whether the caller has not been told that it is the last one."""
+        return self.was_persistent and (
+            self.had_head or not self.cycle.response_started
+        )
+
+
 class _HeadTooLargeError(Exception):
     """The request line and headers exceed ``ConnectionLimits.max_head``."""
 
@@ -58,11 +84,19 @@
     error responses immediately, in the middle of a response that is in progress.
     """
 
-    def __init__(self, *args: Any, limits: ConnectionLimits, **kwargs: Any) -> None:
+    def __init__(
+        self,
+        *args: Any,
+        limits: ConnectionLimits,
+        is_draining: Callable[[], bool],
+        **kwargs: Any,
+    ) -> None:
         super().__init__(*args, **kwargs)
         self._limits = limits
+        #: Whether each connection is to be closed after the latest request.
+        self._is_draining = is_draining
+        self._last_exchange: _LastExchange | None = None
         self._head_timer: asyncio.TimerHandle | None = None
-        self._write_timer: asyncio.TimerHandle | None = None
         self._is_in_head = True
         self._head_size = 0
         #: Refusals to write once earlier responses are complete. While there are any,
@@ -71,7 +105,13 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Start the head timer, or refuse the connection if there are too many."""
-        super().connection_made(transport)
+        delivering = DeliveringTransport(
+            transport,
+            write_timeout=self._limits.write_timeout,
+            linger_timeout=self._limits.linger_timeout,
+        )
+        self._delivering = delivering
+        super().connection_made(delivering)
         if len(self.connections) > self._limits.max_connections:
             self._refuse(503, RefusalReason.OVERLOADED, "too many connections")
         else:
@@ -80,6 +120,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse ``data``; refuse a head that exceeds the size limit."""
         if self._pending_refusals or self.transport.is_closing():
+            self._delivering.record_discarded()
             return
         super().data_received(data)
         if self._is_in_head:
@@ -90,18 +131,17 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the timers."""
         self._stop_head_timer()
-        self._stop_write_timer()
+        self._delivering.stop_timers()
         super().connection_lost(exc)
 
     def pause_writing(self) -> None:
         """Start the timer that aborts the connection of a client that does not read."""
         super().pause_writing()
-        delay = self._limits.write_timeout / MILLISECONDS_PER_SECOND
-        self._write_timer = self.loop.call_later(delay, self.transport.abort)
+        self._delivering.start_stall_timer()
 
     def resume_writing(self) -> None:
-        """Cancel the write timer."""
-        self._stop_write_timer()
+        """Stop that timer."""
+        self._delivering.stop_stall_timer()
         super().resume_writing()
 
     def on_message_begin(self) -> None:
@@ -124,6 +164,28 @@
         if _size_of_head(self.url, self.headers) > self._limits.max_head:
             raise _HeadTooLargeError
         super().on_headers_complete()
+        if self._is_draining():
+            self.close_after_response()
+
+    def close_after_response(self) -> None:
+        """Close the connection after the response to the latest request, if any."""
+        cycle = self.cycle
+        if self._pending_refusals or cycle is None or cycle.response_complete:
+            return
+        previous = self._last_exchange
+        if previous is not None and previous.may_be_followed:
+            previous.cycle.keep_alive = True
+        self._last_exchange = _LastExchange(
+            cycle=cycle,
+            was_persistent=cycle.keep_alive,
+            had_head=cycle.response_started,
+        )
+        cycle.keep_alive = False
+
+    def shutdown(self) -> None:
+        """Close the connection if it is idle; otherwise it is closed later."""
+        if self.cycle is None or self.cycle.response_complete:
+            self.transport.close()
 
     def on_response_complete(self) -> None:
         """Start the next request, or write the pending refusals and close."""
@@ -188,11 +250,6 @@
             self._head_timer.cancel()
             self._head_timer = None
 
-    def _stop_write_timer(self) -> None:
-        if self._write_timer is not None:
-            self._write_timer.cancel()
-            self._write_timer = None
-
 
 def _size_of_head(url: bytes, headers: list[tuple[bytes, bytes]]) -> int:
     return len(url) + sum(len(name) + len(value) for name, value in headers)
