--- a/fuchsiaroute/platform/tests/node_harness.py
+++ b/fuchsiaroute/platform/tests/node_harness.py
@@ -109,6 +109,11 @@
         reader = self._reader
         return reader is not None and not reader.at_eof()
 
+    @property
+    def local_port(self) -> int | None:
+        writer = self._writer
+        return None if writer is None else writer.get_extra_info("sockname")[1]
+
     async def send(
         self,
         path: str,
