Compare the speed of a new version with its base versions

Callers saw a new version that answered several times slower rolled out to the end, or rolled back late: an answer counted as slow only if its first byte took five times the mean and 400 ms more. What stopped the roll-outs were the few streams that fell silent for longer than the route's gap.

An answer is slow now if it takes 2.25 times the median of the base versions' answers of the last 10 s, for the time to first byte and for the lower quartile of the gaps between the first events of a stream. Each is a measure with likelihood ratios of its own; the ratios of the measures are averaged, since their product lets a measure in which the target is as fast as its base outweigh the others. Slow answers belong to the stage in which their request was sent, and stages are classes of their own. Instances of the former code count the new classes like any other; the messages are the same.

--- a/fuchsiaroute/forwarding/__init__.py
+++ b/fuchsiaroute/forwarding/__init__.py
@@ -14,6 +14,7 @@
 )
 from fuchsiaroute.forwarding._model_choice import CascadeTimes, ModelChoice
 from fuchsiaroute.forwarding._request_resolver import RequestResolver
+from fuchsiaroute.forwarding._speed_comparison import SpeedComparison
 from fuchsiaroute.forwarding._stream_relay import StreamRelay
 
 __all__ = [
@@ -31,5 +32,6 @@
     "ModelChoice",
     "RequestResolver",
     "SharedEstimate",
+    "SpeedComparison",
     "StreamRelay",
 ]
--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -15,13 +15,14 @@
 )
 from fuchsiaroute.forwarding._latency_estimator import FIXED_TOKENS, LatencyEstimator
 from fuchsiaroute.forwarding._model_choice import CascadeTimes
+from fuchsiaroute.forwarding._speed_comparison import Speed, SpeedComparison
 from fuchsiaroute.ids import EndpointId, ModelId, RequestClass, ServiceId, VersionId
 from fuchsiaroute.lifecycle import Outcome
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.platform import EventId, PromptPart
 from fuchsiaroute.pool import Demand, EndpointPool, QueueRefusal, RequestQueue
 from fuchsiaroute.retry import WindowedRetryBudget
-from fuchsiaroute.staging import RolloutTracker
+from fuchsiaroute.staging import Measure, RolloutTracker
 from fuchsiaroute.verdict import Verdict
 
 #: Sends beyond the route's attempts, to replace those that endpoints reject.
@@ -69,11 +70,10 @@
 ESCALATION_RESERVE = 0.05
 #: Attempts that an escalation leaves for the resumption of its stream.
 RESUME_RESERVE = 1
-#: A response counts as slow in the comparison of versions if its time to first byte
-#: exceeds the mean by this factor and by this excess; prompts that are not cached yet
-#: take a few times the mean.
-SLOW_FACTOR = 5.0
-MIN_SLOW_EXCESS = Milliseconds(400)
+#: A time to first byte that exceeds the mean by this factor and by this excess is not
+#: learned; prompts that are not cached yet take a few times the mean.
+OUTLIER_FACTOR = 5.0
+MIN_OUTLIER_EXCESS = Milliseconds(400)
 
 
 def uncached_factor(prompt: tuple[PromptPart, ...]) -> float:
@@ -107,6 +107,7 @@
         client: EndpointClient,
         tracker: RolloutTracker,
         latencies: LatencyEstimator,
+        speeds: SpeedComparison,
         counters: Counters,
         clock: Clock,
         log: LineLog,
@@ -119,6 +120,7 @@
         self._client = client
         self._tracker = tracker
         self._latencies = latencies
+        self._speeds = speeds
         self._counters = counters
         self._clock = clock
         self._log = log
@@ -237,6 +239,16 @@
             reason=reason,
         )
 
+    def record_pace(self, call: Call, response: OpenResponse, pace: float) -> None:
+        """Record the typical milliseconds between the events of a stream."""
+        reservation = response.reservation
+        version = reservation.endpoint.version
+        age = Milliseconds(self._clock.now() - reservation.reserved_at)
+        if not reservation.is_cold:
+            self._speeds.record(
+                _speed(call, version, response.model, Measure.PACE, pace, age)
+            )
+
     def record_complete_response(self, call: Call, response: OpenResponse) -> None:
         """Record that a response was received completely."""
         if call.session is not None:
@@ -357,30 +369,37 @@
         self, call: Call, response: OpenResponse, model: ModelId | None
     ) -> None:
         reservation = response.reservation
-        duration = response.time_to_first_byte
-        tokens = call.fields.prompt_tokens
-        mean = self._latencies.mean(call.route.name, model or "", tokens)
-        is_slow = (
-            mean is not None
-            and duration > SLOW_FACTOR * mean + reservation.backlog
-            and duration > mean + reservation.backlog + MIN_SLOW_EXCESS
-        )
         is_bad = not response.is_success
         if is_bad:
             call.excluded.add(reservation.endpoint.id)
-        version = reservation.endpoint.version
-        self._count_answer(call, version, is_bad=is_bad)
+        self._count_answer(call, reservation.endpoint.version, is_bad=is_bad)
         if response.is_success:
-            self._count_latency(call, version, is_slow=is_slow)
-        if mean is not None and mean > 0 and response.is_success:
+            self._record_latency(call, response, model)
+        self._counters.add("attempts", "answered" if not is_bad else "failed")
+
+    def _record_latency(
+        self, call: Call, response: OpenResponse, model: ModelId | None
+    ) -> None:
+        reservation = response.reservation
+        duration = response.time_to_first_byte
+        tokens = call.fields.prompt_tokens
+        mean = self._latencies.mean(call.route.name, model or "", tokens)
+        if mean is not None and mean > 0:
             reservation.record_duration(duration / (mean + reservation.backlog))
-        if response.is_success and not is_slow:
-            waited = SUBTRACTED_WAIT_SHARE * reservation.backlog
-            work = Milliseconds(
-                round(max(duration - waited, MIN_WORK_SHARE * duration))
-            )
+        waited = SUBTRACTED_WAIT_SHARE * reservation.backlog
+        work = Milliseconds(round(max(duration - waited, MIN_WORK_SHARE * duration)))
+        is_outlier = (
+            mean is not None
+            and duration > OUTLIER_FACTOR * mean + reservation.backlog
+            and duration > mean + reservation.backlog + MIN_OUTLIER_EXCESS
+        )
+        if not is_outlier:
             self._latencies.add(call.route.name, model or "", tokens, work)
-        self._counters.add("attempts", "answered" if not is_bad else "failed")
+        if not reservation.is_cold:
+            speed = _speed(
+                call, reservation.endpoint.version, model, Measure.START, work, duration
+            )
+            self._speeds.record(speed)
 
     def _record_unanswered(
         self,
@@ -404,7 +423,10 @@
         call.excluded.add(endpoint)
         self._counters.add("attempts", failure.outcome.value)
         if failure.outcome is Outcome.SILENT:
-            self._count_latency(call, version, is_slow=True)
+            waited = failure.duration
+            self._speeds.record_unanswered(
+                _speed(call, version, None, Measure.START, waited, waited)
+            )
         elif failure.verdict is not Verdict.NOT_RUN:
             self._count_answer(call, version, is_bad=True)
         self._log.write(
@@ -422,16 +444,31 @@
             call.service, version, RequestClass(call.route.name), is_bad=is_bad
         )
 
-    def _count_latency(self, call: Call, version: VersionId, *, is_slow: bool) -> None:
-        self._tracker.record_answer(
-            call.service,
-            version,
-            RequestClass(f"{call.route.name}:latency"),
-            is_bad=is_slow,
-        )
-
     def _retry_budget(self, service: ServiceId) -> WindowedRetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
             budget = self._budgets.setdefault(service, self._new_budget())
         return budget
+
+
+def _speed(
+    call: Call,
+    version: VersionId,
+    model: ModelId | None,
+    measure: Measure,
+    duration: float,
+    age: Milliseconds,
+) -> Speed:
+    is_start = measure is Measure.START
+    return Speed(
+        service=call.service,
+        version=version,
+        route=call.route.name,
+        model=model,
+        measure=measure,
+        duration=duration,
+        size=FIXED_TOKENS + call.fields.prompt_tokens if is_start else 1.0,
+        # The target's endpoints have no prompts of its version cached at first.
+        allowance=uncached_factor(call.fields.prompt) if is_start else 1.0,
+        age=age,
+    )
--- a/fuchsiaroute/forwarding/_stream_relay.py
+++ b/fuchsiaroute/forwarding/_stream_relay.py
@@ -9,6 +9,7 @@
 from fuchsiaroute.forwarding._buffered_relay import MAX_BODY_BYTES
 from fuchsiaroute.forwarding._call import Call
 from fuchsiaroute.forwarding._endpoint_client import AttemptFailure, OpenResponse
+from fuchsiaroute.forwarding._event_pace import EventPace
 from fuchsiaroute.forwarding._events import EventSplitter, EventTooLongError
 from fuchsiaroute.forwarding._model_choice import ModelChoice
 from fuchsiaroute.forwarding._result import CallResult, Ending, refused_result
@@ -40,6 +41,8 @@
     #: Weak answer to relay if ``response`` ends before its first event.
     fallback: OpenResponse | None = None
     splitter: EventSplitter = field(default_factory=EventSplitter)
+    #: Pace of ``response``.
+    pace: EventPace = field(default_factory=EventPace)
     resumptions: int = 0
 
 
@@ -179,6 +182,7 @@
             if await self._relay_events(call, state):
                 ending, outcome = Ending.ANSWERED, Outcome.ANSWERED
         finally:
+            self._record_pace(call, state)
             state.response.close(outcome)
         if ending is Ending.ANSWERED:
             self._runner.record_complete_response(call, state.response)
@@ -209,6 +213,7 @@
             try:
                 async with asyncio.timeout(self._idle_timeout(call)):
                     data = await state.response.read()
+                count = state.splitter.count
                 complete = state.splitter.feed(data) if data else b""
             except TimeoutError:
                 if not await self._resume(call, state, Outcome.SILENT, "silence"):
@@ -223,15 +228,25 @@
                 responder.write(state.splitter.incomplete)
                 return True
             if complete:
+                state.pace.record(self._clock.now(), state.splitter.count - count)
+                if state.pace.is_known:
+                    self._record_pace(call, state)
                 self._start(call, state)
                 responder.write(complete)
                 await responder.drain()
 
+    def _record_pace(self, call: Call, state: _RelayState) -> None:
+        """Record the pace of the stream's present response, once."""
+        pace = state.pace.take()
+        if pace is not None:
+            self._runner.record_pace(call, state.response, pace)
+
     async def _resume(
         self, call: Call, state: _RelayState, outcome: Outcome, reason: str
     ) -> bool:
         """Resume a broken stream at another endpoint; return whether it succeeded."""
         previous = state.response
+        self._record_pace(call, state)
         self._runner.record_broken_response(call, previous, reason)
         previous.close(outcome)
         last_id = state.splitter.last_id
@@ -255,6 +270,7 @@
                 result.close(Outcome.CANCELLED)
                 continue
             state.response = result
+            state.pace = EventPace()
             state.splitter.discard_incomplete()
             state.resumptions += 1
             self._log.write(
--- a/fuchsiaroute/forwarding/tests/test_escalation.py
+++ b/fuchsiaroute/forwarding/tests/test_escalation.py
@@ -18,6 +18,7 @@
             "client",
             "tracker",
             "latencies",
+            "speeds",
             "counters",
             "clock",
             "log",
--- a/fuchsiaroute/forwarding/tests/test_stream_relay.py
+++ b/fuchsiaroute/forwarding/tests/test_stream_relay.py
@@ -68,6 +68,7 @@
     results: list[Any]
     may_escalate_to: bool = True
     attempts: list[dict[str, Any]] = field(default_factory=list)
+    paces: list[tuple[str, float]] = field(default_factory=list)
 
     async def attempt(self, call: Any, **options: Any) -> Any:
         self.attempts.append(options)
@@ -93,6 +94,9 @@
     def record_complete_response(self, call: Any, response: Any) -> None:
         pass
 
+    def record_pace(self, call: Any, response: Any, pace: float) -> None:
+        self.paces.append((response.model, pace))
+
 
 class Responder:
     """Records what the caller receives."""
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -18,6 +18,7 @@
     LatencyEstimator,
     ModelChoice,
     RequestResolver,
+    SpeedComparison,
     StreamRelay,
 )
 from fuchsiaroute.gossip import (
@@ -379,6 +380,7 @@
             ),
             tracker=self.tracker,
             latencies=self._latencies,
+            speeds=SpeedComparison(tracker=self.tracker, clock=self._clock),
             counters=self.counters,
             clock=self._clock,
             log=self.log,
--- a/fuchsiaroute/pool/_pool.py
+++ b/fuchsiaroute/pool/_pool.py
@@ -87,6 +87,10 @@
         self._work = work
         #: Expected milliseconds of work queued before the request.
         self.backlog = member.backlog
+        #: Monotonic instant at which the endpoint was reserved.
+        self.reserved_at = member.clock.now()
+        #: Whether the endpoint was cold when it was reserved.
+        self.is_cold = member.is_cold
         member.add_request(work)
 
     @property
--- a/fuchsiaroute/staging/__init__.py
+++ b/fuchsiaroute/staging/__init__.py
@@ -2,6 +2,7 @@
 
 from fuchsiaroute.staging._counts import RolloutCounts
 from fuchsiaroute.staging._driver import RolloutDriver
+from fuchsiaroute.staging._measures import Measure, speed_class
 from fuchsiaroute.staging._schedule import share_of_sessions
 from fuchsiaroute.staging._sessions import SessionVersions
 from fuchsiaroute.staging._tracker import (
@@ -13,6 +14,7 @@
 )
 
 __all__ = [
+    "Measure",
     "Progress",
     "RolloutCounts",
     "RolloutDriver",
@@ -22,4 +24,5 @@
     "SessionVersions",
     "session_key",
     "share_of_sessions",
+    "speed_class",
 ]
--- a/fuchsiaroute/staging/_counts.py
+++ b/fuchsiaroute/staging/_counts.py
@@ -1,15 +1,28 @@
 """Counts of answers of the target and the base versions, over all instances."""
 
+import math
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from fuchsiaroute.ids import InstanceId, RequestClass, RolloutId, VersionId
-from fuchsiaroute.sequential import Evidence, SequentialTest, Trial
-
-#: With fewer bad answers of the target the test is not run: single failures occur at
-#: the target and at the base versions.
+from fuchsiaroute.sequential import (
+    DEFAULT_FALSE_ALARM_RATE,
+    Evidence,
+    SequentialTest,
+    Trial,
+)
+from fuchsiaroute.staging._measures import Measure, parse_class
+
+#: A measure with fewer bad answers of the target is no evidence: single failures occur
+#: at the target and at the base versions.
 MIN_BAD_ANSWERS = 3
+#: Weight of all routes of a measure together; each route alone shares the rest.
+TOGETHER_WEIGHT = 0.8
+#: Limit of the logarithm of a likelihood ratio, which keeps its exponential finite.
+MAX_LOG_EVIDENCE = 100.0
+
+_Classes = dict[RequestClass, Evidence]
 
 
 @dataclass
@@ -67,19 +80,48 @@
         for source in (self.own(), *self._peers.values()):
             for name, evidence in source.items():
                 classes.setdefault(name, []).append(evidence)
+        return self._trial({name: _sum(items) for name, items in classes.items()})
+
+    def is_bad(self) -> bool:
+        """
+        Return whether the target is significantly worse than the base versions.
+
+        The likelihood ratios of the measures are averaged, and for each measure those
+        of all routes together and of each route alone. A mean of likelihood ratios
+        keeps the false-alarm rate. In their product, measures and routes in which the
+        target is as good as its base would outweigh the evidence of the others.
+        """
+        routes: dict[Measure, dict[str, _Classes]] = {}
+        for name, evidence in self.trial().classes.items():
+            route, measure = parse_class(name)
+            classes = routes.setdefault(measure, {}).setdefault(route, {})
+            classes[name] = evidence
+        ratio = sum(self._mean_ratio(item) for item in routes.values()) / len(Measure)
+        return ratio >= 1.0 / DEFAULT_FALSE_ALARM_RATE
+
+    def _mean_ratio(self, routes: dict[str, _Classes]) -> float:
+        """Return the likelihood ratio of one measure from its classes by route."""
+        together: _Classes = {}
+        for classes in routes.values():
+            together.update(classes)
+        alone = sum(self._ratio(classes) for classes in routes.values()) / len(routes)
+        return TOGETHER_WEIGHT * self._ratio(together) + (1 - TOGETHER_WEIGHT) * alone
+
+    def _ratio(self, classes: _Classes) -> float:
+        bad = sum(item.target_bad for item in classes.values())
+        if bad < MIN_BAD_ANSWERS:
+            return 0.0
+        evidence = self._test.evaluate(self._trial(classes)).log_evidence
+        return math.exp(min(evidence, MAX_LOG_EVIDENCE))
+
+    def _trial(self, classes: _Classes) -> Trial:
         return Trial(
             rollout=self._rollout,
             base=VersionId(""),
             target=self._target,
-            classes={name: _sum(items) for name, items in classes.items()},
+            classes=classes,
         )
 
-    def is_bad(self) -> bool:
-        """Return whether the target is significantly worse than the base versions."""
-        trial = self.trial()
-        bad = sum(item.target_bad for item in trial.classes.values())
-        return bad >= MIN_BAD_ANSWERS and self._test.evaluate(trial).is_bad
-
 
 def _ratings(evidence: Evidence) -> int:
     return evidence.target_ratings + evidence.base_ratings
--- a/fuchsiaroute/staging/_schedule.py
+++ b/fuchsiaroute/staging/_schedule.py
@@ -43,12 +43,14 @@
     """
     if elapsed < FIRST_MOVE_DELAY:
         return 0.0
-    share = CANARY_PART * canary_share
+    index = stage_index(elapsed, duration)
+    return GROWTH[index - 1].share if index else CANARY_PART * canary_share
+
+
+def stage_index(elapsed: Milliseconds, duration: Milliseconds) -> int:
+    """Return the index of the current stage; the canary has index 0."""
     part = elapsed / max(duration, 1)
-    for stage in GROWTH:
-        if part >= stage.start:
-            share = stage.share
-    return share
+    return sum(part >= stage.start for stage in GROWTH)
 
 
 def must_keep_sessions(elapsed: Milliseconds, duration: Milliseconds) -> bool:
--- a/fuchsiaroute/staging/_tracker.py
+++ b/fuchsiaroute/staging/_tracker.py
@@ -13,9 +13,11 @@
 from fuchsiaroute.staging._counts import RolloutCounts
 from fuchsiaroute.staging._schedule import (
     CANARY_PART,
+    GROWTH,
     may_complete,
     must_keep_sessions,
     share_of_sessions,
+    stage_index,
 )
 from fuchsiaroute.staging._sessions import SessionVersions
 from fuchsiaroute.store import era_of
@@ -172,6 +174,33 @@
         is_moved = self._is_moved(order, record, session, key)
         return target if is_moved else base_versions
 
+    def is_base(self, service: ServiceId, version: VersionId) -> bool:
+        """Return whether a version is not the target of an unfinished roll-out."""
+        order = self._orders.get(service)
+        if order is None or version != order.target:
+            return True
+        record = self.record(service)
+        return record is not None and record.progress is Progress.COMPLETED
+
+    def comparable_stage(
+        self, service: ServiceId, *, age: Milliseconds = Milliseconds(0)
+    ) -> int | None:
+        """
+        Return the index of a running roll-out's stage; None if there is none.
+
+        ``age`` is the time since a request was sent. Its answer belongs to the stage of
+        that time: in a later one, slow answers would be compared with faster ones to
+        other requests. None is also returned for the last stage, in which no request is
+        left to the base versions.
+        """
+        order = self._orders.get(service)
+        record = self.record(service)
+        if order is None or record is None or record.progress is not Progress.RUNNING:
+            return None
+        sent_at = Milliseconds(self.elapsed(record) - age)
+        index = stage_index(sent_at, order.duration)
+        return index if index < len(GROWTH) else None
+
     def record_answer(
         self,
         service: ServiceId,
