--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -19,6 +19,7 @@
     LatencyEstimator,
     ModelChoice,
     RequestResolver,
+    SpeedComparison,
     StopAdmission,
     StreamRelay,
 )
@@ -320,6 +321,7 @@
             ),
             tracker=self.tracker,
             latencies=self._latencies,
+            speeds=SpeedComparison(tracker=self.tracker, clock=self._clock),
             counters=self.counters,
             clock=self._clock,
             log=self.log,
