Soak: a cut belongs to the stop of its process; refused connections

Trials with 12 instances at a machine load of 20 showed two faults of the checks: - A cut was counted from the last SIGTERM of the instance, also from one of a later process. The proxy tells now which connections it refused.

--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -44,6 +44,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self.port = 0
+        #: Ports of the callers whose connections were not established.
+        self.refused_ports: set[int] = set()
 
     async def listen(self) -> None:
         """Listen on a free port."""
@@ -85,6 +87,8 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        caller_port = writer.get_extra_info("peername")[1]
+        self.refused_ports.add(caller_port)
         if self._state is LinkState.REFUSING:
             _reset(writer)
             return
@@ -93,6 +97,7 @@
         except OSError:
             _reset(writer)
             return
+        self.refused_ports.discard(caller_port)
         if self._is_narrow:
             _socket_of(writer).setsockopt(
                 socket.SOL_SOCKET, socket.SO_SNDBUF, _NARROW_BUFFER_BYTES
--- a/soak/_record.py
+++ b/soak/_record.py
@@ -33,6 +33,8 @@
     is_abandoned: bool = False
     #: Whether the other end closed the connection before the answer was complete.
     is_closed: bool = False
+    #: Whether the connection has not reached the instance.
+    is_refused: bool = False
     #: Requests with the same number belong to one session.
     session: int | None = None
 
--- a/soak/_stop_checks.py
+++ b/soak/_stop_checks.py
@@ -41,7 +41,7 @@
         # A close that the request has crossed reaches its caller at once.
         took = cut.request.ended_at - cut.request.sent_at
         is_passed_on = cut.arrivals or cut.request.status is not None
-        if not is_passed_on and took > LOSS_SLACK:
+        if not (is_passed_on or cut.request.is_refused) and took > LOSS_SLACK:
             yield _describe(cut)
 
 
@@ -63,15 +63,14 @@
 
 
 def _stop_of(evidence: Evidence, request: CallerRequest) -> Milliseconds | None:
-    """Return the last SIGTERM of its instance to whose stop the end belongs."""
-    times = [
-        stopped_at
-        for instance in evidence.instances
-        if instance.name == request.instance
-        for stopped_at in instance.stopped_at.values()
-        if stopped_at <= request.ended_at <= stopped_at + GRACE + _AFTER_GRACE
-    ]
-    return max(times, default=None)
+    """Return the SIGTERM of its process to whose stop the end of a request belongs."""
+    for instance in evidence.instances:
+        if instance.name == request.instance:
+            stopped_at = instance.stopped_at.get(request.process_index)
+            if stopped_at is not None:
+                last = Milliseconds(stopped_at + GRACE + _AFTER_GRACE)
+                return stopped_at if stopped_at <= request.ended_at <= last else None
+    return None
 
 
 def _is_undisturbed(evidence: Evidence, cut: _Cut) -> bool:
--- a/soak/_traffic.py
+++ b/soak/_traffic.py
@@ -288,6 +288,8 @@
         except (OSError, EOFError):
             # The connection was closed before a response began.
             request.is_closed = True
+            refused = self._node.callers.refused_ports
+            request.is_refused = self._caller.local_port in refused
             self.close()
         finally:
             self._is_receiving = False
--- a/soak/tests/test_proxy.py
+++ b/soak/tests/test_proxy.py
@@ -101,6 +101,21 @@
             assert await client.received()
 
 
+# Guards against reports of requests that were never sent to the server.
+@pytest.mark.parametrize("state", [LinkState.SOUND, LinkState.REFUSING])
+async def test_link_knows_the_connections_that_it_has_refused(
+    link: Link, state: LinkState
+) -> None:
+    link.set_state(state)
+    reader, writer = await asyncio.open_connection("127.0.0.1", link.port)
+    port = writer.get_extra_info("sockname")[1]
+    writer.write(b"one")
+    with contextlib.suppress(ConnectionResetError):
+        await reader.read(3)
+    assert (port in link.refused_ports) == (state is LinkState.REFUSING)
+    writer.close()
+
+
 async def test_delayed_link_delivers(link: Link) -> None:
     link.set_state(LinkState.DELAYED)
     async with Client(link.port) as client:
--- a/soak/tests/test_stop_checks.py
+++ b/soak/tests/test_stop_checks.py
@@ -133,20 +133,23 @@
     assert len(list(check_stops(evidence_of({}, sound, broken)))) == 1
 
 
-# Guards against an excuse that counts from the stop of an earlier process.
+# Guards against an excuse that counts from the stop of another process.
 @pytest.mark.parametrize(
-    ("stopped_again_at", "is_reported"),
+    ("process_index", "is_reported"),
     [
-        pytest.param(from_stop(2_000), True, id="cut early in the second stop"),
-        pytest.param(from_stop(7_500), False, id="cut before the second stop"),
+        pytest.param(0, False, id="not stopped"),
+        pytest.param(1, False, id="early, cut in the last sixth"),
+        pytest.param(2, True, id="early, cut soon after SIGTERM"),
     ],
 )
-def test_cut_belongs_to_the_last_stop_before_it(
-    stopped_again_at: Milliseconds, is_reported: bool
+def test_cut_belongs_to_the_stop_of_its_process(
+    process_index: int, is_reported: bool
 ) -> None:
     ended_at = from_stop(7_400)
-    evidence = evidence_of({"ended_at": ended_at}, {"ended_at": ended_at})
-    evidence.instances[0].stopped_at[1] = stopped_again_at
+    evidence = evidence_of(
+        {"ended_at": ended_at, "process_index": process_index}, {"ended_at": ended_at}
+    )
+    evidence.instances[0].stopped_at = {1: STOPPED_AT, 2: from_stop(2_000)}
     assert len(list(check_stops(evidence))) == is_reported
 
 
@@ -184,12 +187,18 @@
 
 # Guards against reports of requests that the close has crossed.
 @pytest.mark.parametrize(
-    ("took", "is_reported"), [(LOSS_SLACK, False), (LOSS_SLACK + 1, True)]
+    ("took", "is_refused", "is_reported"),
+    [
+        (LOSS_SLACK, False, False),
+        (LOSS_SLACK + 1, False, True),
+        (LOSS_SLACK + 1, True, False),
+    ],
 )
 def test_request_without_a_run_is_reported_if_the_close_came_late(
-    took: Milliseconds, is_reported: bool
+    took: Milliseconds, is_refused: bool, is_reported: bool
 ) -> None:
     request = {
+        "is_refused": is_refused,
         "sent_at": from_stop(100),
         "ended_at": from_stop(100 + took),
         "status": None,
