Tell streams that reach their route's timeout from streams that are cut

Reaching the route's timeout is one of the rule's exceptions, so an incomplete stream that lasted that long is no longer counted; everything else is checked as before.

--- a/soak/tests/test_stop.py
+++ b/soak/tests/test_stop.py
@@ -48,6 +48,8 @@
 async def send_at(caller: Caller, at_s: float, kind: RouteKind, request_id: str) -> str:
     """Return how a request ended that was sent on an open connection."""
     await asyncio.sleep(at_s)
+    clock = BootClock()
+    sent_at = clock.now()
     events = _EVENTS if kind.is_stream else 0
     try:
         await caller.send(
@@ -63,7 +65,10 @@
         return "closed"
     finally:
         caller.close()
-    return "whole" if reply.is_whole else "cut"
+    if reply.is_whole:
+        return "whole"
+    is_overdue = clock.now() - sent_at >= kind.timeout
+    return "overdue" if is_overdue else "cut"
 
 
 # Streams that a stopping process had sent to an endpoint were cut by its exit, since it
