--- a/fuchsiaroute/platform/tests/node_harness.py
+++ b/fuchsiaroute/platform/tests/node_harness.py
@@ -104,11 +104,6 @@
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
 
-    @property
-    def local_port(self) -> int | None:
-        writer = self._writer
-        return None if writer is None else writer.get_extra_info("sockname")[1]
-
     @property
     def is_connected(self) -> bool:
         reader = self._reader
