Serve: a log that is not read no longer holds up the entry

Callers of "fuchsiaroute serve" got no answers, and a stop never ended, once nobody read standard error any more: eliot writes and flushes each line with a blocking call in the event loop, and a full pipe stopped the process. With a full disk the entry served on (eliot catches the error of a write), but the end of the process raised the error again while it closed the log.

The log now goes through a bounded buffer to a non-blocking descriptor. Lines that do not fit are counted and reported in log:lines-left-out with the reason once the output accepts lines again; at the end, the process waits at most 1 s for an output that accepts nothing.

--- a/fuchsiaroute/logs/_events.py
+++ b/fuchsiaroute/logs/_events.py
@@ -199,3 +199,14 @@
     rollout: RolloutId
     #: ``accepted`` or ``not-accepted``; the latter is retried.
     outcome: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LinesLeftOut(Event):
+    """The log's output accepts lines again that it did not accept for a time."""
+
+    message_type: ClassVar[str] = "log:lines-left-out"
+    #: Number of lines that were dropped meanwhile.
+    lines: int
+    #: Why the output accepted none.
+    reason: str
--- a/fuchsiaroute/logs/tests/test_logs.py
+++ b/fuchsiaroute/logs/tests/test_logs.py
@@ -1,7 +1,13 @@
 import dataclasses
+import errno
 import io
 import json
 import logging
+import os
+import select
+import subprocess
+import sys
+from pathlib import Path
 
 import pytest
 from eliot import prettyprint
@@ -68,6 +74,7 @@
     ),
 )
 ENDPOINT = EndpointId("e-1")
+TIMEOUT_SECONDS = 30
 EVENTS = [
     route_decided(REQUEST, DECISION),
     AttemptFinished(
@@ -164,3 +171,63 @@
     with open_log(tmp_path / "log"):
         logging.getLogger("uvicorn.error").warning("connection lost")
     assert "connection lost" in (tmp_path / "log").read_text()
+
+
+def test_unread_standard_error_does_not_hold_up_the_process():
+    """A reader of the log that stops reading held up every answer of the entry."""
+    program = (
+        "import sys\n"
+        "from fuchsiaroute.logs import InstanceStateChanged, log_event, open_log\n"
+        "from fuchsiaroute.settings import StandardError\n"
+        "with open_log(StandardError.TOKEN):\n"
+        "    for number in range(10_000):\n"
+        "        log_event(InstanceStateChanged(instance=str(number), state='x'))\n"
+        "    print('serving', flush=True)\n"
+        "    sys.stdin.readline()\n"
+        "    log_event(InstanceStateChanged(instance='last', state='x'))\n"
+    )
+    with subprocess.Popen(
+        [sys.executable, "-c", program],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    ) as process:
+        try:
+            readable, _, _ = select.select([process.stdout], [], [], TIMEOUT_SECONDS)
+            assert readable
+            _, errors = process.communicate(b"\n", timeout=TIMEOUT_SECONDS)
+        finally:
+            process.kill()
+    lines = [json.loads(line) for line in errors.splitlines()]
+    states = [line for line in lines if line["message_type"] == "instance:state"]
+    (report,) = [line for line in lines if line["message_type"] == "log:lines-left-out"]
+    assert report["lines"] == 10_001 - len(states)
+    assert process.returncode == 0
+
+
+@pytest.mark.parametrize("error_number", [errno.ENOSPC, errno.EPIPE, errno.EIO])
+def test_lines_that_cannot_be_written_follow_once_the_output_works(
+    tmp_path, monkeypatch, error_number
+):
+    """Lines were lost, without a trace, while the disk was full."""
+
+    def fail(descriptor, data):
+        raise OSError(error_number, os.strerror(error_number))
+
+    path = tmp_path / "log"
+    with open_log(path):
+        with monkeypatch.context() as patch:
+            patch.setattr("os.write", fail)
+            log_event(EVENTS[0])
+        log_event(EVENTS[1])
+    types = [json.loads(line)["message_type"] for line in path.read_text().splitlines()]
+    assert types[:2] == ["route:decided", EVENTS[1].message_type]
+    report = json.loads(path.read_text().splitlines()[2])
+    assert (report["message_type"], report["lines"]) == ("log:lines-left-out", 0)
+    assert report["reason"] == os.strerror(error_number)
+
+
+def test_full_disk_does_not_fail_the_end_of_the_process():
+    """Closing the log raised the error of a write, after all requests had ended."""
+    with open_log(Path("/dev/full")):
+        log_event(EVENTS[0])
