Serve: log the records that a stop could not write

A graceful stop waits at most 10 s each until claims and ledger records are stored, and exited without a trace if they were not: operators could not tell that answers had been delivered whose bills the store does not have (a peer may hold copies).

stop:unwritten now names what is missing and how many records.

--- a/fuchsiaroute/logs/__init__.py
+++ b/fuchsiaroute/logs/__init__.py
@@ -14,6 +14,7 @@
     RolloutPauseSubmitted,
     RolloutSuspended,
     RouteDecided,
+    StopUnwritten,
     TaskFailed,
     route_decided,
 )
@@ -33,6 +34,7 @@
     "RequestRefused",
     "RolloutPauseSubmitted",
     "RolloutSuspended",
+    "StopUnwritten",
     "TaskFailed",
     "RouteDecided",
     "open_log",
--- a/fuchsiaroute/logs/_events.py
+++ b/fuchsiaroute/logs/_events.py
@@ -210,3 +210,16 @@
     lines: int
     #: Why the output accepted none.
     reason: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StopUnwritten(Event):
+    """A graceful stop ended its wait for records that the store does not have yet."""
+
+    message_type: ClassVar[str] = "stop:unwritten"
+    #: ``claims`` or ``ledger``.
+    what: str
+    #: Number of records.
+    records: int
+    #: Time for which the stop waited.
+    waited_ms: Milliseconds
--- a/fuchsiaroute/logs/tests/test_logs.py
+++ b/fuchsiaroute/logs/tests/test_logs.py
@@ -32,9 +32,11 @@
     ChangeSubmitted,
     ConfigurationApplied,
     InstanceStateChanged,
+    LinesLeftOut,
     PlacementDecided,
     RequestBilled,
     RequestRefused,
+    StopUnwritten,
     TaskFailed,
     log_event,
     open_log,
@@ -117,6 +119,8 @@
     ),
     InstanceStateChanged(instance=InstanceId("entry-1"), state="ready"),
     TaskFailed(task="ledger", error="KeyError: 'a'"),
+    LinesLeftOut(lines=2, reason="No space left on device"),
+    StopUnwritten(what="ledger", records=3, waited_ms=Milliseconds(10)),
 ]
 
 
--- a/fuchsiaroute/serving/_run.py
+++ b/fuchsiaroute/serving/_run.py
@@ -9,7 +9,12 @@
 from fuchsiaroute.advice import ADVICE_LIFETIME, CandidateEntry
 from fuchsiaroute.clock import Clock, Milliseconds, SystemClock
 from fuchsiaroute.gateway import CallerLimits
-from fuchsiaroute.logs import InstanceStateChanged, log_event, open_log
+from fuchsiaroute.logs import (
+    InstanceStateChanged,
+    StopUnwritten,
+    log_event,
+    open_log,
+)
 from fuchsiaroute.serving._compose import ComposedEntry, EntryOptions, compose_entry
 from fuchsiaroute.serving._operators import compose_operators
 from fuchsiaroute.serving._peer_options import read_peer_options
@@ -123,8 +128,11 @@
         await self._caller_server.stop()
         await self._entry.balancing.cold_slot_ownership.release()
         await self._entry.routing.allowances.release_unused()
-        await self._entry.durable.claim_table.drain(DRAIN_TIMEOUT)
-        await self._entry.durable.ledger.drain(DRAIN_TIMEOUT)
+        claims, ledger = self._entry.durable.claim_table, self._entry.durable.ledger
+        if not await claims.drain(DRAIN_TIMEOUT):
+            _log_unwritten("claims", claims.pending_outcomes)
+        if not await ledger.drain(DRAIN_TIMEOUT):
+            _log_unwritten("ledger", ledger.buffered)
         await self._entry.background.stop()
         await self._entry.durable.placement.release()
         if isinstance(self._entry.peers, PeerParts):
@@ -166,6 +174,10 @@
     log_event(InstanceStateChanged(instance=settings.instance.id, state=state))
 
 
+def _log_unwritten(what: str, records: int) -> None:
+    log_event(StopUnwritten(what=what, records=records, waited_ms=DRAIN_TIMEOUT))
+
+
 def _caller_limits(callers: CallerSettings) -> CallerLimits:
     return CallerLimits(
         max_body=callers.max_body,
