Serve: close no connection whose caller was told that it stays open

A response that has been started no longer ends its connection.

Before: both cases of test_connection_without_announced_close_stays_open_for_a_request fail (the second request gets nothing).

--- a/fuchsiaroute/serving/_protocol.py
+++ b/fuchsiaroute/serving/_protocol.py
@@ -53,24 +53,6 @@
     BUSY = "busy"
 
 
-@dataclass(frozen=True, kw_only=True)
-class _LastExchange:
-    """The exchange after which a connection is closed."""
-
-    cycle: RequestResponseCycle
-    #: Whether the connection would have stayed open after it.
-    was_persistent: bool
-    #: Whether its response head had been sent before, without ``connection: close``.
-    had_head: bool
-
-    @property
-    def may_be_followed(self) -> bool:
-        """Return whether the caller has not been told that it is the last one."""
-        return self.was_persistent and (
-            self.had_head or not self.cycle.response_started
-        )
-
-
 class _HeadTooLargeError(Exception):
     """The request line and headers exceed ``ConnectionLimits.max_head``."""
 
@@ -95,7 +77,8 @@
         self._limits = limits
         #: Whether each connection is to be closed after the latest request.
         self._is_draining = is_draining
-        self._last_exchange: _LastExchange | None = None
+        #: Exchange whose response is to announce the close of the connection.
+        self._last_cycle: RequestResponseCycle | None = None
         self._head_timer: asyncio.TimerHandle | None = None
         self._is_in_head = True
         self._head_size = 0
@@ -168,24 +151,28 @@
             self.close_after_response()
 
     def close_after_response(self) -> None:
-        """Close the connection after the response to the latest request, if any."""
+        """
+        Announce the close of the connection in the response to the latest request.
+
+        If that response has been started, the connection stays open for a further
+        request, whose response announces it.
+        """
         cycle = self.cycle
-        if self._pending_refusals or cycle is None or cycle.response_complete:
+        if self._pending_refusals or cycle is None or cycle.response_started:
             return
-        previous = self._last_exchange
-        if previous is not None and previous.may_be_followed:
-            previous.cycle.keep_alive = True
-        self._last_exchange = _LastExchange(
-            cycle=cycle,
-            was_persistent=cycle.keep_alive,
-            had_head=cycle.response_started,
-        )
+        previous = self._last_cycle
+        if previous is not None and not previous.response_started:
+            previous.keep_alive = True
+        # A request that itself asks for the close cannot be followed by another one.
+        self._last_cycle = cycle if cycle.keep_alive else None
         cycle.keep_alive = False
 
     def shutdown(self) -> None:
-        """Close the connection if it is idle; otherwise it is closed later."""
+        """Close the connection if it is idle, or soon after the latest response."""
         if self.cycle is None or self.cycle.response_complete:
             self.transport.close()
+        linger_seconds = self._limits.linger_timeout / MILLISECONDS_PER_SECOND
+        self.timeout_keep_alive = linger_seconds  # type: ignore[assignment]
 
     def on_response_complete(self) -> None:
         """Start the next request, or write the pending refusals and close."""
--- a/fuchsiaroute/serving/tests/test_delivery.py
+++ b/fuchsiaroute/serving/tests/test_delivery.py
@@ -15,6 +15,7 @@
 LARGE_BODY = b"x" * 600_000
 SMALL_BUFFER_BYTES = 4_096
 REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
+CLOSING_REQUEST = REQUEST.replace(b"host", b"connection: close\r\nhost")
 TIMEOUT_SECONDS = 10.0
 
 
@@ -98,9 +99,8 @@
 
 async def test_caller_that_reads_slowly_gets_the_whole_answer():
     """Reading a large answer takes longer than the write timeout."""
-    request = REQUEST.replace(b"host", b"connection: close\r\nhost")
     async with connected(Application(LARGE_BODY)) as (_, client):
-        await send(client, request)
+        await send(client, CLOSING_REQUEST)
         answer = await receive_all(client, pause_s=0.02)
     assert answer.endswith(LARGE_BODY)
 
@@ -119,7 +119,8 @@
 
 
 @pytest.mark.parametrize("is_sent_after_stop", [False, True])
-async def test_pipelined_requests_are_answered_by_a_stop(is_sent_after_stop):
+@pytest.mark.parametrize("last", [REQUEST, CLOSING_REQUEST])
+async def test_pipelined_requests_are_answered_by_a_stop(is_sent_after_stop, last):
     """A request was read behind one whose answer has not begun, and then dropped."""
     app = Application()
     app.is_released.clear()
@@ -127,12 +128,12 @@
         await send(client, REQUEST)
         await app.is_started.wait()
         if not is_sent_after_stop:
-            await send(client, REQUEST)
+            await send(client, last)
             await asyncio.sleep(0.05)
         stopping = asyncio.create_task(server.stop())
         await asyncio.sleep(0.3)
         if is_sent_after_stop:
-            await send(client, REQUEST)
+            await send(client, last)
             await asyncio.sleep(0.05)
         app.is_released.set()
         answer = await receive_all(client)
@@ -153,3 +154,33 @@
     assert b"connection: close" not in first
     assert b"connection: close" in second
     assert second.endswith(b"done")
+
+
+@pytest.mark.parametrize("is_stopping", [False, True])
+async def test_connection_without_announced_close_stays_open_for_a_request(is_stopping):
+    """A connection was closed after a response whose head said that it stays open."""
+    may_end = asyncio.Event()
+
+    async def respond(scope, receive, send):
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        await send({"type": "http.response.body", "body": b"part", "more_body": True})
+        await may_end.wait()
+        await send({"type": "http.response.body", "body": b"end"})
+
+    async with connected(respond) as (server, client):
+        await send(client, REQUEST)
+        await asyncio.sleep(0.05)
+        server.drain()
+        stopping = asyncio.create_task(server.stop()) if is_stopping else None
+        await asyncio.sleep(0.3)
+        may_end.set()
+        first = b""
+        while not first.endswith(b"0\r\n\r\n"):
+            first += await asyncio.get_running_loop().sock_recv(client, 65_536)
+        await send(client, REQUEST)
+        second = await receive_all(client)
+        if stopping is not None:
+            await stopping
+    assert b"connection: close" not in first
+    assert b"connection: close" in second
+    assert second.endswith(b"0\r\n\r\n")
