--- a/fuchsiaroute/forwarding/tests/test_stream_relay.py
+++ b/fuchsiaroute/forwarding/tests/test_stream_relay.py
@@ -238,3 +238,19 @@
     result, responder, _ = serve(runner, is_resumable=is_resumable)
     assert result.ending is Ending.ATTEMPTS_FAILED
     assert (responder.is_started, responder.ending) == (False, "")
+
+
+def test_pace_is_recorded_once_for_each_response_of_a_stream() -> None:
+    """Guards against a slow stream that counts for the endpoint that took it over."""
+    first = [event(number) for number in range(20)]
+    rest = [event(number) for number in range(20, 24)]
+    runner = Runner([Response(LARGE, *first, BREAK), Response(SMALL, *rest)])
+    _, responder, _ = serve(runner)
+    assert responder.ending == "finished"
+    assert runner.paces == [(LARGE, 0.0), (SMALL, 0.0)]
+
+
+def test_pace_of_a_short_stream_is_not_recorded() -> None:
+    runner = Runner([Response(LARGE, event(1), event(2), event(3))])
+    serve(runner)
+    assert runner.paces == []
--- a/fuchsiaroute/staging/tests/test_tracker.py
+++ b/fuchsiaroute/staging/tests/test_tracker.py
@@ -186,3 +186,49 @@
     found = instance.tracker.record(SERVICE)
     assert found is not None
     assert found.progress is Progress.COMPLETED
+
+
+@pytest.mark.parametrize(
+    ("progress", "version", "is_base"),
+    [
+        (None, OLD, True),
+        (None, NEW, False),
+        (Progress.RUNNING, OLD, True),
+        (Progress.RUNNING, NEW, False),
+        (Progress.ROLLED_BACK, NEW, False),
+        # The base of the next roll-out.
+        (Progress.COMPLETED, NEW, True),
+    ],
+)
+def test_versions_that_others_are_compared_with(
+    progress: Progress | None, version: VersionId, is_base: bool
+) -> None:
+    tracker = Instance(ManualClock(), progress=progress).tracker
+    assert tracker.is_base(SERVICE, version) is is_base
+    assert tracker.is_base(ServiceId("other"), version)
+
+
+@pytest.mark.parametrize(
+    ("progress", "elapsed", "age", "stage"),
+    [
+        (None, 2_000, 0, None),
+        (Progress.RUNNING, 0, 500, 0),
+        (Progress.RUNNING, 2_000, 0, 0),
+        (Progress.RUNNING, 13_000, 0, 1),
+        (Progress.RUNNING, 13_000, 1_000, 0),
+        (Progress.RUNNING, 16_000, 0, 2),
+        (Progress.RUNNING, 17_000, 0, None),
+        (Progress.RUNNING, 17_000, 500, 2),
+        (Progress.COMPLETED, 2_000, 0, None),
+        (Progress.ROLLED_BACK, 2_000, 0, None),
+    ],
+)
+def test_stage_in_which_versions_are_compared(
+    progress: Progress | None, elapsed: int, age: int, stage: int | None
+) -> None:
+    """Guards against a comparison with base versions that get no requests any more."""
+    clock = ManualClock()
+    instance = Instance(clock, progress=progress)
+    clock.tick(Milliseconds(elapsed))
+    found = instance.tracker.comparable_stage(SERVICE, age=Milliseconds(age))
+    assert found == stage
