Use 0.8 of the permitted exposure in a roll-out's first stage

Callers met a slow version late: in 15 s and a share of 0.09 of the sessions, some 10 to 25 answers of the target came before the share grew, and the last stages, in which most of the exposure happened, were reached before the evidence sufficed. With a share of 0.12 the first stage gives a third more answers and still stays below the permitted share.

--- a/fuchsiaroute/staging/_schedule.py
+++ b/fuchsiaroute/staging/_schedule.py
@@ -7,7 +7,7 @@
 #: Part of the permitted exposure that the first stage uses. The rest is left for
 #: retries, which count as exposure too, and for the later stages until a fault is
 #: detected.
-CANARY_PART = 0.6
+CANARY_PART = 0.8
 #: Time from the start of a roll-out until the first sessions move. By then, every
 #: instance has received the sessions that the others serve.
 FIRST_MOVE_DELAY = Milliseconds(1_000)
