Stand-in: add the filler of large answers outside of answer_of

Programs that replace answer_of with a function of the request id alone got an error from the stand-in, which passed the filler's length as well. The bodies are the same.

--- a/fuchsiaroute/platform/tests/recording_endpoint.py
+++ b/fuchsiaroute/platform/tests/recording_endpoint.py
@@ -137,7 +137,7 @@
         self, run: Run, request: InboundRequest, responder: Responder
     ) -> None:
         behaviour, draw = self.behaviour, self._random.random
-        answer = answer_of(run.request_id, _length_of(request))
+        answer = answer_of(run.request_id) + _FILLER * _length_of(request)
         await asyncio.sleep(behaviour.slowness * (0.01 + 0.03 * draw()))
         if draw() < behaviour.losing_answers:
             run.is_broken_off = True
@@ -192,9 +192,9 @@
     return f"body of {request_id}".encode()
 
 
-def answer_of(request_id: str, filler: int = 0) -> bytes:
-    """Return the body of a response that is not a stream, with bytes of filler."""
-    return f"answer to {request_id}".encode() + _FILLER * filler
+def answer_of(request_id: str) -> bytes:
+    """Return the body of a response that is not a stream, without its filler."""
+    return f"answer to {request_id}".encode()
 
 
 def without_filler(body: bytes, filler: int) -> bytes:
