Soak: start processes as the platform does

The soak started it as a module with the site module, the platform starts a file without it. No check is changed.

--- a/soak/_instances.py
+++ b/soak/_instances.py
@@ -1,5 +1,6 @@
 """Processes of the node program: start, signals, restart and stop."""
 
+import os
 import signal
 import subprocess
 import sys
@@ -13,6 +14,13 @@
 #: Delay before a process that has ended is started again, as on the platform.
 RESTART_DELAY = Milliseconds(400)
 _POLL_INTERVAL = Milliseconds(20)
+_ROOT = Path(__file__).parents[1]
+#: Started without the site module, as on the platform (``deploy/system.toml``): its
+#: first line, from which on it ignores SIGHUP, comes sooner.
+_PROGRAM = _ROOT / "soak" / "program.py"
+_MODULE_PATH = os.pathsep.join(
+    [str(_ROOT), *(path for path in sys.path if path.endswith("-packages"))]
+)
 
 
 @dataclass(frozen=True)
@@ -71,7 +79,8 @@
         arguments = [str(self._clock_step_file), "node", str(self._settings_file)]
         with self._log_file.open("ab") as output:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "soak.program", *arguments],
+                [sys.executable, "-S", "-P", str(_PROGRAM), *arguments],
+                env=os.environ | {"PYTHONPATH": _MODULE_PATH},
                 stdout=output,
                 stderr=subprocess.STDOUT,
             )
