--- a/fuchsiaroute/forwarding/_event_pace.py
+++ b/fuchsiaroute/forwarding/_event_pace.py
@@ -4,8 +4,8 @@
 
 from fuchsiaroute.clock import Milliseconds
 
-#: Gaps between events after which the pace of a stream is known. It is not measured
-#: over the whole stream, since slow streams would then be counted later than fast ones.
+#: Gaps between events after which the pace of a stream is known. With the gaps of whole
+#: streams, slow streams would be counted later than fast ones.
 SUFFICIENT_GAPS = 8
 #: Gaps below which the pace is unknown: one or two can all be lengthened by the prompts
 #: of other requests.
