--- a/fuchsiaroute/platform/tests/node_harness.py
+++ b/fuchsiaroute/platform/tests/node_harness.py
@@ -277,10 +277,15 @@
     ports: list[int] = []
     while len(ports) < count:
         port = first + next(_next_port) % _PORTS_OF_PROCESS
-        with socket.socket() as probe:
+        with (
+            socket.socket() as probe,
+            socket.socket(type=socket.SOCK_DGRAM) as datagram_probe,
+        ):
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
                 probe.bind(("127.0.0.1", port))
+                # Instances exchange datagrams on one of the ports.
+                datagram_probe.bind(("127.0.0.1", port))
             except OSError:
                 # Used by a test in another process, or not released yet.
                 continue
