Notices: log and count the request rate that an endpoint names

The incident's logs do not say whether an instance has read a named rate, and no counter says by which kind of attempt an endpoint got a request. Server-Limit is decoded, a change is logged (endpoint:rate-named), and the metric fuchsiaroute_sends counts first sends, retries, escalations and resumptions. Requests are sent as before.

--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from enum import Enum
 
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.deployment import Endpoint, RequestKind
@@ -98,6 +99,15 @@
     return 1.0 + prompt[-2].tokens / own
 
 
+class SendKind(Enum):
+    """Why a request is sent to an endpoint, for the counters."""
+
+    FIRST = "first"
+    RETRY = "retry"
+    ESCALATION = "escalation"
+    RESUMPTION = "resumption"
+
+
 @dataclass(frozen=True, kw_only=True)
 class NoReservation:
     """The queue refused the request; nothing was sent in this attempt."""
@@ -226,6 +236,12 @@
             return refusal
         before_send()
         endpoint = reservation.endpoint
+        self._counters.add(
+            "sends",
+            _send_kind(
+                call, is_escalation=is_escalation, is_resumption=is_resumption
+            ).value,
+        )
         if call.session is not None:
             self._tracker.sessions.record_served(call.session, endpoint.version)
             self._on_session(call)
@@ -527,6 +543,14 @@
         return budget
 
 
+def _send_kind(call: Call, *, is_escalation: bool, is_resumption: bool) -> SendKind:
+    if is_resumption:
+        return SendKind.RESUMPTION
+    if is_escalation:
+        return SendKind.ESCALATION
+    return SendKind.RETRY if call.sent_to else SendKind.FIRST
+
+
 def _speed(
     call: Call,
     version: VersionId,
--- a/fuchsiaroute/forwarding/_endpoint_notices.py
+++ b/fuchsiaroute/forwarding/_endpoint_notices.py
@@ -5,6 +5,7 @@
 from fuchsiaroute.deployment import Endpoint
 from fuchsiaroute.forwarding._call import Call
 from fuchsiaroute.forwarding._counters import Counters
+from fuchsiaroute.ids import EndpointId
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.platform import ResponseFields
 from fuchsiaroute.pool import EndpointPool
@@ -31,9 +32,12 @@
         self._counters = counters
         self._log = log
         self._on_leaving = on_leaving
+        #: The rate that each endpoint named in its latest answer.
+        self._rates: dict[EndpointId, float] = {}
 
     def record(self, call: Call, endpoint: Endpoint, fields: ResponseFields) -> None:
         """Apply the notices in the head of an answer of ``endpoint``."""
+        self._record_rate(call, endpoint, fields)
         if fields.is_leaving and self._pool.mark_leaving(
             endpoint.id, endpoint.started_at
         ):
@@ -56,3 +60,23 @@
                 for_ms=fields.back_off,
                 request=call.request_id,
             )
+
+    def _record_rate(
+        self, call: Call, endpoint: Endpoint, fields: ResponseFields
+    ) -> None:
+        rate = fields.request_rate
+        if rate is None and fields.is_not_run:
+            return
+        if rate == self._rates.get(endpoint.id):
+            return
+        if rate is None:
+            del self._rates[endpoint.id]
+        else:
+            self._rates[endpoint.id] = rate
+        self._counters.add("endpoint_notices", "rate")
+        self._log.write(
+            "endpoint:rate-named",
+            endpoint=endpoint.id,
+            rate_per_s=rate,
+            request=call.request_id,
+        )
--- a/fuchsiaroute/platform/_headers.py
+++ b/fuchsiaroute/platform/_headers.py
@@ -27,6 +27,8 @@
 #: Set to 1 by an endpoint that is about to stop.
 _LEAVING = b"server-leaving"
 _IS_LEAVING = b"1"
+#: Requests a second, a decimal number, that the endpoint takes from all instances.
+_REQUEST_RATE = b"server-limit"
 _RETRY_AFTER = b"retry-after"
 #: Limits the time to a value that the clock can add.
 _MAX_RETRY_AFTER_SECONDS = 30.0 * 24 * 3_600
@@ -106,6 +108,9 @@
     #: Time for which the endpoint wants no requests from this instance; None if it
     #: states none.
     back_off: Milliseconds | None = None
+    #: Requests a second that the endpoint takes from all instances together; None if
+    #: it names no rate.
+    request_rate: float | None = None
     #: Names of malformed fields, which count as absent.
     unreadable: tuple[str, ...] = ()
 
@@ -195,6 +200,10 @@
     back_off = _parse_retry_after(delay)
     if delay is not None and back_off is None:
         unreadable.append(_RETRY_AFTER.decode())
+    named_rate = None if is_misdirected else find_header(headers, _REQUEST_RATE)
+    request_rate = _parse_rate(named_rate)
+    if named_rate is not None and request_rate is None:
+        unreadable.append(_REQUEST_RATE.decode())
     return ResponseFields(
         request_id=find_header(headers, _REQUEST_ID),
         is_signed=find_header(headers, _SIGNATURE) is not None,
@@ -202,6 +211,7 @@
         confidence=confidence,
         is_leaving=leaving is not None and leaving.strip() == _IS_LEAVING,
         back_off=back_off,
+        request_rate=request_rate,
         unreadable=tuple(unreadable),
     )
 
@@ -258,6 +268,16 @@
     return Milliseconds(math.ceil(bounded * 1_000))
 
 
+def _parse_rate(value: bytes | None) -> float | None:
+    """Return a number that is neither negative nor infinite; None for anything else."""
+    try:
+        rate = float(value) if value is not None else None
+    except ValueError:
+        # read_response lists the field in ``unreadable``.
+        return None
+    return rate if rate is not None and 0.0 <= rate < math.inf else None
+
+
 def _parse_number(value: bytes | None) -> int | None:
     if value is None or not value.strip().isdigit():
         return None
--- a/fuchsiaroute/platform/tests/test_decode.py
+++ b/fuchsiaroute/platform/tests/test_decode.py
@@ -350,3 +350,30 @@
 )
 def test_endpoint_that_is_leaving(status: int, value: bytes, expected: bool) -> None:
     assert read_response(status, [(b"Server-Leaving", value)]).is_leaving is expected
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "expected"),
+    [
+        (200, b"2.0", 2.0),
+        (200, b"0.25", 0.25),
+        (503, b" 3 ", 3.0),
+        (500, b"0", 0.0),
+        (200, b"-1", None),
+        (200, b"inf", None),
+        (200, b"nan", None),
+        (200, b"few", None),
+        (200, b"", None),
+    ],
+)
+def test_rate_that_an_endpoint_names(
+    status: int, value: bytes, expected: float | None
+) -> None:
+    fields = read_response(status, [(b"Server-Limit", value)])
+    assert fields.request_rate == expected
+    assert fields.unreadable == (("server-limit",) if expected is None else ())
+
+
+def test_rate_of_another_endpoint_is_not_read() -> None:
+    """The answer is another endpoint's, which has taken over the address."""
+    assert read_response(421, [(b"Server-Limit", b"2")]).request_rate is None
