--- a/fuchsiaroute/platform/tests/node_harness.py
+++ b/fuchsiaroute/platform/tests/node_harness.py
@@ -4,6 +4,8 @@
 import itertools
 import os
 import socket
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 from random import Random
 from typing import Any
@@ -12,7 +14,7 @@
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.node._run import Node
 from fuchsiaroute.platform import parse_node_settings
-from fuchsiaroute.platform.tests.standin import Endpoint, Store
+from fuchsiaroute.platform.tests.standin import Endpoint, Store, StoreView
 
 HOST = "front.example"
 _ROUTE = {"Host": HOST, "TimeoutMs": 3000, "TargetLatencyMs": 400, "Service": "app"}
@@ -269,6 +271,32 @@
         return len(data)
 
 
+@asynccontextmanager
+async def cluster(
+    count: int, *endpoints: Endpoint, **options: Any
+) -> AsyncIterator[list[NodeHarness]]:
+    """Start some instances that know each other and all endpoints."""
+    async with AsyncExitStack() as stack:
+        harnesses = [
+            await stack.enter_async_context(
+                NodeHarness(*endpoints, name="n0", **options)
+            )
+        ]
+        for number in range(1, count):
+            view = StoreView(harnesses[0].store)
+            harness = NodeHarness(name=f"n{number}", store=view, **options)
+            harnesses.append(await stack.enter_async_context(harness))
+        for harness in harnesses:
+            parts = harness.node._parts
+            await harness.until(
+                lambda parts=parts: (
+                    len(parts.liveness.alive()) == count - 1
+                    and len(parts.pool) == len(endpoints)
+                )
+            )
+        yield harnesses
+
+
 #: Ports below the range that the system assigns to outgoing connections, since one of
 #: these could take a port between its choice and its use. Each test process has a
 #: range of 100 ports.
