Permits: keep to the request rate that an endpoint names, over all instances

Cause: no instance read the rate; and no share that an instance decides on by itself would keep the sum and still use the rate where requests arrive.

A request to such an endpoint needs a permit. One instance, chosen by hash among those that are ready, issues an endpoint's permits from a token bucket, in turns to the instances that ask because they have work. The pool takes the permit with the reservation, which all sends pass. What finds no permit goes to another endpoint, or is refused at once with the time at which a permit is due. The latest answer of the process counts, so that the rate ends with it.

--- a/fuchsiaroute/forwarding/_endpoint_client.py
+++ b/fuchsiaroute/forwarding/_endpoint_client.py
@@ -162,6 +162,7 @@
         head: ResponseHead | None = None
         try:
             call.record_sent(endpoint.id)
+            reservation.record_sent()
             connection.send(
                 data,
                 lambda status, headers: is_response_to(call.request_id, headers),
--- a/fuchsiaroute/forwarding/_endpoint_notices.py
+++ b/fuchsiaroute/forwarding/_endpoint_notices.py
@@ -5,8 +5,8 @@
 from fuchsiaroute.deployment import Endpoint
 from fuchsiaroute.forwarding._call import Call
 from fuchsiaroute.forwarding._counters import Counters
-from fuchsiaroute.ids import EndpointId
 from fuchsiaroute.linelog import LineLog
+from fuchsiaroute.permits import NamedRates
 from fuchsiaroute.platform import ResponseFields
 from fuchsiaroute.pool import EndpointPool
 
@@ -17,7 +17,8 @@
 
     An endpoint that is leaving gets no new requests, whatever its announcement says,
     and the peers are told. One that asks for a pause gets no request of this instance
-    until its end. ``on_leaving`` sends the next gossip message early.
+    until its end. One that names a rate gets requests with permits only, until an
+    answer names none. ``on_change`` sends the next gossip message early.
     """
 
     def __init__(
@@ -26,14 +27,14 @@
         *,
         counters: Counters,
         log: LineLog,
-        on_leaving: Callable[[], None],
+        rates: NamedRates,
+        on_change: Callable[[], None],
     ) -> None:
         self._pool = pool
         self._counters = counters
         self._log = log
-        self._on_leaving = on_leaving
-        #: The rate that each endpoint named in its latest answer.
-        self._rates: dict[EndpointId, float] = {}
+        self._rates = rates
+        self._on_change = on_change
 
     def record(self, call: Call, endpoint: Endpoint, fields: ResponseFields) -> None:
         """Apply the notices in the head of an answer of ``endpoint``."""
@@ -49,7 +50,7 @@
                 source="answer",
                 request=call.request_id,
             )
-            self._on_leaving()
+            self._on_change()
         if fields.back_off and self._pool.pause(
             endpoint.id, endpoint.started_at, fields.back_off
         ):
@@ -64,19 +65,18 @@
     def _record_rate(
         self, call: Call, endpoint: Endpoint, fields: ResponseFields
     ) -> None:
-        rate = fields.request_rate
-        if rate is None and fields.is_not_run:
+        is_stated = fields.request_rate is not None
+        if not is_stated and (fields.is_not_run or fields.is_rate_unreadable):
+            # Says nothing of the rate; one that was named still holds.
             return
-        if rate == self._rates.get(endpoint.id):
+        if not self._rates.record(endpoint, fields.request_rate):
             return
-        if rate is None:
-            del self._rates[endpoint.id]
-        else:
-            self._rates[endpoint.id] = rate
         self._counters.add("endpoint_notices", "rate")
         self._log.write(
             "endpoint:rate-named",
             endpoint=endpoint.id,
-            rate_per_s=rate,
+            rate_per_s=fields.request_rate,
+            source="answer",
             request=call.request_id,
         )
+        self._on_change()
--- a/fuchsiaroute/gossip/_messages.py
+++ b/fuchsiaroute/gossip/_messages.py
@@ -150,6 +150,46 @@
     after: int
 
 
+class RateUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """What an endpoint process said in an answer of the requests that it takes."""
+
+    endpoint: str
+    #: Start of the process, as announced.
+    started_at: int
+    #: Requests a second from all instances; None if it no longer names a rate.
+    rate: float | None
+    #: Time since the answer, in milliseconds.
+    age: int
+
+
+class PermitRequest(
+    msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag="permits-wanted"
+):
+    """Asks the issuer of an endpoint's permits for some, as the sender has work."""
+
+    format: int
+    instance: str
+    #: The endpoint, and the rate that the sender knows of.
+    rate: RateUpdate
+    count: int
+
+
+class PermitReply(
+    msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag="permits"
+):
+    """A permit for one request, or when the next one is due."""
+
+    format: int
+    endpoint: str
+    started_at: int
+    #: Permits, 0 or more.
+    count: int
+    #: Time until the receiver's next permit, in milliseconds; None if it asks for none.
+    wait: int | None
+    #: Instances that get permits in turns.
+    sharers: int
+
+
 class GossipMessage(
     msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag="news"
 ):
@@ -188,9 +228,11 @@
     quarantined_parts: list[PromptPartUpdate] = []
     #: Latest answers to parts that are or were suspected.
     answered_parts: list[PromptPartUpdate] = []
+    #: Rates that endpoints name, and recent ends of them.
+    rates: list[RateUpdate] = []
 
 
-AnyMessage = GossipMessage | TableUpdate | TableRequest
+AnyMessage = GossipMessage | TableUpdate | TableRequest | PermitRequest | PermitReply
 _DECODER = msgspec.msgpack.Decoder(AnyMessage)
 _ENCODER = msgspec.msgpack.Encoder()
 
--- a/fuchsiaroute/gossip/_node.py
+++ b/fuchsiaroute/gossip/_node.py
@@ -11,6 +11,8 @@
     GossipDecodeError,
     GossipMessage,
     Heartbeat,
+    PermitReply,
+    PermitRequest,
     TableRequest,
     TableUpdate,
     decode_message,
@@ -51,7 +53,8 @@
     ``compose`` returns the message to send; ``on_message`` receives those of others.
     ``on_table_update`` receives changes of the store and returns whether any was new;
     if so, the update is relayed. ``on_table_request`` returns the changes that another
-    instance lacks, if any.
+    instance lacks, if any. ``on_permit_message`` receives requests for permits and
+    replies.
     """
 
     def __init__(
@@ -66,6 +69,9 @@
         on_message: Callable[[GossipMessage], None],
         on_table_update: Callable[[TableUpdate], bool],
         on_table_request: Callable[[TableRequest], TableUpdate | None],
+        on_permit_message: Callable[[PermitRequest | PermitReply], None] = (
+            lambda message: None
+        ),
     ) -> None:
         self._liveness = liveness
         self._failure_domain = failure_domain
@@ -76,6 +82,7 @@
         self._on_message = on_message
         self._on_table_update = on_table_update
         self._on_table_request = on_table_request
+        self._on_permit_message = on_permit_message
         self._transport: asyncio.DatagramTransport | None = None
         #: Members that were alive when changes were last logged.
         self._logged_alive: set[InstanceId] = set()
@@ -118,6 +125,14 @@
         if len(data) <= MAX_RELAY_BYTES:
             self._send_to(data, RELAY_FANOUT)
 
+    def send_to(
+        self, instance: InstanceId, message: PermitRequest | PermitReply
+    ) -> None:
+        """Send a message to one member; without its address nothing is sent."""
+        for member in self._liveness.members:
+            if member.instance == instance:
+                self._send_to(encode_message(message), 1, members=(member,))
+
     def request(self, request: TableRequest) -> None:
         """Ask some members that are alive for changes that the store withholds."""
         self._send_to(
@@ -144,6 +159,9 @@
         if isinstance(message, TableRequest):
             self._reply(message, addr)
             return
+        if isinstance(message, PermitRequest | PermitReply):
+            self._on_permit_message(message)
+            return
         is_new = self._liveness.update_member(
             MemberInfo(
                 instance=InstanceId(message.instance),
--- a/fuchsiaroute/node/_gossip_exchange.py
+++ b/fuchsiaroute/node/_gossip_exchange.py
@@ -30,6 +30,7 @@
     VersionId,
 )
 from fuchsiaroute.linelog import LineLog
+from fuchsiaroute.node._permit_exchange import PermitExchange
 from fuchsiaroute.platform import NodeSettings, Row, Rows
 from fuchsiaroute.pool import EndpointPool, Load
 from fuchsiaroute.quarantine import (
@@ -75,6 +76,7 @@
         is_ready: Callable[[], bool],
         latencies: LatencyEstimator,
         quarantine: PromptQuarantine,
+        permits: PermitExchange,
         clock: Clock,
         log: LineLog,
     ) -> None:
@@ -87,6 +89,7 @@
         self._is_ready = is_ready
         self._latencies = latencies
         self._quarantine = quarantine
+        self._permits = permits
         self._clock = clock
         self._log = log
         #: Members that were alive when loads were last removed.
@@ -151,6 +154,7 @@
             ],
             quarantined_parts=self._part_updates(self._quarantine.quarantined()),
             answered_parts=self._part_updates(self._quarantine.answered()),
+            rates=self._permits.rate_updates(),
         )
 
     def apply(self, message: GossipMessage) -> None:
@@ -180,6 +184,7 @@
             if name in self._feeds:
                 self._feeds[name].peer_answered(answered_at)
         self._apply_leaving(message)
+        self._permits.apply_rates(message.rates, source=message.instance)
         self._apply_prompt_parts(message)
         self._latencies.adopt(
             SharedEstimate(
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -31,9 +31,11 @@
 from fuchsiaroute.node._gossip_exchange import GossipExchange
 from fuchsiaroute.node._instance_registry import InstanceRegistry
 from fuchsiaroute.node._metrics import MetricsHandler
+from fuchsiaroute.node._permit_exchange import PermitExchange
 from fuchsiaroute.node._quarantine_rows import QuarantineRows
 from fuchsiaroute.node._rollout_rows import rollout_record_key, rollout_status_put
 from fuchsiaroute.node._table_readers import TableReaders
+from fuchsiaroute.permits import NamedRates, PermitHolder
 from fuchsiaroute.platform import (
     NodeSettings,
     PlatformStore,
@@ -84,7 +86,18 @@
         self.log = log
         self.counters = Counters()
         self.store = PlatformStore(settings.store, clock=clock)
-        self.pool = EndpointPool(instance=settings.instance, clock=clock, random=random)
+        self._rates = NamedRates(clock=clock)
+        self._permit_holder = PermitHolder(
+            rates=self._rates,
+            clock=clock,
+            on_want=lambda endpoint: self.permits.want(endpoint),
+        )
+        self.pool = EndpointPool(
+            instance=settings.instance,
+            clock=clock,
+            random=random,
+            permits=self._permit_holder,
+        )
         self.queue = RequestQueue(self.pool, clock=clock, random=random)
         self.catalog = Catalog(pool=self.pool, clock=clock, log=log, drain=bounds.drain)
         self.quarantine = PromptQuarantine(
@@ -124,6 +137,30 @@
             MIN_ENDPOINTS_INTERVAL,
             random,
         )
+        self.gossip = GossipNode(
+            liveness=self.liveness,
+            failure_domain=settings.failure_domain,
+            clock=clock,
+            random=random,
+            log=log,
+            compose=lambda: self.exchange.compose(),
+            on_message=lambda message: self.exchange.apply(message),
+            on_table_update=lambda update: self.exchange.apply_table_update(update),
+            on_table_request=lambda request: self.exchange.rows_for(request),
+            on_permit_message=lambda message: self.permits.apply(message),
+        )
+        self.permits = PermitExchange(
+            instance=settings.instance,
+            rates=self._rates,
+            holder=self._permit_holder,
+            gossip=self.gossip,
+            liveness=self.liveness,
+            is_ready=self.is_ready,
+            is_announced=lambda endpoint: endpoint in self.pool,
+            on_permit=self.queue.wake,
+            clock=clock,
+            log=log,
+        )
         self.exchange = GossipExchange(
             settings=settings,
             catalog=self.catalog,
@@ -137,20 +174,10 @@
             is_ready=self.is_ready,
             latencies=self._latencies,
             quarantine=self.quarantine,
+            permits=self.permits,
             clock=clock,
             log=log,
         )
-        self.gossip = GossipNode(
-            liveness=self.liveness,
-            failure_domain=settings.failure_domain,
-            clock=clock,
-            random=random,
-            log=log,
-            compose=self.exchange.compose,
-            on_message=self.exchange.apply,
-            on_table_update=self.exchange.apply_table_update,
-            on_table_request=self.exchange.rows_for,
-        )
         self.registry = InstanceRegistry(
             settings=settings,
             store=self.store,
@@ -262,6 +289,7 @@
         self.endpoints_feed.check_hint()
         self.pool.update_instances(self.instances())
         self.exchange.refresh()
+        self.permits.refresh()
         self.quarantine.refresh()
         for request in self.exchange.missing_rows():
             self.gossip.request(request)
@@ -332,7 +360,8 @@
                     self.pool,
                     counters=self.counters,
                     log=self.log,
-                    on_leaving=self.gossip.send_soon,
+                    rates=self._rates,
+                    on_change=self.gossip.send_soon,
                 ),
             ),
             tracker=self.tracker,
--- a/fuchsiaroute/platform/_headers.py
+++ b/fuchsiaroute/platform/_headers.py
@@ -111,6 +111,7 @@
     #: Requests a second that the endpoint takes from all instances together; None if
     #: it names no rate.
     request_rate: float | None = None
+    is_rate_unreadable: bool = False
     #: Names of malformed fields, which count as absent.
     unreadable: tuple[str, ...] = ()
 
@@ -212,6 +213,7 @@
         is_leaving=leaving is not None and leaving.strip() == _IS_LEAVING,
         back_off=back_off,
         request_rate=request_rate,
+        is_rate_unreadable=named_rate is not None and request_rate is None,
         unreadable=tuple(unreadable),
     )
 
--- a/fuchsiaroute/pool/_pool.py
+++ b/fuchsiaroute/pool/_pool.py
@@ -17,6 +17,7 @@
     VersionId,
 )
 from fuchsiaroute.lifecycle import EndpointEvent, EndpointState, Outcome
+from fuchsiaroute.permits import NamedRates, PermitHolder
 from fuchsiaroute.pool._cold_rate_limiter import ColdRateLimiter
 from fuchsiaroute.pool._member import Load, PeerLoad, PoolMember
 from fuchsiaroute.pool._process_notices import ProcessNotices
@@ -50,6 +51,8 @@
     FULL = "full"
     #: Every usable endpoint has asked for no requests until later.
     PAUSED = "paused"
+    #: Every usable endpoint with capacity names a rate, and no request may be sent now.
+    RATE_LIMITED = "rate-limited"
     #: Endpoints crash under requests with a part of its prompt.
     QUARANTINED = "quarantined"
     #: The instance stops before the request could end.
@@ -83,8 +86,14 @@
 class Reservation:
     """A request counted at an endpoint until ``finish`` is called with its outcome."""
 
-    def __init__(self, member: PoolMember, *, work: float = 0.0) -> None:
+    def __init__(
+        self, member: PoolMember, *, permits: PermitHolder, work: float = 0.0
+    ) -> None:
         self._member = member
+        self._permits = permits
+        #: End of the validity of the permit that this uses up, if it needs one.
+        self._permit_expiry = permits.take(member.endpoint)
+        self._is_sent = False
         self._is_open = True
         self._on_answer_started: Callable[[], None] | None = None
         self._on_finish: Callable[[], None] | None = None
@@ -126,6 +135,10 @@
         self._on_answer_started = on_answer_started
         self._on_finish = on_finish
 
+    def record_sent(self) -> None:
+        """Record that the request is about to be sent."""
+        self._is_sent = True
+
     def record_connection_refused(self) -> None:
         """Record that the connection to the endpoint's address was refused."""
         self._member.is_connection_refused = True
@@ -140,6 +153,8 @@
             self._is_open = False
             self.answer_started()
             self._member.finish_request(outcome)
+            if self._permit_expiry is not None and not self._is_sent:
+                self._permits.give_back(self.endpoint, self._permit_expiry)
             if self._on_finish is not None:
                 self._on_finish()
 
@@ -151,10 +166,20 @@
     Own requests are counted exactly; the loads of other instances are delayed.
     """
 
-    def __init__(self, *, instance: InstanceId, clock: Clock, random: Random) -> None:
+    def __init__(
+        self,
+        *,
+        instance: InstanceId,
+        clock: Clock,
+        random: Random,
+        permits: PermitHolder | None = None,
+    ) -> None:
         self._instance = instance
         self._clock = clock
         self._random = random
+        self._permits = permits or PermitHolder(
+            rates=NamedRates(clock=clock), clock=clock
+        )
         self._members: dict[EndpointId, PoolMember] = {}
         #: Loads of other instances, and their sums by endpoint.
         self._peer_loads: dict[InstanceId, Mapping[EndpointId, Load]] = {}
@@ -380,7 +405,7 @@
         usable = [member for member in candidates if member.is_usable]
         trial = self._due_trial(candidates, demand, has_others=bool(usable))
         if trial is not None:
-            return Reservation(trial, work=demand.work)
+            return self._reserve(trial, demand)
         if not usable:
             return NoChoice.NONE
         available = [member for member in usable if self._has_capacity(member, demand)]
@@ -388,10 +413,50 @@
             return NoChoice.PAUSED
         if not available:
             return NoChoice.FULL
-        return Reservation(self._select(available, demand), work=demand.work)
+        if not self._permits.is_needed:
+            return self._reserve(self._select(available, demand), demand)
+        return self._choose_permitted(available, demand)
+
+    def permit_wait(self, demand: Demand, ahead: float) -> Milliseconds | None:
+        """
+        Return the expected time until a permit if only permits are missing.
+
+        ``ahead`` requests wait before the one with ``demand``. None is returned if an
+        endpoint without a rate or with a permit could take it, or none has capacity.
+        """
+        if not self._permits.is_needed:
+            return None
+        available = [
+            member.endpoint
+            for member in self._candidates(demand)
+            if member.is_usable and self._has_capacity(member, demand)
+        ]
+        if not available or any(map(self._permits.may_send, available)):
+            return None
+        return self._permits.expected_wait(available, ahead)
 
     # Private
 
+    def _reserve(self, member: PoolMember, demand: Demand) -> Reservation:
+        return Reservation(member, permits=self._permits, work=demand.work)
+
+    def _choose_permitted(
+        self, available: list[PoolMember], demand: Demand
+    ) -> Reservation | NoChoice:
+        """Select an endpoint; request permits of those that would have been better."""
+        permitted = [
+            member for member in available if self._permits.may_send(member.endpoint)
+        ]
+        if not permitted:
+            for member in available:
+                self._permits.want(member.endpoint)
+            return NoChoice.RATE_LIMITED
+        best = self._select(available, demand)
+        if best in permitted:
+            return self._reserve(best, demand)
+        self._permits.want(best.endpoint)
+        return self._reserve(self._select(permitted, demand), demand)
+
     def _candidates(self, demand: Demand) -> list[PoolMember]:
         return [
             member
@@ -417,8 +482,11 @@
                 and member.state is EndpointState.SUSPECT
                 and not member.is_on_trial
             )
-            if is_due and self._has_capacity(member, demand):
+            if not is_due or not self._has_capacity(member, demand):
+                continue
+            if self._permits.may_send(member.endpoint):
                 return member
+            self._permits.want(member.endpoint)
         return None
 
     def _has_capacity(self, member: PoolMember, demand: Demand) -> bool:
--- a/fuchsiaroute/pool/_request_queue.py
+++ b/fuchsiaroute/pool/_request_queue.py
@@ -25,9 +25,11 @@
 #: Bounds of the retry-after time of refused requests.
 MIN_RETRY_AFTER = Milliseconds(100)
 MAX_RETRY_AFTER = Milliseconds(2_000)
-#: Maximum random increase of the retry-after time during a pause of all endpoints, so
-#: that the callers do not all return when it ends.
-PAUSE_RETRY_SPREAD = 0.5
+#: Maximum random increase of the retry-after time if the time is known at which an
+#: endpoint takes requests again, so that the callers do not all return then.
+RETRY_SPREAD = 0.5
+#: Reasons that end while a request waits.
+_TEMPORARY = frozenset({NoChoice.FULL, NoChoice.PAUSED, NoChoice.RATE_LIMITED})
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -102,8 +104,9 @@
         """
         statistics = self._statistics.setdefault(demand.service, _ServiceStatistics())
         soonest = self._pool.soonest_return(demand)
-        if soonest > min(max_wait, max(deprioritise_after, 0)):
-            return self._pause_refusal(soonest)
+        max_known_wait = min(max_wait, max(deprioritise_after, 0))
+        if soonest > max_known_wait:
+            return self._refusal_until(NoChoice.PAUSED, soonest)
         key = (demand.service, demand.versions, demand.excluded)
         queue = self._queues.get(key)
         if queue is None:
@@ -123,6 +126,9 @@
             latest_start=Milliseconds(now + max_wait),
         )
         ahead = queue.ahead_of(ticket) if queue is not None else 0.0
+        permit_wait = self._pool.permit_wait(demand, ahead)
+        if permit_wait is not None and permit_wait > max_known_wait:
+            return self._refusal_until(NoChoice.RATE_LIMITED, permit_wait)
         wait = ahead * statistics.interval
         if wait > max_wait or len(self._waiters) >= MAX_WAITING_REQUESTS:
             return RequestQueue._refusal(wait)
@@ -149,7 +155,9 @@
                 chosen = self._pool.choose(waiter.demand)
                 if chosen is NoChoice.PAUSED:
                     self._refuse_paused(queue)
-                if chosen in (NoChoice.FULL, NoChoice.PAUSED):
+                if chosen is NoChoice.RATE_LIMITED:
+                    self._refuse_beyond_rate(queue)
+                if chosen in _TEMPORARY:
                     return
                 self._record_start(statistics)
                 if isinstance(chosen, Reservation):
@@ -246,13 +254,32 @@
             if ticket.latest_start < now + soonest:
                 queue.remove(ticket)
                 if not waiter.future.done():
-                    waiter.future.set_result(self._pause_refusal(soonest))
+                    waiter.future.set_result(
+                        self._refusal_until(NoChoice.PAUSED, soonest)
+                    )
+
+    def _refuse_beyond_rate(self, queue: FairQueue) -> None:
+        """Refuse requests whose wait ends before a permit for them is expected."""
+        now = self._clock.now()
+        tickets = sorted(queue, key=lambda item: (-item.priority, item.number))
+        position = 0
+        for ticket in tickets:
+            waiter = self._waiters[ticket.number]
+            wait = self._pool.permit_wait(waiter.demand, position)
+            if wait is None or ticket.latest_start >= now + wait:
+                position += 1
+                continue
+            queue.remove(ticket)
+            if not waiter.future.done():
+                waiter.future.set_result(
+                    self._refusal_until(NoChoice.RATE_LIMITED, wait)
+                )
 
-    def _pause_refusal(self, soonest: Milliseconds) -> QueueRefusal:
-        """Return a refusal until the end of a pause, with callers spread over time."""
-        spread = 1.0 + PAUSE_RETRY_SPREAD * self._random.random()
+    def _refusal_until(self, reason: NoChoice, soonest: Milliseconds) -> QueueRefusal:
+        """Return a refusal until a known time, with callers spread over time."""
+        spread = 1.0 + RETRY_SPREAD * self._random.random()
         return QueueRefusal(
-            reason=NoChoice.PAUSED,
+            reason=reason,
             retry_after=Milliseconds(max(round(soonest * spread), MIN_RETRY_AFTER)),
         )
 
--- a/fuchsiaroute/pool/tests/test_request_queue.py
+++ b/fuchsiaroute/pool/tests/test_request_queue.py
@@ -18,6 +18,7 @@
     VersionId,
 )
 from fuchsiaroute.lifecycle import Outcome
+from fuchsiaroute.permits import NamedRates, PermitHolder
 from fuchsiaroute.pool import (
     Demand,
     EndpointPool,
@@ -310,3 +311,74 @@
         assert isinstance(refusal, QueueRefusal)
         assert refusal.reason is NoChoice.PAUSED
         assert refusal.retry_after >= 9_000
+
+
+async def test_request_beyond_a_named_rate_is_refused_at_once() -> None:
+    """Guards against requests that wait for a permit that comes too late for them."""
+    harness = RatedQueueHarness()
+    for wait, reason in ((400, None), (1_500, NoChoice.RATE_LIMITED)):
+        harness.permits.expect(EndpointId("a"), Milliseconds(wait), sharers=3)
+        task = asyncio.ensure_future(
+            harness.queue.reserve(
+                request(),
+                DEMAND,
+                priority=5,
+                max_wait=MAX_WAIT,
+                deprioritise_after=MAX_WAIT,
+            )
+        )
+        await asyncio.sleep(0)
+        assert task.done() is (reason is not None)
+        if reason is not None:
+            refusal = task.result()
+            assert isinstance(refusal, QueueRefusal)
+            assert (refusal.reason, refusal.retry_after >= wait) == (reason, True)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+async def test_permit_starts_one_waiting_request() -> None:
+    harness = RatedQueueHarness()
+    tasks = [
+        asyncio.ensure_future(
+            harness.queue.reserve(
+                request(),
+                DEMAND,
+                priority=5,
+                max_wait=MAX_WAIT,
+                deprioritise_after=MAX_WAIT,
+            )
+        )
+        for _ in range(2)
+    ]
+    await asyncio.sleep(0)
+    harness.permits.receive(EndpointId("a"))
+    harness.queue.wake()
+    await asyncio.sleep(0)
+    assert [task.done() for task in tasks] == [True, False]
+    reservation = tasks[0].result()
+    assert isinstance(reservation, Reservation)
+    # It was not sent, so that the permit serves the next request.
+    reservation.revoke()
+    harness.queue.wake()
+    await asyncio.sleep(0)
+    assert tasks[1].done()
+
+
+class RatedQueueHarness:
+    """A queue in front of one endpoint that names a rate."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        rates = NamedRates(clock=self.clock)
+        self.permits = PermitHolder(rates=rates, clock=self.clock)
+        pool = EndpointPool(
+            instance=InstanceId("me"),
+            clock=self.clock,
+            random=Random(1),
+            permits=self.permits,
+        )
+        pool.update_services({SERVICE: service(is_engine=True)})
+        pool.announce(endpoint("a", slots=8))
+        rates.record(endpoint("a", slots=8), 2.0)
+        self.queue = RequestQueue(pool, clock=self.clock, random=Random(1))
