Log: name the requests under which endpoints crash by a common key

The incident's logs cannot connect two requests with the same path, caller and body, and endpoint:crashed was written for requests with shared prompt parts only. It is written for all requests now, with a key that is equal for those that endpoints cannot tell from each other, and counted by route (fuchsiaroute_endpoint_crashes). Requests are sent as before.

--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -277,13 +277,18 @@
 
         To be called when its connection has ended.
         """
-        if call.shared_parts and await self._is_refused(endpoint):
-            self._log.write(
-                "endpoint:crashed",
-                endpoint=endpoint.id,
-                request=call.request_id,
-                prompt_parts=sorted(call.shared_parts),
-            )
+        if not await self._is_refused(endpoint):
+            return
+        self._counters.add("endpoint_crashes", call.route.name)
+        self._log.write(
+            "endpoint:crashed",
+            endpoint=endpoint.id,
+            request=call.request_id,
+            request_key=call.key,
+            attempt=len(call.sent_to),
+            prompt_parts=sorted(call.shared_parts),
+        )
+        if call.shared_parts:
             self._quarantine.record_crash(call.shared_parts, endpoint.id)
 
     def record_answer_begun(self, call: Call) -> None:
--- a/fuchsiaroute/forwarding/_call.py
+++ b/fuchsiaroute/forwarding/_call.py
@@ -15,7 +15,7 @@
     ServiceId,
 )
 from fuchsiaroute.platform import RequestFields
-from fuchsiaroute.quarantine import PartKey
+from fuchsiaroute.quarantine import PartKey, RequestKey, request_key
 from fuchsiaroute.request import Request
 from fuchsiaroute.staging import SessionHash
 
@@ -58,6 +58,17 @@
     #: Why attempts failed, for the log.
     failure_reasons: list[str] = field(default_factory=list)
 
+    @property
+    def key(self) -> RequestKey:
+        """Return the key of all requests that endpoints cannot tell from this one."""
+        return request_key(
+            method=self.inbound.method,
+            host=self.route.host,
+            target=self.inbound.target,
+            caller=self.organisation or NO_ORGANISATION,
+            body=self.inbound.body,
+        )
+
     @property
     def is_not_run(self) -> bool:
         """Return whether certainly no endpoint has run the request."""
--- a/fuchsiaroute/quarantine/__init__.py
+++ b/fuchsiaroute/quarantine/__init__.py
@@ -1,6 +1,13 @@
 """Prompt parts on which model workers crash, and requests that are refused for them."""
 
-from fuchsiaroute.quarantine._crashes import CrashId, CrashReport, PartKey, part_keys
+from fuchsiaroute.quarantine._crashes import (
+    CrashId,
+    CrashReport,
+    PartKey,
+    RequestKey,
+    part_keys,
+    request_key,
+)
 from fuchsiaroute.quarantine._prompt_quarantine import (
     QUARANTINE_TIME,
     SETTLE_TIME,
@@ -16,5 +23,7 @@
     "PartKey",
     "PartReport",
     "PromptQuarantine",
+    "RequestKey",
     "part_keys",
+    "request_key",
 ]
--- a/fuchsiaroute/quarantine/_crashes.py
+++ b/fuchsiaroute/quarantine/_crashes.py
@@ -11,6 +11,8 @@
 
 #: Hash of a prompt part's id; equal at all instances.
 PartKey = NewType("PartKey", int)
+#: Hash of what endpoints see of a request; equal at all instances.
+RequestKey = NewType("RequestKey", int)
 #: Random number of a crash under one request; equal for all parts of its prompt.
 CrashId = NewType("CrashId", int)
 
@@ -38,6 +40,22 @@
     return frozenset(PartKey(xxhash.xxh3_64_intdigest(part.encode())) for part in parts)
 
 
+def request_key(
+    *, method: bytes, host: str, target: bytes, caller: str, body: bytes
+) -> RequestKey:
+    """
+    Return the key of requests that an endpoint cannot tell from each other.
+
+    ``target`` is the path with its query, and ``caller`` the name that endpoints get of
+    the caller, empty for none.
+    """
+    digest = xxhash.xxh3_64()
+    for value in (method, host.encode(), target, caller.encode(), body):
+        digest.update(len(value).to_bytes(8))
+        digest.update(value)
+    return RequestKey(digest.intdigest())
+
+
 def is_same_crash(one: CrashReport, other: CrashReport) -> bool:
     """Return whether two reports, of different requests, are of one crash."""
     return one.endpoint == other.endpoint and abs(one.at - other.at) < RESTART_TIME
