Quarantine: refuse a request that comes again and crashes endpoints

Callers of a small service got 502 and 503 for seconds, again and again: a request that ends the endpoints that run it came again and reached them 9 to 18 times later than 3 s after the third crash (3 allowed), and one try of a caller ended services of two to four endpoints. Cause: crashes were evidence against shared prompt parts only, so that nothing was known of the request at its next attempt, at another instance or after a restart.

The evidence is kept by subject now: a prompt part, or all that endpoints see of a request (path, organisation, body). Both are judged by the same rules, exchanged and stored in the same way. A crash after another one under the same attempt has no common cause. A request under which an endpoint has crashed is kept from the last usable endpoint of its service. A crash takes the endpoint out of use at all instances at once, and any request may be the trial afterwards, as a refused connection shows that nothing ran. Reports of crashes are sent at once.

--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -30,7 +30,7 @@
     QueueRefusal,
     RequestQueue,
 )
-from fuchsiaroute.quarantine import PromptQuarantine
+from fuchsiaroute.quarantine import Quarantine
 from fuchsiaroute.retry import WindowedRetryBudget
 from fuchsiaroute.staging import Measure, RolloutTracker
 from fuchsiaroute.verdict import Verdict
@@ -75,6 +75,9 @@
 MIN_TOKENS_PER_MS = 15.0
 #: Remaining time below which a request is not retried.
 MIN_REMAINING_TO_RETRY = Milliseconds(40)
+#: Retry delay sent to the caller of a request that is kept from the last endpoint of a
+#: service. A crashed endpoint takes seconds to be back.
+RETRY_DELAY_OF_SUSPECTED = Milliseconds(1_000)
 #: Share of the retry budget that escalations leave to retries of failed attempts and to
 #: the resumption of broken streams.
 ESCALATION_RESERVE = 0.05
@@ -134,7 +137,7 @@
         on_session: Callable[[Call], None],
         is_stopping: Callable[[], bool],
         admission: StopAdmission,
-        quarantine: PromptQuarantine,
+        quarantine: Quarantine,
         is_refused: Callable[[Endpoint], Awaitable[bool]],
     ) -> None:
         self._pool = pool
@@ -205,7 +208,7 @@
         only if an endpoint that has not failed this request has capacity now.
         ``before_send`` is called once an endpoint is reserved.
         """
-        refusal = self._quarantine_refusal(call)
+        refusal = self._crash_refusal(call)
         if refusal is not None:
             return refusal
         demand = self._demand(call, model)
@@ -271,14 +274,19 @@
         self._record_response(call, result, model)
         return result
 
-    async def check_crash(self, call: Call, endpoint: Endpoint) -> None:
+    async def check_crash(
+        self, call: Call, endpoint: Endpoint, *, has_event: bool = False
+    ) -> None:
         """
-        Record whether an endpoint crashed under a request without any answer.
+        Record whether an endpoint crashed under a request without a whole answer.
 
-        To be called when its connection has ended.
+        To be called when its connection has ended. If the answer has begun
+        (``has_event``), this is evidence against the request, not its prompt's parts.
         """
-        if not await self._is_refused(endpoint):
-            return
+        if not self._pool.has_crashed(endpoint.id):
+            if not await self._is_refused(endpoint):
+                return
+            self._pool.record_crash(endpoint.id)
         self._counters.add("endpoint_crashes", call.route.name)
         self._log.write(
             "endpoint:crashed",
@@ -288,8 +296,12 @@
             attempt=len(call.sent_to),
             prompt_parts=sorted(call.shared_parts),
         )
-        if call.shared_parts:
-            self._quarantine.record_crash(call.shared_parts, endpoint.id)
+        self._quarantine.record_crash(
+            {call.key} if has_event else call.subjects,
+            endpoint.id,
+            follows_crash=call.crashes > 0,
+        )
+        call.crashes += 1
 
     def record_answer_begun(self, call: Call) -> None:
         """Record that the first part of an answer has arrived."""
@@ -325,6 +337,8 @@
 
     def record_complete_response(self, call: Call, response: OpenResponse) -> None:
         """Record that a response was received completely."""
+        if response.is_success:
+            self._quarantine.record_answer({call.key})
         if call.session is not None:
             version = response.reservation.endpoint.version
             self._tracker.sessions.record_served(call.session, version)
@@ -336,7 +350,7 @@
             return False
         if call.is_not_run:
             return len(call.sent_to) < max_sends
-        if not self._quarantine.may_retry(call.shared_parts):
+        if not self._quarantine.may_retry(call.subjects):
             return False
         return call.route.is_repeatable and call.possible_runs < call.route.max_attempts
 
@@ -345,20 +359,36 @@
         if not call.sent_to and not self._admission.admits(call):
             # It has waited for too long to end before the instance does.
             return NoReservation(refusal=STOPPING_REFUSAL)
-        return self._quarantine_refusal(call)
+        return self._crash_refusal(call)
 
-    def _quarantine_refusal(self, call: Call) -> NoReservation | None:
-        left = self._quarantine.refusal_time(call.shared_parts)
+    def _crash_refusal(self, call: Call) -> NoReservation | None:
+        """Return why the request is kept from endpoints that may crash under it."""
+        left = self._quarantine.refusal_time(call.subjects)
         if left is None:
-            return None
+            return self._last_endpoint_refusal(call)
         self._log.write(
             "request:quarantined",
             request=call.request_id,
+            request_key=call.key,
             prompt_parts=sorted(call.shared_parts),
         )
         refusal = QueueRefusal(reason=NoChoice.QUARANTINED, retry_after=left)
         return NoReservation(refusal=refusal)
 
+    def _last_endpoint_refusal(self, call: Call) -> NoReservation | None:
+        """Refuse a request under which an endpoint crashed if only one is left."""
+        if not self._quarantine.has_crashes(call.key):
+            return None
+        if not self._pool.is_reduced_to_one(call.service):
+            return None
+        self._log.write(
+            "request:suspected", request=call.request_id, request_key=call.key
+        )
+        refusal = QueueRefusal(
+            reason=NoChoice.SUSPECTED, retry_after=RETRY_DELAY_OF_SUSPECTED
+        )
+        return NoReservation(refusal=refusal)
+
     def _versions(self, call: Call) -> frozenset[VersionId] | None:
         """Return the versions that may run the request; None allows any."""
         return self._tracker.allowed_versions(
--- a/fuchsiaroute/forwarding/_call.py
+++ b/fuchsiaroute/forwarding/_call.py
@@ -15,7 +15,7 @@
     ServiceId,
 )
 from fuchsiaroute.platform import RequestFields
-from fuchsiaroute.quarantine import PartKey, RequestKey, request_key
+from fuchsiaroute.quarantine import SubjectKey, request_key
 from fuchsiaroute.request import Request
 from fuchsiaroute.staging import SessionHash
 
@@ -43,7 +43,9 @@
     #: Key by which roll-outs assign the request to a version.
     rollout_key: UnitKey
     #: Keys of the prompt parts that the request shares with others.
-    shared_parts: frozenset[PartKey] = frozenset()
+    shared_parts: frozenset[SubjectKey] = frozenset()
+    #: Key of all requests that endpoints cannot tell from this one.
+    key: SubjectKey = field(init=False)
     #: Endpoints that the request has been sent to.
     sent_to: list[EndpointId] = field(default_factory=list)
     #: Endpoints that failed or rejected the request; used again only if no other can.
@@ -55,13 +57,13 @@
     answer_started_at: Milliseconds | None = None
     #: Retries charged to the retry budget.
     charged_retries: int = 0
+    #: Number of endpoints that have crashed under the request.
+    crashes: int = 0
     #: Why attempts failed, for the log.
     failure_reasons: list[str] = field(default_factory=list)
 
-    @property
-    def key(self) -> RequestKey:
-        """Return the key of all requests that endpoints cannot tell from this one."""
-        return request_key(
+    def __post_init__(self) -> None:
+        self.key = request_key(
             method=self.inbound.method,
             host=self.route.host,
             target=self.inbound.target,
@@ -69,6 +71,11 @@
             body=self.inbound.body,
         )
 
+    @property
+    def subjects(self) -> frozenset[SubjectKey]:
+        """Return what a crash under the request is evidence against."""
+        return self.shared_parts | {self.key}
+
     @property
     def is_not_run(self) -> bool:
         """Return whether certainly no endpoint has run the request."""
--- a/fuchsiaroute/forwarding/_stream_relay.py
+++ b/fuchsiaroute/forwarding/_stream_relay.py
@@ -269,9 +269,8 @@
     ) -> bool:
         """Resume a stream that broke off; return whether it succeeded."""
         self._give_up(call, state, Outcome.TRUNCATED, reason)
-        if not state.has_event:
-            endpoint = state.response.reservation.endpoint
-            await self._runner.check_crash(call, endpoint)
+        endpoint = state.response.reservation.endpoint
+        await self._runner.check_crash(call, endpoint, has_event=state.has_event)
         return await self._resume(call, state, reason)
 
     async def _replace_silent(self, call: Call, state: _RelayState) -> bool:
--- a/fuchsiaroute/forwarding/tests/test_slow_version.py
+++ b/fuchsiaroute/forwarding/tests/test_slow_version.py
@@ -20,7 +20,7 @@
 from fuchsiaroute.forwarding._endpoint_client import OpenResponse
 from fuchsiaroute.ids import ModelId, ServiceId, VersionId
 from fuchsiaroute.linelog import LineLog
-from fuchsiaroute.quarantine import PromptQuarantine
+from fuchsiaroute.quarantine import Quarantine, SubjectKey
 from fuchsiaroute.staging import Progress, RolloutRecord, RolloutTracker
 
 SERVICE = ServiceId("s")
@@ -76,7 +76,7 @@
             clock=self.clock,
             log=log,
             is_stopping=lambda: False,
-            quarantine=PromptQuarantine(clock=self.clock, random=Random(1), log=log),
+            quarantine=Quarantine(clock=self.clock, random=Random(1), log=log),
             is_refused=_never_refused,
             admission=StopAdmission(
                 Drain(clock=self.clock, longest=lambda route: None), clock=self.clock
@@ -119,7 +119,8 @@
                 is_repeatable=True,
             ),
             fields=SimpleNamespace(prompt_tokens=500, prompt=()),
-            shared_parts=frozenset(),
+            key=SubjectKey(-1),
+            subjects=frozenset({SubjectKey(-1)}),
             service=SERVICE,
             session=None,
             priority=1,
--- a/fuchsiaroute/forwarding/tests/test_stream_relay.py
+++ b/fuchsiaroute/forwarding/tests/test_stream_relay.py
@@ -98,7 +98,9 @@
     def record_answer_begun(self, call: Any) -> None:
         pass
 
-    async def check_crash(self, call: Any, endpoint: Any) -> None:
+    async def check_crash(
+        self, call: Any, endpoint: Any, *, has_event: bool = False
+    ) -> None:
         pass
 
     def record_pace(self, call: Any, response: Any, pace: float) -> None:
--- a/fuchsiaroute/gossip/_messages.py
+++ b/fuchsiaroute/gossip/_messages.py
@@ -83,21 +83,23 @@
 
 
 class PromptCrash(msgspec.Struct, array_like=True, frozen=True):
-    """A crash of an endpoint under an unanswered request with a prompt part."""
+    """A crash of an endpoint under a request without a whole answer."""
 
-    #: Random number of the crash, equal for all parts of the request's prompt.
+    #: Random number of the crash, equal for the request and the parts of its prompt.
     id: int
-    #: Hash of the part's id.
+    #: Hash of the part's id, or the negative one of the request.
     part: int
     endpoint: str
     #: Time since the crash, in milliseconds.
     age: int
+    #: Whether another endpoint had crashed under the request before it was sent here.
+    follows_crash: bool = False
 
 
 class PromptPartUpdate(msgspec.Struct, array_like=True, frozen=True):
-    """When a prompt part was quarantined or last answered."""
+    """When a prompt part or a request was quarantined or last answered."""
 
-    #: Hash of the part's id.
+    #: Hash of the part's id, or the negative one of the request.
     part: int
     #: Time since then, in milliseconds.
     age: int
--- a/fuchsiaroute/gossip/_node.py
+++ b/fuchsiaroute/gossip/_node.py
@@ -44,6 +44,8 @@
 LOCAL_SHARE = 0.6
 #: Minimum time between two messages that are sent outside the rounds.
 MIN_SEND_INTERVAL = Milliseconds(30)
+#: Delay of an urgent message, so that what is noticed at once is sent together.
+URGENT_DELAY = Milliseconds(1)
 
 
 class GossipNode(asyncio.DatagramProtocol):
@@ -108,11 +110,23 @@
             self._log_liveness_changes()
             await self._clock.sleep(ROUND_INTERVAL)
 
-    def send_soon(self) -> None:
-        """Send a message before the next round; calls until then share it."""
-        if self._flush is None:
-            loop = asyncio.get_running_loop()
-            self._flush = loop.call_later(MIN_SEND_INTERVAL / 1_000, self._flush_now)
+    def send_soon(self, *, is_urgent: bool = False) -> None:
+        """
+        Send a message before the next round; calls until then share it.
+
+        An urgent one is sent almost at once, unless another was sent just before.
+        """
+        loop = asyncio.get_running_loop()
+        delay = MIN_SEND_INTERVAL
+        if is_urgent:
+            elapsed = Milliseconds(self._clock.now() - self._sent_at)
+            delay = max(Milliseconds(MIN_SEND_INTERVAL - elapsed), URGENT_DELAY)
+        due = loop.time() + delay / 1_000
+        if self._flush is not None:
+            if self._flush.when() <= due:
+                return
+            self._flush.cancel()
+        self._flush = loop.call_at(due, self._flush_now)
 
     def send_to_all(self) -> None:
         """Send one message to every member."""
@@ -193,6 +207,7 @@
 
     def _send(self) -> None:
         if self._liveness.members:
+            self._sent_at = self._clock.now()
             self._send_to(encode_message(self._compose()), FANOUT)
 
     def _reply(self, request: TableRequest, address: tuple[str | Any, int]) -> None:
--- a/fuchsiaroute/node/_gossip_exchange.py
+++ b/fuchsiaroute/node/_gossip_exchange.py
@@ -36,9 +36,9 @@
 from fuchsiaroute.quarantine import (
     CrashId,
     CrashReport,
-    PartKey,
-    PartReport,
-    PromptQuarantine,
+    Quarantine,
+    SubjectKey,
+    SubjectReport,
 )
 from fuchsiaroute.sequential import Evidence
 from fuchsiaroute.staging import (
@@ -57,6 +57,8 @@
 #: Rounds after which learned latencies are sent again; they change slowly.
 LATENCY_ROUNDS = 8
 NANOSECONDS_PER_MS = 1_000_000
+#: Age up to which an endpoint counts as down because a peer has seen its crash.
+MAX_NOTICE_AGE = Milliseconds(300)
 #: Age up to which a session is sent again: later messages make up for a lost one.
 MAX_SESSION_AGE = Milliseconds(5_500)
 
@@ -75,7 +77,7 @@
         feeds: dict[str, TableFeed],
         is_ready: Callable[[], bool],
         latencies: LatencyEstimator,
-        quarantine: PromptQuarantine,
+        quarantine: Quarantine,
         permits: PermitExchange,
         clock: Clock,
         log: LineLog,
@@ -146,9 +148,10 @@
             prompt_crashes=[
                 PromptCrash(
                     item.id,
-                    item.part,
+                    item.subject,
                     item.endpoint,
                     self._age(item.at),
+                    item.follows_crash,
                 )
                 for item in self._quarantine.crashes()
             ],
@@ -206,32 +209,36 @@
     def _apply_prompt_parts(self, message: GossipMessage) -> None:
         for answered in message.answered_parts:
             self._quarantine.apply_answer(self._part_report(answered))
-        self._quarantine.apply_crashes(
+        crashes = self._quarantine.apply_crashes(
             [
                 CrashReport(
                     id=CrashId(crash.id),
-                    part=PartKey(crash.part),
+                    subject=SubjectKey(crash.part),
                     endpoint=EndpointId(crash.endpoint),
                     at=Milliseconds(self._clock.now() - crash.age),
+                    follows_crash=crash.follows_crash,
                 )
                 for crash in message.prompt_crashes
             ]
         )
+        for report in crashes:
+            if self._age(report.at) < MAX_NOTICE_AGE:
+                self._pool.record_crash(report.endpoint)
         for quarantined in message.quarantined_parts:
             self._quarantine.apply_quarantine(
                 self._part_report(quarantined), source=message.instance
             )
 
-    def _part_updates(self, reports: list[PartReport]) -> list[PromptPartUpdate]:
+    def _part_updates(self, reports: list[SubjectReport]) -> list[PromptPartUpdate]:
         return [
-            PromptPartUpdate(item.part, self._age(item.at), list(item.companions))
+            PromptPartUpdate(item.subject, self._age(item.at), list(item.companions))
             for item in reports
         ]
 
-    def _part_report(self, update: PromptPartUpdate) -> PartReport:
+    def _part_report(self, update: PromptPartUpdate) -> SubjectReport:
         at = Milliseconds(self._clock.now() - update.age)
-        companions = frozenset(PartKey(item) for item in update.companions)
-        return PartReport(PartKey(update.part), at, companions)
+        companions = frozenset(SubjectKey(item) for item in update.companions)
+        return SubjectReport(SubjectKey(update.part), at, companions)
 
     def _age(self, instant: Milliseconds) -> Milliseconds:
         return Milliseconds(self._clock.now() - instant)
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -43,7 +43,7 @@
     Table,
 )
 from fuchsiaroute.pool import EndpointPool, RequestQueue
-from fuchsiaroute.quarantine import PartKey, PromptQuarantine
+from fuchsiaroute.quarantine import Quarantine, SubjectKey
 from fuchsiaroute.retry import WindowedRetryBudget
 from fuchsiaroute.staging import RolloutDriver, RolloutTracker
 from fuchsiaroute.store import StorePosition, era_of
@@ -100,12 +100,13 @@
         )
         self.queue = RequestQueue(self.pool, clock=clock, random=random)
         self.catalog = Catalog(pool=self.pool, clock=clock, log=log, drain=bounds.drain)
-        self.quarantine = PromptQuarantine(
+        self.quarantine = Quarantine(
             clock=clock,
             random=random,
             log=log,
             on_change=self._quarantine_changed,
-            on_crash=lambda: self.gossip.send_soon(),
+            # The request may come again as soon as its caller has the answer.
+            on_crash=lambda: self.gossip.send_soon(is_urgent=True),
         )
         self.quarantine_rows = QuarantineRows(
             store=self.store, quarantine=self.quarantine, clock=clock, log=log
@@ -235,7 +236,7 @@
         waited = self._clock.now() - self.catalog.deployed_at
         return self.quarantine_rows.is_loaded or waited > MAX_ROLLOUT_WAIT
 
-    def _quarantine_changed(self, part: PartKey, since: Milliseconds | None) -> None:
+    def _quarantine_changed(self, part: SubjectKey, since: Milliseconds | None) -> None:
         self.quarantine_rows.write(part, since)
         self.gossip.send_soon()
 
--- a/fuchsiaroute/node/_quarantine_rows.py
+++ b/fuchsiaroute/node/_quarantine_rows.py
@@ -1,4 +1,4 @@
-"""Keeps quarantined prompt parts in the store, for a restart of all instances."""
+"""Keeps quarantined subjects in the store, for a restart of all instances."""
 
 import asyncio
 
@@ -8,7 +8,7 @@
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.platform import PlatformStore, Table, row_key
-from fuchsiaroute.quarantine import PartKey, PartReport, PromptQuarantine
+from fuchsiaroute.quarantine import Quarantine, SubjectKey, SubjectReport
 from fuchsiaroute.store import Put, Transaction
 
 #: Delay after a failed call.
@@ -18,7 +18,7 @@
 class _QuarantineRow(msgspec.Struct):
     """The value of a row."""
 
-    #: Start of the quarantine on the store's clock; None once the part is cleared.
+    #: Start of the quarantine on the store's clock; None once it is cleared.
     since: int | None
     companions: list[int] = []
 
@@ -28,9 +28,9 @@
 
 class QuarantineRows:
     """
-    Reads the quarantined parts at the start and writes those found here.
+    Reads the quarantined subjects at the start and writes those found here.
 
-    Running instances learn of them from peers. The row of a part is written by the
+    Running instances learn of them from peers. The row of a subject is written by the
     instance whose evidence decided on it; a later write replaces it.
     """
 
@@ -38,7 +38,7 @@
         self,
         *,
         store: PlatformStore,
-        quarantine: PromptQuarantine,
+        quarantine: Quarantine,
         clock: Clock,
         log: LineLog,
     ) -> None:
@@ -46,15 +46,15 @@
         self._quarantine = quarantine
         self._clock = clock
         self._log = log
-        #: Starts of quarantines to write on the monotonic clock; None to clear a part.
-        self._unwritten: dict[PartKey, Milliseconds | None] = {}
+        #: Starts of quarantines to write on the monotonic clock; None to clear one.
+        self._unwritten: dict[SubjectKey, Milliseconds | None] = {}
         self._changed = asyncio.Event()
         #: Whether the rows have been read.
         self.is_loaded = False
 
-    def write(self, part: PartKey, since: Milliseconds | None) -> None:
-        """Write the start of a part's quarantine, or that it is cleared (None)."""
-        self._unwritten[part] = since
+    def write(self, subject: SubjectKey, since: Milliseconds | None) -> None:
+        """Write the start of a quarantine, or that it is cleared (None)."""
+        self._unwritten[subject] = since
         self._changed.set()
 
     async def run(self) -> None:
@@ -77,7 +77,7 @@
             if row.value is None:
                 continue
             try:
-                part = PartKey(int(row.key, 16))
+                subject = SubjectKey(int(row.key, 16))
                 found = _DECODER.decode(row.value)
             except (ValueError, msgspec.MsgspecError) as error:
                 self._log.write(
@@ -85,10 +85,10 @@
                 )
                 continue
             if found.since is not None:
-                report = PartReport(
-                    part,
+                report = SubjectReport(
+                    subject,
                     Milliseconds(found.since + offset),
-                    frozenset(PartKey(item) for item in found.companions),
+                    frozenset(SubjectKey(item) for item in found.companions),
                 )
                 self._quarantine.apply_quarantine(report, source="store")
         self.is_loaded = True
@@ -102,21 +102,21 @@
         offset = store_now - self._clock.now()
         puts = tuple(
             Put(
-                key=row_key(Table.QUARANTINE, f"{part:016x}"),
+                key=row_key(Table.QUARANTINE, f"{subject:016x}"),
                 value=msgspec.json.encode(
                     _QuarantineRow(
                         None if since is None else since + offset,
-                        list(self._quarantine.companions(part)),
+                        list(self._quarantine.companions(subject)),
                     )
                 ),
             )
-            for part, since in changes.items()
+            for subject, since in changes.items()
         )
         answer = await self._store.commit(Transaction(puts=puts))
         if isinstance(answer, Failure):
             self._log.write("prompt-part:not-written", reason=answer.failure().message)
             return False
-        for part, since in changes.items():
-            if self._unwritten.get(part) == since:
-                self._unwritten.pop(part, None)
+        for subject, since in changes.items():
+            if self._unwritten.get(subject) == since:
+                self._unwritten.pop(subject, None)
         return True
--- a/fuchsiaroute/platform/tests/test_repeated_request.py
+++ b/fuchsiaroute/platform/tests/test_repeated_request.py
@@ -35,6 +35,7 @@
 CONTACT_S = 3.0
 RESTART_S = 1.0
 RUN_S = 0.04
+ROUND_TRIP_S = 0.006
 #: Share of the sound requests to be answered from then on.
 SERVED_SHARE = 0.95
 TENANTS = [
@@ -202,9 +203,11 @@
     endpoints = [CrashingEndpoint(crashing) for _ in range(count)]
     async with cluster(3, *endpoints, configuration=TWO_CALLERS) as harnesses:
         callers = Callers(harnesses)
-        # The caller's second attempt follows at once, at another instance.
+        # The caller's second attempt follows at once, at another instance. It takes
+        # a round trip, for which loopback has no time.
         for _ in range(2):
             await callers.ask(crashing)
+            await asyncio.sleep(ROUND_TRIP_S)
         assert len(crash_times(endpoints)) < count
         sound = [await callers.ask(sent) for sent in sound_beside(crashing)]
         assert [reply.status for reply in sound] == [200] * 3
--- a/fuchsiaroute/pool/_member.py
+++ b/fuchsiaroute/pool/_member.py
@@ -19,6 +19,8 @@
 #: Time within which the load of an endpoint that has asked for a pause rises again to
 #: its capacity.
 RAMP_TIME = Milliseconds(2_000)
+#: Time for which the connections that end at an endpoint have ended with its crash.
+CRASH_NOTICE_TIME = Milliseconds(300)
 #: Weight of the newest request in the moving averages of latency and success rate.
 EWMA_WEIGHT = 0.2
 #: Half-life with which latency and success rate of an unused endpoint return to 1.
@@ -70,6 +72,10 @@
     full_until: Milliseconds = Milliseconds(0)
     #: End of the pause that the endpoint has asked for; 0 if it never did.
     paused_until: Milliseconds = Milliseconds(0)
+    #: Whether the endpoint is suspect because nothing listened at its address.
+    has_refused: bool = False
+    #: Time of the latest crash; None if none is known.
+    crashed_at: Milliseconds | None = None
     failures_in_row: int = 0
     trial_delay: Milliseconds = INITIAL_TRIAL_DELAY
     trial_at: Milliseconds = Milliseconds(0)
@@ -179,6 +185,23 @@
             self._failed()
         self.is_connection_refused = False
 
+    @property
+    def has_crashed(self) -> bool:
+        """Return whether the endpoint crashed within ``CRASH_NOTICE_TIME``."""
+        if self.crashed_at is None:
+            return False
+        return self.clock.now() - self.crashed_at < CRASH_NOTICE_TIME
+
+    def record_crash(self) -> None:
+        """Record that no process listens any more; it gets single trials only."""
+        now = self.clock.now()
+        self.crashed_at = now
+        self.has_refused = True
+        if self.is_usable:
+            self.trial_delay = INITIAL_TRIAL_DELAY
+            self.trial_at = Milliseconds(now + self.trial_delay)
+            self.apply(EndpointEvent.FAILED_REPEATEDLY)
+
     def record_duration(self, relative_duration: float) -> None:
         """Add a request's latency, relative to the mean of its kind."""
         current = self.current_relative_latency
@@ -208,6 +231,7 @@
         is_suspect = (
             self.is_connection_refused or self.failures_in_row >= FAILURES_UNTIL_SUSPECT
         )
+        self.has_refused = self.is_connection_refused
         now = self.clock.now()
         if self.state is EndpointState.SUSPECT:
             self.trial_delay = Milliseconds(min(self.trial_delay * 2, MAX_TRIAL_DELAY))
--- a/fuchsiaroute/pool/_pool.py
+++ b/fuchsiaroute/pool/_pool.py
@@ -53,8 +53,10 @@
     PAUSED = "paused"
     #: Every usable endpoint with capacity names a rate, and no request may be sent now.
     RATE_LIMITED = "rate-limited"
-    #: Endpoints crash under requests with a part of its prompt.
+    #: Endpoints crash under it, or under requests with a part of its prompt.
     QUARANTINED = "quarantined"
+    #: An endpoint has crashed under it, and only one of the service is left.
+    SUSPECTED = "suspected"
     #: The instance stops before the request could end.
     STOPPING = "stopping"
 
@@ -343,6 +345,27 @@
         if member is not None:
             member.mark_cold(duration)
 
+    def record_crash(self, endpoint: EndpointId) -> None:
+        """Record that nothing listens at an endpoint's address any more."""
+        member = self._members.get(endpoint)
+        if member is not None:
+            member.record_crash()
+
+    def has_crashed(self, endpoint: EndpointId) -> bool:
+        """Return whether a crash of an endpoint was recorded just now."""
+        member = self._members.get(endpoint)
+        return member is not None and member.has_crashed
+
+    def is_reduced_to_one(self, service: ServiceId) -> bool:
+        """Return whether at most one of several endpoints of a service is usable."""
+        staying = [
+            member
+            for member in self.members(service)
+            if member.state not in (EndpointState.LEAVING, EndpointState.OUT)
+        ]
+        usable = sum(member.is_usable for member in staying)
+        return usable <= 1 < len(staying)
+
     def mark_leaving(self, endpoint: EndpointId, started_at: int) -> bool:
         """
         Stop using the process of an endpoint that has said in an answer that it leaves.
@@ -474,9 +497,11 @@
         If no other endpoint is usable (``has_others`` is False), a suspect endpoint
         gets the request even before its trial is due.
         """
-        if has_others and not demand.is_repeatable:
-            return None
         for member in candidates:
+            # A refused connection shows that a request has not run.
+            is_safe = demand.is_repeatable or member.has_refused
+            if has_others and not is_safe:
+                continue
             is_due = member.is_trial_due or (
                 not has_others
                 and member.state is EndpointState.SUSPECT
--- a/fuchsiaroute/pool/tests/test_pool.py
+++ b/fuchsiaroute/pool/tests/test_pool.py
@@ -472,3 +472,33 @@
         chosen(pool)
     assert set(ranked) <= {"cold"}
     assert len(ranked) == 1
+
+
+def test_crashed_endpoint_gets_any_request_as_its_trial() -> None:
+    """A refused connection shows that a request has not run."""
+    clock = ManualClock()
+    pool = new_pool(clock, endpoint("a"), endpoint("b"))
+    pool.record_crash(EndpointId("a"))
+    unrepeatable = replace(DEMAND, is_repeatable=False)
+    assert {chosen(pool, unrepeatable) for _ in range(10)} == {"b"}
+    clock.tick(Milliseconds(600))
+    assert chosen(pool, unrepeatable) == "a"
+
+
+@pytest.mark.parametrize(
+    ("crashed", "expected"),
+    [((), False), (("a",), False), (("a", "b"), True), (("a", "b", "c"), True)],
+)
+def test_service_that_is_reduced_to_one_endpoint(
+    crashed: tuple[str, ...], expected: bool
+) -> None:
+    pool = new_pool(ManualClock(), *(endpoint(name) for name in "abc"))
+    for name in crashed:
+        pool.record_crash(EndpointId(name))
+    assert pool.is_reduced_to_one(DEMAND.service) is expected
+
+
+def test_service_of_one_endpoint_is_not_reduced() -> None:
+    """Otherwise a request under which it has crashed could never be served."""
+    pool = new_pool(ManualClock(), endpoint("a"))
+    assert not pool.is_reduced_to_one(DEMAND.service)
--- a/fuchsiaroute/quarantine/__init__.py
+++ b/fuchsiaroute/quarantine/__init__.py
@@ -1,18 +1,17 @@
-"""Prompt parts on which model workers crash, and requests that are refused for them."""
+"""Requests that are refused because endpoints crash under them or their prompts."""
 
 from fuchsiaroute.quarantine._crashes import (
     CrashId,
     CrashReport,
-    PartKey,
-    RequestKey,
+    SubjectKey,
     part_keys,
     request_key,
 )
-from fuchsiaroute.quarantine._prompt_quarantine import (
+from fuchsiaroute.quarantine._quarantine import (
     QUARANTINE_TIME,
     SETTLE_TIME,
-    PartReport,
-    PromptQuarantine,
+    Quarantine,
+    SubjectReport,
 )
 
 __all__ = [
@@ -20,10 +19,9 @@
     "SETTLE_TIME",
     "CrashId",
     "CrashReport",
-    "PartKey",
-    "PartReport",
-    "PromptQuarantine",
-    "RequestKey",
+    "Quarantine",
+    "SubjectKey",
+    "SubjectReport",
     "part_keys",
     "request_key",
 ]
--- a/fuchsiaroute/quarantine/_crashes.py
+++ b/fuchsiaroute/quarantine/_crashes.py
@@ -1,4 +1,4 @@
-"""Crashes of endpoints under requests that had received no part of an answer."""
+"""Crashes of endpoints under requests, and what they are evidence against."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -9,11 +9,10 @@
 from fuchsiaroute.clock import Milliseconds
 from fuchsiaroute.ids import EndpointId
 
-#: Hash of a prompt part's id; equal at all instances.
-PartKey = NewType("PartKey", int)
-#: Hash of what endpoints see of a request; equal at all instances.
-RequestKey = NewType("RequestKey", int)
-#: Random number of a crash under one request; equal for all parts of its prompt.
+#: Hash of what may be the cause of crashes, equal at all instances: the id of a prompt
+#: part (not negative), or all that endpoints see of a request (negative).
+SubjectKey = NewType("SubjectKey", int)
+#: Random number of a crash under one request; equal for all its subjects.
 CrashId = NewType("CrashId", int)
 
 #: Time within which crashes of several endpoints count as one: they have a cause in
@@ -22,27 +21,39 @@
 #: Time within which crashes of one endpoint count as one, as several instances report
 #: them with delays. A worker takes some seconds to start again.
 RESTART_TIME = Milliseconds(1_500)
+#: The same for crashes under copies of one request, which few instances report.
+REPORT_DELAY = Milliseconds(500)
 
 
 @dataclass(frozen=True, kw_only=True)
 class CrashReport:
-    """A crash of an endpoint under a request with a prompt part."""
+    """A crash of an endpoint under a request, as evidence against one subject."""
 
     id: CrashId
-    part: PartKey
+    subject: SubjectKey
     endpoint: EndpointId
     #: Monotonic time at which the crash was noticed.
     at: Milliseconds
+    #: Whether the request was sent to the endpoint after another one had crashed under
+    #: it. A cause in common would have ended both endpoints before that.
+    follows_crash: bool = False
 
 
-def part_keys(parts: Iterable[str]) -> frozenset[PartKey]:
+def is_request(subject: SubjectKey) -> bool:
+    """Return whether a key is that of a request, not of a prompt part."""
+    return subject < 0
+
+
+def part_keys(parts: Iterable[str]) -> frozenset[SubjectKey]:
     """Return the keys of prompt parts, given by their ids."""
-    return frozenset(PartKey(xxhash.xxh3_64_intdigest(part.encode())) for part in parts)
+    return frozenset(
+        SubjectKey(xxhash.xxh3_64_intdigest(part.encode())) for part in parts
+    )
 
 
 def request_key(
     *, method: bytes, host: str, target: bytes, caller: str, body: bytes
-) -> RequestKey:
+) -> SubjectKey:
     """
     Return the key of requests that an endpoint cannot tell from each other.
 
@@ -53,7 +64,7 @@
     for value in (method, host.encode(), target, caller.encode(), body):
         digest.update(len(value).to_bytes(8))
         digest.update(value)
-    return RequestKey(digest.intdigest())
+    return SubjectKey(-1 - (digest.intdigest() >> 1))
 
 
 def is_same_crash(one: CrashReport, other: CrashReport) -> bool:
@@ -62,7 +73,7 @@
 
 
 def independent_crashes(reports: Iterable[CrashReport]) -> int:
-    """Return the number of crashes that have no cause in common that is known."""
+    """Return the crashes under requests with a part that have no known common cause."""
     count = 0
     counted_at: Milliseconds | None = None
     by_endpoint: dict[EndpointId, Milliseconds] = {}
@@ -76,3 +87,21 @@
         counted_at = report.at
         count += 1
     return count
+
+
+def independent_request_crashes(reports: Iterable[CrashReport]) -> int:
+    """Return the crashes under copies of one request with no known common cause."""
+    count = 0
+    counted_at: Milliseconds | None = None
+    by_endpoint: dict[EndpointId, Milliseconds] = {}
+    for report in sorted(reports, key=lambda item: item.at):
+        former = by_endpoint.get(report.endpoint)
+        if former is not None and report.at - former < REPORT_DELAY:
+            continue
+        by_endpoint[report.endpoint] = report.at
+        is_close = counted_at is not None and report.at - counted_at < COMMON_CAUSE_TIME
+        if is_close and not report.follows_crash:
+            continue
+        counted_at = report.at
+        count += 1
+    return count
--- a/fuchsiaroute/quarantine/tests/test_prompt_quarantine.py
+++ b/fuchsiaroute/quarantine/tests/test_quarantine.py
@@ -9,9 +9,9 @@
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.quarantine import (
     QUARANTINE_TIME,
-    PartKey,
-    PartReport,
-    PromptQuarantine,
+    Quarantine,
+    SubjectKey,
+    SubjectReport,
     part_keys,
 )
 
@@ -23,8 +23,8 @@
         self, clock: ManualClock | None = None, *, knows_answers: bool = True
     ) -> None:
         self.clock = clock or ManualClock()
-        self.changes: list[tuple[PartKey, Milliseconds | None]] = []
-        self.quarantine = PromptQuarantine(
+        self.changes: list[tuple[SubjectKey, Milliseconds | None]] = []
+        self.quarantine = Quarantine(
             clock=self.clock,
             random=Random(),
             log=LineLog(clock=self.clock, instance="i", write=len),
@@ -34,20 +34,20 @@
             self.answer(COMMON, *part_keys(["1", "2", "3", "4"]))
             self.wait(10_000)
 
-    def crash(self, *parts: PartKey, endpoint: str = "e") -> None:
+    def crash(self, *parts: SubjectKey, endpoint: str = "e") -> None:
         self.quarantine.record_crash(parts, EndpointId(endpoint))
 
-    def answer(self, *parts: PartKey) -> None:
+    def answer(self, *parts: SubjectKey) -> None:
         self.quarantine.record_answer(parts)
 
     def wait(self, duration: int) -> None:
         self.clock.tick(Milliseconds(duration))
         self.quarantine.refresh()
 
-    def is_refused(self, *parts: PartKey) -> bool:
+    def is_refused(self, *parts: SubjectKey) -> bool:
         return self.quarantine.refusal_time(frozenset(parts)) is not None
 
-    def crash_repeatedly(self, *parts: PartKey, times: int = 3) -> None:
+    def crash_repeatedly(self, *parts: SubjectKey, times: int = 3) -> None:
         for number in range(times):
             self.crash(*parts, endpoint=f"e{number}")
             # An endpoint needs longer than this to start again.
@@ -237,7 +237,7 @@
     instance = Instance()
     at = instance.clock.now()
     instance.wait(1_000)
-    instance.quarantine.apply_quarantine(PartReport(BAD, at), source="store")
+    instance.quarantine.apply_quarantine(SubjectReport(BAD, at), source="store")
     left = instance.quarantine.refusal_time(frozenset({BAD}))
     assert left == QUARANTINE_TIME - 1_000
     assert instance.changes == []
--- /dev/null
+++ b/fuchsiaroute/quarantine/tests/test_requests.py
@@ -0,0 +1,184 @@
+"""Which requests are refused, from crashes under them and answers in some order."""
+
+from random import Random
+
+import pytest
+
+from fuchsiaroute.clock import ManualClock, Milliseconds
+from fuchsiaroute.ids import EndpointId
+from fuchsiaroute.linelog import LineLog
+from fuchsiaroute.quarantine import (
+    Quarantine,
+    SubjectKey,
+    SubjectReport,
+    part_keys,
+    request_key,
+)
+
+
+def key(
+    *,
+    method: bytes = b"POST",
+    host: str = "h",
+    target: bytes = b"/a",
+    caller: str = "o",
+    body: bytes = b"x",
+) -> SubjectKey:
+    return request_key(
+        method=method, host=host, target=target, caller=caller, body=body
+    )
+
+
+BAD, SOUND = key(), key(body=b"y")
+(PART,) = part_keys(["part"])
+
+
+@pytest.mark.parametrize(
+    "other",
+    [
+        key(target=b"/b"),
+        key(target=b"/a?b"),
+        key(caller="p"),
+        key(body=b"y"),
+        key(host="g"),
+        key(method=b"GET"),
+        # The same bytes in other places.
+        key(target=b"/ao", caller=""),
+    ],
+)
+def test_requests_that_endpoints_can_tell_apart_have_different_keys(
+    other: SubjectKey,
+) -> None:
+    assert other != key()
+    # The keys of requests and of prompt parts are told apart by their signs.
+    assert -(2**63) <= other < 0
+    assert PART >= 0
+
+
+class Instance:
+    def __init__(self, clock: ManualClock | None = None) -> None:
+        self.clock = clock or ManualClock()
+        self.quarantine = Quarantine(
+            clock=self.clock,
+            random=Random(),
+            log=LineLog(clock=self.clock, instance="i", write=len),
+        )
+
+    def crash(
+        self, *subjects: SubjectKey, endpoint: str = "e", follows: bool = False
+    ) -> None:
+        self.quarantine.record_crash(
+            subjects, EndpointId(endpoint), follows_crash=follows
+        )
+
+    def wait(self, duration: int) -> None:
+        self.clock.tick(Milliseconds(duration))
+        self.quarantine.refresh()
+
+    def is_refused(self, *subjects: SubjectKey) -> bool:
+        return self.quarantine.refusal_time(frozenset(subjects)) is not None
+
+    def may_retry(self, *subjects: SubjectKey) -> bool:
+        return self.quarantine.may_retry(frozenset(subjects))
+
+
+@pytest.mark.parametrize(
+    ("times", "is_refused", "may_retry"),
+    [(1, False, True), (2, False, False), (3, True, False)],
+)
+@pytest.mark.parametrize("is_one_endpoint", [False, True])
+def test_request_is_refused_after_independent_crashes(
+    times: int, is_refused: bool, may_retry: bool, is_one_endpoint: bool
+) -> None:
+    instance = Instance()
+    for number in range(times):
+        instance.crash(BAD, endpoint="e" if is_one_endpoint else f"e{number}")
+        instance.wait(1_000)
+    assert instance.is_refused(BAD) is is_refused
+    assert instance.may_retry(BAD) is may_retry
+    assert not instance.is_refused(SOUND)
+
+
+@pytest.mark.parametrize(("follows", "may_retry"), [(True, False), (False, True)])
+def test_crash_after_another_under_the_same_attempt_has_no_common_cause(
+    follows: bool, may_retry: bool
+) -> None:
+    """Endpoints that are lost together end copies of one request at the same time."""
+    instance = Instance()
+    instance.crash(BAD, endpoint="e1")
+    instance.wait(40)
+    instance.crash(BAD, endpoint="e2", follows=follows)
+    assert instance.may_retry(BAD) is may_retry
+
+
+def test_crashes_at_several_instances_count_together() -> None:
+    clock = ManualClock()
+    instances = [Instance(clock) for _ in range(3)]
+    for number, instance in enumerate(instances):
+        instance.crash(BAD, endpoint=f"e{number}")
+        instance.wait(400)
+    for one in instances:
+        for other in instances:
+            other.quarantine.apply_crashes(one.quarantine.crashes())
+    for instance in instances:
+        instance.wait(200)
+        assert instance.is_refused(BAD)
+
+
+def test_answer_shows_that_a_request_is_not_the_cause() -> None:
+    instance = Instance()
+    for number in range(4):
+        instance.crash(SOUND, endpoint=f"e{number}")
+        instance.wait(1_000)
+        instance.quarantine.record_answer({SOUND})
+    assert not instance.is_refused(SOUND)
+    assert not instance.quarantine.has_crashes(SOUND)
+
+
+def test_sound_requests_beside_the_crashing_one_are_served() -> None:
+    """All endpoints may be down, so that nothing is answered between the crashes."""
+    instance = Instance()
+    instance.quarantine.record_answer({SOUND})
+    instance.wait(1_000)
+    for number in range(3):
+        instance.crash(BAD, endpoint=f"e{number}")
+        instance.crash(SOUND, endpoint=f"e{number}")
+        instance.wait(1_000)
+    assert instance.is_refused(BAD)
+    assert not instance.is_refused(SOUND)
+
+
+def test_crash_under_a_refused_request_counts_against_no_other() -> None:
+    """Copies that were sent before the decision crash further endpoints."""
+    instance = Instance()
+    for number in range(3):
+        instance.crash(BAD, endpoint=f"e{number}")
+        instance.wait(1_000)
+    for number in range(5):
+        instance.crash(BAD, endpoint=f"f{number}")
+        instance.crash(SOUND, endpoint=f"f{number}")
+        instance.wait(1_000)
+    assert not instance.is_refused(SOUND)
+    assert instance.may_retry(SOUND)
+
+
+def test_part_of_a_refused_request_is_judged_by_its_own_evidence() -> None:
+    """Guards against a crashing prompt part that is taken for a crashing request."""
+    instance = Instance()
+    instance.quarantine.record_answer(part_keys("abcdef"))
+    for number in range(3):
+        instance.crash(BAD, PART, endpoint=f"e{number}")
+        instance.wait(1_600)
+    assert instance.is_refused(BAD)
+    assert instance.is_refused(SOUND, PART)
+
+
+@pytest.mark.parametrize("is_cleared", [False, True])
+def test_quarantine_from_the_store_or_a_peer(is_cleared: bool) -> None:
+    instance = Instance()
+    report = SubjectReport(BAD, instance.clock.now())
+    instance.wait(1_000)
+    if is_cleared:
+        instance.quarantine.record_answer({BAD})
+    instance.quarantine.apply_quarantine(report, source="store")
+    assert instance.is_refused(BAD) is not is_cleared
