--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	$(PYTHON) -m fuchsiaroute demo
 
 test: setup
-	$(PYTHON) -m pytest -n 4
+	$(PYTHON) -m pytest -n 4 --dist worksteal
 
 format: setup
 	$(PYTHON) -m ruff format .
