Gossip: send urgent messages also right after another message

test_one_try_ends_no_whole_service[/read/a-2] failed once in a whole run: the second attempt of the caller ended the other endpoint of two. Trace: a crash was reported up to 30 ms late if any message had been sent just before, such as that of a round, and the attempt followed 6 ms later at another instance. Only urgent messages keep the interval among each other now.

--- a/fuchsiaroute/gossip/_node.py
+++ b/fuchsiaroute/gossip/_node.py
@@ -89,7 +89,8 @@
         #: Members that were alive when changes were last logged.
         self._logged_alive: set[InstanceId] = set()
         self._logged_members: tuple[MemberInfo, ...] = ()
-        self._sent_at = Milliseconds(0)
+        #: Time of the latest urgent message, or of the one that is due.
+        self._urgent_at = Milliseconds(-MIN_SEND_INTERVAL)
         self._flush: asyncio.TimerHandle | None = None
 
     async def open(self, host: str, port: int) -> None:
@@ -114,18 +115,21 @@
         """
         Send a message before the next round; calls until then share it.
 
-        An urgent one is sent almost at once, unless another was sent just before.
+        An urgent one is sent almost at once, unless another urgent one was just before.
         """
         loop = asyncio.get_running_loop()
+        now = self._clock.now()
         delay = MIN_SEND_INTERVAL
         if is_urgent:
-            elapsed = Milliseconds(self._clock.now() - self._sent_at)
-            delay = max(Milliseconds(MIN_SEND_INTERVAL - elapsed), URGENT_DELAY)
+            next_at = Milliseconds(self._urgent_at + MIN_SEND_INTERVAL)
+            delay = max(Milliseconds(next_at - now), URGENT_DELAY)
         due = loop.time() + delay / 1_000
         if self._flush is not None:
             if self._flush.when() <= due:
                 return
             self._flush.cancel()
+        if is_urgent:
+            self._urgent_at = Milliseconds(now + delay)
         self._flush = loop.call_at(due, self._flush_now)
 
     def send_to_all(self) -> None:
@@ -207,7 +211,6 @@
 
     def _send(self) -> None:
         if self._liveness.members:
-            self._sent_at = self._clock.now()
             self._send_to(encode_message(self._compose()), FANOUT)
 
     def _reply(self, request: TableRequest, address: tuple[str | Any, int]) -> None:
--- a/fuchsiaroute/gossip/tests/test_gossip.py
+++ b/fuchsiaroute/gossip/tests/test_gossip.py
@@ -25,7 +25,7 @@
     encode_message,
 )
 from fuchsiaroute.gossip._messages import GossipDecodeError
-from fuchsiaroute.gossip._node import MAX_RELAY_BYTES
+from fuchsiaroute.gossip._node import MAX_RELAY_BYTES, MIN_SEND_INTERVAL
 from fuchsiaroute.ids import FailureDomainId, InstanceId
 from fuchsiaroute.linelog import LineLog
 
@@ -319,3 +319,28 @@
     data = encode_message(update)
     assert len(data) < len(value) / 4
     assert decode_message(data) == update
+
+
+async def test_urgent_message_does_not_wait_for_the_interval_after_another() -> None:
+    """Guards against a request that comes again before the crash under it is known."""
+    sender, receiver = Node("n0"), Node("n1")
+    for node in (sender, receiver):
+        await node.open()
+    sender.liveness.update_member(member("n1", receiver.port))
+    loop = asyncio.get_running_loop()
+    due = []
+    sender.node._send()
+    sender.node.send_soon()
+    start = loop.time()
+    for _ in range(2):
+        before = len(receiver.senders)
+        sender.node.send_soon(is_urgent=True)
+        assert sender.node._flush is not None
+        due.append(sender.node._flush.when())
+        await until(lambda before=before: len(receiver.senders) > before)  # type: ignore[misc]
+        await until(lambda: sender.node._flush is None)
+    assert due[0] - start < MIN_SEND_INTERVAL / 2 / 1_000
+    # A series of crashes is not a series of messages. Clocks count whole milliseconds.
+    assert due[1] - due[0] >= (MIN_SEND_INTERVAL - 2) / 1_000
+    for node in (sender, receiver):
+        node.node.close()
