Quarantine: send requests in the same crashes in turns

At each start of the endpoint the same requests were tried first, the crashing one and two sound ones, so that all three had the same crashes; the sound ones were refused, and explained the crashes of the one that was the cause. Requests in the same crashes are sent in turns now, after two crashes, by bits of their keys.

--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -75,8 +75,8 @@
 MIN_TOKENS_PER_MS = 15.0
 #: Remaining time below which a request is not retried.
 MIN_REMAINING_TO_RETRY = Milliseconds(40)
-#: Retry delay sent to the caller of a request that is kept from the last endpoint of a
-#: service. A crashed endpoint takes seconds to be back.
+#: Retry delay sent to the caller of a request that waits for its turn, or is kept from
+#: the last endpoint of a service. A crashed endpoint takes seconds to be back.
 RETRY_DELAY_OF_SUSPECTED = Milliseconds(1_000)
 #: Share of the retry budget that escalations leave to retries of failed attempts and to
 #: the resumption of broken streams.
@@ -238,6 +238,7 @@
             reservation.revoke()
             return refusal
         before_send()
+        call.follows_crash = self._quarantine.has_crashes(call.key)
         endpoint = reservation.endpoint
         self._counters.add(
             "sends",
@@ -299,9 +300,8 @@
         self._quarantine.record_crash(
             {call.key} if has_event else call.subjects,
             endpoint.id,
-            follows_crash=call.crashes > 0,
+            follows_crash=call.follows_crash,
         )
-        call.crashes += 1
 
     def record_answer_begun(self, call: Call) -> None:
         """Record that the first part of an answer has arrived."""
@@ -365,7 +365,7 @@
         """Return why the request is kept from endpoints that may crash under it."""
         left = self._quarantine.refusal_time(call.subjects)
         if left is None:
-            return self._last_endpoint_refusal(call)
+            return self._suspicion_refusal(call)
         self._log.write(
             "request:quarantined",
             request=call.request_id,
@@ -375,14 +375,18 @@
         refusal = QueueRefusal(reason=NoChoice.QUARANTINED, retry_after=left)
         return NoReservation(refusal=refusal)
 
-    def _last_endpoint_refusal(self, call: Call) -> NoReservation | None:
-        """Refuse a request under which an endpoint crashed if only one is left."""
+    def _suspicion_refusal(self, call: Call) -> NoReservation | None:
+        """Refuse a request under which an endpoint crashed, where that is a risk."""
         if not self._quarantine.has_crashes(call.key):
             return None
-        if not self._pool.is_reduced_to_one(call.service):
+        is_last_endpoint = self._pool.is_reduced_to_one(call.service)
+        if not is_last_endpoint and not self._quarantine.is_held_back(call.key):
             return None
         self._log.write(
-            "request:suspected", request=call.request_id, request_key=call.key
+            "request:suspected",
+            request=call.request_id,
+            request_key=call.key,
+            is_last_endpoint=is_last_endpoint,
         )
         refusal = QueueRefusal(
             reason=NoChoice.SUSPECTED, retry_after=RETRY_DELAY_OF_SUSPECTED
--- a/fuchsiaroute/forwarding/_call.py
+++ b/fuchsiaroute/forwarding/_call.py
@@ -57,8 +57,9 @@
     answer_started_at: Milliseconds | None = None
     #: Retries charged to the retry budget.
     charged_retries: int = 0
-    #: Number of endpoints that have crashed under the request.
-    crashes: int = 0
+    #: Whether an endpoint was known to have crashed under the same request when it was
+    #: last sent.
+    follows_crash: bool = False
     #: Why attempts failed, for the log.
     failure_reasons: list[str] = field(default_factory=list)
 
--- a/fuchsiaroute/gossip/_messages.py
+++ b/fuchsiaroute/gossip/_messages.py
@@ -92,7 +92,7 @@
     endpoint: str
     #: Time since the crash, in milliseconds.
     age: int
-    #: Whether another endpoint had crashed under the request before it was sent here.
+    #: Whether an endpoint was known to have crashed under the request when it was sent.
     follows_crash: bool = False
 
 
--- a/fuchsiaroute/platform/tests/test_repeated_request.py
+++ b/fuchsiaroute/platform/tests/test_repeated_request.py
@@ -213,13 +213,19 @@
         assert [reply.status for reply in sound] == [200] * 3
 
 
-async def test_only_endpoint_of_a_service_is_kept_from_the_request() -> None:
-    endpoint = CrashingEndpoint()
-    async with cluster(2, endpoint, configuration=TWO_CALLERS) as harnesses:
+@pytest.mark.parametrize("path", ["/read/a", "/stream/a"])
+@pytest.mark.parametrize("count", [2, 3])
+async def test_only_endpoint_of_a_service_is_kept_from_the_request(
+    path: str, count: int
+) -> None:
+    """Sound requests without an answer between the crashes are not refused for them."""
+    crashing = Sent(path)
+    endpoint = CrashingEndpoint(crashing)
+    async with cluster(count, endpoint, configuration=TWO_CALLERS) as harnesses:
         callers = Callers(harnesses)
-        await callers.ask_mixed(8)
+        await callers.ask_mixed(10, crashing)
         start = asyncio.get_running_loop().time()
-        _, sound = await callers.ask_mixed(3)
+        _, sound = await callers.ask_mixed(3, crashing)
         assert arrivals_since([endpoint], start) == 0
         assert served_share(sound) >= SERVED_SHARE
 
--- a/fuchsiaroute/pool/_pool.py
+++ b/fuchsiaroute/pool/_pool.py
@@ -55,7 +55,8 @@
     RATE_LIMITED = "rate-limited"
     #: Endpoints crash under it, or under requests with a part of its prompt.
     QUARANTINED = "quarantined"
-    #: An endpoint has crashed under it, and only one of the service is left.
+    #: An endpoint has crashed under it, and only one of the service is left, or other
+    #: requests that were in the same crashes have their turn.
     SUSPECTED = "suspected"
     #: The instance stops before the request could end.
     STOPPING = "stopping"
--- a/fuchsiaroute/quarantine/_crashes.py
+++ b/fuchsiaroute/quarantine/_crashes.py
@@ -34,8 +34,8 @@
     endpoint: EndpointId
     #: Monotonic time at which the crash was noticed.
     at: Milliseconds
-    #: Whether the request was sent to the endpoint after another one had crashed under
-    #: it. A cause in common would have ended both endpoints before that.
+    #: Whether the request was sent after a crash under it was known. A cause in common
+    #: would have ended both endpoints before that.
     follows_crash: bool = False
 
 
--- a/fuchsiaroute/quarantine/_quarantine.py
+++ b/fuchsiaroute/quarantine/_quarantine.py
@@ -22,8 +22,17 @@
 #: Independent crashes under a subject that was never answered, after which it is
 #: quarantined if no other such subject was in as many.
 CRASHES_UNTIL_QUARANTINE = 3
-#: The same if another one was in as many, but not the same crashes.
+#: The same for a part if another one was in as many, but not the same crashes.
 CRASHES_UNTIL_ALL_QUARANTINED = 4
+#: The same for a request. Requests in the same crashes are sent in turns, so that more
+#: crashes tell them apart.
+CRASHES_UNTIL_ALL_REQUESTS_QUARANTINED = 6
+#: Crashes from which requests in the same ones are sent in turns.
+CRASHES_UNTIL_TURNS = 2
+#: Length of a turn. An endpoint answers within it, or is down for longer.
+TURN_TIME = Milliseconds(1_000)
+#: Bits of a request's key that decide on its turns.
+_TURN_BITS = 60
 #: The same for one that was answered before the crashes and not since. Endpoints can
 #: crash so fast after each other that no request with a common part is answered.
 CRASHES_OF_ANSWERED = 6
@@ -193,6 +202,30 @@
         suspect = self._suspects.get(subject)
         return suspect is not None and bool(suspect.crashes)
 
+    def is_held_back(self, subject: SubjectKey) -> bool:
+        """
+        Return whether a request waits for its turn, as others were in its crashes.
+
+        Sent together, the sound ones among them would be in the next crash as well. In
+        each turn about half of them are sent, by a bit of their keys, so that a sound
+        one is soon answered in a turn without the one that crashes endpoints.
+        """
+        suspect = self._suspects.get(subject)
+        if suspect is None or not _takes_turns(suspect):
+            return False
+        has_rival = any(
+            name != subject
+            and is_request(name)
+            and _takes_turns(other)
+            and self._shares_crash(name, subject)
+            for name, other in self._suspects.items()
+        )
+        if not has_rival:
+            return False
+        latest = max(item.at for item in suspect.crashes.values())
+        turn = (self._clock.now() - latest) // TURN_TIME + len(suspect.crashes)
+        return bool(abs(subject) >> turn % _TURN_BITS & 1)
+
     def record_crash(
         self,
         subjects: Collection[SubjectKey],
@@ -203,7 +236,8 @@
         """
         Record that an endpoint crashed under an unanswered request.
 
-        ``follows_crash`` tells that another one had crashed under it before.
+        ``follows_crash`` tells that another one was known to have crashed under it
+        when it was sent.
         ``refresh`` decides on its subjects once peers' reports have arrived.
         """
         now = self._clock.now()
@@ -416,8 +450,12 @@
             if name != subject and is_request(name) == is_request(subject)
         }
         if subject in self._answered:
-            highest = max(same_kind.values(), default=0)
-            return count >= CRASHES_OF_ANSWERED and count > highest
+            rivals = [
+                item
+                for name, item in same_kind.items()
+                if self._competes(name, subject)
+            ]
+            return count >= CRASHES_OF_ANSWERED and count > max(rivals, default=0)
         if not is_request(subject) and self._answered.part_count < MIN_ANSWERED_PARTS:
             return False
         companions = self._companions(subject)
@@ -431,15 +469,18 @@
         highest = max(others, default=0)
         if count < highest:
             return False
-        needed = CRASHES_UNTIL_QUARANTINE
-        if count == highest:
-            needed = CRASHES_UNTIL_ALL_QUARANTINED
-        return count >= needed
+        if count > highest:
+            return count >= CRASHES_UNTIL_QUARANTINE
+        if is_request(subject):
+            return count >= CRASHES_UNTIL_ALL_REQUESTS_QUARANTINED
+        return count >= CRASHES_UNTIL_ALL_QUARANTINED
 
     def _competes(self, name: SubjectKey, subject: SubjectKey) -> bool:
         """Return whether another subject may be the cause of the crashes of one."""
-        if not is_request(subject):
-            return True
+        return not is_request(subject) or self._shares_crash(name, subject)
+
+    def _shares_crash(self, name: SubjectKey, subject: SubjectKey) -> bool:
+        """Return whether two subjects were in one crash."""
         return any(
             is_same_crash(one, other)
             for one in self._suspects[name].crashes.values()
@@ -497,6 +538,12 @@
     return suspect.state is SubjectState.RELEASED
 
 
+def _takes_turns(suspect: _Suspect) -> bool:
+    """Return whether a request is sent in turns with others in the same crashes."""
+    is_suspect = suspect.state is SubjectState.SUSPECT
+    return is_suspect and len(suspect.crashes) >= CRASHES_UNTIL_TURNS
+
+
 def _explains(cause: CrashReport, crash: CrashReport) -> bool:
     """
     Return whether a crash of a quarantined subject is also the other one.
--- a/fuchsiaroute/quarantine/tests/test_requests.py
+++ b/fuchsiaroute/quarantine/tests/test_requests.py
@@ -100,7 +100,7 @@
 
 
 @pytest.mark.parametrize(("follows", "may_retry"), [(True, False), (False, True)])
-def test_crash_after_another_under_the_same_attempt_has_no_common_cause(
+def test_crash_under_a_request_sent_after_another_has_no_common_cause(
     follows: bool, may_retry: bool
 ) -> None:
     """Endpoints that are lost together end copies of one request at the same time."""
@@ -182,3 +182,40 @@
         instance.quarantine.record_answer({BAD})
     instance.quarantine.apply_quarantine(report, source="store")
     assert instance.is_refused(BAD) is not is_cleared
+
+
+@pytest.mark.parametrize("crashes", [1, 2])
+def test_requests_in_the_same_crashes_are_sent_in_turns(crashes: int) -> None:
+    """
+    Guards against refusing sound requests that are in all crashes beside the bad one.
+
+    That is so where a service has one endpoint, on which nothing is answered between.
+    """
+    instance = Instance()
+    requests = [key(body=b"%d" % number) for number in range(12)]
+    for number in range(crashes):
+        for request in requests:
+            instance.crash(request, endpoint=f"e{number}")
+        instance.wait(1_000)
+    sent = {request: 0 for request in requests}
+    for _ in range(12):
+        turn = [
+            request
+            for request in requests
+            if not instance.quarantine.is_held_back(request)
+        ]
+        for request in turn:
+            sent[request] += 1
+        assert crashes < 2 or 0 < len(turn) < len(requests)
+        instance.wait(1_000)
+    assert all(count > 0 for count in sent.values())
+
+
+def test_request_without_others_in_its_crashes_does_not_wait() -> None:
+    instance = Instance()
+    for number, request in enumerate((BAD, SOUND)):
+        for crash in range(2):
+            instance.crash(request, endpoint=f"e{number}{crash}")
+            instance.wait(2_000)
+    assert not instance.quarantine.is_held_back(BAD)
+    assert not instance.quarantine.is_held_back(SOUND)
