--- a/fuchsiaroute/permits/_holder.py
+++ b/fuchsiaroute/permits/_holder.py
@@ -15,6 +15,8 @@
 PERMIT_TIME = Milliseconds(1_000)
 #: Minimum time between two requests for permits of an endpoint if none has arrived.
 REQUEST_INTERVAL = Milliseconds(200)
+#: The same once the issuer has said when the next one is due. A request lapses later.
+REPEAT_INTERVAL = Milliseconds(500)
 MILLISECONDS_PER_SECOND = 1_000
 
 
@@ -81,7 +83,8 @@
         held = self._held.setdefault(endpoint.id, _Held())
         held.wanted += 1
         now = self._clock.now()
-        if held.asked_at is None or now - held.asked_at >= REQUEST_INTERVAL:
+        interval = REPEAT_INTERVAL if held.next_at > now else REQUEST_INTERVAL
+        if held.asked_at is None or now - held.asked_at >= interval:
             held.asked_at = now
             self._on_want(endpoint)
 
--- a/fuchsiaroute/permits/_issuer.py
+++ b/fuchsiaroute/permits/_issuer.py
@@ -14,6 +14,9 @@
 MAX_TOKENS = 2.0
 #: Time for which a request for permits counts. Instances with work repeat it.
 REQUEST_TIME = Milliseconds(700)
+#: Minimum time between two removals of lapsed requests. In a large fleet there are
+#: hundreds of requests for each permit.
+PRUNE_INTERVAL = Milliseconds(100)
 MILLISECONDS_PER_SECOND = 1_000
 
 
@@ -49,6 +52,8 @@
     refilled_at: Milliseconds
     #: Empty at first: another instance may just have issued permits.
     tokens: float = 0.0
+    #: Time at which lapsed requests were last removed.
+    pruned_at: Milliseconds = Milliseconds(0)
     asks: OrderedDict[InstanceId, _Ask] = field(default_factory=OrderedDict)
 
 
@@ -99,6 +104,8 @@
             self._refill(name, bucket)
             while bucket.tokens >= 1.0 and bucket.asks:
                 instance, ask = bucket.asks.popitem(last=False)
+                if ask.expires_at <= bucket.refilled_at:
+                    continue
                 bucket.tokens -= 1.0
                 grants.append(Grant(name, bucket.started_at, instance))
                 ask.count -= 1
@@ -135,6 +142,9 @@
         added = (now - bucket.refilled_at) / MILLISECONDS_PER_SECOND * rate
         bucket.tokens = min(bucket.tokens + added, MAX_TOKENS)
         bucket.refilled_at = now
+        if now - bucket.pruned_at < PRUNE_INTERVAL:
+            return
+        bucket.pruned_at = now
         for instance, ask in list(bucket.asks.items()):
             if ask.expires_at <= now:
                 del bucket.asks[instance]
--- a/fuchsiaroute/permits/tests/test_holder.py
+++ b/fuchsiaroute/permits/tests/test_holder.py
@@ -110,6 +110,16 @@
     assert len(harness.wanted) == 3
 
 
+def test_request_is_repeated_less_often_once_it_is_queued() -> None:
+    harness = HolderHarness()
+    harness.holder.want(ENDPOINT)
+    harness.holder.expect(ENDPOINT.id, Milliseconds(3_000), sharers=3)
+    for _ in range(50):
+        harness.holder.want(ENDPOINT)
+        harness.clock.tick(Milliseconds(20))
+    assert len(harness.wanted) == 2
+
+
 @pytest.mark.parametrize(
     ("rate", "wants", "expected"), [(2.0, 30, 1), (50.0, 30, 10), (50.0, 4, 4)]
 )
