--- a/fuchsiaroute/node/_gossip_exchange.py
+++ b/fuchsiaroute/node/_gossip_exchange.py
@@ -155,8 +155,8 @@
                 )
                 for item in self._quarantine.crashes()
             ],
-            quarantined_parts=self._part_updates(self._quarantine.quarantined()),
-            answered_parts=self._part_updates(self._quarantine.answered()),
+            quarantined_parts=self._subject_updates(self._quarantine.quarantined()),
+            answered_parts=self._subject_updates(self._quarantine.answered()),
             rates=self._permits.rate_updates(),
         )
 
@@ -188,7 +188,7 @@
                 self._feeds[name].peer_answered(answered_at)
         self._apply_leaving(message)
         self._permits.apply_rates(message.rates, source=message.instance)
-        self._apply_prompt_parts(message)
+        self._apply_crash_evidence(message)
         self._latencies.adopt(
             SharedEstimate(
                 item.route,
@@ -206,9 +206,9 @@
                 age=Milliseconds(session_update.age),
             )
 
-    def _apply_prompt_parts(self, message: GossipMessage) -> None:
+    def _apply_crash_evidence(self, message: GossipMessage) -> None:
         for answered in message.answered_parts:
-            self._quarantine.apply_answer(self._part_report(answered))
+            self._quarantine.apply_answer(self._subject_report(answered))
         crashes = self._quarantine.apply_crashes(
             [
                 CrashReport(
@@ -226,16 +226,16 @@
                 self._pool.record_crash(report.endpoint)
         for quarantined in message.quarantined_parts:
             self._quarantine.apply_quarantine(
-                self._part_report(quarantined), source=message.instance
+                self._subject_report(quarantined), source=message.instance
             )
 
-    def _part_updates(self, reports: list[SubjectReport]) -> list[PromptPartUpdate]:
+    def _subject_updates(self, reports: list[SubjectReport]) -> list[PromptPartUpdate]:
         return [
             PromptPartUpdate(item.subject, self._age(item.at), list(item.companions))
             for item in reports
         ]
 
-    def _part_report(self, update: PromptPartUpdate) -> SubjectReport:
+    def _subject_report(self, update: PromptPartUpdate) -> SubjectReport:
         at = Milliseconds(self._clock.now() - update.age)
         companions = frozenset(SubjectKey(item) for item in update.companions)
         return SubjectReport(SubjectKey(update.part), at, companions)
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -232,12 +232,14 @@
         )
 
     def _has_quarantine(self) -> bool:
-        """Return whether the quarantined parts are known, or the wait is over."""
+        """Return whether the quarantined subjects are known, or the wait is over."""
         waited = self._clock.now() - self.catalog.deployed_at
         return self.quarantine_rows.is_loaded or waited > MAX_ROLLOUT_WAIT
 
-    def _quarantine_changed(self, part: SubjectKey, since: Milliseconds | None) -> None:
-        self.quarantine_rows.write(part, since)
+    def _quarantine_changed(
+        self, subject: SubjectKey, since: Milliseconds | None
+    ) -> None:
+        self.quarantine_rows.write(subject, since)
         self.gossip.send_soon()
 
     def _has_rollout_records(self) -> bool:
--- a/fuchsiaroute/quarantine/tests/test_quarantine.py
+++ b/fuchsiaroute/quarantine/tests/test_quarantine.py
@@ -28,7 +28,7 @@
             clock=self.clock,
             random=Random(),
             log=LineLog(clock=self.clock, instance="i", write=len),
-            on_change=lambda part, at: self.changes.append((part, at)),
+            on_change=lambda subject, at: self.changes.append((subject, at)),
         )
         if knows_answers:
             self.answer(COMMON, *part_keys(["1", "2", "3", "4"]))
