--- a/fuchsiaroute/quarantine/_quarantine.py
+++ b/fuchsiaroute/quarantine/_quarantine.py
@@ -8,6 +8,7 @@
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.ids import EndpointId
 from fuchsiaroute.linelog import LineLog
+from fuchsiaroute.quarantine._answer_times import AnswerTimes
 from fuchsiaroute.quarantine._crashes import (
     COMMON_CAUSE_TIME,
     CrashId,
@@ -50,8 +51,6 @@
 #: Time for which a part is quarantined. One crash within the same time afterwards
 #: quarantines it again.
 QUARANTINE_TIME = Milliseconds(600_000)
-#: Parts, and requests, of which the latest answer is remembered.
-MAX_ANSWERED = 2_000
 #: Subjects that are suspected at the same time; the oldest suspicion is dropped first.
 MAX_SUSPECTS = 500
 #: Reports that fit into a message to peers.
@@ -107,39 +106,6 @@
         )
 
 
-class _AnswerTimes:
-    """Latest answers by subject, the least recent first; the oldest are dropped."""
-
-    def __init__(self) -> None:
-        self._parts: dict[SubjectKey, Milliseconds] = {}
-        #: Kept apart, as there are far more different requests than parts.
-        self._requests: dict[SubjectKey, Milliseconds] = {}
-
-    def __contains__(self, subject: SubjectKey) -> bool:
-        return subject in self._of_kind(subject)
-
-    @property
-    def part_count(self) -> int:
-        """Return the number of prompt parts."""
-        return len(self._parts)
-
-    def get(self, subject: SubjectKey) -> Milliseconds | None:
-        """Return the time of the latest answer; None if none is known."""
-        return self._of_kind(subject).get(subject)
-
-    def record(self, subject: SubjectKey, at: Milliseconds) -> Milliseconds:
-        """Record an answer; return the time of the latest one."""
-        times = self._of_kind(subject)
-        latest = max(at, times.pop(subject, at))
-        times[subject] = latest
-        if len(times) > MAX_ANSWERED:
-            del times[next(iter(times))]
-        return latest
-
-    def _of_kind(self, subject: SubjectKey) -> dict[SubjectKey, Milliseconds]:
-        return self._requests if is_request(subject) else self._parts
-
-
 class Quarantine:
     """
     Crashes under requests without an answer, and answers, by subject.
@@ -173,7 +139,7 @@
         self._on_crash = on_crash
         self._suspects: dict[SubjectKey, _Suspect] = {}
         #: A subject that is not in it counts as never answered.
-        self._answered = _AnswerTimes()
+        self._answered = AnswerTimes()
         #: Suspected subjects that an answer has cleared, with the time of the clearing.
         self._cleared: dict[SubjectKey, Milliseconds] = {}
 
