Quarantine: forget the weakest evidence first

Found while reading the change: a crash of an engine is one under all requests that it had not answered, each a subject now, and of more than 500 subjects the oldest was forgotten, a quarantined one too. 1,500 requests under one crash hid a request with two crashes and one that was quarantined (test_crashes_under_many_other_requests_hide_none, failed in both cases before). Subjects with one crash go first.

--- a/fuchsiaroute/quarantine/_quarantine.py
+++ b/fuchsiaroute/quarantine/_quarantine.py
@@ -28,18 +28,18 @@
 #: The same for a request. Requests in the same crashes are sent in turns, so that more
 #: crashes tell them apart.
 CRASHES_UNTIL_ALL_REQUESTS_QUARANTINED = 6
+#: The same for a subject that was answered before the crashes and not since. Endpoints
+#: can crash so fast after each other that no request with a common part is answered.
+CRASHES_OF_ANSWERED = 6
+#: Crashes after which a failed request, or one with a part that was never answered, is
+#: not sent again: the next one decides.
+CRASHES_UNTIL_NO_RETRY = 2
 #: Crashes from which requests in the same ones are sent in turns.
 CRASHES_UNTIL_TURNS = 2
 #: Length of a turn. An endpoint answers within it, or is down for longer.
 TURN_TIME = Milliseconds(1_000)
 #: Bits of a request's key that decide on its turns.
 _TURN_BITS = 60
-#: The same for one that was answered before the crashes and not since. Endpoints can
-#: crash so fast after each other that no request with a common part is answered.
-CRASHES_OF_ANSWERED = 6
-#: Crashes after which a failed request, or one with a part that was never answered, is
-#: not sent again: the next one decides.
-CRASHES_UNTIL_NO_RETRY = 2
 #: Age from which a crash counts: the reports of other instances, whose requests it has
 #: broken as well, have arrived.
 SETTLE_TIME = Milliseconds(150)
@@ -51,7 +51,7 @@
 #: Time for which a part is quarantined. One crash within the same time afterwards
 #: quarantines it again.
 QUARANTINE_TIME = Milliseconds(600_000)
-#: Subjects that are suspected at the same time; the oldest suspicion is dropped first.
+#: Subjects of which crashes are remembered; the oldest with one crash only goes first.
 MAX_SUSPECTS = 500
 #: Reports that fit into a message to peers.
 MAX_REPORTS = 40
@@ -493,8 +493,15 @@
         self._log.write(f"{kind}:{change}", **{name: subject}, **fields)
 
     def _trim(self) -> None:
+        """Make room; a crash of an engine adds tens of requests at once."""
         while len(self._suspects) > MAX_SUSPECTS:
-            del self._suspects[next(iter(self._suspects))]
+            oldest = next(iter(self._suspects))
+            weakest = (
+                name
+                for name, suspect in self._suspects.items()
+                if suspect.state is SubjectState.SUSPECT and len(suspect.crashes) == 1
+            )
+            del self._suspects[next(weakest, oldest)]
 
 
 def _may_be_bad(suspect: _Suspect) -> bool:
--- a/fuchsiaroute/quarantine/tests/test_requests.py
+++ b/fuchsiaroute/quarantine/tests/test_requests.py
@@ -219,3 +219,17 @@
             instance.wait(2_000)
     assert not instance.quarantine.is_held_back(BAD)
     assert not instance.quarantine.is_held_back(SOUND)
+
+
+@pytest.mark.parametrize("times", [2, 3])
+def test_crashes_under_many_other_requests_hide_none(times: int) -> None:
+    """A crash of an engine is one under all requests that it had not answered."""
+    instance = Instance()
+    for number in range(times):
+        instance.crash(BAD, endpoint=f"e{number}")
+        instance.wait(1_000)
+    for number in range(1_500):
+        instance.crash(key(body=b"%d" % number), endpoint="f")
+    instance.wait(1_000)
+    assert not instance.may_retry(BAD)
+    assert instance.is_refused(BAD) is (times == 3)
