Stand-in: give the named rate a name of its own; test a service whose endpoints all name one

A check of three instances saw 194 requests in 4 s at endpoints that name 2.0 and none of 531 served, on /stream/. The program is unchanged.

--- a/fuchsiaroute/platform/tests/standin.py
+++ b/fuchsiaroute/platform/tests/standin.py
@@ -236,7 +236,7 @@
         #: ``Retry-After`` of the rejections; None to answer requests.
         self.pause: str | None = None
         #: ``Server-Limit`` of all answers; None to name no rate.
-        self.rate: str | None = None
+        self.named_rate: str | None = None
         self._announced = announced
 
     def announcement(self, **changes: object) -> dict[str, object]:
@@ -274,8 +274,8 @@
         ]
         if self.is_leaving:
             headers.append((b"Server-Leaving", b"1"))
-        if self.rate is not None:
-            headers.append((b"Server-Limit", self.rate.encode()))
+        if self.named_rate is not None:
+            headers.append((b"Server-Limit", self.named_rate.encode()))
         return headers
 
 
--- a/fuchsiaroute/platform/tests/test_named_rate.py
+++ b/fuchsiaroute/platform/tests/test_named_rate.py
@@ -42,7 +42,7 @@
 
     def __init__(self, answer: Answer = complete, **announced: object) -> None:
         super().__init__(answer, **announced)
-        self.rate = str(RATE)
+        self.named_rate = str(RATE)
         self.arrivals: list[float] = []
 
     async def handle(self, request: InboundRequest, responder: Responder) -> None:
@@ -144,6 +144,28 @@
         assert endpoint.rate_since(start) >= USED_SHARE * RATE
 
 
+@pytest.mark.parametrize(
+    ("path", "answer"),
+    [("/read/", complete), ("/stream/", events(3)), ("/once/", events(3))],
+)
+async def test_rates_of_all_endpoints_of_a_service_are_kept_and_used(
+    path: str, answer: Answer
+) -> None:
+    endpoints = [RatedEndpoint(answer) for _ in range(3)]
+    async with cluster(3, *endpoints) as harnesses:
+        load = Load(harnesses, path=path)
+        await load.run(CONTACT_S, per_second=60.0)
+        start = asyncio.get_running_loop().time()
+        load.replies.clear()
+        await load.run(SPAN_S + 1, per_second=60.0)
+        for endpoint in endpoints:
+            assert endpoint.most_in_span() <= ALLOWED
+        used = sum(endpoint.rate_since(start) for endpoint in endpoints)
+        assert used >= USED_SHARE * RATE * len(endpoints)
+    assert set(load.statuses()) == {200, 503}
+    assert load.statuses()[200] >= USED_SHARE * RATE * len(endpoints) * SPAN_S
+
+
 async def test_excess_goes_to_endpoints_without_a_rate() -> None:
     rated, other = RatedEndpoint(), Endpoint()
     async with cluster(3, rated, other) as harnesses:
@@ -197,10 +219,10 @@
 async def test_rate_ends_when_it_is_no_longer_named(is_named_lower: bool) -> None:
     """Also where the new value becomes known to one instance only at first."""
     endpoint = RatedEndpoint()
-    endpoint.rate = "1.0" if is_named_lower else str(RATE)
+    endpoint.named_rate = "1.0" if is_named_lower else str(RATE)
     async with cluster(3, endpoint) as harnesses:
         await Load(harnesses).run(CONTACT_S)
-        endpoint.rate = None
+        endpoint.named_rate = None
         await Load(harnesses).run(2.0)
         load = Load(harnesses)
         await load.run(1.0)
@@ -210,12 +232,12 @@
 async def test_endpoint_that_takes_nothing_is_asked_rarely_and_used_again() -> None:
     """At a rate of 0 no answer could tell that the rate has ended."""
     endpoint = RatedEndpoint()
-    endpoint.rate = "0"
+    endpoint.named_rate = "0"
     async with cluster(3, endpoint) as harnesses:
         load = Load(harnesses)
         await load.run(CONTACT_S + SPAN_S)
         assert endpoint.most_in_span() <= 5
-        endpoint.rate = None
+        endpoint.named_rate = None
         await load.run(6.0)
         load = Load(harnesses)
         await load.run(1.0)
