--- a/fuchsiaroute/forwarding/tests/test_slow_version.py
+++ b/fuchsiaroute/forwarding/tests/test_slow_version.py
@@ -83,8 +83,8 @@
             ),
         )
         # The pool is not part of the test.
-        self.runner._demand = lambda *_, **__: SimpleNamespace(work=0.0)  # type: ignore[assignment,method-assign,return-value]
-        self.runner._head_timeout = lambda *_, **__: Milliseconds(9_000)  # type: ignore[method-assign]
+        self.runner._estimates.demand = lambda *_, **__: SimpleNamespace(work=0.0)  # type: ignore[assignment,method-assign,return-value]
+        self.runner._estimates.head_timeout = lambda *_, **__: Milliseconds(9_000)  # type: ignore[method-assign]
 
     async def reserve(self, *_: Any, **__: Any) -> Any:
         return self._response.reservation
