--- a/fuchsiaroute/pool/__init__.py
+++ b/fuchsiaroute/pool/__init__.py
@@ -1,9 +1,11 @@
 """Endpoint pool of one instance: endpoint state, selection and the request queue."""
 
 from fuchsiaroute.pool._cold_rate_limiter import ColdRateLimiter
+from fuchsiaroute.pool._demand import Demand, NoChoice
 from fuchsiaroute.pool._member import Load, PoolMember
-from fuchsiaroute.pool._pool import Demand, EndpointPool, NoChoice, Reservation
+from fuchsiaroute.pool._pool import EndpointPool
 from fuchsiaroute.pool._request_queue import QueueRefusal, RequestQueue
+from fuchsiaroute.pool._reservation import Reservation
 
 __all__ = [
     "ColdRateLimiter",
--- a/fuchsiaroute/pool/_pool.py
+++ b/fuchsiaroute/pool/_pool.py
@@ -1,14 +1,10 @@
 """The endpoints that are announced to an instance, and selection among them."""
 
-import math
-from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass
-from enum import Enum
+from collections.abc import Iterable, Mapping, Sequence
 from random import Random
 
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.deployment import Endpoint, Service
-from fuchsiaroute.hashing import rendezvous_hash
 from fuchsiaroute.ids import (
     EndpointId,
     FailureDomainId,
@@ -16,150 +12,16 @@
     ServiceId,
     VersionId,
 )
-from fuchsiaroute.lifecycle import EndpointEvent, EndpointState, Outcome
+from fuchsiaroute.lifecycle import EndpointEvent, EndpointState
 from fuchsiaroute.permits import NamedRates, PermitHolder
+from fuchsiaroute.pool._capacity import capacity
 from fuchsiaroute.pool._cold_rate_limiter import ColdRateLimiter
-from fuchsiaroute.pool._member import Load, PeerLoad, PoolMember
+from fuchsiaroute.pool._demand import Demand, NoChoice
+from fuchsiaroute.pool._member import Load, PoolMember
+from fuchsiaroute.pool._peer_loads import PeerLoads
 from fuchsiaroute.pool._process_notices import ProcessNotices
-
-#: Requests in flight per slot at which an endpoint of a plain service gets no more; a
-#: request then waits about as long at the endpoint as it runs.
-PLAIN_LOAD_PER_SLOT = 2.0
-#: Requests in flight per slot at which a model engine gets no more. Requests beyond its
-#: slots would wait in the engine's own queue, where this instance cannot reorder them.
-ENGINE_LOAD_PER_SLOT = 1.0
-#: Probability that the second endpoint in the affinity order has the shared prompt part
-#: cached, because recent requests could not use the first endpoint.
-SECOND_CHOICE_CACHE_PROBABILITY = 0.5
-#: Milliseconds by which each running request delays a new one: it lengthens every step
-#: of the engine's batch.
-RUNNING_REQUEST_DELAY_MS = 1.5
-#: Exponent of the success rate in the score: an endpoint at which half of the requests
-#: fail counts as eight times as loaded.
-SUCCESS_RATE_EXPONENT = 3.0
-#: Maximum random increase of a score, so that instances with the same loads do not all
-#: select the same endpoint.
-SCORE_JITTER = 0.1
-
-
-class NoChoice(Enum):
-    """Why no endpoint was selected."""
-
-    #: No endpoint of the service may be used.
-    NONE = "none"
-    #: Every usable endpoint is at its capacity.
-    FULL = "full"
-    #: Every usable endpoint has asked for no requests until later.
-    PAUSED = "paused"
-    #: Every usable endpoint with capacity names a rate, and no request may be sent now.
-    RATE_LIMITED = "rate-limited"
-    #: Endpoints crash under it, or under requests with a part of its prompt.
-    QUARANTINED = "quarantined"
-    #: An endpoint has crashed under it, and only one of the service is left, or other
-    #: requests that were in the same crashes have their turn.
-    SUSPECTED = "suspected"
-    #: The instance stops before the request could end.
-    STOPPING = "stopping"
-
-
-@dataclass(frozen=True, kw_only=True)
-class Demand:
-    """The requirements of a request that decide which endpoint is selected."""
-
-    service: ServiceId
-    #: Versions that may run the request; None allows any.
-    versions: frozenset[VersionId] | None = None
-    #: Key of the shared part of the prompt that an endpoint may have cached; empty for
-    #: none.
-    affinity: str = ""
-    #: Expected milliseconds until an idle endpoint that has the shared part cached
-    #: starts to answer.
-    work: float = 0.0
-    #: Factor on ``work`` at an endpoint that does not have the shared part cached.
-    uncached_factor: float = 1.0
-    #: Maximum milliseconds of work queued before the request at an endpoint. Beyond it
-    #: the request stays in this instance's queue, where it can still be reordered.
-    max_backlog: float = math.inf
-    #: Endpoints that must not get the request because they already had it.
-    excluded: frozenset[EndpointId] = frozenset()
-    #: Whether the request may be sent again after a failed attempt.
-    is_repeatable: bool = True
-
-
-class Reservation:
-    """A request counted at an endpoint until ``finish`` is called with its outcome."""
-
-    def __init__(
-        self, member: PoolMember, *, permits: PermitHolder, work: float = 0.0
-    ) -> None:
-        self._member = member
-        self._permits = permits
-        #: End of the validity of the permit that this uses up, if it needs one.
-        self._permit_expiry = permits.take(member.endpoint)
-        self._is_sent = False
-        self._is_open = True
-        self._on_answer_started: Callable[[], None] | None = None
-        self._on_finish: Callable[[], None] | None = None
-        self._work = work
-        #: Expected milliseconds of work queued before the request.
-        self.backlog = member.backlog
-        #: Monotonic instant at which the endpoint was reserved.
-        self.reserved_at = member.clock.now()
-        #: Whether the endpoint was cold when it was reserved.
-        self.is_cold = member.is_cold
-        member.add_request(work)
-
-    @property
-    def endpoint(self) -> Endpoint:
-        """Return the endpoint of the reservation."""
-        return self._member.endpoint
-
-    def record_duration(self, relative_duration: float) -> None:
-        """Record the request's latency, relative to the mean of its kind."""
-        self._member.record_duration(relative_duration)
-
-    @property
-    def is_usable(self) -> bool:
-        """Return whether the request may still be sent to the endpoint."""
-        is_gone = self._member.state in (EndpointState.LEAVING, EndpointState.OUT)
-        return not is_gone and not self._member.is_paused
-
-    def answer_started(self) -> None:
-        """Record that the endpoint has started to answer."""
-        self._member.remove_work(self._work)
-        self._work = 0.0
-        if self._on_answer_started is not None:
-            self._on_answer_started()
-
-    def set_callbacks(
-        self, *, on_answer_started: Callable[[], None], on_finish: Callable[[], None]
-    ) -> None:
-        """Set the callbacks for the start of the answer and for ``finish``."""
-        self._on_answer_started = on_answer_started
-        self._on_finish = on_finish
-
-    def record_sent(self) -> None:
-        """Record that the request is about to be sent."""
-        self._is_sent = True
-
-    def record_connection_refused(self) -> None:
-        """Record that the connection to the endpoint's address was refused."""
-        self._member.is_connection_refused = True
-
-    def revoke(self) -> None:
-        """Release the reservation without having sent the request."""
-        self.finish(Outcome.REVOKED)
-
-    def finish(self, outcome: Outcome) -> None:
-        """Release the reservation; a repeated call has no effect."""
-        if self._is_open:
-            self._is_open = False
-            self.answer_started()
-            self._member.finish_request(outcome)
-            if self._permit_expiry is not None and not self._is_sent:
-                self._permits.give_back(self.endpoint, self._permit_expiry)
-            if self._on_finish is not None:
-                self._on_finish()
+from fuchsiaroute.pool._reservation import Reservation
+from fuchsiaroute.pool._selection import Selection
 
 
 class EndpointPool:
@@ -179,14 +41,12 @@
     ) -> None:
         self._instance = instance
         self._clock = clock
-        self._random = random
+        self._selection = Selection(random)
         self._permits = permits or PermitHolder(
             rates=NamedRates(clock=clock), clock=clock
         )
         self._members: dict[EndpointId, PoolMember] = {}
-        #: Loads of other instances, and their sums by endpoint.
-        self._peer_loads: dict[InstanceId, Mapping[EndpointId, Load]] = {}
-        self._peer_totals: dict[EndpointId, PeerLoad] = {}
+        self._peer_loads = PeerLoads()
         self._notices = ProcessNotices(clock=clock)
         #: Built again at its next use after endpoints have come or gone.
         self._by_service: dict[ServiceId, list[PoolMember]] | None = None
@@ -274,32 +134,12 @@
     def update_peer(
         self, instance: InstanceId, loads: Mapping[EndpointId, Load]
     ) -> None:
-        """
-        Replace the loads that another instance reported.
-
-        The sums over all instances are updated by the difference, so that the work
-        does not grow with the number of instances.
-        """
-        former = self._peer_loads.pop(instance, {})
-        if loads:
-            self._peer_loads[instance] = loads
-        totals = self._peer_totals
-        for name, (requests, work) in former.items():
-            total = totals[name]
-            total.requests -= requests
-            total.work -= work
-        for name, (requests, work) in loads.items():
-            total = totals.setdefault(name, PeerLoad())
-            total.requests += requests
-            total.work += work
+        """Replace the loads that another instance reported."""
+        self._peer_loads.update(instance, loads)
 
     def keep_peers(self, instances: Iterable[InstanceId]) -> None:
         """Remove the loads of all other instances than ``instances``."""
-        for instance in self._peer_loads.keys() - set(instances):
-            self.update_peer(instance, {})
-        for name in self._peer_totals.keys() - self._members.keys():
-            if not self._peer_totals[name].requests:
-                del self._peer_totals[name]
+        self._peer_loads.keep(instances, endpoints=self._members.keys())
 
     def update_evacuated(self, domains: Iterable[FailureDomainId]) -> None:
         """Replace the evacuated failure domains, which get no new requests."""
@@ -316,7 +156,7 @@
                 endpoint=endpoint,
                 cold_limiter=ColdRateLimiter(endpoint.id, clock=self._clock),
             )
-            member.peers = self._peer_totals.setdefault(endpoint.id, PeerLoad())
+            member.peers = self._peer_loads.total(endpoint.id)
             self._members[endpoint.id] = member
             self._update_cold_rate(member)
         member.endpoint = endpoint
@@ -438,7 +278,7 @@
         if not available:
             return NoChoice.FULL
         if not self._permits.is_needed:
-            return self._reserve(self._select(available, demand), demand)
+            return self._reserve(self._selection.select(available, demand), demand)
         return self._choose_permitted(available, demand)
 
     def permit_wait(self, demand: Demand, ahead: float) -> Milliseconds | None:
@@ -459,8 +299,6 @@
             return None
         return self._permits.expected_wait(available, ahead)
 
-    # Private
-
     def _reserve(self, member: PoolMember, demand: Demand) -> Reservation:
         return Reservation(member, permits=self._permits, work=demand.work)
 
@@ -475,11 +313,11 @@
             for member in available:
                 self._permits.want(member.endpoint)
             return NoChoice.RATE_LIMITED
-        best = self._select(available, demand)
+        best = self._selection.select(available, demand)
         if best in permitted:
             return self._reserve(best, demand)
         self._permits.want(best.endpoint)
-        return self._reserve(self._select(permitted, demand), demand)
+        return self._reserve(self._selection.select(permitted, demand), demand)
 
     def _candidates(self, demand: Demand) -> list[PoolMember]:
         return [
@@ -520,52 +358,8 @@
             return False
         if member.is_cold and not member.cold_limiter.is_allowed():
             return False
-        return member.load < self._capacity(member)
-
-    def _capacity(self, member: PoolMember) -> float:
         service = self._services.get(member.endpoint.service)
-        is_engine = service is not None and service.engine is not None
-        per_slot = ENGINE_LOAD_PER_SLOT if is_engine else PLAIN_LOAD_PER_SLOT
-        capacity = member.endpoint.slots * per_slot
-        share = member.ramp_share
-        return capacity if share == 1.0 else max(capacity * share, 1.0)
-
-    def _select(self, members: list[PoolMember], demand: Demand) -> PoolMember:
-        if not demand.affinity:
-            return min(members, key=self._score)
-        ranked = sorted(
-            members,
-            key=lambda item: -rendezvous_hash(demand.affinity, item.endpoint.id),
-        )
-        extra = demand.uncached_factor - 1.0
-        factors = {item.endpoint.id: 1.0 + extra for item in ranked}
-        cached = (1.0, SECOND_CHOICE_CACHE_PROBABILITY)
-        for item, probability in zip(ranked, cached, strict=False):
-            factors[item.endpoint.id] = 1.0 + extra * (1.0 - probability)
-        return min(
-            ranked,
-            key=lambda item: self._expected_wait(
-                item, demand.work * factors[item.endpoint.id]
-            ),
-        )
-
-    def _expected_wait(self, member: PoolMember, work: float) -> float:
-        """Return the expected milliseconds until an engine starts to answer."""
-        reliability = math.pow(
-            max(member.current_success_rate, 0.05), SUCCESS_RATE_EXPONENT
-        )
-        jitter = 1.0 + SCORE_JITTER * self._random.random()
-        running = member.load * RUNNING_REQUEST_DELAY_MS
-        expected = (member.backlog + work + running) * member.current_relative_latency
-        return expected / reliability * jitter
-
-    def _score(self, member: PoolMember) -> float:
-        load = (member.load + 1.0) / member.endpoint.slots
-        reliability = math.pow(
-            max(member.current_success_rate, 0.05), SUCCESS_RATE_EXPONENT
-        )
-        jitter = 1.0 + SCORE_JITTER * self._random.random()
-        return load * member.current_relative_latency / reliability * jitter
+        return member.load < capacity(member, service)
 
     def _update_cold_rate(self, member: PoolMember) -> None:
         service = self._services.get(member.endpoint.service)
--- a/fuchsiaroute/pool/_request_queue.py
+++ b/fuchsiaroute/pool/_request_queue.py
@@ -9,7 +9,9 @@
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.fairness import FairQueue, Ticket
 from fuchsiaroute.ids import EndpointId, OrganisationId, ServiceId, VersionId
-from fuchsiaroute.pool._pool import Demand, EndpointPool, NoChoice, Reservation
+from fuchsiaroute.pool._demand import Demand, NoChoice
+from fuchsiaroute.pool._pool import EndpointPool
+from fuchsiaroute.pool._reservation import Reservation
 from fuchsiaroute.request import Request
 
 #: Maximum number of requests that wait at one instance.
