Log: streams that fall silent, and why an instance closed a caller's connection

A stream that is given up or kept while its endpoint is silent had no line of its own, and nothing told a caller's connection that the instance closed from one that the caller left. stream:silent names the decision; fuchsiaroute_silent_streams counts it, and fuchsiaroute_caller_closes counts the instance's own closes by reason. No decision changes.

--- a/fuchsiaroute/forwarding/_attempt_records.py
+++ b/fuchsiaroute/forwarding/_attempt_records.py
@@ -140,6 +140,21 @@
             reason=reason,
         )
 
+    def record_silent_stream(
+        self, call: Call, response: OpenResponse, *, is_moved: bool
+    ) -> None:
+        """Record that a stream has been idle, and whether another endpoint goes on."""
+        decision = "moved" if is_moved else "kept"
+        self._counters.add("silent_streams", decision)
+        self._log.write(
+            "stream:silent",
+            request=call.request_id,
+            endpoint=response.reservation.endpoint.id,
+            decision=decision,
+            sent_to=call.sent_to,
+            time_left_ms=call.remaining(self._clock),
+        )
+
     def record_pace(self, call: Call, response: OpenResponse, pace: float) -> None:
         """Record the typical milliseconds between the events of a stream."""
         reservation = response.reservation
--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -247,6 +247,12 @@
         """Record that a response broke off before its end."""
         self._records.record_broken(call, response, reason)
 
+    def record_silent_stream(
+        self, call: Call, response: OpenResponse, *, is_moved: bool
+    ) -> None:
+        """Record that a stream has been idle, and whether another endpoint goes on."""
+        self._records.record_silent_stream(call, response, is_moved=is_moved)
+
     def record_pace(self, call: Call, response: OpenResponse, pace: float) -> None:
         """Record the typical milliseconds between the events of a stream."""
         self._records.record_pace(call, response, pace)
--- a/fuchsiaroute/forwarding/_stream_relay.py
+++ b/fuchsiaroute/forwarding/_stream_relay.py
@@ -222,7 +222,12 @@
                 count = state.splitter.count
                 complete = state.splitter.feed(data) if data else b""
             except TimeoutError:
-                if not await self._replace_silent(call, state):
+                silent = state.response
+                is_going_on = await self._replace_silent(call, state)
+                self._runner.record_silent_stream(
+                    call, silent, is_moved=silent is not state.response
+                )
+                if not is_going_on:
                     return False
                 continue
             except (ExchangeError, EventTooLongError) as error:
--- a/fuchsiaroute/forwarding/tests/test_stream_relay.py
+++ b/fuchsiaroute/forwarding/tests/test_stream_relay.py
@@ -95,6 +95,9 @@
     def record_complete_response(self, call: Any, response: Any) -> None:
         pass
 
+    def record_silent_stream(self, call: Any, response: Any, *, is_moved: bool) -> None:
+        pass
+
     def record_answer_begun(self, call: Any) -> None:
         pass
 
--- a/fuchsiaroute/http1/__init__.py
+++ b/fuchsiaroute/http1/__init__.py
@@ -24,6 +24,7 @@
 )
 from fuchsiaroute.http1._responder import Responder
 from fuchsiaroute.http1._server import (
+    CloseReason,
     ConnectionState,
     Handler,
     ServerConnection,
@@ -34,6 +35,7 @@
     "BodyBudget",
     "BrokenResponseError",
     "ClientConnection",
+    "CloseReason",
     "ConnectError",
     "ConnectionState",
     "ExchangeError",
--- a/fuchsiaroute/http1/_responder.py
+++ b/fuchsiaroute/http1/_responder.py
@@ -43,6 +43,8 @@
         self.is_started = False
         #: Whether the response has ended, complete or aborted.
         self.is_finished = False
+        #: Whether the response ended before it was complete.
+        self.is_aborted = False
         #: Status of the response; 0 before it has started.
         self.status = 0
 
@@ -108,6 +110,7 @@
             return
         self._keep_alive = False
         self.is_finished = True
+        self.is_aborted = True
         self._transport.abort()
         self._on_finished(self)
 
--- a/fuchsiaroute/http1/_server.py
+++ b/fuchsiaroute/http1/_server.py
@@ -52,6 +52,17 @@
     ANSWERING = "answering"
 
 
+class CloseReason(Enum):
+    """Why the server closed a caller's connection that the caller had kept open."""
+
+    #: No request for longer than the idle timeout.
+    IDLE = "idle"
+    #: A request was rejected before it had arrived as a whole.
+    REJECTED = "rejected"
+    #: A response that had begun could not be completed.
+    RESPONSE_ABORTED = "response-aborted"
+
+
 @dataclass
 class _Incoming:
     """A request while it is being received."""
@@ -81,8 +92,10 @@
         budget: BodyBudget,
         open_connections: set["ServerConnection"],
         is_draining: Callable[[], bool] = lambda: False,
+        on_close: Callable[[CloseReason], None] = lambda reason: None,
     ) -> None:
         self._clock = clock
+        self._on_close = on_close
         self._handler = handler
         self._limits = limits
         self._budget = budget
@@ -302,6 +315,8 @@
         self._last_activity = self._clock.now()
         if responder is not self._active:
             return
+        if responder.is_aborted:
+            self._on_close(CloseReason.RESPONSE_ABORTED)
         self._active = None
         self._task = None
         if not responder.keeps_connection:
@@ -331,6 +346,7 @@
         is closed after the last of them.
         """
         self._ignores_input = True
+        self._on_close(CloseReason.REJECTED)
         self._discard_body()
         headers: Headers = [(b"Retry-After", b"1")] if status in (408, 503) else []
         responder = Responder(
@@ -368,6 +384,7 @@
                 self._reject(408)
                 return
         elif self.is_idle and now - self._last_activity > limits.idle_timeout:
+            self._on_close(CloseReason.IDLE)
             self._transport.close()
             return
         self._schedule_timeout_check()
--- a/fuchsiaroute/node/_run.py
+++ b/fuchsiaroute/node/_run.py
@@ -12,7 +12,12 @@
 
 from fuchsiaroute.clock import BootClock, Clock, Milliseconds
 from fuchsiaroute.draining import Phase
-from fuchsiaroute.http1 import ConnectionState, Handler, ServerConnection
+from fuchsiaroute.http1 import (
+    CloseReason,
+    ConnectionState,
+    Handler,
+    ServerConnection,
+)
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.node._metrics import METRICS_PATH
 from fuchsiaroute.node._parts import NodeParts
@@ -99,7 +104,10 @@
     async def _listen(self) -> None:
         parts, settings = self._parts, self._settings
         await self._serve(
-            settings.frontend, parts.forwarder.handle, self._caller_connections
+            settings.frontend,
+            parts.forwarder.handle,
+            self._caller_connections,
+            on_close=lambda reason: parts.counters.add("caller_closes", reason.value),
         )
         control = {settings.readiness, settings.directory} - {None}
         for address in control:
@@ -115,7 +123,12 @@
             )
 
     async def _serve(
-        self, address: Address, handler: Handler, connections: set[ServerConnection]
+        self,
+        address: Address,
+        handler: Handler,
+        connections: set[ServerConnection],
+        *,
+        on_close: Callable[[CloseReason], None] = lambda reason: None,
     ) -> None:
         def new_connection() -> ServerConnection:
             return ServerConnection(
@@ -125,6 +138,7 @@
                 budget=self._parts.bodies,
                 open_connections=connections,
                 is_draining=lambda: self._parts.drain.is_draining,
+                on_close=on_close,
             )
 
         server = await asyncio.get_running_loop().create_server(
