--- /dev/null
+++ b/fuchsiaroute/platform/tests/test_silent_endpoints.py
@@ -0,0 +1,225 @@
+"""Endpoints that send nothing for a second or more and go on, or never do."""
+
+import asyncio
+from copy import deepcopy
+from enum import Enum
+from typing import Any
+
+import pytest
+
+from fuchsiaroute.http1 import InboundRequest, Responder, find_header
+from fuchsiaroute.platform.tests.node_harness import (
+    CONFIGURATION,
+    NodeHarness,
+    Reply,
+    cluster,
+)
+from fuchsiaroute.platform.tests.standin import (
+    STREAM_PATHS,
+    Answer,
+    Endpoint,
+    fail,
+    full,
+    reset,
+)
+
+EVENTS = 8
+EVENT_INTERVAL_S = 0.05
+FIRST_EVENT_S = 0.1
+#: Longest pause between events that the routes allow; silences here are longer.
+GAP_TARGET_MS = 600
+#: Deadline and route timeout: a silence alone must not use them up.
+TIMEOUT_MS = 6_000
+STREAMS = 12
+
+
+class Others(Enum):
+    """What the endpoints that are not silent do with the requests that they get."""
+
+    FULL = "full"
+    FAILING = "failing"
+    RESETTING = "resetting"
+    SILENT_IN_TURN = "silent-in-turn"
+
+
+class PausingEndpoint(Endpoint):
+    """Sends nothing while it is silent; then goes on with every run it still has."""
+
+    def __init__(self) -> None:
+        super().__init__(self._run)
+        self._goes_on = asyncio.Event()
+        self._goes_on.set()
+        #: Ids of the requests that arrived, in order.
+        self.arrived: list[bytes | None] = []
+        #: Replaces the response to requests that arrive from now on; None for none.
+        self.turned_away: Answer | None = None
+
+    def fall_silent(self) -> None:
+        self._goes_on.clear()
+
+    def go_on(self) -> None:
+        self._goes_on.set()
+        self.turned_away = None
+
+    async def _run(
+        self, endpoint: Endpoint, request: InboundRequest, responder: Responder
+    ) -> None:
+        if self.turned_away is not None:
+            await self.turned_away(endpoint, request, responder)
+            return
+        self.arrived.append(find_header(request.headers, b"x-request-id"))
+        await asyncio.sleep(FIRST_EVENT_S)
+        await self._goes_on.wait()
+        if not request.path.startswith(STREAM_PATHS):
+            responder.send(200, self.headers(request), b"done")
+            return
+        headers = [*self.headers(request), (b"Content-Type", b"text/event-stream")]
+        responder.start(200, headers)
+        first = int(find_header(request.headers, b"last-event-id") or b"0") + 1
+        for number in range(first, EVENTS + 1):
+            await self._goes_on.wait()
+            responder.write(b"id: %d\ndata: x\n\n" % number)
+            await asyncio.sleep(EVENT_INTERVAL_S)
+        responder.finish()
+
+
+def configuration(version: int = 1, **route: Any) -> dict[str, Any]:
+    changed = deepcopy(CONFIGURATION)
+    changed["Version"] = version
+    for item in changed["Routes"]:
+        item.update({"TimeoutMs": TIMEOUT_MS, "GapTargetMs": GAP_TARGET_MS, **route})
+    return changed
+
+
+async def ask_all(
+    harnesses: list[NodeHarness], path: str, count: int = STREAMS
+) -> list[Reply]:
+    async def ask(number: int) -> Reply:
+        await asyncio.sleep(number * EVENT_INTERVAL_S / 2)
+        caller = harnesses[number % len(harnesses)].caller()
+        return await caller.ask(
+            f"{path}{number}", request_id=f"r{number}", deadline=TIMEOUT_MS
+        )
+
+    return list(await asyncio.gather(*(ask(number) for number in range(count))))
+
+
+def event_numbers(reply: Reply) -> list[int]:
+    lines = reply.body.splitlines()
+    return [int(line[4:]) for line in lines if line.startswith(b"id: ")]
+
+
+def assert_whole(replies: list[Reply]) -> None:
+    for reply in replies:
+        assert reply.is_whole
+        assert reply.status == 200
+        assert event_numbers(reply) == list(range(1, EVENTS + 1))
+
+
+@pytest.mark.parametrize("path", ["/stream/", "/once/"])
+@pytest.mark.parametrize("silence_s", [0.7, 1.2, 2.0])
+@pytest.mark.parametrize(
+    ("instances", "silent"),
+    [(1, [0]), (1, [0, 1]), (1, [0, 1, 2]), (3, [0, 1]), (3, [0, 1, 2])],
+)
+async def test_no_started_stream_is_cut_while_sound_endpoints_are_silent(
+    instances: int, silent: list[int], silence_s: float, path: str
+) -> None:
+    """
+    Guards against a run that is ended before another endpoint goes on with its stream.
+
+    The other endpoint is silent as well, and the first one would have gone on.
+    """
+    endpoints = [PausingEndpoint() for _ in range(3)]
+    async with cluster(
+        instances, *endpoints, configuration=configuration()
+    ) as harnesses:
+        asking = asyncio.create_task(ask_all(harnesses, path))
+        await asyncio.sleep(FIRST_EVENT_S + 3 * EVENT_INTERVAL_S)
+        harnesses[0].store.put("op", "config", configuration(2, TargetLatencyMs=410))
+        for number in silent:
+            endpoints[number].fall_silent()
+        await asyncio.sleep(silence_s)
+        for endpoint in endpoints:
+            endpoint.go_on()
+        replies = await asking
+        started = [reply for reply in replies if reply.body]
+        assert started
+        assert_whole(started)
+        # An answer that had not begun may fail, with a whole response.
+        assert all(reply.is_whole for reply in replies)
+
+
+_TURNING_AWAY: dict[Others, Answer | None] = {
+    Others.FULL: full,
+    Others.FAILING: fail,
+    Others.RESETTING: reset,
+    Others.SILENT_IN_TURN: None,
+}
+
+
+@pytest.mark.parametrize("others", Others)
+@pytest.mark.parametrize("silent", [[0], [0, 1]])
+async def test_no_started_stream_is_cut_while_no_other_endpoint_takes_it(
+    silent: list[int], others: Others
+) -> None:
+    """
+    Guards against a run that is ended before another endpoint goes on with its stream.
+
+    The other endpoints turn new requests away, and the silent one would have gone on.
+    """
+    endpoints = [PausingEndpoint() for _ in range(3)]
+    async with cluster(1, *endpoints, configuration=configuration()) as harnesses:
+        asking = asyncio.create_task(ask_all(harnesses, "/stream/"))
+        await asyncio.sleep(FIRST_EVENT_S + 12 * EVENT_INTERVAL_S / 2)
+        for number, endpoint in enumerate(endpoints):
+            if number in silent:
+                endpoint.fall_silent()
+            elif others is Others.SILENT_IN_TURN:
+                asyncio.get_running_loop().call_later(
+                    GAP_TARGET_MS / 1_000, endpoint.fall_silent
+                )
+            else:
+                endpoint.turned_away = _TURNING_AWAY[others]
+        await asyncio.sleep(2.0)
+        for endpoint in endpoints:
+            endpoint.go_on()
+        replies = await asking
+        started = [reply for reply in replies if reply.body and reply.status == 200]
+        assert started
+        assert_whole(started)
+        assert all(reply.is_whole for reply in replies)
+
+
+@pytest.mark.parametrize("silent", [[0], [0, 1]])
+async def test_streams_leave_endpoints_that_never_go_on(silent: list[int]) -> None:
+    """Guards against streams that wait for a dead endpoint beside a sound one."""
+    endpoints = [PausingEndpoint() for _ in range(3)]
+    async with cluster(1, *endpoints, configuration=configuration()) as harnesses:
+        asking = asyncio.create_task(ask_all(harnesses, "/stream/", 6))
+        await asyncio.sleep(FIRST_EVENT_S + 3 * EVENT_INTERVAL_S)
+        for number in silent:
+            endpoints[number].fall_silent()
+        replies = await asking
+        assert_whole(replies)
+
+
+@pytest.mark.parametrize("path", ["/read/", "/write/"])
+async def test_whole_answers_follow_when_all_endpoints_go_on(path: str) -> None:
+    """Guards against requests that use up their attempts at silent endpoints."""
+    endpoints = [PausingEndpoint() for _ in range(3)]
+    async with cluster(1, *endpoints, configuration=configuration()) as harnesses:
+        # Usual durations are known.
+        for number in range(20):
+            await harnesses[0].caller().ask(f"{path}w{number}", request_id=f"w{number}")
+        for endpoint in endpoints:
+            endpoint.fall_silent()
+        asking = asyncio.create_task(ask_all(harnesses, path, 9))
+        await asyncio.sleep(1.5)
+        for endpoint in endpoints:
+            endpoint.go_on()
+        replies = await asking
+        assert [reply.status for reply in replies] == [200] * len(replies)
+        if path == "/write/":
+            arrived = [name for item in endpoints for name in item.arrived]
+            assert len(arrived) == len(set(arrived))
