Streams: end a silent run only once another endpoint goes on, or is rather alive

Callers saw: a stream that had begun was cut while endpoints were silent for a second or so, though its endpoint would have gone on. Cause: the run was ended as soon as another endpoint had a place (before anything of it was known), and that one was silent too, full or failing; attempts, rejections and the retry budget then ended the stream. Class: work is given up before what replaces it has proved itself.

Now the rest of the stream is sent to another endpoint beside the present run (StandbyRunner). The first to send anything is relayed. Endpoints without bytes for half of the time after which the stream counts as silent are not chosen.

--- a/fuchsiaroute/forwarding/_attempt_estimates.py
+++ b/fuchsiaroute/forwarding/_attempt_estimates.py
@@ -82,7 +82,12 @@
         )
 
     def demand(
-        self, call: Call, model: ModelId | None, *, excludes_failed: bool = True
+        self,
+        call: Call,
+        model: ModelId | None,
+        *,
+        excludes_failed: bool = True,
+        max_silence: Milliseconds | None = None,
     ) -> Demand:
         """Return what the request requires of an endpoint."""
         affinity = ""
@@ -96,6 +101,7 @@
             uncached_factor=uncached_factor(call.fields.prompt),
             max_backlog=call.route.latency_target * MAX_BACKLOG_SHARE or math.inf,
             excluded=frozenset(call.excluded) if excludes_failed else frozenset(),
+            max_silence=max_silence,
             is_repeatable=call.route.is_repeatable,
         )
 
@@ -138,6 +144,18 @@
         tokens = call.fields.prompt_tokens
         return self._latencies.mean(call.route.name, model, tokens)
 
+    def may_take_longer(
+        self, call: Call, model: ModelId | None, backlog: float, than: Milliseconds
+    ) -> bool:
+        """Return whether a sound endpoint may send its first bytes later."""
+        longest = self._latencies.upper(
+            call.route.name,
+            model or "",
+            call.fields.prompt_tokens,
+            deviations=TIMEOUT_DEVIATIONS,
+        )
+        return longest is None or longest + backlog > than
+
     def head_timeout(
         self,
         call: Call,
--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -24,7 +24,7 @@
 from fuchsiaroute.lifecycle import Outcome
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.platform import EventId
-from fuchsiaroute.pool import EndpointPool, QueueRefusal, RequestQueue
+from fuchsiaroute.pool import EndpointPool, QueueRefusal, RequestQueue, Reservation
 from fuchsiaroute.quarantine import Quarantine
 from fuchsiaroute.retry import WindowedRetryBudget
 from fuchsiaroute.staging import RolloutTracker
@@ -80,6 +80,7 @@
         quarantine: Quarantine,
         is_refused: Callable[[Endpoint], Awaitable[bool]],
     ) -> None:
+        self._pool = pool
         self._queue = queue
         self._client = client
         self._tracker = tracker
@@ -149,21 +150,23 @@
         resume_after: EventId | None = None,
         is_escalation: bool = False,
         is_resumption: bool = False,
-        waits_for_place: bool = True,
-        before_send: Callable[[], None] = lambda: None,
+        max_silence: Milliseconds | None = None,
+        before_send: Callable[[Reservation], None] = lambda reservation: None,
     ) -> OpenResponse | AttemptFailure | NoReservation:
         """
         Reserve an endpoint and send the request to it.
 
         The rest of a stream that the caller has begun to receive (``is_resumption``)
-        is queued before all new requests. Unless it ``waits_for_place``, it is sent
-        only if an endpoint that has not failed this request has capacity now.
-        ``before_send`` is called once an endpoint is reserved.
+        is queued before all new requests. With ``max_silence``, it does not wait for
+        capacity, and goes neither to an endpoint that has failed this request nor to
+        one that has been silent for that long. ``before_send`` is called once an
+        endpoint is reserved.
         """
         refusal = self._guard.refusal(call)
         if refusal is not None:
             return NoReservation(refusal=refusal)
-        demand = self._estimates.demand(call, model)
+        demand = self._estimates.demand(call, model, max_silence=max_silence)
+        waits_for_place = max_silence is None
         priority = RESUMPTION_PRIORITY if is_resumption else call.priority
         max_wait = (
             self._estimates.max_wait(call) if waits_for_place else Milliseconds(0)
@@ -191,7 +194,7 @@
         if refusal is not None:
             reservation.revoke()
             return NoReservation(refusal=refusal)
-        before_send()
+        before_send(reservation)
         self._guard.record_send(call)
         endpoint = reservation.endpoint
         self._counters.add(
@@ -265,6 +268,30 @@
             version = response.reservation.endpoint.version
             self._tracker.sessions.record_served(call.session, version)
 
+    def is_rather_alive(
+        self, call: Call, reservation: Reservation, silent: OpenResponse
+    ) -> bool:
+        """
+        Return whether an endpoint that has not answered is preferable to a silent one.
+
+        It is if it has sent anything since it was reserved. Otherwise a sound endpoint
+        must be able to take longer, no other one may have been found silent, and an
+        attempt must be left.
+        """
+        if reservation.is_heard:
+            return True
+        has_attempt = call.possible_runs < call.route.max_attempts
+        waited = Milliseconds(self._clock.now() - reservation.reserved_at)
+        return (
+            has_attempt
+            and self._estimates.may_take_longer(
+                call, silent.model, reservation.backlog, waited
+            )
+            and not self._pool.has_silent(
+                call.service, beside=silent.reservation.endpoint.id
+            )
+        )
+
     def relative_backlog(self, call: Call) -> float:
         """Return the smallest backlog of an endpoint divided by the latency target."""
         return self._estimates.relative_backlog(call)
--- a/fuchsiaroute/forwarding/_endpoint_client.py
+++ b/fuchsiaroute/forwarding/_endpoint_client.py
@@ -92,7 +92,13 @@
 
     async def read(self) -> bytes:
         """Return the next part of the body; empty bytes at its end."""
-        return await self._connection.read()
+        data = await self._connection.read()
+        self._reservation.record_bytes()
+        return data
+
+    async def wait_readable(self) -> None:
+        """Wait until ``read`` returns or raises at once."""
+        await self._connection.wait_readable()
 
     async def read_whole(self, *, limit: int) -> bytes:
         """Return the whole body; raise ``ExchangeError`` above ``limit`` bytes."""
@@ -188,6 +194,7 @@
             duration = Milliseconds(self._clock.now() - started_at)
             return AttemptFailure(outcome=outcome, reason=reason, duration=duration)
         reservation.answer_started()
+        reservation.record_bytes()
         response = OpenResponse(
             connection=connection,
             head=head,
--- a/fuchsiaroute/forwarding/_stream_relay.py
+++ b/fuchsiaroute/forwarding/_stream_relay.py
@@ -13,6 +13,7 @@
 from fuchsiaroute.forwarding._events import EventSplitter, EventTooLongError
 from fuchsiaroute.forwarding._model_choice import ModelChoice
 from fuchsiaroute.forwarding._result import CallResult, Ending, refused_result
+from fuchsiaroute.forwarding._standby import Silence, StandbyRunner
 from fuchsiaroute.http1 import ExchangeError
 from fuchsiaroute.ids import ModelId
 from fuchsiaroute.lifecycle import Outcome
@@ -28,6 +29,9 @@
 #: Share of the route's maximum event gap after which an idle stream is resumed at
 #: another endpoint; the rest is left for that endpoint's first event.
 IDLE_TIMEOUT_SHARE = 0.7
+#: Share of that time for which another endpoint may have been silent to be preferred:
+#: endpoints that fall silent together are found silent one after the other.
+MAX_SILENCE_SHARE = 0.5
 #: Interval between two attempts to get an endpoint for the rest of a stream.
 RESUME_RETRY_INTERVAL = Milliseconds(50)
 MILLISECONDS_PER_SECOND = 1_000
@@ -70,6 +74,7 @@
         log: LineLog,
     ) -> None:
         self._runner = runner
+        self._standby = StandbyRunner(runner)
         self._choice = choice
         self._clock = clock
         self._log = log
@@ -280,28 +285,29 @@
 
     async def _replace_silent(self, call: Call, state: _RelayState) -> bool:
         """
-        Resume a silent stream at another endpoint if one can take it now.
+        Resume a silent stream at another endpoint if one goes on with it.
 
-        Otherwise its endpoint may still go on with it, unless there is a weak answer to
-        relay instead. Return False if the stream was given up and not resumed.
+        Otherwise its endpoint may still do so, unless there is a weak answer to relay
+        instead. Return False if the stream was given up and not resumed.
         """
         if state.fallback is not None:
             self._give_up(call, state, Outcome.SILENT, _SILENCE)
             return await self._resume(call, state, _SILENCE)
         call.excluded.add(state.response.reservation.endpoint.id)
+        state.response.reservation.record_silence()
         if not self._runner.may_retry(call):
             return True
-        result = await self._runner.attempt(
+        result = await self._standby.replace(
             call,
-            model=state.response.model,
+            state.response,
             resume_after=_last_event_id(state),
-            is_resumption=True,
-            waits_for_place=False,
-            before_send=lambda: self._give_up(call, state, Outcome.SILENT, _SILENCE),
+            max_silence=Milliseconds(round(self._idle_limit(call) * MAX_SILENCE_SHARE)),
+            give_up=lambda: self._give_up(call, state, Outcome.SILENT, _SILENCE),
         )
-        if isinstance(result, NoReservation):
+        if isinstance(result, OpenResponse):
+            self._continue_with(call, state, result, _SILENCE)
             return True
-        if self._continue_with(call, state, result, _SILENCE):
+        if result is Silence.KEPT:
             return True
         return await self._resume(call, state, _SILENCE)
 
@@ -321,24 +327,18 @@
                 # Only another endpoint can finish a stream that the caller has begun
                 # to receive, so this waits for one until the deadline.
                 await self._clock.sleep(RESUME_RETRY_INTERVAL)
-            elif self._continue_with(call, state, result, reason):
-                return True
+            elif isinstance(result, OpenResponse):
+                if result.is_success:
+                    self._continue_with(call, state, result, reason)
+                    return True
+                result.close(Outcome.CANCELLED)
         return False
 
     def _continue_with(
-        self,
-        call: Call,
-        state: _RelayState,
-        result: OpenResponse | AttemptFailure,
-        reason: str,
-    ) -> bool:
-        """Relay the rest of the stream from ``result`` if it is a success."""
-        if isinstance(result, AttemptFailure):
-            return False
-        if not result.is_success:
-            result.close(Outcome.CANCELLED)
-            return False
-        state.response = result
+        self, call: Call, state: _RelayState, response: OpenResponse, reason: str
+    ) -> None:
+        """Relay the rest of the stream from ``response``."""
+        state.response = response
         state.pace = EventPace()
         state.has_event = False
         state.splitter.discard_incomplete()
@@ -346,18 +346,21 @@
         self._log.write(
             "request:resumed",
             request=call.request_id,
-            endpoint=result.reservation.endpoint.id,
+            endpoint=response.reservation.endpoint.id,
             after=_last_event_id(state),
             reason=reason,
         )
-        return True
 
     def _idle_timeout(self, call: Call) -> float | None:
         """Return the seconds without data after which to resume; None for no limit."""
         route = call.route
         if not route.is_resumable or call.possible_runs >= route.max_attempts:
             return None
-        return route.max_event_gap * IDLE_TIMEOUT_SHARE / MILLISECONDS_PER_SECOND
+        return self._idle_limit(call) / MILLISECONDS_PER_SECOND
+
+    def _idle_limit(self, call: Call) -> float:
+        """Return the milliseconds without data until a stream counts as silent."""
+        return call.route.max_event_gap * IDLE_TIMEOUT_SHARE
 
     def _result(
         self, call: Call, state: _RelayState, ending: Ending, is_escalated: bool
--- a/fuchsiaroute/http1/_client.py
+++ b/fuchsiaroute/http1/_client.py
@@ -175,6 +175,12 @@
             self._transport.resume_reading()
         return data
 
+    async def wait_readable(self) -> None:
+        """Wait until ``read`` returns bytes, the end, or an error at once."""
+        while not (self._chunks or self._is_complete or self._error is not None):
+            self._arrived.clear()
+            await self._arrived.wait()
+
     async def read_whole(self, *, limit: int) -> ResponseBody:
         """
         Return the complete response.
--- a/fuchsiaroute/pool/_demand.py
+++ b/fuchsiaroute/pool/_demand.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from fuchsiaroute.clock import Milliseconds
 from fuchsiaroute.ids import EndpointId, ServiceId, VersionId
 
 
@@ -47,5 +48,8 @@
     max_backlog: float = math.inf
     #: Endpoints that must not get the request because they already had it.
     excluded: frozenset[EndpointId] = frozenset()
+    #: Endpoints that were found silent, or with own requests in flight without bytes
+    #: for as long as this, must not get the request; None for no such limit.
+    max_silence: Milliseconds | None = None
     #: Whether the request may be sent again after a failed attempt.
     is_repeatable: bool = True
--- a/fuchsiaroute/pool/_member.py
+++ b/fuchsiaroute/pool/_member.py
@@ -26,6 +26,9 @@
 #: Half-life with which latency and success rate of an unused endpoint return to 1.
 STATISTICS_HALF_LIFE = Milliseconds(3_000)
 
+#: Time for which a silence is remembered of an endpoint that has sent nothing since.
+SILENCE_TIME = Milliseconds(3_000)
+
 _FAILURES = frozenset(
     {
         Outcome.FAILED_BEFORE_SENT,
@@ -76,6 +79,12 @@
     has_refused: bool = False
     #: Time of the latest crash; None if none is known.
     crashed_at: Milliseconds | None = None
+    #: Time of the latest bytes that the endpoint sent.
+    heard_at: Milliseconds = Milliseconds(0)
+    #: Start of the time in which own requests have been in flight without any bytes.
+    waiting_since: Milliseconds = Milliseconds(0)
+    #: Time at which a run was found silent; None if the endpoint sent bytes since.
+    silent_at: Milliseconds | None = None
     failures_in_row: int = 0
     trial_delay: Milliseconds = INITIAL_TRIAL_DELAY
     trial_at: Milliseconds = Milliseconds(0)
@@ -119,6 +128,20 @@
             and self.clock.now() >= self.trial_at
         )
 
+    @property
+    def silence(self) -> Milliseconds:
+        """Return for how long own requests have been in flight without any bytes."""
+        if not self.own_load:
+            return Milliseconds(0)
+        return Milliseconds(self.clock.now() - self.waiting_since)
+
+    @property
+    def is_silent(self) -> bool:
+        """Return whether the endpoint was found silent and has sent nothing since."""
+        if self.silent_at is None:
+            return False
+        return self.clock.now() - self.silent_at < SILENCE_TIME
+
     @property
     def is_full(self) -> bool:
         """Return whether the endpoint answered "full" within ``FULL_BACKOFF``."""
@@ -160,8 +183,19 @@
             until = Milliseconds(self.clock.now() + duration)
             self.cold_until = max(self.cold_until, until)
 
+    def record_bytes(self) -> None:
+        """Record that the endpoint has sent something."""
+        self.heard_at = self.waiting_since = self.clock.now()
+        self.silent_at = None
+
+    def record_silence(self) -> None:
+        """Record that a run has been without bytes for too long."""
+        self.silent_at = self.clock.now()
+
     def add_request(self, work: float) -> None:
         """Count a request that is about to be sent."""
+        if not self.own_load:
+            self.waiting_since = self.clock.now()
         self.own_load += 1
         self.own_work += work
         if self.state is EndpointState.SUSPECT:
--- a/fuchsiaroute/pool/_pool.py
+++ b/fuchsiaroute/pool/_pool.py
@@ -197,6 +197,13 @@
         member = self._members.get(endpoint)
         return member is not None and member.has_crashed
 
+    def has_silent(self, service: ServiceId, *, beside: EndpointId) -> bool:
+        """Return whether an endpoint other than ``beside`` was found silent."""
+        return any(
+            member.is_silent and member.endpoint.id != beside
+            for member in self.members(service)
+        )
+
     def is_reduced_to_one(self, service: ServiceId) -> bool:
         """Return whether at most one of several endpoints of a service is usable."""
         staying = [
@@ -263,6 +270,15 @@
             )
         )
 
+    def can_take(self, demand: Demand) -> bool:
+        """Return whether an endpoint could be selected now."""
+        return any(
+            member.is_usable
+            and self._has_capacity(member, demand)
+            and self._permits.may_send(member.endpoint)
+            for member in self._candidates(demand)
+        )
+
     def choose(self, demand: Demand) -> Reservation | NoChoice:
         """Select an endpoint and count the request there."""
         candidates = self._candidates(demand)
@@ -325,6 +341,7 @@
             for member in self.members(demand.service)
             if member.endpoint.id not in demand.excluded
             and (demand.versions is None or member.endpoint.version in demand.versions)
+            and not _is_too_silent(member, demand.max_silence)
         ]
 
     def _due_trial(
@@ -397,3 +414,7 @@
         current.started_at,
         current.service,
     )
+
+
+def _is_too_silent(member: PoolMember, limit: Milliseconds | None) -> bool:
+    return limit is not None and (member.is_silent or member.silence >= limit)
--- a/fuchsiaroute/pool/_reservation.py
+++ b/fuchsiaroute/pool/_reservation.py
@@ -46,6 +46,19 @@
         is_gone = self._member.state in (EndpointState.LEAVING, EndpointState.OUT)
         return not is_gone and not self._member.is_paused
 
+    @property
+    def is_heard(self) -> bool:
+        """Return whether the endpoint has sent anything since it was reserved."""
+        return self._member.heard_at > self.reserved_at
+
+    def record_bytes(self) -> None:
+        """Record that the endpoint has sent a part of an answer."""
+        self._member.record_bytes()
+
+    def record_silence(self) -> None:
+        """Record that the endpoint has sent nothing for too long."""
+        self._member.record_silence()
+
     def answer_started(self) -> None:
         """Record that the endpoint has started to answer."""
         self._member.remove_work(self._work)
