--- a/fuchsiaroute/platform/tests/test_silent_endpoints.py
+++ b/fuchsiaroute/platform/tests/test_silent_endpoints.py
@@ -223,3 +223,34 @@
         if path == "/write/":
             arrived = [name for item in endpoints for name in item.arrived]
             assert len(arrived) == len(set(arrived))
+
+
+@pytest.mark.parametrize("others", Others)
+@pytest.mark.parametrize("path", ["/read/", "/stream/"])
+async def test_answer_is_awaited_while_no_other_endpoint_takes_the_request(
+    path: str, others: Others
+) -> None:
+    """
+    Guards against a run that is ended for an endpoint that turns the request away.
+
+    The silent endpoint would have answered within the request's time.
+    """
+    endpoints = [PausingEndpoint() for _ in range(3)]
+    async with cluster(1, *endpoints, configuration=configuration()) as harnesses:
+        for number in range(20):
+            await harnesses[0].caller().ask(f"{path}w{number}", request_id=f"w{number}")
+        asking = asyncio.create_task(ask_all(harnesses, path, 6))
+        # All requests are at endpoints, and none is answered.
+        await asyncio.sleep(6 * EVENT_INTERVAL_S / 2)
+        sent_to = {
+            name: endpoint for endpoint in endpoints for name in endpoint.arrived
+        }
+        for endpoint in endpoints:
+            endpoint.fall_silent()
+            endpoint.turned_away = _TURNING_AWAY[others]
+        await asyncio.sleep(2.0)
+        for endpoint in endpoints:
+            endpoint.go_on()
+        replies = await asking
+        assert {f"r{number}".encode() for number in range(6)} <= sent_to.keys()
+        assert [reply.status for reply in replies] == [200] * len(replies)
