Requests: end a silent run before its answer only once another endpoint takes over

Callers saw: 502, or the error of another endpoint, though the endpoint that had the request would have answered in time. Cause: an attempt's timeout ended the run before another endpoint had taken the request; if that one was silent too, full or failing, the answer was lost. Class: work is given up before what replaces it has proved itself, as with started streams.

EndpointClient now asks the runner, at the timeout, for an endpoint that takes over (StandbyRunner, the same rules as for started streams) and otherwise waits on. Escalations, which have a weak answer to send, and attempts beside another one end as before.

--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -1,8 +1,9 @@
 """Runs the attempts of a request, one endpoint after the other."""
 
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Coroutine
 from enum import Enum
+from functools import partial
+from typing import Any
 
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.deployment import Endpoint
@@ -18,7 +19,9 @@
 )
 from fuchsiaroute.forwarding._latency_estimator import LatencyEstimator
 from fuchsiaroute.forwarding._model_choice import CascadeTimes
+from fuchsiaroute.forwarding._result import NoReservation, Silence
 from fuchsiaroute.forwarding._speed_comparison import SpeedComparison
+from fuchsiaroute.forwarding._standby import StandbyRunner
 from fuchsiaroute.forwarding._stop_admission import STOPPING_REFUSAL, StopAdmission
 from fuchsiaroute.ids import ModelId, ServiceId
 from fuchsiaroute.lifecycle import Outcome
@@ -38,6 +41,9 @@
 #: Share of the retry budget that escalations leave to retries of failed attempts and to
 #: the resumption of broken streams.
 ESCALATION_RESERVE = 0.05
+#: Silence of an endpoint, as a share of that of the present one, from which it is not
+#: preferred to it: those that fall silent together are found silent one by one.
+MAX_SILENCE_SHARE = 0.5
 #: Attempts that an escalation leaves for the resumption of its stream.
 RESUME_RESERVE = 1
 
@@ -51,13 +57,6 @@
     RESUMPTION = "resumption"
 
 
-@dataclass(frozen=True, kw_only=True)
-class NoReservation:
-    """The queue refused the request; nothing was sent in this attempt."""
-
-    refusal: QueueRefusal
-
-
 class AttemptRunner:
     """Runs attempts of requests and records their outcomes and latencies."""
 
@@ -109,6 +108,7 @@
             counters=counters,
             log=log,
         )
+        self._standby = StandbyRunner(self)
         self._budgets: dict[ServiceId, WindowedRetryBudget] = {}
 
     def record_request(self, call: Call) -> None:
@@ -162,38 +162,11 @@
         one that has been silent for that long. ``before_send`` is called once an
         endpoint is reserved.
         """
-        refusal = self._guard.refusal(call)
-        if refusal is not None:
-            return NoReservation(refusal=refusal)
-        demand = self._estimates.demand(call, model, max_silence=max_silence)
-        waits_for_place = max_silence is None
-        priority = RESUMPTION_PRIORITY if is_resumption else call.priority
-        max_wait = (
-            self._estimates.max_wait(call) if waits_for_place else Milliseconds(0)
+        reservation = await self._reserve(
+            call, model, is_resumption=is_resumption, max_silence=max_silence
         )
-        reservation = await self._queue.reserve(
-            call.as_request(),
-            demand,
-            priority=priority,
-            max_wait=max_wait,
-            deprioritise_after=self._estimates.max_wait_in_time(call, demand.work),
-        )
-        is_refused = isinstance(reservation, QueueRefusal)
-        if is_refused and call.excluded and waits_for_place:
-            # An endpoint that failed this request before is better than none.
-            reservation = await self._queue.reserve(
-                call.as_request(),
-                self._estimates.demand(call, model, excludes_failed=False),
-                priority=priority,
-                max_wait=self._estimates.max_wait(call),
-                deprioritise_after=self._estimates.max_wait_in_time(call, demand.work),
-            )
         if isinstance(reservation, QueueRefusal):
             return NoReservation(refusal=reservation)
-        refusal = self._refusal_after_wait(call)
-        if refusal is not None:
-            reservation.revoke()
-            return NoReservation(refusal=refusal)
         before_send(reservation)
         self._guard.record_send(call)
         endpoint = reservation.endpoint
@@ -206,22 +179,47 @@
         if call.session is not None:
             self._tracker.sessions.record_served(call.session, endpoint.version)
             self._on_session(call)
+        head_timeout = self._estimates.head_timeout(
+            call, model, reservation.backlog, is_escalation=is_escalation
+        )
+        # A weak answer need not wait longer for a better one, and an attempt beside
+        # another one is itself a replacement.
+        is_replaceable = not is_escalation and max_silence is None
         result = await self._client.send(
             call,
             reservation,
             model=model,
             resume_after=resume_after,
-            head_timeout=self._estimates.head_timeout(
-                call, model, reservation.backlog, is_escalation=is_escalation
+            head_timeout=head_timeout,
+            replace=(
+                partial(
+                    self.replace_silent,
+                    call,
+                    reservation,
+                    model=model,
+                    resume_after=resume_after,
+                    is_resumption=is_resumption,
+                    silence=head_timeout,
+                )
+                if is_replaceable
+                else None
             ),
         )
+        if isinstance(result, OpenResponse) and result.reservation is not reservation:
+            # Recorded by the attempt that replaced this one.
+            failure = AttemptFailure(
+                outcome=Outcome.SILENT,
+                reason=f"no response within {head_timeout} ms",
+                duration=Milliseconds(self._clock.now() - reservation.reserved_at),
+            )
+            self._record_silence(call, reservation, model, failure)
+            return result
         if isinstance(result, AttemptFailure):
-            self._records.record_failure(call, result, endpoint.id, endpoint.version)
             if result.outcome is Outcome.SILENT:
-                self._records.record_unanswered(
-                    call, model, result, reservation.backlog
-                )
-            elif result.outcome is Outcome.FAILED_AFTER_SENT:
+                self._record_silence(call, reservation, model, result)
+                return result
+            self._records.record_failure(call, result, endpoint.id, endpoint.version)
+            if result.outcome is Outcome.FAILED_AFTER_SENT:
                 await self.check_crash(call, endpoint)
             return result
         if result.fields.unreadable:
@@ -234,6 +232,39 @@
         self._records.record_response(call, result, model)
         return result
 
+    async def replace_silent(
+        self,
+        call: Call,
+        reservation: Reservation,
+        *,
+        bytes_arrive: Coroutine[Any, Any, object],
+        give_up: Callable[[], None],
+        model: ModelId | None,
+        resume_after: EventId | None,
+        is_resumption: bool,
+        silence: Milliseconds,
+    ) -> OpenResponse | Silence:
+        """
+        Look for an endpoint that takes over from one that was silent for ``silence``.
+
+        See ``StandbyRunner.replace``.
+        """
+        call.excluded.add(reservation.endpoint.id)
+        reservation.record_silence()
+        if not self.may_retry(call):
+            bytes_arrive.close()
+            return Silence.KEPT
+        return await self._standby.replace(
+            call,
+            reservation.endpoint,
+            bytes_arrive=bytes_arrive,
+            model=model,
+            resume_after=resume_after,
+            is_resumption=is_resumption,
+            max_silence=Milliseconds(round(silence * MAX_SILENCE_SHARE)),
+            give_up=give_up,
+        )
+
     async def check_crash(
         self, call: Call, endpoint: Endpoint, *, has_event: bool = False
     ) -> None:
@@ -269,7 +300,7 @@
             self._tracker.sessions.record_served(call.session, version)
 
     def is_rather_alive(
-        self, call: Call, reservation: Reservation, silent: OpenResponse
+        self, call: Call, reservation: Reservation, silent: Endpoint
     ) -> bool:
         """
         Return whether an endpoint that has not answered is preferable to a silent one.
@@ -284,12 +315,8 @@
         waited = Milliseconds(self._clock.now() - reservation.reserved_at)
         return (
             has_attempt
-            and self._estimates.may_take_longer(
-                call, silent.model, reservation.backlog, waited
-            )
-            and not self._pool.has_silent(
-                call.service, beside=silent.reservation.endpoint.id
-            )
+            and self._estimates.may_take_longer(call, None, reservation.backlog, waited)
+            and not self._pool.has_silent(call.service, beside=silent.id)
         )
 
     def relative_backlog(self, call: Call) -> float:
@@ -300,6 +327,61 @@
         """Return the times that decide which model of the route is asked first."""
         return self._estimates.cascade_times(call)
 
+    async def _reserve(
+        self,
+        call: Call,
+        model: ModelId | None,
+        *,
+        is_resumption: bool,
+        max_silence: Milliseconds | None,
+    ) -> Reservation | QueueRefusal:
+        """Reserve an endpoint; see ``attempt``."""
+        refusal = self._guard.refusal(call)
+        if refusal is not None:
+            return refusal
+        demand = self._estimates.demand(call, model, max_silence=max_silence)
+        waits_for_place = max_silence is None
+        priority = RESUMPTION_PRIORITY if is_resumption else call.priority
+        max_wait = (
+            self._estimates.max_wait(call) if waits_for_place else Milliseconds(0)
+        )
+        reservation = await self._queue.reserve(
+            call.as_request(),
+            demand,
+            priority=priority,
+            max_wait=max_wait,
+            deprioritise_after=self._estimates.max_wait_in_time(call, demand.work),
+        )
+        is_refused = isinstance(reservation, QueueRefusal)
+        if is_refused and call.excluded and waits_for_place:
+            # An endpoint that failed this request before is better than none.
+            reservation = await self._queue.reserve(
+                call.as_request(),
+                self._estimates.demand(call, model, excludes_failed=False),
+                priority=priority,
+                max_wait=self._estimates.max_wait(call),
+                deprioritise_after=self._estimates.max_wait_in_time(call, demand.work),
+            )
+        if isinstance(reservation, QueueRefusal):
+            return reservation
+        refusal = self._refusal_after_wait(call)
+        if refusal is not None:
+            reservation.revoke()
+            return refusal
+        return reservation
+
+    def _record_silence(
+        self,
+        call: Call,
+        reservation: Reservation,
+        model: ModelId | None,
+        failure: AttemptFailure,
+    ) -> None:
+        """Record that an endpoint sent nothing until its run was ended."""
+        endpoint = reservation.endpoint
+        self._records.record_failure(call, failure, endpoint.id, endpoint.version)
+        self._records.record_unanswered(call, model, failure, reservation.backlog)
+
     def _is_retry_allowed(self, call: Call) -> bool:
         max_sends = call.route.max_attempts + MAX_REJECTIONS
         is_late = call.remaining(self._clock) < MIN_REMAINING_TO_RETRY
--- a/fuchsiaroute/forwarding/_buffered_relay.py
+++ b/fuchsiaroute/forwarding/_buffered_relay.py
@@ -3,10 +3,15 @@
 import asyncio
 
 from fuchsiaroute.clock import Clock, Milliseconds
-from fuchsiaroute.forwarding._attempt_runner import AttemptRunner, NoReservation
+from fuchsiaroute.forwarding._attempt_runner import AttemptRunner
 from fuchsiaroute.forwarding._call import Call
 from fuchsiaroute.forwarding._endpoint_client import OpenResponse
-from fuchsiaroute.forwarding._result import CallResult, Ending, refused_result
+from fuchsiaroute.forwarding._result import (
+    CallResult,
+    Ending,
+    NoReservation,
+    refused_result,
+)
 from fuchsiaroute.http1 import ExchangeError
 from fuchsiaroute.lifecycle import Outcome
 from fuchsiaroute.platform import caller_headers
--- a/fuchsiaroute/forwarding/_endpoint_client.py
+++ b/fuchsiaroute/forwarding/_endpoint_client.py
@@ -1,12 +1,15 @@
 """Sending a request to one endpoint and receiving the response head."""
 
 import asyncio
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
+from typing import Any, Protocol
 
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.forwarding._call import Call
 from fuchsiaroute.forwarding._connection_pool import ConnectionPool
 from fuchsiaroute.forwarding._endpoint_notices import EndpointNotices
+from fuchsiaroute.forwarding._result import Silence
 from fuchsiaroute.http1 import (
     ClientConnection,
     ConnectError,
@@ -117,6 +120,19 @@
         self._reservation.finish(outcome)
 
 
+class Replace(Protocol):
+    """Looks for an endpoint that takes over; see ``StandbyRunner.replace``."""
+
+    async def __call__(
+        self,
+        *,
+        bytes_arrive: Coroutine[Any, Any, object],
+        give_up: Callable[[], None],
+    ) -> OpenResponse | Silence:
+        """Return the response of another endpoint, or what becomes of the run."""
+        ...
+
+
 class EndpointClient:
     """Sends requests to endpoints and checks the heads of their responses."""
 
@@ -139,11 +155,14 @@
         model: ModelId | None,
         resume_after: EventId | None,
         head_timeout: Milliseconds,
+        replace: Replace | None,
     ) -> OpenResponse | AttemptFailure:
         """
-        Send the request and wait at most ``head_timeout`` for the response head.
+        Send the request and wait for ``head_timeout`` for the response head.
 
-        The reservation is finished unless a response is returned.
+        ``replace`` looks for another endpoint then, whose response is returned; without
+        one, the wait begins again. The reservation is finished unless a response to it
+        is returned.
         """
         endpoint = reservation.endpoint
         started_at = self._clock.now()
@@ -165,7 +184,7 @@
             return _finish_failed(reservation, Outcome.REVOKED, reason)
         data = self._encode(call, reservation, remaining, model, resume_after)
         outcome = Outcome.CANCELLED
-        head: ResponseHead | None = None
+        head: ResponseHead | OpenResponse | None = None
         try:
             call.record_sent(endpoint.id)
             reservation.record_sent()
@@ -174,11 +193,7 @@
                 lambda status, headers: is_response_to(call.request_id, headers),
                 is_head=call.inbound.method == b"HEAD",
             )
-            async with asyncio.timeout(
-                min(head_timeout, remaining) / MILLISECONDS_PER_SECOND
-            ):
-                head = await connection.head()
-        except TimeoutError:
+            head = await self._await_head(call, connection, head_timeout, replace)
             outcome = Outcome.SILENT
             reason = f"no response within {min(head_timeout, remaining)} ms"
         except ConnectError as error:
@@ -187,9 +202,11 @@
         except ExchangeError as error:
             outcome, reason = Outcome.FAILED_AFTER_SENT, str(error)
         finally:
-            if head is None:
+            if not isinstance(head, ResponseHead):
                 self._connections.discard(endpoint.id, connection)
                 reservation.finish(outcome)
+        if isinstance(head, OpenResponse):
+            return head
         if head is None:
             duration = Milliseconds(self._clock.now() - started_at)
             return AttemptFailure(outcome=outcome, reason=reason, duration=duration)
@@ -206,6 +223,32 @@
         )
         return self._check_head(call, response)
 
+    async def _await_head(
+        self,
+        call: Call,
+        connection: ClientConnection,
+        interval: Milliseconds,
+        replace: Replace | None,
+    ) -> ResponseHead | OpenResponse | None:
+        """Return the head, or another endpoint's response; None if there is neither."""
+        while (remaining := call.remaining(self._clock)) > 0:
+            try:
+                async with asyncio.timeout(
+                    min(interval, remaining) / MILLISECONDS_PER_SECOND
+                ):
+                    return await connection.head()
+            except TimeoutError:
+                if replace is None:
+                    return None
+            result = await replace(
+                bytes_arrive=connection.head(), give_up=connection.abort
+            )
+            if isinstance(result, OpenResponse):
+                return result
+            if result is Silence.GIVEN_UP:
+                return None
+        return None
+
     def _check_head(
         self, call: Call, response: OpenResponse
     ) -> OpenResponse | AttemptFailure:
--- a/fuchsiaroute/forwarding/_result.py
+++ b/fuchsiaroute/forwarding/_result.py
@@ -21,6 +21,22 @@
     BROKEN_OFF = "broken-off"
 
 
+class Silence(Enum):
+    """What becomes of a request that no other endpoint takes over."""
+
+    #: Its endpoint may go on with it.
+    KEPT = "kept"
+    #: Its run was ended; no endpoint works on it.
+    GIVEN_UP = "given-up"
+
+
+@dataclass(frozen=True, kw_only=True)
+class NoReservation:
+    """The queue refused the request; nothing was sent in this attempt."""
+
+    refusal: QueueRefusal
+
+
 @dataclass(frozen=True, kw_only=True)
 class CallResult:
     """How serving a request ended, with details for the log."""
--- a/fuchsiaroute/forwarding/_standby.py
+++ b/fuchsiaroute/forwarding/_standby.py
@@ -1,18 +1,20 @@
-"""Looks for an endpoint that goes on with a silent stream."""
+"""Looks for an endpoint that takes a request over from a silent one."""
 
 import asyncio
-from collections.abc import Callable
-from enum import Enum
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
 
 from fuchsiaroute.clock import Milliseconds
-from fuchsiaroute.forwarding._attempt_runner import AttemptRunner, NoReservation
+from fuchsiaroute.deployment import Endpoint
 from fuchsiaroute.forwarding._call import Call
 from fuchsiaroute.forwarding._endpoint_client import AttemptFailure, OpenResponse
+from fuchsiaroute.forwarding._result import NoReservation, Silence
+from fuchsiaroute.ids import ModelId
 from fuchsiaroute.lifecycle import Outcome
 from fuchsiaroute.platform import EventId
 from fuchsiaroute.pool import Reservation
 
-#: Time for which two endpoints work on one stream. Beyond it, the work counts as done
+#: Time for which two endpoints work on one request. Beyond it, the work counts as done
 #: twice.
 MAX_OVERLAP = Milliseconds(250)
 MILLISECONDS_PER_SECOND = 1_000
@@ -20,55 +22,72 @@
 _Attempt = asyncio.Task[OpenResponse | AttemptFailure | NoReservation]
 
 
-class Silence(Enum):
-    """What becomes of a silent stream that no other endpoint goes on with."""
+class Attempts(Protocol):
+    """The part of ``AttemptRunner`` that runs and compares attempts."""
 
-    #: Its endpoint may go on with it.
-    KEPT = "kept"
-    #: Its run was ended; no endpoint works on it.
-    GIVEN_UP = "given-up"
+    async def attempt(
+        self,
+        call: Call,
+        *,
+        model: ModelId | None,
+        resume_after: EventId | None = None,
+        is_resumption: bool = False,
+        max_silence: Milliseconds | None = None,
+        before_send: Callable[[Reservation], None],
+    ) -> OpenResponse | AttemptFailure | NoReservation:
+        """Reserve an endpoint and send the request to it."""
+        ...
+
+    def is_rather_alive(
+        self, call: Call, reservation: Reservation, silent: Endpoint
+    ) -> bool:
+        """Return whether a reserved endpoint is preferable to a silent one."""
+        ...
 
 
 class StandbyRunner:
     """
-    Sends the rest of a silent stream to another endpoint beside its present run.
+    Sends a request whose endpoint is silent to another one beside its present run.
 
     The present run is ended only once the other endpoint answers, or is more likely to
-    be alive. Ended any sooner, the stream is lost if the other endpoint is silent, full
+    be alive. Ended any sooner, the answer is lost if the other endpoint is silent, full
     or failing as well.
     """
 
-    def __init__(self, runner: AttemptRunner) -> None:
-        self._runner = runner
+    def __init__(self, attempts: Attempts) -> None:
+        self._attempts = attempts
 
     async def replace(
         self,
         call: Call,
-        silent: OpenResponse,
+        silent: Endpoint,
         *,
-        resume_after: EventId | None,
+        bytes_arrive: Coroutine[Any, Any, object],
+        model: ModelId | None,
         max_silence: Milliseconds,
         give_up: Callable[[], None],
+        resume_after: EventId | None = None,
+        is_resumption: bool = False,
     ) -> OpenResponse | Silence:
         """
-        Return the successful response of another endpoint that goes on, if any.
+        Return the successful response of another endpoint that takes over, if any.
 
-        An endpoint that has been silent for ``max_silence`` does not get the stream.
-        ``give_up`` is called to end the run of ``silent``; it is unless ``KEPT`` is
-        returned.
+        ``bytes_arrive`` ends when the silent endpoint sends something. An endpoint that
+        has been silent for ``max_silence`` does not get the request. ``give_up`` is
+        called to end the present run; it is unless ``KEPT`` is returned.
         """
         reserved: list[Reservation] = []
         attempt: _Attempt = asyncio.create_task(
-            self._runner.attempt(
+            self._attempts.attempt(
                 call,
-                model=silent.model,
+                model=model,
                 resume_after=resume_after,
-                is_resumption=True,
+                is_resumption=is_resumption,
                 max_silence=max_silence,
                 before_send=reserved.append,
             )
         )
-        data = asyncio.create_task(silent.wait_readable())
+        data = asyncio.create_task(bytes_arrive)
         is_given_up = False
         try:
             await asyncio.wait(
@@ -90,7 +109,7 @@
             _end(attempt)
             raise
         finally:
-            data.cancel()
+            _end(data)
         if isinstance(result, OpenResponse):
             if result.is_success:
                 if not is_given_up:
@@ -100,25 +119,25 @@
         return Silence.GIVEN_UP if is_given_up else Silence.KEPT
 
     def _is_rather_alive(
-        self, call: Call, reserved: list[Reservation], silent: OpenResponse
+        self, call: Call, reserved: list[Reservation], silent: Endpoint
     ) -> bool:
         """Return whether the endpoint of the attempt, if any, is preferable."""
         for reservation in reserved:
-            if self._runner.is_rather_alive(call, reservation, silent):
+            if self._attempts.is_rather_alive(call, reservation, silent):
                 return True
             reservation.record_silence()
         return False
 
 
-def _end(attempt: _Attempt) -> None:
-    """End an attempt whose response is not needed."""
-    attempt.cancel()
-    attempt.add_done_callback(_close_response)
+def _end(task: asyncio.Task[Any]) -> None:
+    """End a task whose result is not needed."""
+    task.cancel()
+    task.add_done_callback(_close_response)
 
 
-def _close_response(attempt: _Attempt) -> None:
-    if attempt.cancelled():
+def _close_response(task: asyncio.Task[Any]) -> None:
+    # An error of the silent run is raised again where its answer is read.
+    if task.cancelled() or task.exception() is not None:
         return
-    result = attempt.result()
-    if isinstance(result, OpenResponse):
-        result.close(Outcome.CANCELLED)
+    if isinstance(task.result(), OpenResponse):
+        task.result().close(Outcome.CANCELLED)
--- a/fuchsiaroute/forwarding/_stream_relay.py
+++ b/fuchsiaroute/forwarding/_stream_relay.py
@@ -5,15 +5,20 @@
 
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.confidence import Answer, ConfidenceUnknown, is_weak
-from fuchsiaroute.forwarding._attempt_runner import AttemptRunner, NoReservation
+from fuchsiaroute.forwarding._attempt_runner import AttemptRunner
 from fuchsiaroute.forwarding._buffered_relay import MAX_BODY_BYTES
 from fuchsiaroute.forwarding._call import Call
 from fuchsiaroute.forwarding._endpoint_client import AttemptFailure, OpenResponse
 from fuchsiaroute.forwarding._event_pace import EventPace
 from fuchsiaroute.forwarding._events import EventSplitter, EventTooLongError
 from fuchsiaroute.forwarding._model_choice import ModelChoice
-from fuchsiaroute.forwarding._result import CallResult, Ending, refused_result
-from fuchsiaroute.forwarding._standby import Silence, StandbyRunner
+from fuchsiaroute.forwarding._result import (
+    CallResult,
+    Ending,
+    NoReservation,
+    Silence,
+    refused_result,
+)
 from fuchsiaroute.http1 import ExchangeError
 from fuchsiaroute.ids import ModelId
 from fuchsiaroute.lifecycle import Outcome
@@ -29,9 +34,6 @@
 #: Share of the route's maximum event gap after which an idle stream is resumed at
 #: another endpoint; the rest is left for that endpoint's first event.
 IDLE_TIMEOUT_SHARE = 0.7
-#: Share of that time for which another endpoint may have been silent to be preferred:
-#: endpoints that fall silent together are found silent one after the other.
-MAX_SILENCE_SHARE = 0.5
 #: Interval between two attempts to get an endpoint for the rest of a stream.
 RESUME_RETRY_INTERVAL = Milliseconds(50)
 MILLISECONDS_PER_SECOND = 1_000
@@ -74,7 +76,6 @@
         log: LineLog,
     ) -> None:
         self._runner = runner
-        self._standby = StandbyRunner(runner)
         self._choice = choice
         self._clock = clock
         self._log = log
@@ -293,15 +294,14 @@
         if state.fallback is not None:
             self._give_up(call, state, Outcome.SILENT, _SILENCE)
             return await self._resume(call, state, _SILENCE)
-        call.excluded.add(state.response.reservation.endpoint.id)
-        state.response.reservation.record_silence()
-        if not self._runner.may_retry(call):
-            return True
-        result = await self._standby.replace(
+        result = await self._runner.replace_silent(
             call,
-            state.response,
+            state.response.reservation,
+            bytes_arrive=state.response.wait_readable(),
+            model=state.response.model,
             resume_after=_last_event_id(state),
-            max_silence=Milliseconds(round(self._idle_limit(call) * MAX_SILENCE_SHARE)),
+            is_resumption=True,
+            silence=Milliseconds(round(self._idle_limit(call))),
             give_up=lambda: self._give_up(call, state, Outcome.SILENT, _SILENCE),
         )
         if isinstance(result, OpenResponse):
--- a/fuchsiaroute/forwarding/tests/test_stream_relay.py
+++ b/fuchsiaroute/forwarding/tests/test_stream_relay.py
@@ -11,10 +11,9 @@
 
 from fuchsiaroute.clock import ManualClock, Milliseconds
 from fuchsiaroute.forwarding import CascadeTimes, ModelChoice, StreamRelay
-from fuchsiaroute.forwarding._attempt_runner import NoReservation
 from fuchsiaroute.forwarding._endpoint_client import AttemptFailure, OpenResponse
 from fuchsiaroute.forwarding._events import MAX_STREAM_BYTES
-from fuchsiaroute.forwarding._result import CallResult, Ending
+from fuchsiaroute.forwarding._result import CallResult, Ending, NoReservation
 from fuchsiaroute.http1 import ExchangeError
 from fuchsiaroute.lifecycle import Outcome
 from fuchsiaroute.linelog import LineLog
