Quarantine: failing test of a crash that several connections show at different times

Its trace, ms of the steady clock: the third crash ended four requests at two instances, three of them at 811051 and the others, with the one that causes it, at 811056. At 811204 only reports of 811054 and before were old enough to count: three crashes for a sound request, two for the cause, and the sound one was quarantined for 10 min.

The cases let a crash be noticed under one subject 1, 5 or 20 ms before another one: all fail.

--- a/fuchsiaroute/quarantine/tests/test_requests.py
+++ b/fuchsiaroute/quarantine/tests/test_requests.py
@@ -31,6 +31,7 @@
 
 BAD, SOUND = key(), key(body=b"y")
 (PART,) = part_keys(["part"])
+(OTHER_PART,) = part_keys(["other"])
 
 
 @pytest.mark.parametrize(
@@ -173,6 +174,26 @@
     assert instance.is_refused(SOUND, PART)
 
 
+@pytest.mark.parametrize(
+    "pair", [(BAD, SOUND), (PART, OTHER_PART)], ids=["requests", "parts"]
+)
+@pytest.mark.parametrize("delay", [1, 5, 20])
+def test_crash_noticed_at_different_times_counts_for_all_or_none(
+    pair: tuple[SubjectKey, SubjectKey], delay: int
+) -> None:
+    """Guards against refusing the request whose connection happened to end first."""
+    instance = Instance()
+    instance.quarantine.record_answer(part_keys("abcdef"))
+    for number in range(3):
+        for subject in pair:
+            instance.crash(subject, endpoint=f"e{number}")
+            instance.clock.tick(Milliseconds(delay))
+        for _ in range(300):
+            instance.wait(1)
+            assert not any(map(instance.is_refused, pair))
+        instance.wait(2_000)
+
+
 @pytest.mark.parametrize("is_cleared", [False, True])
 def test_quarantine_from_the_store_or_a_peer(is_cleared: bool) -> None:
     instance = Instance()
