Quarantine: a crash counts against a subject only as far as it is known of the others

An endpoint's crash ends its connections within some milliseconds, at several instances, and each report counted by itself once it was 150 ms old. For those milliseconds the crash counted against one sound request or prompt part and not against the cause, so the one noticed first was quarantined. A subject's settled crashes are now compared with all crashes of the others.

--- a/fuchsiaroute/quarantine/_quarantine.py
+++ b/fuchsiaroute/quarantine/_quarantine.py
@@ -390,12 +390,13 @@
     def _evaluate(self) -> None:
         """Quarantine the subjects with enough evidence."""
         until = Milliseconds(self._clock.now() - SETTLE_TIME)
-        counts = {
-            subject: suspect.count(until=until)
-            for subject, suspect in self._suspects.items()
-            if _may_be_bad(suspect)
-        }
-        bad = [subject for subject in counts if self._is_bad(subject, counts)]
+        suspects = [item for item in self._suspects.values() if _may_be_bad(item)]
+        counts = {suspect.subject: suspect.count() for suspect in suspects}
+        bad = [
+            suspect.subject
+            for suspect in suspects
+            if self._is_bad(suspect.subject, suspect.count(until=until), counts)
+        ]
         companions = {subject: self._companions(subject) for subject in bad}
         for subject in bad:
             suspect = self._suspects[subject]
@@ -404,9 +405,16 @@
             self._quarantine(suspect, at=at, source="own evidence")
             self._on_change(subject, at)
 
-    def _is_bad(self, subject: SubjectKey, counts: dict[SubjectKey, int]) -> bool:
-        """Return whether ``counts`` of crashes by subject show that it is the cause."""
-        count = counts[subject]
+    def _is_bad(
+        self, subject: SubjectKey, count: int, counts: dict[SubjectKey, int]
+    ) -> bool:
+        """
+        Return whether ``count`` settled crashes show that a subject is the cause.
+
+        ``counts`` holds the crashes by subject, with those that are not settled: the
+        reports of one crash arrive within some milliseconds, and one of another subject
+        must not count before the rest.
+        """
         if self._suspects[subject].state is SubjectState.RELEASED:
             return count > 0
         # A part and a request with it do not compete: both may be refused.
