Test harness: each process has a seed of its own

All processes of a test had Random(1), so two instances could give one id to two crashes under a request, and one of the two was dropped as already known.

--- a/fuchsiaroute/platform/tests/node_harness.py
+++ b/fuchsiaroute/platform/tests/node_harness.py
@@ -80,6 +80,9 @@
     "Tenants": [{"Name": "org", "ApiKeys": ["key"], "Priority": 1}],
 }
 
+#: Seeds of the processes. With equal ones, two could give the same id to two crashes.
+_next_seed = itertools.count(1)
+
 
 @dataclass
 class Reply:
@@ -227,7 +230,8 @@
         settings = parse_node_settings(self.settings_text)
         clock = self._clock
         log = LineLog(clock=clock, instance=self.name, write=self._write)
-        self.node = Node(settings, clock=clock, log=log, random=Random(1))
+        random = Random(next(_next_seed))
+        self.node = Node(settings, clock=clock, log=log, random=random)
         self.node_task = asyncio.create_task(self.node.run())
         if self._configuration is not None:
             await self.until(lambda: self.node._parts.is_ready())
