Quarantine: failing test of requests whose turns coincide

Requests in the same crashes are sent in turns by a bit of their keys. Two keys have each bit in common with probability one half, so a sound request can stay beside the cause up to the sixth crash, and is then refused with it for 10 min.

--- a/fuchsiaroute/quarantine/tests/test_requests.py
+++ b/fuchsiaroute/quarantine/tests/test_requests.py
@@ -232,6 +232,37 @@
     assert all(count > 0 for count in sent.values())
 
 
+@pytest.mark.parametrize("sound_count", [1, 3, 7])
+@pytest.mark.parametrize("restart_time", [1_100, 2_100])
+def test_turns_tell_the_crashing_request_from_sound_ones(
+    sound_count: int, restart_time: int
+) -> None:
+    """Requests are repeated at the one endpoint of a service, one of them crashes it."""
+    for case in range(200):
+        instance = Instance()
+        bad, *sound = [key(body=b"%d %d" % (case, n)) for n in range(sound_count + 1)]
+        crashes = 0
+        end = instance.clock.now() + 20_000
+        while instance.clock.now() < end:
+            sent = [
+                request
+                for request in (bad, *sound)
+                if not instance.is_refused(request)
+                and not instance.quarantine.is_held_back(request)
+            ]
+            if bad in sent:
+                crashes += 1
+                for request in sent:
+                    instance.crash(request)
+                instance.wait(restart_time)
+            else:
+                instance.quarantine.record_answer(sent)
+                instance.wait(100)
+        assert instance.is_refused(bad)
+        assert crashes <= 6
+        assert not any(map(instance.is_refused, sound))
+
+
 def test_request_without_others_in_its_crashes_does_not_wait() -> None:
     instance = Instance()
     for number, request in enumerate((BAD, SOUND)):
