Quarantine: turns by digits of the requests' numbers

Requests in the same crashes are numbered by their keys, and each turn sends those with one value of one binary digit, and then the others. Any two are in different turns for one digit in bit_length(count - 1), in place of by chance; the turn is counted from the latest crash of all of them, so that it is the same for each.

Measured: the six cases pass.

--- a/fuchsiaroute/quarantine/_quarantine.py
+++ b/fuchsiaroute/quarantine/_quarantine.py
@@ -38,8 +38,6 @@
 CRASHES_UNTIL_TURNS = 2
 #: Length of a turn. An endpoint answers within it, or is down for longer.
 TURN_TIME = Milliseconds(1_000)
-#: Bits of a request's key that decide on its turns.
-_TURN_BITS = 60
 #: Age from which a crash counts: the reports of other instances, whose requests it has
 #: broken as well, have arrived.
 SETTLE_TIME = Milliseconds(150)
@@ -173,24 +171,32 @@
         Return whether a request waits for its turn, as others were in its crashes.
 
         Sent together, the sound ones among them would be in the next crash as well. In
-        each turn about half of them are sent, by a bit of their keys, so that a sound
-        one is soon answered in a turn without the one that crashes endpoints.
+        each turn about half of them are sent, so that a sound one is soon answered in a
+        turn without the one that crashes endpoints. They are numbered, and sent by one
+        binary digit of their numbers: within two turns for each digit, each of them is
+        sent without each other one.
         """
         suspect = self._suspects.get(subject)
         if suspect is None or not _takes_turns(suspect):
             return False
-        has_rival = any(
-            name != subject
-            and is_request(name)
-            and _takes_turns(other)
-            and self._shares_crash(name, subject)
+        group = sorted(
+            name
             for name, other in self._suspects.items()
+            if name == subject
+            or (
+                is_request(name)
+                and _takes_turns(other)
+                and self._shares_crash(name, subject)
+            )
         )
-        if not has_rival:
+        if len(group) == 1:
             return False
-        latest = max(item.at for item in suspect.crashes.values())
-        turn = (self._clock.now() - latest) // TURN_TIME + len(suspect.crashes)
-        return bool(abs(subject) >> turn % _TURN_BITS & 1)
+        crashes = [self._suspects[name].crashes.values() for name in group]
+        latest = max(item.at for items in crashes for item in items)
+        turn = (self._clock.now() - latest) // TURN_TIME + max(map(len, crashes))
+        digit, is_second_half = divmod(turn, 2)
+        digit %= (len(group) - 1).bit_length()
+        return bool(group.index(subject) >> digit & 1) is not bool(is_second_half)
 
     def record_crash(
         self,
--- a/fuchsiaroute/quarantine/tests/test_requests.py
+++ b/fuchsiaroute/quarantine/tests/test_requests.py
@@ -237,7 +237,7 @@
 def test_turns_tell_the_crashing_request_from_sound_ones(
     sound_count: int, restart_time: int
 ) -> None:
-    """Requests are repeated at the one endpoint of a service, one of them crashes it."""
+    """Requests are repeated at a service with one endpoint; one of them crashes it."""
     for case in range(200):
         instance = Instance()
         bad, *sound = [key(body=b"%d %d" % (case, n)) for n in range(sound_count + 1)]
