--- a/fuchsiaroute/quarantine/tests/test_requests.py
+++ b/fuchsiaroute/quarantine/tests/test_requests.py
@@ -31,6 +31,7 @@
 
 BAD, SOUND = key(), key(body=b"y")
 (PART,) = part_keys(["part"])
+(OTHER_PART,) = part_keys(["other"])
 
 
 @pytest.mark.parametrize(
@@ -173,6 +174,26 @@
     assert instance.is_refused(SOUND, PART)
 
 
+@pytest.mark.parametrize(
+    "pair", [(BAD, SOUND), (PART, OTHER_PART)], ids=["requests", "parts"]
+)
+@pytest.mark.parametrize("delay", [1, 5, 20])
+def test_crash_noticed_at_different_times_counts_for_all_or_none(
+    pair: tuple[SubjectKey, SubjectKey], delay: int
+) -> None:
+    """Guards against refusing the request whose connection happened to end first."""
+    instance = Instance()
+    instance.quarantine.record_answer(part_keys("abcdef"))
+    for number in range(3):
+        for subject in pair:
+            instance.crash(subject, endpoint=f"e{number}")
+            instance.clock.tick(Milliseconds(delay))
+        for _ in range(300):
+            instance.wait(1)
+            assert not any(map(instance.is_refused, pair))
+        instance.wait(2_000)
+
+
 @pytest.mark.parametrize("is_cleared", [False, True])
 def test_quarantine_from_the_store_or_a_peer(is_cleared: bool) -> None:
     instance = Instance()
@@ -211,6 +232,37 @@
     assert all(count > 0 for count in sent.values())
 
 
+@pytest.mark.parametrize("sound_count", [1, 3, 7])
+@pytest.mark.parametrize("restart_time", [1_100, 2_100])
+def test_turns_tell_the_crashing_request_from_sound_ones(
+    sound_count: int, restart_time: int
+) -> None:
+    """Requests are repeated at a service with one endpoint; one of them crashes it."""
+    for case in range(200):
+        instance = Instance()
+        bad, *sound = [key(body=b"%d %d" % (case, n)) for n in range(sound_count + 1)]
+        crashes = 0
+        end = instance.clock.now() + 20_000
+        while instance.clock.now() < end:
+            sent = [
+                request
+                for request in (bad, *sound)
+                if not instance.is_refused(request)
+                and not instance.quarantine.is_held_back(request)
+            ]
+            if bad in sent:
+                crashes += 1
+                for request in sent:
+                    instance.crash(request)
+                instance.wait(restart_time)
+            else:
+                instance.quarantine.record_answer(sent)
+                instance.wait(100)
+        assert instance.is_refused(bad)
+        assert crashes <= 6
+        assert not any(map(instance.is_refused, sound))
+
+
 def test_request_without_others_in_its_crashes_does_not_wait() -> None:
     instance = Instance()
     for number, request in enumerate((BAD, SOUND)):
