Quarantine: subjects and the judgement of their crashes in modules of their own

Judgement reads the evidence and changes none; Suspect and SubjectReport are data. No decision changes: the tests of quarantine/ and of repeated requests and prompt parts pass unchanged.

--- a/fuchsiaroute/quarantine/__init__.py
+++ b/fuchsiaroute/quarantine/__init__.py
@@ -7,12 +7,9 @@
     part_keys,
     request_key,
 )
-from fuchsiaroute.quarantine._quarantine import (
-    QUARANTINE_TIME,
-    SETTLE_TIME,
-    Quarantine,
-    SubjectReport,
-)
+from fuchsiaroute.quarantine._judgement import SETTLE_TIME
+from fuchsiaroute.quarantine._quarantine import QUARANTINE_TIME, Quarantine
+from fuchsiaroute.quarantine._subjects import SubjectReport
 
 __all__ = [
     "QUARANTINE_TIME",
--- a/fuchsiaroute/quarantine/_quarantine.py
+++ b/fuchsiaroute/quarantine/_quarantine.py
@@ -1,8 +1,6 @@
 """Decides from crashes and answers which prompt parts and requests are refused."""
 
 from collections.abc import Callable, Collection, Iterable, Sequence
-from dataclasses import dataclass, field
-from enum import Enum
 from random import Random
 
 from fuchsiaroute.clock import Clock, Milliseconds
@@ -14,36 +12,12 @@
     CrashId,
     CrashReport,
     SubjectKey,
-    independent_crashes,
-    independent_request_crashes,
     is_request,
     is_same_crash,
 )
+from fuchsiaroute.quarantine._judgement import Judgement
+from fuchsiaroute.quarantine._subjects import SubjectReport, SubjectState, Suspect
 
-#: Independent crashes under a subject that was never answered, after which it is
-#: quarantined if no other such subject was in as many.
-CRASHES_UNTIL_QUARANTINE = 3
-#: The same for a part if another one was in as many, but not the same crashes.
-CRASHES_UNTIL_ALL_QUARANTINED = 4
-#: The same for a request. Requests in the same crashes are sent in turns, so that more
-#: crashes tell them apart.
-CRASHES_UNTIL_ALL_REQUESTS_QUARANTINED = 6
-#: The same for a subject that was answered before the crashes and not since. Endpoints
-#: can crash so fast after each other that no request with a common part is answered.
-CRASHES_OF_ANSWERED = 6
-#: Crashes after which a failed request, or one with a part that was never answered, is
-#: not sent again: the next one decides.
-CRASHES_UNTIL_NO_RETRY = 2
-#: Crashes from which requests in the same ones are sent in turns.
-CRASHES_UNTIL_TURNS = 2
-#: Length of a turn. An endpoint answers within it, or is down for longer.
-TURN_TIME = Milliseconds(1_000)
-#: Age from which a crash counts: the reports of other instances, whose requests it has
-#: broken as well, have arrived.
-SETTLE_TIME = Milliseconds(150)
-#: Parts of which answers are known without which crashes say nothing of a part that was
-#: never answered.
-MIN_ANSWERED_PARTS = 5
 #: Time for which a crash is evidence, and an answer is remembered against it.
 EVIDENCE_TIME = Milliseconds(60_000)
 #: Time for which a part is quarantined. One crash within the same time afterwards
@@ -59,51 +33,6 @@
 RECENT_REPORT_TIME = Milliseconds(10_000)
 
 
-class SubjectState(Enum):
-    """What is known of a subject."""
-
-    #: Endpoints have crashed under it.
-    SUSPECT = "suspect"
-    #: No endpoint gets it.
-    QUARANTINED = "quarantined"
-    #: Its quarantine has ended, and no answer has cleared it.
-    RELEASED = "released"
-
-
-@dataclass(frozen=True)
-class SubjectReport:
-    """When something was last known of a subject, for peers."""
-
-    subject: SubjectKey
-    at: Milliseconds
-    #: Of a quarantined part: see ``_Suspect.companions``.
-    companions: frozenset[SubjectKey] = frozenset()
-
-
-@dataclass(slots=True)
-class _Suspect:
-    subject: SubjectKey
-    state: SubjectState = SubjectState.SUSPECT
-    crashes: dict[CrashId, CrashReport] = field(default_factory=dict)
-    #: Start of the quarantine.
-    since: Milliseconds = Milliseconds(0)
-    #: Other parts that were in all crashes of a quarantined part and were never
-    #: answered. Requests without one of them are served: their answers show which part
-    #: is the cause.
-    companions: frozenset[SubjectKey] = frozenset()
-
-    def count(self, *, until: Milliseconds | None = None) -> int:
-        """Return the independent crashes, those up to ``until`` if it is given."""
-        count = (
-            independent_request_crashes
-            if is_request(self.subject)
-            else independent_crashes
-        )
-        return count(
-            item for item in self.crashes.values() if until is None or item.at <= until
-        )
-
-
 class Quarantine:
     """
     Crashes under requests without an answer, and answers, by subject.
@@ -135,9 +64,10 @@
         self._log = log
         self._on_change = on_change
         self._on_crash = on_crash
-        self._suspects: dict[SubjectKey, _Suspect] = {}
+        self._suspects: dict[SubjectKey, Suspect] = {}
         #: A subject that is not in it counts as never answered.
         self._answered = AnswerTimes()
+        self._judgement = Judgement(self._suspects, self._answered, clock=clock)
         #: Suspected subjects that an answer has cleared, with the time of the clearing.
         self._cleared: dict[SubjectKey, Milliseconds] = {}
 
@@ -159,7 +89,9 @@
     def may_retry(self, subjects: frozenset[SubjectKey]) -> bool:
         """Return whether a failed request with ``subjects`` may be sent again."""
         suspects = subjects & self._suspects.keys()
-        return not any(self._blocks_retry(subject, subjects) for subject in suspects)
+        return not any(
+            self._judgement.blocks_retry(subject, subjects) for subject in suspects
+        )
 
     def has_crashes(self, subject: SubjectKey) -> bool:
         """Return whether an endpoint has crashed under a subject without an answer."""
@@ -167,36 +99,8 @@
         return suspect is not None and bool(suspect.crashes)
 
     def is_held_back(self, subject: SubjectKey) -> bool:
-        """
-        Return whether a request waits for its turn, as others were in its crashes.
-
-        Sent together, the sound ones among them would be in the next crash as well. In
-        each turn about half of them are sent, so that a sound one is soon answered in a
-        turn without the one that crashes endpoints. They are numbered, and sent by one
-        binary digit of their numbers: within two turns for each digit, each of them is
-        sent without each other one.
-        """
-        suspect = self._suspects.get(subject)
-        if suspect is None or not _takes_turns(suspect):
-            return False
-        group = sorted(
-            name
-            for name, other in self._suspects.items()
-            if name == subject
-            or (
-                is_request(name)
-                and _takes_turns(other)
-                and self._shares_crash(name, subject)
-            )
-        )
-        if len(group) == 1:
-            return False
-        crashes = [self._suspects[name].crashes.values() for name in group]
-        latest = max(item.at for items in crashes for item in items)
-        turn = (self._clock.now() - latest) // TURN_TIME + max(map(len, crashes))
-        digit, is_second_half = divmod(turn, 2)
-        digit %= (len(group) - 1).bit_length()
-        return bool(group.index(subject) >> digit & 1) is not bool(is_second_half)
+        """Return whether a request waits for its turn; see ``Judgement``."""
+        return self._judgement.is_held_back(subject)
 
     def record_crash(
         self,
@@ -265,7 +169,7 @@
         companions = frozenset(
             name for name in report.companions if not self._is_cleared(name, report.at)
         )
-        suspect = self._suspects.setdefault(subject, _Suspect(subject))
+        suspect = self._suspects.setdefault(subject, Suspect(subject))
         if suspect.state is not SubjectState.QUARANTINED:
             suspect.companions = companions
             self._quarantine(suspect, at=report.at, source=source)
@@ -324,7 +228,7 @@
             return False
         suspect = self._suspects.get(report.subject)
         if suspect is None:
-            suspect = _Suspect(report.subject)
+            suspect = Suspect(report.subject)
             self._suspects[report.subject] = suspect
             self._trim()
         is_new = report.id not in suspect.crashes
@@ -383,27 +287,10 @@
                 if not any(_explains(cause, item) for cause in causes)
             }
 
-    def _blocks_retry(
-        self, subject: SubjectKey, subjects: frozenset[SubjectKey]
-    ) -> bool:
-        suspect = self._suspects[subject]
-        if suspect.state is not SubjectState.SUSPECT:
-            return suspect.companions <= subjects
-        if subject in self._answered and not is_request(subject):
-            return False
-        return suspect.count() >= CRASHES_UNTIL_NO_RETRY
-
     def _evaluate(self) -> None:
         """Quarantine the subjects with enough evidence."""
-        until = Milliseconds(self._clock.now() - SETTLE_TIME)
-        suspects = [item for item in self._suspects.values() if _may_be_bad(item)]
-        counts = {suspect.subject: suspect.count() for suspect in suspects}
-        bad = [
-            suspect.subject
-            for suspect in suspects
-            if self._is_bad(suspect.subject, suspect.count(until=until), counts)
-        ]
-        companions = {subject: self._companions(subject) for subject in bad}
+        bad = self._judgement.bad_subjects()
+        companions = {subject: self._judgement.companions(subject) for subject in bad}
         for subject in bad:
             suspect = self._suspects[subject]
             suspect.companions = companions[subject]
@@ -411,76 +298,6 @@
             self._quarantine(suspect, at=at, source="own evidence")
             self._on_change(subject, at)
 
-    def _is_bad(
-        self, subject: SubjectKey, count: int, counts: dict[SubjectKey, int]
-    ) -> bool:
-        """
-        Return whether ``count`` settled crashes show that a subject is the cause.
-
-        ``counts`` holds the crashes by subject, with those that are not settled: the
-        reports of one crash arrive within some milliseconds, and one of another subject
-        must not count before the rest.
-        """
-        if self._suspects[subject].state is SubjectState.RELEASED:
-            return count > 0
-        # A part and a request with it do not compete: both may be refused.
-        same_kind = {
-            name: item
-            for name, item in counts.items()
-            if name != subject and is_request(name) == is_request(subject)
-        }
-        if subject in self._answered:
-            rivals = [
-                item
-                for name, item in same_kind.items()
-                if self._competes(name, subject)
-            ]
-            return count >= CRASHES_OF_ANSWERED and count > max(rivals, default=0)
-        if not is_request(subject) and self._answered.part_count < MIN_ANSWERED_PARTS:
-            return False
-        companions = self._companions(subject)
-        others = [
-            item
-            for name, item in same_kind.items()
-            if name not in companions
-            and name not in self._answered
-            and self._competes(name, subject)
-        ]
-        highest = max(others, default=0)
-        if count < highest:
-            return False
-        if count > highest:
-            return count >= CRASHES_UNTIL_QUARANTINE
-        if is_request(subject):
-            return count >= CRASHES_UNTIL_ALL_REQUESTS_QUARANTINED
-        return count >= CRASHES_UNTIL_ALL_QUARANTINED
-
-    def _competes(self, name: SubjectKey, subject: SubjectKey) -> bool:
-        """Return whether another subject may be the cause of the crashes of one."""
-        return not is_request(subject) or self._shares_crash(name, subject)
-
-    def _shares_crash(self, name: SubjectKey, subject: SubjectKey) -> bool:
-        """Return whether two subjects were in one crash."""
-        return any(
-            is_same_crash(one, other)
-            for one in self._suspects[name].crashes.values()
-            for other in self._suspects[subject].crashes.values()
-        )
-
-    def _companions(self, subject: SubjectKey) -> frozenset[SubjectKey]:
-        """Return the parts that were in all crashes of a part and never answered."""
-        if is_request(subject):
-            return frozenset()
-        crashes = self._suspects[subject].crashes.keys()
-        return frozenset(
-            name
-            for name, other in self._suspects.items()
-            if name != subject
-            and not is_request(name)
-            and name not in self._answered
-            and crashes <= other.crashes.keys()
-        )
-
     def _drop_companion(self, cleared: SubjectKey, at: Milliseconds) -> None:
         """Refuse requests also without a part that was answered at ``at``."""
         for subject, suspect in self._suspects.items():
@@ -488,7 +305,7 @@
                 suspect.companions -= {cleared}
                 self._on_change(subject, suspect.since)
 
-    def _quarantine(self, suspect: _Suspect, *, at: Milliseconds, source: str) -> None:
+    def _quarantine(self, suspect: Suspect, *, at: Milliseconds, source: str) -> None:
         suspect.state = SubjectState.QUARANTINED
         suspect.since = at
         self._write(
@@ -518,19 +335,6 @@
             del self._suspects[next(weakest, oldest)]
 
 
-def _may_be_bad(suspect: _Suspect) -> bool:
-    """Return whether a subject has enough crashes for a closer look."""
-    if suspect.state is SubjectState.SUSPECT:
-        return len(suspect.crashes) >= CRASHES_UNTIL_QUARANTINE
-    return suspect.state is SubjectState.RELEASED
-
-
-def _takes_turns(suspect: _Suspect) -> bool:
-    """Return whether a request is sent in turns with others in the same crashes."""
-    is_suspect = suspect.state is SubjectState.SUSPECT
-    return is_suspect and len(suspect.crashes) >= CRASHES_UNTIL_TURNS
-
-
 def _explains(cause: CrashReport, crash: CrashReport) -> bool:
     """
     Return whether a crash of a quarantined subject is also the other one.
