HTTP connections: opening and socket options in modules of their own

Connections to endpoints that a peer carries need the same timeout, errors and socket options. Also a way to take no further request on a connection after the exchange in progress. Behaviour of direct connections is unchanged; the tests of http1 pass.

--- a/fuchsiaroute/http1/__init__.py
+++ b/fuchsiaroute/http1/__init__.py
@@ -7,6 +7,7 @@
     ResponseHead,
     connect,
 )
+from fuchsiaroute.http1._connecting import connect_protocol
 from fuchsiaroute.http1._exceptions import (
     BrokenResponseError,
     ConnectError,
@@ -29,6 +30,7 @@
     ServerConnection,
     ServerLimits,
 )
+from fuchsiaroute.http1._socket_options import DeadPathDetection
 
 __all__ = [
     "BodyBudget",
@@ -36,6 +38,7 @@
     "ClientConnection",
     "ConnectError",
     "ConnectionState",
+    "DeadPathDetection",
     "ExchangeError",
     "Handler",
     "Headers",
@@ -48,6 +51,7 @@
     "ServerConnection",
     "ServerLimits",
     "connect",
+    "connect_protocol",
     "encode_request",
     "encode_response_head",
     "end_to_end_headers",
--- a/fuchsiaroute/http1/_client.py
+++ b/fuchsiaroute/http1/_client.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import re
-import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -11,30 +10,14 @@
 import httptools
 
 from fuchsiaroute.clock import Clock, Milliseconds
-from fuchsiaroute.http1._exceptions import (
-    BrokenResponseError,
-    ConnectError,
-    NobodyListensError,
-)
+from fuchsiaroute.http1._connecting import connect_protocol
+from fuchsiaroute.http1._exceptions import BrokenResponseError, ConnectError
 from fuchsiaroute.http1._messages import Headers, find_header
+from fuchsiaroute.http1._socket_options import DeadPathDetection
 
 #: Buffered bytes of a response above which reading from the socket is paused.
 HIGH_WATER_BYTES = 256 * 1024
-#: TCP keepalive: idle time before the first probe, interval between probes, and number
-#: of unanswered probes after which the kernel closes the connection. A broken network
-#: path is detected within 3 s.
-KEEPALIVE_IDLE_SECONDS = 1
-KEEPALIVE_INTERVAL_SECONDS = 1
-KEEPALIVE_PROBES = 2
 MILLISECONDS_PER_SECOND = 1_000
-#: Time for which sent bytes may stay unacknowledged, and bytes may wait for the peer's
-#: receive window, before the kernel closes the connection.
-DEAD_PATH_TIMEOUT = Milliseconds(
-    (KEEPALIVE_IDLE_SECONDS + KEEPALIVE_INTERVAL_SECONDS * KEEPALIVE_PROBES)
-    * MILLISECONDS_PER_SECOND
-)
-#: Stands for the kernel's own limit, which counts no time in which the peer answers.
-_NO_TIMEOUT = Milliseconds(0)
 #: Bytes of a response that are not its body: interim responses, head, trailers.
 MAX_OVERHEAD_BYTES = 64 * 1024
 #: Further bytes for each byte of the body, for the framing of chunks: one of a single
@@ -42,9 +25,6 @@
 OVERHEAD_PER_BODY_BYTE = 8
 #: Body bytes that are skipped in responses to other requests.
 MAX_SKIPPED_BYTES = 1024 * 1024
-#: Size of a request up to which it fits into the receive window of an endpoint that
-#: does not read it yet.
-MAX_WINDOW_BYTES = 32 * 1024
 _FIRST_FINAL_STATUS = 200
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
@@ -103,7 +83,6 @@
         self._keeps_open = True
         self._is_writable = True
         self._keep_alive_timeout: Milliseconds | None = None
-        self._dead_path_timeout = DEAD_PATH_TIMEOUT
         #: Monotonic time at which the latest response ended.
         self.idle_since = clock.now()
         #: Number of requests sent on this connection.
@@ -145,7 +124,7 @@
         self._buffered = 0
         self._received = self._body_bytes = self._skipped_bytes = 0
         self.request_count += 1
-        self._limit_unacknowledged_time(len(data))
+        self._dead_paths.limit_unacknowledged_time(len(data))
         self._transport.write(data)
 
     async def head(self) -> ResponseHead:
@@ -191,6 +170,12 @@
             parts.append(data)
         return ResponseBody(head=head, data=b"".join(parts))
 
+    def refuse_further_requests(self) -> None:
+        """Close the connection as soon as no exchange is in progress."""
+        self._keeps_open = False
+        if self._head is None and not self._transport.is_closing():
+            self._transport.close()
+
     def abort(self) -> None:
         """Reset the connection, which cancels the request at the endpoint."""
         if self._error is None:
@@ -202,7 +187,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options."""
         self._transport = cast(asyncio.Transport, transport)
-        _enable_keepalive(transport.get_extra_info("socket"))
+        self._dead_paths = DeadPathDetection(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
@@ -325,19 +310,6 @@
         elif self._skipped_bytes > MAX_SKIPPED_BYTES:
             self._fail(f"{self._skipped_bytes} bytes of responses to other requests")
 
-    def _limit_unacknowledged_time(self, size: int) -> None:
-        """
-        Set the time after which the kernel closes the connection while sending.
-
-        An endpoint may read a large request late. Its closed receive window would count
-        as a dead path; the request's deadline limits such a request instead.
-        """
-        timeout = DEAD_PATH_TIMEOUT if size <= MAX_WINDOW_BYTES else _NO_TIMEOUT
-        if timeout != self._dead_path_timeout:
-            self._dead_path_timeout = timeout
-            sock = self._transport.get_extra_info("socket")
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout)
-
     def _complete(self) -> None:
         if not self._is_writable:
             # The endpoint responded before it had read the whole request; the rest of
@@ -382,28 +354,6 @@
     Raises ``ConnectError``, or its subclass ``NobodyListensError`` if the connection
     is refused.
     """
-    loop = asyncio.get_running_loop()
-    try:
-        async with asyncio.timeout(within / MILLISECONDS_PER_SECOND):
-            _, protocol = await loop.create_connection(
-                lambda: ClientConnection(clock=clock), host, port
-            )
-    except TimeoutError:
-        raise ConnectError(f"no connection within {within} ms") from None
-    except ConnectionRefusedError as error:
-        raise NobodyListensError(f"connecting failed: {error}") from None
-    except OSError as error:
-        raise ConnectError(f"connecting failed: {error}") from None
-    return protocol
-
-
-def _enable_keepalive(sock: socket.socket) -> None:
-    """Let the kernel close a connection whose peer has become unreachable."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS
+    return await connect_protocol(
+        host, port, lambda: ClientConnection(clock=clock), within
     )
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, DEAD_PATH_TIMEOUT)
--- /dev/null
+++ b/fuchsiaroute/http1/_connecting.py
@@ -0,0 +1,33 @@
+"""Opening of TCP connections."""
+
+import asyncio
+from collections.abc import Callable
+from typing import TypeVar
+
+from fuchsiaroute.clock import Milliseconds
+from fuchsiaroute.http1._exceptions import ConnectError, NobodyListensError
+
+MILLISECONDS_PER_SECOND = 1_000
+_ProtocolT = TypeVar("_ProtocolT", bound=asyncio.Protocol)
+
+
+async def connect_protocol(
+    host: str, port: int, create: Callable[[], _ProtocolT], within: Milliseconds
+) -> _ProtocolT:
+    """
+    Open a connection for the protocol that ``create`` returns.
+
+    ``within`` is the timeout. Raises ``ConnectError``, or its subclass
+    ``NobodyListensError`` if the connection is refused.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(within / MILLISECONDS_PER_SECOND):
+            _, protocol = await loop.create_connection(create, host, port)
+    except TimeoutError:
+        raise ConnectError(f"no connection within {within} ms") from None
+    except ConnectionRefusedError as error:
+        raise NobodyListensError(f"connecting failed: {error}") from None
+    except OSError as error:
+        raise ConnectError(f"connecting failed: {error}") from None
+    return protocol
--- a/fuchsiaroute/http1/tests/test_client.py
+++ b/fuchsiaroute/http1/tests/test_client.py
@@ -16,7 +16,7 @@
     connect,
     find_header,
 )
-from fuchsiaroute.http1._client import DEAD_PATH_TIMEOUT
+from fuchsiaroute.http1._socket_options import DEAD_PATH_TIMEOUT
 
 OK = b"HTTP/1.1 200 OK\r\n"
 ID = b"Id: %s\r\n"
