--- a/fuchsiaroute/tunnel/tests/test_ends.py
+++ b/fuchsiaroute/tunnel/tests/test_ends.py
@@ -8,6 +8,7 @@
 from fuchsiaroute.clock import Milliseconds, SystemClock
 from fuchsiaroute.http1 import BrokenResponseError, ConnectError
 from fuchsiaroute.tunnel import open_tunnel
+from fuchsiaroute.tunnel._messages import FORMAT, OpenRequest, encode_message
 from fuchsiaroute.tunnel.tests.harness import (
     HOST,
     OK,
@@ -101,6 +102,28 @@
         is_gone.set()
 
 
+async def test_end_of_input_ends_the_run_before_unsent_bytes_are_read() -> None:
+    """Guards against a close that waits until the instance has read the answer."""
+    async with Peer() as peer, Endpoint(stream_fast) as endpoint:
+        reader, writer = await asyncio.open_connection(HOST, peer.port)
+        writer.write(
+            encode_message(
+                OpenRequest(format=FORMAT, host=HOST, port=endpoint.port, timeout=1_000)
+            )
+        )
+        await wait_until(lambda: endpoint.open == 1)
+        await reader.read(1)
+        writer.transport.pause_reading()
+        writer.write(REQUEST)
+        tunnel = next(iter(peer.server._context.tunnels))
+        await wait_until(lambda: tunnel._transport.get_write_buffer_size() > 0)
+        await asyncio.sleep(0.2)
+        writer.write_eof()
+        await wait_until(lambda: endpoint.open == 0, PROMPT_SECONDS)
+        await wait_until(lambda: peer.server.count == 0, PROMPT_SECONDS)
+        writer.transport.abort()
+
+
 async def test_idle_tunnel_is_closed() -> None:
     async with (
         Peer(idle_timeout=Milliseconds(400)) as peer,
@@ -171,6 +194,7 @@
         await asyncio.sleep(0.1)
         peer.is_draining = True
         peer.server.announce_leaving()
+        peer.server.announce_leaving()
         await asyncio.sleep(1.2)
         assert peer.server.active == 1
         may_answer.set()
--- a/fuchsiaroute/tunnel/tests/test_flow.py
+++ b/fuchsiaroute/tunnel/tests/test_flow.py
@@ -69,6 +69,7 @@
         await connection.head()
         await asyncio.sleep((DEAD_PATH_TIMEOUT + 1_500) / 1_000)
         assert sent < MAX_IN_TRANSIT_BYTES
+        assert peer.server.active == 1
         received = 0
         async with asyncio.timeout(20):
             while data := await connection.read():
--- a/fuchsiaroute/tunnel/tests/test_opening.py
+++ b/fuchsiaroute/tunnel/tests/test_opening.py
@@ -39,7 +39,7 @@
 
 
 async def never(*_: object) -> asyncio.Protocol:
-    raise AssertionError("the peer connected")
+    raise NobodyListensError("the peer tried to connect")
 
 
 async def hang(
@@ -78,15 +78,30 @@
 
 
 @pytest.mark.parametrize(
-    ("options", "prepare", "error"),
+    ("options", "prepare", "error", "reason"),
     [
-        ({"connect": refuse}, _nothing, NobodyListensError),
-        ({"connect": hang}, _nothing, PathMissingError),
-        ({"connect": hang_longer}, _nothing, PeerUnavailableError),
-        ({"connect": fail}, _nothing, PathMissingError),
-        ({"connect": never}, _forget, PathMissingError),
-        ({"connect": never}, _drain, PeerUnavailableError),
-        ({"connect": never, "max_tunnels": 0}, _nothing, PeerUnavailableError),
+        ({"connect": refuse}, _nothing, NobodyListensError, "refused: refused"),
+        ({"connect": hang}, _nothing, PathMissingError, "refused: timed out"),
+        (
+            {"connect": hang_longer},
+            _nothing,
+            PeerUnavailableError,
+            "the instance closed it",
+        ),
+        (
+            {"connect": fail},
+            _nothing,
+            PathMissingError,
+            "refused: ValueError('a fault')",
+        ),
+        ({"connect": never}, _forget, PathMissingError, "refused: unknown-endpoint"),
+        ({"connect": never}, _drain, PeerUnavailableError, "refused: draining"),
+        (
+            {"connect": never, "max_tunnels": 0},
+            _nothing,
+            PeerUnavailableError,
+            "refused: limit",
+        ),
     ],
     ids=["refused", "hangs", "peer hangs", "fault", "unknown", "draining", "limit"],
 )
@@ -94,6 +109,7 @@
     options: dict[str, object],
     prepare: Callable[[Peer], None],
     error: type[ConnectError],
+    reason: str,
 ) -> None:
     loop = asyncio.get_running_loop()
     async with Peer(**options) as peer:
@@ -105,6 +121,7 @@
         assert loop.time() - started < 1
         await wait_until(lambda: not peer.server._context.tunnels)
         assert peer.events() == ["tunnel-closed"]
+        assert peer.reasons() == [reason]
 
 
 async def test_endpoint_that_does_not_listen() -> None:
@@ -126,7 +143,6 @@
 @pytest.mark.parametrize("sent", [None, b"", b"\x00\x00"])
 async def test_peer_that_does_not_reply(sent: bytes | None) -> None:
     """``None`` closes the connection."""
-    gone = asyncio.Event()
 
     async def silent(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -135,7 +151,6 @@
             writer.write(sent)
             await reader.read(1_000)
             await reader.read()
-            gone.set()
 
     async with Endpoint(silent) as peer:
         loop = asyncio.get_running_loop()
