Tunnels: test of an end that arrives with a response that is rejected

Without the check for a closing connection the END after a head that is too long completed the failed response; the case fails on code changed so.

--- a/fuchsiaroute/tunnel/tests/test_scripted_peers.py
+++ b/fuchsiaroute/tunnel/tests/test_scripted_peers.py
@@ -6,14 +6,17 @@
 
 from fuchsiaroute.clock import SystemClock
 from fuchsiaroute.http1 import BrokenResponseError, ClientConnection
+from fuchsiaroute.http1._client import MAX_OVERHEAD_BYTES
 from fuchsiaroute.tunnel import open_tunnel
 from fuchsiaroute.tunnel._frames import Frame, FrameKind, encode_frame
 from fuchsiaroute.tunnel._messages import FORMAT, OpenReply, OpenStatus, encode_message
 from fuchsiaroute.tunnel.tests.harness import (
     HOST,
     OK,
+    REQUEST,
     WITHIN,
     Endpoint,
+    accept,
     exchange,
     wait_until,
 )
@@ -122,3 +125,22 @@
         else:
             assert await exchange(connection) == body
         await wait_until(lambda: not connection.is_open)
+
+
+async def test_end_after_a_rejected_response_does_not_complete_it() -> None:
+    """Guards against frames delivered after the connection was aborted."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.read(1_000)
+        writer.write(OPENED)
+        await reader.read()
+
+    head = OK + b"A: " + b"x" * MAX_OVERHEAD_BYTES + b"\r\n\r\n"
+    async with Endpoint(serve) as script:
+        connection = await connect_to_script(script)
+        connection.send(REQUEST, accept)
+        tunnel = connection._transport._transport.get_protocol()
+        tunnel.data_received(framed(head + b"ab") + END)
+        with pytest.raises(BrokenResponseError):
+            await connection.read_whole(limit=10)
+        await wait_until(lambda: script.open == 0)
