Forwarding: failures to connect by kind, and endpoints not reached at present

An instance that had lost its path to all endpoints wrote the same lines as one whose endpoints had ended: failures to connect were counted with all attempts that were not sent. They are now counted by kind (refused, timed out, other); endpoint:unreached and endpoint:reached name the endpoint, the kind and how many endpoints the instance does not reach; a gauge holds that number.

--- a/fuchsiaroute/forwarding/__init__.py
+++ b/fuchsiaroute/forwarding/__init__.py
@@ -3,6 +3,7 @@
 from fuchsiaroute.forwarding._attempt_runner import AttemptRunner
 from fuchsiaroute.forwarding._buffered_relay import BufferedRelay
 from fuchsiaroute.forwarding._call import Call
+from fuchsiaroute.forwarding._connect_records import ConnectRecords
 from fuchsiaroute.forwarding._connection_pool import ConnectionPool
 from fuchsiaroute.forwarding._counters import LATENCY_BOUNDS_MS, Counters
 from fuchsiaroute.forwarding._endpoint_client import EndpointClient
@@ -24,6 +25,7 @@
     "BufferedRelay",
     "Call",
     "CascadeTimes",
+    "ConnectRecords",
     "ConnectionPool",
     "Counters",
     "EndpointClient",
--- a/fuchsiaroute/forwarding/_connection_pool.py
+++ b/fuchsiaroute/forwarding/_connection_pool.py
@@ -4,6 +4,7 @@
 
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.deployment import Endpoint
+from fuchsiaroute.forwarding._connect_records import ConnectRecords
 from fuchsiaroute.http1 import (
     ClientConnection,
     ConnectError,
@@ -44,10 +45,12 @@
         clock: Clock,
         max_connections: Callable[[Endpoint], int],
         instances: Callable[[], int],
+        records: ConnectRecords,
     ) -> None:
         self._clock = clock
         self._max_connections = max_connections
         self._instances = instances
+        self._records = records
         self._idle: dict[EndpointId, list[ClientConnection]] = {}
         self._open: dict[EndpointId, int] = {}
         #: Connections opened so far.
@@ -77,9 +80,12 @@
             connection = await connect(
                 endpoint.host, endpoint.port, clock=self._clock, within=CONNECT_TIMEOUT
             )
-        except BaseException:
+        except BaseException as error:
             self._record_closed(endpoint.id)
+            if isinstance(error, ConnectError):
+                self._records.record_failure(endpoint.id, error)
             raise
+        self._records.record_success(endpoint.id)
         self.opened += 1
         return connection
 
--- a/fuchsiaroute/http1/__init__.py
+++ b/fuchsiaroute/http1/__init__.py
@@ -11,6 +11,7 @@
 from fuchsiaroute.http1._exceptions import (
     BrokenResponseError,
     ConnectError,
+    ConnectTimeoutError,
     ExchangeError,
     NobodyListensError,
     NoConnectionLeftError,
@@ -37,6 +38,7 @@
     "BrokenResponseError",
     "ClientConnection",
     "ConnectError",
+    "ConnectTimeoutError",
     "ConnectionState",
     "DeadPathDetection",
     "ExchangeError",
--- a/fuchsiaroute/http1/_connecting.py
+++ b/fuchsiaroute/http1/_connecting.py
@@ -5,7 +5,11 @@
 from typing import TypeVar
 
 from fuchsiaroute.clock import Milliseconds
-from fuchsiaroute.http1._exceptions import ConnectError, NobodyListensError
+from fuchsiaroute.http1._exceptions import (
+    ConnectError,
+    ConnectTimeoutError,
+    NobodyListensError,
+)
 
 MILLISECONDS_PER_SECOND = 1_000
 _ProtocolT = TypeVar("_ProtocolT", bound=asyncio.Protocol)
@@ -17,15 +21,15 @@
     """
     Open a connection for the protocol that ``create`` returns.
 
-    ``within`` is the timeout. Raises ``ConnectError``, or its subclass
-    ``NobodyListensError`` if the connection is refused.
+    ``within`` is the timeout. Raises ``ConnectError``, or its subclasses
+    ``NobodyListensError`` if the connection is refused and ``ConnectTimeoutError``.
     """
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(within / MILLISECONDS_PER_SECOND):
             _, protocol = await loop.create_connection(create, host, port)
     except TimeoutError:
-        raise ConnectError(f"no connection within {within} ms") from None
+        raise ConnectTimeoutError(f"no connection within {within} ms") from None
     except ConnectionRefusedError as error:
         raise NobodyListensError(f"connecting failed: {error}") from None
     except OSError as error:
--- a/fuchsiaroute/http1/_exceptions.py
+++ b/fuchsiaroute/http1/_exceptions.py
@@ -9,6 +9,10 @@
     """No connection was established, so that nothing was sent."""
 
 
+class ConnectTimeoutError(ConnectError):
+    """No connection was established within the timeout."""
+
+
 class NobodyListensError(ConnectError):
     """Connection refused: the host is up and nothing listens on the port."""
 
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -12,6 +12,7 @@
     BufferedRelay,
     Call,
     ConnectionPool,
+    ConnectRecords,
     Counters,
     EndpointClient,
     EndpointNotices,
@@ -203,10 +204,17 @@
             status_put=rollout_status_put,
             on_change=self.gossip.send_soon,
         )
+        self.connect_records = ConnectRecords(
+            clock=clock,
+            counters=self.counters,
+            log=log,
+            is_known=lambda endpoint: endpoint in self.pool,
+        )
         self.connections = ConnectionPool(
             clock=clock,
             max_connections=self._max_connections,
             instances=lambda: len(self.instances()),
+            records=self.connect_records,
         )
         self.forwarder = self._forwarder()
         self.control = ControlHandler(
@@ -297,6 +305,7 @@
         for request in self.exchange.missing_rows():
             self.gossip.request(request)
         self.connections.close_idle()
+        self.connect_records.remove_unknown()
         self.queue.wake()
         self.log.flush()
 
@@ -437,6 +446,7 @@
             "store_era": self._store_era() or 0,
             "store_silent_seconds": self.orders_feed.unreachable_for() / 1_000,
             "endpoints": len(self.pool),
+            "endpoints_unreached": self.connect_records.unreached,
             "instances_alive": len(self.liveness.alive()) + 1,
             "requests_active": self.forwarder.active,
             "requests_waiting": self.queue.waiting,
