Failing test: instances cut from all endpoints serve requests

One or two of three instances lose their paths to all endpoints: connections hang, are reset, or live on while new ones are refused. The harness gives each instance two consecutive ports for traffic between instances, and names the instance whose code runs.

--- a/fuchsiaroute/platform/tests/node_harness.py
+++ b/fuchsiaroute/platform/tests/node_harness.py
@@ -1,6 +1,7 @@
 """Harness: one instance with a store, endpoints and callers, all on loopback."""
 
 import asyncio
+import contextvars
 import itertools
 import os
 import socket
@@ -81,6 +82,12 @@
 }
 
 
+#: Name of the instance whose code runs, for tests that change what one instance sees.
+running_instance: contextvars.ContextVar[str] = contextvars.ContextVar(
+    "running_instance", default=""
+)
+
+
 @dataclass
 class Reply:
     status: int
@@ -214,13 +221,14 @@
             self.store.put("servers", endpoint.id, endpoint.announcement())
         if self._configuration is not None:
             self.store.put("op", "config", self._configuration)
-        self.frontend, self.control, peer = free_ports(3)
+        self.frontend, self.control = free_ports(2)
+        peer = free_port_pair()
         self.settings_text = (
             f"NodeName={self.name}\nZone=z1\nIp=127.0.0.1\n"
             f"Listen.Frontend=127.0.0.1:{self.frontend}\n"
             f"Listen.Readiness=127.0.0.1:{self.control}\n"
             f"Listen.Directory=127.0.0.1:{self.control}\n"
-            f"PortRange={peer},{peer}\n"
+            f"PortRange={peer},{peer + 1}\n"
             f"Platform.Address=127.0.0.1:{self.store.port}\n"
             f"Bounds.GraceS={self._grace_s}\n"
         )
@@ -228,7 +236,9 @@
         clock = self._clock
         log = LineLog(clock=clock, instance=self.name, write=self._write)
         self.node = Node(settings, clock=clock, log=log, random=Random(1))
-        self.node_task = asyncio.create_task(self.node.run())
+        context = contextvars.copy_context()
+        context.run(running_instance.set, self.name)
+        self.node_task = asyncio.create_task(self.node.run(), context=context)
         if self._configuration is not None:
             await self.until(lambda: self.node._parts.is_ready())
             await self.until(lambda: len(self.node._parts.pool) >= len(self.endpoints))
@@ -304,6 +314,14 @@
 _next_port = itertools.count()
 
 
+def free_port_pair() -> int:
+    """Return the first of two consecutive ports."""
+    first, second = free_ports(2)
+    while second != first + 1:
+        first, second = second, free_ports(1)[0]
+    return first
+
+
 def free_ports(count: int) -> list[int]:
     first = _FIRST_PORT + os.getpid() % _PROCESSES * _PORTS_OF_PROCESS
     ports: list[int] = []
--- /dev/null
+++ b/fuchsiaroute/platform/tests/test_partitioned_instance.py
@@ -0,0 +1,170 @@
+"""Instances that are cut from all endpoints serve requests over their peers."""
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass
+
+import pytest
+
+from fuchsiaroute.http1 import InboundRequest, Responder, find_header
+from fuchsiaroute.platform.tests.cut_paths import CutKind, cut_paths
+from fuchsiaroute.platform.tests.node_harness import Caller, NodeHarness, cluster
+from fuchsiaroute.platform.tests.standin import STREAM_PATHS, Endpoint, events
+
+PATHS = ("/read/", "/write/", "/stream/", "/once/")
+#: Routes whose requests run at most once.
+ONCE_PATHS = ("/write/", "/once/")
+#: The platform's ``ContactMs``: from then on requests must be served.
+CONTACT_S = 3.0
+CUT_S = 4.5
+#: Time without requests in which connections become too old to be used again.
+QUIET_S = 2.5
+#: Time after the end of the cut within which the direct path is used again.
+RESTORE_S = 1.0
+PAUSE_S = 0.015
+MIN_LATE = 100
+EVENTS = 3
+
+
+@dataclass(frozen=True)
+class Sent:
+    """A request and what its caller got."""
+
+    path: str
+    request_id: str
+    sent_at: float
+    instance: int
+    #: 0 without an answer.
+    status: int
+    is_whole: bool
+
+    @property
+    def says_not_run(self) -> bool:
+        return self.status == 503
+
+    @property
+    def is_served(self) -> bool:
+        return self.status == 200 and self.is_whole
+
+
+class Recorder(Endpoint):
+    """Records which requests it ran."""
+
+    def __init__(self) -> None:
+        super().__init__(self._run)
+        self.ran: list[str] = []
+
+    async def _run(
+        self, endpoint: Endpoint, request: InboundRequest, responder: Responder
+    ) -> None:
+        name = find_header(request.headers, b"x-request-id") or b""
+        self.ran.append(name.decode())
+        await asyncio.sleep(0.02)
+        if request.path.startswith(STREAM_PATHS):
+            await events(EVENTS, pause_s=0.01)(endpoint, request, responder)
+        else:
+            responder.send(200, self.headers(request), b"done")
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+class Traffic:
+    """Sends requests of all routes to all instances in turns."""
+
+    def __init__(self, harnesses: list[NodeHarness]) -> None:
+        self._harnesses = harnesses
+        self._tasks: list[asyncio.Task[Sent]] = []
+
+    async def run(self, seconds: float) -> None:
+        end = _now() + seconds
+        while _now() < end:
+            number = len(self._tasks)
+            instance = number % len(self._harnesses)
+            path = PATHS[number // len(self._harnesses) % len(PATHS)]
+            task = asyncio.create_task(self._ask(instance, path, f"{number:06x}"))
+            self._tasks.append(task)
+            await asyncio.sleep(PAUSE_S)
+
+    async def all_sent(self) -> list[Sent]:
+        return await asyncio.gather(*self._tasks)
+
+    async def _ask(self, instance: int, path: str, request_id: str) -> Sent:
+        sent_at = _now()
+        caller = Caller(self._harnesses[instance].frontend)
+        status, is_whole = 0, False
+        try:
+            reply = await caller.ask(path + request_id, request_id=request_id)
+        except (OSError, EOFError):
+            pass
+        else:
+            status, is_whole = reply.status, reply.is_whole
+            if status == 200 and path.encode() in STREAM_PATHS:
+                is_whole = is_whole and reply.body.count(b"data:") == EVENTS
+        finally:
+            caller.close()
+        return Sent(
+            path=path,
+            request_id=request_id,
+            sent_at=sent_at,
+            instance=instance,
+            status=status,
+            is_whole=is_whole,
+        )
+
+
+# Guards against an instance that refuses all requests while it alone, or together with
+# others, has no path to any endpoint.
+@pytest.mark.parametrize("cut_count", [1, 2])
+@pytest.mark.parametrize(
+    ("kind", "quiet_s"),
+    [
+        (CutKind.HANG, 0.0),
+        (CutKind.REFUSED, 0.0),
+        (CutKind.HANG, QUIET_S),
+        (CutKind.KEPT, QUIET_S),
+    ],
+)
+async def test_partitioned_instance_serves_requests_over_peers(
+    kind: CutKind, quiet_s: float, cut_count: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    endpoints = [Recorder() for _ in range(3)]
+    async with cluster(3, *endpoints) as harnesses:
+        ports = {item.port for item in endpoints}
+        with cut_paths(monkeypatch, ports) as paths:
+            traffic = Traffic(harnesses)
+            await traffic.run(1.0)
+            names = [harness.name for harness in harnesses[:cut_count]]
+            paths.cut(kind, *names)
+            cut_at = _now()
+            await traffic.run(CONTACT_S - quiet_s)
+            await asyncio.sleep(quiet_s)
+            await traffic.run(CUT_S - CONTACT_S)
+            failed = dict(paths.failed)
+            paths.end()
+            ended_at = _now()
+            await traffic.run(RESTORE_S)
+            established = dict(paths.established)
+            await traffic.run(0.5)
+            sent = await traffic.all_sent()
+    ran = Counter(name for endpoint in endpoints for name in endpoint.ran)
+    late = [
+        item
+        for item in sent
+        if cut_at + CONTACT_S <= item.sent_at < ended_at
+        or item.sent_at >= ended_at + RESTORE_S
+    ]
+    assert len(late) >= MIN_LATE
+    unserved = [item for item in late if not item.is_served]
+    assert not unserved
+    assert not [
+        item for item in sent if item.path in ONCE_PATHS and ran[item.request_id] > 1
+    ]
+    # A refusal that promises that the request has not run is true.
+    assert not [item for item in sent if item.says_not_run and ran[item.request_id]]
+    for name in names:
+        assert failed[name] > 0
+        # The direct path is used again.
+        assert established[name] > 0
+        assert paths.established[name] >= established[name]
