Forwarding: connect through peers where the direct path is cut

The only path to an endpoint was the instance's own connection, and failures of that path were counted against the endpoints: all were suspect, and a refused connection was taken for a crash.

Each endpoint now has a path, direct or cut. A connection that fails or is late is opened through a peer beside; if the peer is the one that connects, the path is cut: new connections go through peers, the direct path is tried in the background at most four times a second, and all paths at once when one is back. Peers carry tunnels on the second port of their range, never over another peer. A refusal counts as the end of the endpoint, or as evidence of a crash, only if peers confirm it. Exchanges that end with their path get outcomes of their own, which are no failure of the endpoint and no evidence against its version.

--- a/fuchsiaroute/forwarding/__init__.py
+++ b/fuchsiaroute/forwarding/__init__.py
@@ -14,6 +14,7 @@
     SharedEstimate,
 )
 from fuchsiaroute.forwarding._model_choice import CascadeTimes, ModelChoice
+from fuchsiaroute.forwarding._peer_connector import PeerConnection, PeerConnector
 from fuchsiaroute.forwarding._request_resolver import RequestResolver
 from fuchsiaroute.forwarding._speed_comparison import SpeedComparison
 from fuchsiaroute.forwarding._stop_admission import StopAdmission
@@ -34,6 +35,8 @@
     "LatencyEstimator",
     "ModelChoice",
     "RequestResolver",
+    "PeerConnection",
+    "PeerConnector",
     "SharedEstimate",
     "StopAdmission",
     "SpeedComparison",
--- a/fuchsiaroute/forwarding/_attempt_records.py
+++ b/fuchsiaroute/forwarding/_attempt_records.py
@@ -111,8 +111,10 @@
             self._speeds.record_unanswered(
                 _speed(call, version, None, Measure.START, waited, waited)
             )
-        elif failure.verdict is not Verdict.NOT_RUN and (
-            self._breaks.is_independent(endpoint)
+        elif (
+            failure.verdict is not Verdict.NOT_RUN
+            and failure.outcome is not Outcome.PATH_LOST
+            and self._breaks.is_independent(endpoint)
         ):
             self._count_answer(call, version, is_bad=True)
         self._log.write(
@@ -130,7 +132,8 @@
         call.failure_reasons.append(reason)
         endpoint = response.reservation.endpoint
         call.excluded.add(endpoint.id)
-        if self._breaks.is_independent(endpoint.id):
+        is_path_lost = response.is_path_lost(Outcome.TRUNCATED)
+        if not is_path_lost and self._breaks.is_independent(endpoint.id):
             self._count_answer(call, endpoint.version, is_bad=True)
         self._log.write(
             "attempt:broken",
--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -42,6 +42,10 @@
 RESUME_RESERVE = 1
 
 
+#: Outcomes of a connection that ended: the endpoint may have crashed.
+_CRASH_OUTCOMES = frozenset({Outcome.FAILED_AFTER_SENT, Outcome.PATH_LOST})
+
+
 class SendKind(Enum):
     """Why a request is sent to an endpoint, for the counters."""
 
@@ -218,7 +222,7 @@
                 self._records.record_unanswered(
                     call, model, result, reservation.backlog
                 )
-            elif result.outcome is Outcome.FAILED_AFTER_SENT:
+            elif result.outcome in _CRASH_OUTCOMES:
                 await self.check_crash(call, endpoint)
             return result
         if result.fields.unreadable:
--- a/fuchsiaroute/forwarding/_connection_pool.py
+++ b/fuchsiaroute/forwarding/_connection_pool.py
@@ -1,23 +1,23 @@
 """Connections to endpoints, kept open for reuse."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from random import Random
 
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.deployment import Endpoint
 from fuchsiaroute.forwarding._connect_records import ConnectRecords
+from fuchsiaroute.forwarding._endpoint_paths import EndpointPaths
+from fuchsiaroute.forwarding._peer_connector import PeerConnection, PeerConnector
 from fuchsiaroute.http1 import (
     ClientConnection,
     ConnectError,
-    NobodyListensError,
     NoConnectionLeftError,
     connect,
 )
 from fuchsiaroute.ids import EndpointId
+from fuchsiaroute.lifecycle import Outcome
+from fuchsiaroute.linelog import LineLog
 
-#: Timeout for opening a connection; endpoints are about a millisecond away.
-CONNECT_TIMEOUT = Milliseconds(400)
-#: Timeout for finding out whether an endpoint still listens.
-PROBE_TIMEOUT = Milliseconds(100)
 #: Idle timeout of a connection if the endpoint does not announce one.
 IDLE_TIMEOUT = Milliseconds(4_000)
 #: Share of the endpoint's idle timeout up to which a connection is reused; after that
@@ -30,6 +30,12 @@
 CONNECTION_SHARE = 0.8
 #: Connections to an endpoint that each instance may open, however many instances.
 MIN_CONNECTIONS = 2
+#: Outcomes by which an exchange may end because its path was lost.
+_DIRECT_PATH_OUTCOMES = frozenset(
+    {Outcome.FAILED_AFTER_SENT, Outcome.TRUNCATED, Outcome.SILENT}
+)
+#: The same through a peer, whose own end closes its connections.
+_PEER_PATH_OUTCOMES = frozenset({Outcome.FAILED_AFTER_SENT, Outcome.TRUNCATED})
 
 
 class ConnectionPool:
@@ -37,6 +43,7 @@
     Opens connections to endpoints and keeps them for reuse.
 
     The connection limit of each endpoint is divided evenly over the instances.
+    ``on_path_change`` is called with an endpoint whose direct path was lost or is back.
     """
 
     def __init__(
@@ -46,11 +53,32 @@
         max_connections: Callable[[Endpoint], int],
         instances: Callable[[], int],
         records: ConnectRecords,
+        peers: PeerConnector,
+        random: Random,
+        endpoints: Callable[[], Sequence[Endpoint]],
+        on_path_change: Callable[[EndpointId], None],
+        log: LineLog,
     ) -> None:
         self._clock = clock
         self._max_connections = max_connections
         self._instances = instances
         self._records = records
+        self._on_path_change = on_path_change
+        #: Paths to endpoints.
+        self.paths = EndpointPaths(
+            connect=self._connect_directly,
+            peers=peers,
+            records=records,
+            clock=clock,
+            log=log,
+            random=random,
+            endpoints=endpoints,
+            on_cut=lambda endpoint: on_path_change(endpoint.id),
+            on_hang=self._discard_idle,
+            on_restored=self._path_restored,
+        )
+        #: Connections through peers.
+        self._through_peers: set[ClientConnection] = set()
         self._idle: dict[EndpointId, list[ClientConnection]] = {}
         self._open: dict[EndpointId, int] = {}
         #: Connections opened so far.
@@ -77,35 +105,36 @@
             )
         self._open[endpoint.id] = self._open.get(endpoint.id, 0) + 1
         try:
-            connection = await connect(
-                endpoint.host, endpoint.port, clock=self._clock, within=CONNECT_TIMEOUT
-            )
-        except BaseException as error:
+            found = await self.paths.connect(endpoint)
+        except BaseException:
             self._record_closed(endpoint.id)
-            if isinstance(error, ConnectError):
-                self._records.record_failure(endpoint.id, error)
             raise
-        self._records.record_success(endpoint.id)
+        if isinstance(found, PeerConnection):
+            self._through_peers.add(found.connection)
+            found = found.connection
         self.opened += 1
-        return connection
+        return found
 
     async def is_refused(self, endpoint: Endpoint) -> bool:
         """Return whether no process listens at an endpoint's address any more."""
-        try:
-            connection = await connect(
-                endpoint.host, endpoint.port, clock=self._clock, within=PROBE_TIMEOUT
-            )
-        except NobodyListensError:
-            return True
-        except ConnectError:
-            # A path that is cut tells nothing of the process.
-            return False
-        connection.abort()
-        return False
+        return await self.paths.is_refused(endpoint)
+
+    def is_path_lost(
+        self, endpoint: EndpointId, connection: ClientConnection, outcome: Outcome
+    ) -> bool:
+        """Return whether an exchange may have ended because its path was lost."""
+        if connection in self._through_peers:
+            return outcome in _PEER_PATH_OUTCOMES
+        return outcome in _DIRECT_PATH_OUTCOMES and self.paths.was_cut_since(
+            endpoint, connection.idle_since
+        )
 
     def release(self, endpoint: EndpointId, connection: ClientConnection) -> None:
         """Keep a connection for reuse, or close it if it cannot be reused."""
-        if connection.is_open:
+        is_needless = connection in self._through_peers and not self.paths.is_cut(
+            endpoint
+        )
+        if connection.is_open and not is_needless:
             self._idle.setdefault(endpoint, []).append(connection)
         else:
             self.discard(endpoint, connection)
@@ -113,6 +142,7 @@
     def discard(self, endpoint: EndpointId, connection: ClientConnection) -> None:
         """Close a connection that ``acquire`` returned."""
         connection.abort()
+        self._through_peers.discard(connection)
         self._record_closed(endpoint)
 
     def close_idle(self) -> None:
@@ -131,6 +161,47 @@
             else:
                 del self._idle[endpoint]
 
+    async def _connect_directly(
+        self, endpoint: Endpoint, within: Milliseconds
+    ) -> ClientConnection:
+        try:
+            connection = await connect(
+                endpoint.host, endpoint.port, clock=self._clock, within=within
+            )
+        except ConnectError as error:
+            self._records.record_failure(endpoint.id, error)
+            raise
+        self._records.record_success(endpoint.id)
+        return connection
+
+    def _discard_idle(self, endpoint: Endpoint) -> None:
+        """Close direct connections that may carry nothing more."""
+        idle = self._idle.pop(endpoint.id, [])
+        kept = [item for item in idle if item in self._through_peers]
+        for connection in idle:
+            if connection not in self._through_peers:
+                self.discard(endpoint.id, connection)
+        if kept:
+            self._idle[endpoint.id] = kept
+
+    def _path_restored(
+        self, endpoint: Endpoint, connection: ClientConnection | None
+    ) -> None:
+        """Keep the new connection, if any, in place of those through peers."""
+        kept: list[ClientConnection] = []
+        for item in self._idle.pop(endpoint.id, []):
+            if item in self._through_peers:
+                self.discard(endpoint.id, item)
+            else:
+                kept.append(item)
+        if connection is not None:
+            kept.append(connection)
+            self._open[endpoint.id] = self._open.get(endpoint.id, 0) + 1
+            self.opened += 1
+        if kept:
+            self._idle[endpoint.id] = kept
+        self._on_path_change(endpoint.id)
+
     def _record_closed(self, endpoint: EndpointId) -> None:
         left = self._open.get(endpoint, 0) - 1
         if left > 0:
--- a/fuchsiaroute/forwarding/_endpoint_client.py
+++ b/fuchsiaroute/forwarding/_endpoint_client.py
@@ -7,6 +7,7 @@
 from fuchsiaroute.forwarding._call import Call
 from fuchsiaroute.forwarding._connection_pool import ConnectionPool
 from fuchsiaroute.forwarding._endpoint_notices import EndpointNotices
+from fuchsiaroute.forwarding._peer_connector import PathCutError
 from fuchsiaroute.http1 import (
     ClientConnection,
     ConnectError,
@@ -98,12 +99,19 @@
         """Return the whole body; raise ``ExchangeError`` above ``limit`` bytes."""
         return (await self._connection.read_whole(limit=limit)).data
 
+    def is_path_lost(self, outcome: Outcome) -> bool:
+        """Return whether a failure may be one of the path to the endpoint."""
+        endpoint = self._reservation.endpoint.id
+        return self._connections.is_path_lost(endpoint, self._connection, outcome)
+
     def close(self, outcome: Outcome) -> None:
         """Finish the reservation and release the connection; idempotent."""
         if self._is_closed:
             return
         self._is_closed = True
         endpoint = self._reservation.endpoint.id
+        if self.is_path_lost(outcome):
+            outcome = Outcome.PATH_LOST
         if outcome is Outcome.ANSWERED:
             self._connections.release(endpoint, self._connection)
         else:
@@ -182,6 +190,8 @@
             outcome, reason = Outcome.FAILED_AFTER_SENT, str(error)
         finally:
             if head is None:
+                if self._connections.is_path_lost(endpoint.id, connection, outcome):
+                    outcome = Outcome.PATH_LOST
                 self._connections.discard(endpoint.id, connection)
                 reservation.finish(outcome)
         if head is None:
@@ -254,6 +264,8 @@
     if isinstance(error, NoConnectionLeftError):
         # The endpoint has not failed; this instance has used up its connections.
         outcome = Outcome.REFUSED_FULL
+    elif isinstance(error, PathCutError):
+        outcome = Outcome.PATH_CUT
     elif isinstance(error, NobodyListensError):
         reservation.record_connection_refused()
     return _finish_failed(reservation, outcome, str(error))
--- a/fuchsiaroute/gossip/_liveness.py
+++ b/fuchsiaroute/gossip/_liveness.py
@@ -5,7 +5,7 @@
 
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.gossip._messages import Heartbeat
-from fuchsiaroute.ids import FailureDomainId, InstanceId
+from fuchsiaroute.ids import FailureDomainId, InstanceId, RegionId
 
 #: Added to the highest heartbeat counter of a former process of this instance, so that
 #: peers accept the heartbeats of the new process as newer.
@@ -29,6 +29,11 @@
     is_ready: bool = False
     #: Instant at which the counter last increased; None before the first heartbeat.
     last_heartbeat_at: Milliseconds | None = None
+    #: What the member itself has told last: its region, the port on which it carries
+    #: connections of its peers (0 without one), and whether it lacks direct paths.
+    region: RegionId = RegionId("")
+    tunnel_port: int = 0
+    is_cut: bool = False
     #: Instant at which this instance first received the member's addresses.
     added_at: Milliseconds = Milliseconds(0)
 
@@ -154,6 +159,16 @@
         known.failure_domain = member.failure_domain
         return False
 
+    def update_paths(
+        self, instance: InstanceId, *, region: RegionId, tunnel_port: int, is_cut: bool
+    ) -> None:
+        """Store what a member has told of its region and of its paths to endpoints."""
+        member = self._members.get(instance)
+        if member is not None:
+            member.region = region
+            member.tunnel_port = tunnel_port
+            member.is_cut = is_cut
+
     def merge(self, heartbeat: Heartbeat) -> None:
         """Store a heartbeat if its counter is higher than the one held."""
         name = InstanceId(heartbeat.instance)
--- a/fuchsiaroute/gossip/_messages.py
+++ b/fuchsiaroute/gossip/_messages.py
@@ -232,6 +232,11 @@
     answered_parts: list[PromptPartUpdate] = []
     #: Rates that endpoints name, and recent ends of them.
     rates: list[RateUpdate] = []
+    region: str = ""
+    #: Port on which the sender carries connections of its peers; 0 if it carries none.
+    tunnel_port: int = 0
+    #: Whether the sender reaches some endpoints through peers only.
+    is_cut: bool = False
 
 
 AnyMessage = GossipMessage | TableUpdate | TableRequest | PermitRequest | PermitReply
--- a/fuchsiaroute/gossip/_node.py
+++ b/fuchsiaroute/gossip/_node.py
@@ -18,7 +18,7 @@
     decode_message,
     encode_message,
 )
-from fuchsiaroute.ids import FailureDomainId, InstanceId
+from fuchsiaroute.ids import FailureDomainId, InstanceId, RegionId
 from fuchsiaroute.linelog import LineLog
 
 #: Time between two rounds; seven messages in a row may be lost before a member counts
@@ -189,6 +189,12 @@
                 failure_domain=FailureDomainId(message.failure_domain),
             )
         )
+        self._liveness.update_paths(
+            InstanceId(message.instance),
+            region=RegionId(message.region),
+            tunnel_port=message.tunnel_port,
+            is_cut=message.is_cut,
+        )
         self._liveness.merge(
             Heartbeat(message.instance, message.count, message.is_ready)
         )
--- a/fuchsiaroute/lifecycle/_outcome.py
+++ b/fuchsiaroute/lifecycle/_outcome.py
@@ -19,6 +19,12 @@
     #: No byte was sent because the reservation was no longer valid; this does not count
     #: as a failure of the endpoint.
     REVOKED = "revoked"
+    #: No byte was sent because this instance's path to the endpoint is cut; this does
+    #: not count as a failure of the endpoint.
+    PATH_CUT = "path-cut"
+    #: This instance's path to the endpoint was lost after a byte may have been sent;
+    #: this does not count as a failure of the endpoint.
+    PATH_LOST = "path-lost"
     #: The connection or the endpoint failed after a byte may have been sent.
     FAILED_AFTER_SENT = "failed-after-sent"
     #: No progress within the progress deadline.
@@ -37,6 +43,7 @@
 #: Outcomes after which the endpoint may still be working on the request.
 UNSETTLED_OUTCOMES = frozenset(
     {
+        Outcome.PATH_LOST,
         Outcome.FAILED_AFTER_SENT,
         Outcome.SILENT,
         Outcome.TRUNCATED,
@@ -51,6 +58,8 @@
     Outcome.REFUSED_FULL: Verdict.NOT_RUN,
     Outcome.FAILED_BEFORE_SENT: Verdict.NOT_RUN,
     Outcome.REVOKED: Verdict.NOT_RUN,
+    Outcome.PATH_CUT: Verdict.NOT_RUN,
+    Outcome.PATH_LOST: Verdict.MAY_HAVE_RUN,
     Outcome.FAILED_AFTER_SENT: Verdict.MAY_HAVE_RUN,
     Outcome.SILENT: Verdict.MAY_HAVE_RUN,
     Outcome.TRUNCATED: Verdict.RUN,
--- a/fuchsiaroute/node/_gossip_exchange.py
+++ b/fuchsiaroute/node/_gossip_exchange.py
@@ -30,6 +30,7 @@
     VersionId,
 )
 from fuchsiaroute.linelog import LineLog
+from fuchsiaroute.node._peer_tunnels import tunnel_port
 from fuchsiaroute.node._permit_exchange import PermitExchange
 from fuchsiaroute.platform import NodeSettings, Row, Rows
 from fuchsiaroute.pool import EndpointPool, Load
@@ -79,6 +80,7 @@
         latencies: LatencyEstimator,
         quarantine: Quarantine,
         permits: PermitExchange,
+        is_cut: Callable[[], bool],
         clock: Clock,
         log: LineLog,
     ) -> None:
@@ -92,6 +94,7 @@
         self._latencies = latencies
         self._quarantine = quarantine
         self._permits = permits
+        self._is_cut = is_cut
         self._clock = clock
         self._log = log
         #: Members that were alive when loads were last removed.
@@ -158,6 +161,9 @@
             quarantined_parts=self._subject_updates(self._quarantine.quarantined()),
             answered_parts=self._subject_updates(self._quarantine.answered()),
             rates=self._permits.rate_updates(),
+            region=settings.region,
+            tunnel_port=tunnel_port(settings),
+            is_cut=self._is_cut(),
         )
 
     def apply(self, message: GossipMessage) -> None:
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -1,6 +1,7 @@
 """Construction and wiring of an instance's components."""
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 
 from fuchsiaroute.catalog import Catalog, TableFeed
@@ -25,13 +26,19 @@
     StreamRelay,
 )
 from fuchsiaroute.gossip import GossipNode, Liveness, MemberInfo
-from fuchsiaroute.http1 import BodyBudget, ServerLimits
-from fuchsiaroute.ids import InstanceId
+from fuchsiaroute.http1 import (
+    BodyBudget,
+    ConnectError,
+    ServerLimits,
+    connect_protocol,
+)
+from fuchsiaroute.ids import EndpointId, InstanceId
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.node._control import ControlHandler
 from fuchsiaroute.node._gossip_exchange import GossipExchange
 from fuchsiaroute.node._instance_registry import InstanceRegistry
 from fuchsiaroute.node._metrics import MetricsHandler
+from fuchsiaroute.node._peer_tunnels import PeerTunnels
 from fuchsiaroute.node._permit_exchange import PermitExchange
 from fuchsiaroute.node._quarantine_rows import QuarantineRows
 from fuchsiaroute.node._rollout_rows import rollout_record_key, rollout_status_put
@@ -48,6 +55,7 @@
 from fuchsiaroute.retry import WindowedRetryBudget
 from fuchsiaroute.staging import RolloutDriver, RolloutTracker
 from fuchsiaroute.store import StorePosition, era_of
+from fuchsiaroute.tunnel import TunnelServer
 
 #: Time without a heartbeat after which an instance counts as dead.
 MEMBER_TIMEOUT = Milliseconds(2_000)
@@ -66,6 +74,8 @@
 DURATION_DEVIATIONS = 6.0
 #: Share of the memory limit that request bodies may use.
 BODY_SHARE = 0.2
+#: Tunnels of peers for each file descriptor of this process; a tunnel needs two.
+TUNNEL_SHARE = 0.15
 _BYTES_PER_MB = 1_000_000
 
 
@@ -177,6 +187,7 @@
             latencies=self._latencies,
             quarantine=self.quarantine,
             permits=self.permits,
+            is_cut=lambda: self.connections.paths.cut_count > 0,
             clock=clock,
             log=log,
         )
@@ -215,6 +226,28 @@
             max_connections=self._max_connections,
             instances=lambda: len(self.instances()),
             records=self.connect_records,
+            peers=PeerTunnels(
+                settings=settings,
+                liveness=self.liveness,
+                clock=clock,
+                random=random,
+                counters=self.counters,
+                log=log,
+            ),
+            random=random,
+            endpoints=self.pool.endpoints,
+            on_path_change=self._path_changed,
+            log=log,
+        )
+        self.tunnels = TunnelServer(
+            connect=self._connect_for_peer,
+            is_known=lambda host, port: any(
+                (item.host, item.port) == (host, port) for item in self.pool.endpoints()
+            ),
+            is_draining=lambda: self.drain.is_draining,
+            max_tunnels=round(settings.max_descriptors * TUNNEL_SHARE),
+            clock=clock,
+            log=log,
         )
         self.forwarder = self._forwarder()
         self.control = ControlHandler(
@@ -239,6 +272,23 @@
             and self._has_quarantine()
         )
 
+    async def _connect_for_peer(
+        self,
+        host: str,
+        port: int,
+        create: Callable[[], asyncio.Protocol],
+        within: Milliseconds,
+    ) -> asyncio.Protocol:
+        """Connect directly to an endpoint; one without a direct path fails at once."""
+        if self.connections.paths.is_address_cut(host, port):
+            raise ConnectError("this instance has no direct path either")
+        return await connect_protocol(host, port, create, within)
+
+    def _path_changed(self, endpoint: EndpointId) -> None:
+        self.pool.record_path_change(endpoint)
+        self.queue.wake()
+        self.gossip.send_soon(is_urgent=True)
+
     def _has_quarantine(self) -> bool:
         """Return whether the quarantined subjects are known, or the wait is over."""
         waited = self._clock.now() - self.catalog.deployed_at
@@ -447,6 +497,8 @@
             "store_silent_seconds": self.orders_feed.unreachable_for() / 1_000,
             "endpoints": len(self.pool),
             "endpoints_unreached": self.connect_records.unreached,
+            "endpoints_cut": self.connections.paths.cut_count,
+            "tunnels_carried": self.tunnels.count,
             "instances_alive": len(self.liveness.alive()) + 1,
             "requests_active": self.forwarder.active,
             "requests_waiting": self.queue.waiting,
--- a/fuchsiaroute/node/_run.py
+++ b/fuchsiaroute/node/_run.py
@@ -16,6 +16,7 @@
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.node._metrics import METRICS_PATH
 from fuchsiaroute.node._parts import NodeParts
+from fuchsiaroute.node._peer_tunnels import tunnel_port
 from fuchsiaroute.platform import (
     Address,
     NodeSettings,
@@ -75,6 +76,7 @@
         parts = self._parts
         await parts.gossip.open(self._settings.ip, self._settings.peer_ports[0])
         await self._listen()
+        await self._open_tunnels()
         self._log.write(
             "process:started",
             pid=os.getpid(),
@@ -87,6 +89,7 @@
         self._start("instance register", parts.registry.run)
         self._start("roll-outs", parts.driver.run)
         self._start("quarantine rows", parts.quarantine_rows.run)
+        self._start("paths to endpoints", parts.connections.paths.run)
         self._start("ticks", self._tick)
         await self._stop.wait()
         await self._shut_down()
@@ -114,6 +117,15 @@
                 "metrics:listening", address=str(metrics), path=METRICS_PATH.decode()
             )
 
+    async def _open_tunnels(self) -> None:
+        port = tunnel_port(self._settings)
+        if port:
+            await self._parts.tunnels.open(self._settings.ip, port)
+        else:
+            self._log.write(
+                "tunnel:not-listening", reason="the range has no second port"
+            )
+
     async def _serve(
         self, address: Address, handler: Handler, connections: set[ServerConnection]
     ) -> None:
@@ -207,15 +219,17 @@
         started_at = now if self._stop_signal_at is None else self._stop_signal_at
         drain.begin(grace=self._settings.bounds.grace, signalled_at=started_at)
         parts.gossip.send_soon()
+        parts.tunnels.announce_leaving()
         self._log.write(
             "process:stopping",
             handled_after_ms=now - started_at,
             active=parts.forwarder.active,
+            tunnels=parts.tunnels.active,
             connections=self._connection_counts(),
             grace_ms=self._settings.bounds.grace,
         )
         while drain.phase is not Phase.ENDED:
-            if drain.may_exit() and self._is_settled():
+            if drain.may_exit() and self._is_settled() and not parts.tunnels.active:
                 break
             await self._clock.sleep(IDLE_CHECK_INTERVAL)
         remaining = parts.forwarder.active
@@ -231,6 +245,7 @@
         unsent = sum(item.unsent_bytes for item in self._caller_connections)
         for connection in list(self._caller_connections | self._control_connections):
             connection.close()
+        parts.tunnels.close()
         parts.gossip.close()
         for task in self._tasks:
             task.cancel()
--- a/fuchsiaroute/platform/tests/node_harness.py
+++ b/fuchsiaroute/platform/tests/node_harness.py
@@ -253,6 +253,7 @@
         self.node_task.cancel()
         await asyncio.gather(self.node_task, return_exceptions=True)
         self.node._parts.gossip.close()
+        self.node._parts.tunnels.close()
         for task in self.node._tasks:
             task.cancel()
         for server in self.node._servers:
--- a/fuchsiaroute/platform/tests/test_partitioned_instance.py
+++ b/fuchsiaroute/platform/tests/test_partitioned_instance.py
@@ -1,14 +1,22 @@
 """Instances that are cut from all endpoints serve requests over their peers."""
 
 import asyncio
+import json
 from collections import Counter
 from dataclasses import dataclass
 
 import pytest
 
 from fuchsiaroute.http1 import InboundRequest, Responder, find_header
+from fuchsiaroute.ids import ServiceId
 from fuchsiaroute.platform.tests.cut_paths import CutKind, cut_paths
-from fuchsiaroute.platform.tests.node_harness import Caller, NodeHarness, cluster
+from fuchsiaroute.platform.tests.node_harness import (
+    CONFIGURATION,
+    ROUTES,
+    Caller,
+    NodeHarness,
+    cluster,
+)
 from fuchsiaroute.platform.tests.standin import STREAM_PATHS, Endpoint, events
 
 PATHS = ("/read/", "/write/", "/stream/", "/once/")
@@ -23,6 +31,12 @@
 RESTORE_S = 1.0
 PAUSE_S = 0.015
 MIN_LATE = 100
+#: Longer than a stopping instance without requests waits.
+ANSWER_S = 4.0
+SLOW_CONFIGURATION = {
+    **CONFIGURATION,
+    "Routes": [{**route, "TimeoutMs": 9_000} for route in ROUTES],
+}
 EVENTS = 3
 
 
@@ -163,8 +177,76 @@
     ]
     # A refusal that promises that the request has not run is true.
     assert not [item for item in sent if item.says_not_run and ran[item.request_id]]
+    # The cut is no evidence of crashes.
+    for harness in harnesses:
+        assert b"endpoint:crashed" not in b"".join(harness.lines)
     for name in names:
         assert failed[name] > 0
         # The direct path is used again.
         assert established[name] > 0
         assert paths.established[name] >= established[name]
+
+
+class Slow(Endpoint):
+    """Answers after ``ANSWER_S``."""
+
+    def __init__(self) -> None:
+        super().__init__(self._answer)
+
+    async def _answer(
+        self, endpoint: Endpoint, request: InboundRequest, responder: Responder
+    ) -> None:
+        await asyncio.sleep(ANSWER_S)
+        responder.send(200, self.headers(request), b"done")
+
+
+@pytest.mark.parametrize("stopping", [0, 1])
+async def test_instances_stop_after_requests_over_peers(
+    stopping: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    endpoint = Slow()
+    async with cluster(2, endpoint, configuration=SLOW_CONFIGURATION) as harnesses:
+        with cut_paths(monkeypatch, {endpoint.port}) as paths:
+            paths.cut(CutKind.HANG, harnesses[0].name)
+            caller = harnesses[0].caller()
+            await caller.send("/write/x", deadline=9_000)
+            await harnesses[0].until(lambda: len(endpoint.requests) == 1)
+            carried = harnesses[1].node._parts.tunnels
+            assert carried.active == 1
+            node = harnesses[stopping].node
+            node._stop.set()
+            reply = await caller.receive()
+            assert (reply.status, reply.body) == (200, b"done")
+            await harnesses[stopping].until(harnesses[stopping].node_task.done)
+    stopped = [
+        json.loads(line)
+        for line in b"".join(harnesses[stopping].lines).splitlines()
+        if b"process:stopped" in line
+    ]
+    assert [item["cut_off"] for item in stopped] == [0]
+
+
+async def test_end_of_a_peer_is_no_failure_of_the_endpoint(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    endpoints = [Slow(), Slow()]
+    async with cluster(3, *endpoints, configuration=SLOW_CONFIGURATION) as harnesses:
+        ports = {endpoint.port for endpoint in endpoints}
+        with cut_paths(monkeypatch, ports) as paths:
+            paths.cut(CutKind.REFUSED, harnesses[0].name)
+            callers = [harnesses[0].caller() for _ in range(6)]
+            for number, caller in enumerate(callers):
+                await caller.send(
+                    f"/write/{number}", request_id=f"{number:x}", deadline=9_000
+                )
+            await harnesses[0].until(
+                lambda: sum(len(item.requests) for item in endpoints) == len(callers)
+            )
+            for harness in harnesses[1:]:
+                harness.node._parts.tunnels.close()
+            replies = [await caller.receive() for caller in callers]
+            assert {reply.status for reply in replies} == {502}
+            pool = harnesses[0].node._parts.pool
+            assert all(member.is_usable for member in pool.members(ServiceId("app")))
+    assert sum(len(item.requests) for item in endpoints) == len(callers)
+    assert b"endpoint:crashed" not in b"".join(harnesses[0].lines)
--- a/fuchsiaroute/pool/_member.py
+++ b/fuchsiaroute/pool/_member.py
@@ -202,6 +202,13 @@
             self.trial_at = Milliseconds(now + self.trial_delay)
             self.apply(EndpointEvent.FAILED_REPEATEDLY)
 
+    def record_path_change(self) -> None:
+        """Drop a suspicion that may have come from this instance's own path."""
+        self.failures_in_row = 0
+        self.has_refused = False
+        self.trial_delay = INITIAL_TRIAL_DELAY
+        self.apply(EndpointEvent.RECOVERED)
+
     def record_duration(self, relative_duration: float) -> None:
         """Add a request's latency, relative to the mean of its kind."""
         current = self.current_relative_latency
--- a/fuchsiaroute/pool/_pool.py
+++ b/fuchsiaroute/pool/_pool.py
@@ -61,6 +61,10 @@
     def __len__(self) -> int:
         return len(self._members)
 
+    def endpoints(self) -> list[Endpoint]:
+        """Return all endpoints."""
+        return [member.endpoint for member in self._members.values()]
+
     def members(self, service: ServiceId) -> Sequence[PoolMember]:
         """Return the announced endpoints of a service."""
         if self._by_service is None:
@@ -192,6 +196,12 @@
         if member is not None:
             member.record_crash()
 
+    def record_path_change(self, endpoint: EndpointId) -> None:
+        """Record that the path to an endpoint, which is reached, is another one now."""
+        member = self._members.get(endpoint)
+        if member is not None:
+            member.record_path_change()
+
     def has_crashed(self, endpoint: EndpointId) -> bool:
         """Return whether a crash of an endpoint was recorded just now."""
         member = self._members.get(endpoint)
