Forwarding: exchanges that end together cause one check of their endpoint

A process that ends breaks all its exchanges at once. Each asked two peers whether the endpoint still listens; concurrent checks share one answer now. A connection that is established while the event loop is late is no longer taken for a slow path.

--- a/fuchsiaroute/forwarding/_endpoint_paths.py
+++ b/fuchsiaroute/forwarding/_endpoint_paths.py
@@ -11,6 +11,7 @@
 
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.deployment import Endpoint
+from fuchsiaroute.forwarding._connect_attempts import abandon, is_connected, is_refused
 from fuchsiaroute.forwarding._connect_records import ConnectRecords
 from fuchsiaroute.forwarding._peer_connector import (
     PathCutError,
@@ -38,6 +39,8 @@
 MIN_HEDGE_DELAY = Milliseconds(40)
 MAX_HEDGE_DELAY = Milliseconds(150)
 HEDGE_FACTOR = 8.0
+#: Further time for a connection that was established while the event loop was late.
+SETTLE_DELAY = Milliseconds(5)
 #: Weight of the newest connect time in their moving average.
 EWMA_WEIGHT = 0.1
 #: Interval at which the direct path to one of the cut endpoints is tried.
@@ -108,6 +111,8 @@
         self._is_hang_confirmed = False
         #: When the latest cut of an endpoint's path ended.
         self._ended_at: dict[EndpointId, Milliseconds] = {}
+        #: Checks in progress whether an endpoint listens.
+        self._checks: dict[EndpointId, asyncio.Future[bool]] = {}
         self._round_at = Milliseconds(-MIN_ROUND_INTERVAL)
         #: Moving average of the time to connect.
         self._connect_time = 0.0
@@ -151,30 +156,33 @@
         started_at = self._clock.now()
         direct = asyncio.ensure_future(self._connect(endpoint, CONNECT_TIMEOUT))
         try:
-            delay = self._hedge_delay() / MILLISECONDS_PER_SECOND
-            await asyncio.wait({direct}, timeout=delay)
-            if _is_connected(direct):
+            for delay in (self._hedge_delay(), SETTLE_DELAY):
+                if not direct.done():
+                    seconds = delay / MILLISECONDS_PER_SECOND
+                    await asyncio.wait({direct}, timeout=seconds)
+            if is_connected(direct):
                 self._record_time(Milliseconds(self._clock.now() - started_at))
                 return direct.result()
             found = await self._connect_beside(endpoint, direct, started_at)
         except BaseException:
-            _abandon(direct)
+            abandon(direct)
             raise
         if isinstance(found, PeerConnection):
-            _abandon(direct)
+            abandon(direct)
         return found
 
     async def is_refused(self, endpoint: Endpoint) -> bool:
-        """Return whether no process listens at an endpoint's address any more."""
-        if not await self._is_gone(endpoint):
-            return False
-        others = [item for item in self._endpoints() if item.id != endpoint.id]
-        if self._cuts or not others or not self._peers.has_peers():
-            return True
-        # Several instances may have been cut at once, and the peers be among them.
-        other = self._random.choice(others)
-        await self._is_gone(other)
-        return not self.is_cut(other.id)
+        """
+        Return whether no process listens at an endpoint's address any more.
+
+        Concurrent calls share one check, as many exchanges end with a process.
+        """
+        check = self._checks.get(endpoint.id)
+        if check is None:
+            check = asyncio.ensure_future(self._check_refused(endpoint))
+            self._checks[endpoint.id] = check
+            check.add_done_callback(lambda _: self._checks.pop(endpoint.id, None))
+        return await asyncio.shield(check)
 
     async def run(self) -> None:
         """Try the direct paths to cut endpoints until cancelled."""
@@ -198,6 +206,17 @@
 
     # Private
 
+    async def _check_refused(self, endpoint: Endpoint) -> bool:
+        if not await self._is_gone(endpoint):
+            return False
+        others = [item for item in self._endpoints() if item.id != endpoint.id]
+        if self._cuts or not others or not self._peers.has_peers():
+            return True
+        # Several instances may have been cut at once, and the peers be among them.
+        other = self._random.choice(others)
+        await self._is_gone(other)
+        return not self.is_cut(other.id)
+
     async def _is_gone(self, endpoint: Endpoint) -> bool:
         """Return whether peers confirm that nobody listens, or there are none."""
         if not self.is_cut(endpoint.id):
@@ -242,14 +261,14 @@
             self._peers.open(endpoint, within=Milliseconds(max(left, MIN_HEDGE_DELAY)))
         )
         try:
-            while not _is_connected(direct) and not through_peer.done():
+            while not is_connected(direct) and not through_peer.done():
                 pending = {item for item in (direct, through_peer) if not item.done()}
                 await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
         except BaseException:
-            _abandon(through_peer)
+            abandon(through_peer)
             raise
-        if _is_connected(direct):
-            _abandon(through_peer)
+        if is_connected(direct):
+            abandon(through_peer)
             return direct.result()
         try:
             found = through_peer.result()
@@ -261,7 +280,7 @@
         if not direct.done():
             # It is given up before it can fail.
             self._records.record_failure(endpoint.id, ConnectTimeoutError(reason))
-        self._record_cut(endpoint, found.peer, reason, may_hang=not _is_refused(direct))
+        self._record_cut(endpoint, found.peer, reason, may_hang=not is_refused(direct))
         return found
 
     async def _direct_result(
@@ -274,7 +293,7 @@
             is_unknown = isinstance(peer_error, PeerUnavailableError)
             if is_unknown and self._cuts:
                 raise PathCutError(f"{error}; {peer_error}") from None
-            if isinstance(peer_error, PathMissingError) and _is_refused(direct):
+            if isinstance(peer_error, PathMissingError) and is_refused(direct):
                 # Not confirmed: this instance may be cut as its peers are.
                 raise ConnectError(f"{error}; {peer_error}") from None
             raise
@@ -370,32 +389,3 @@
             cut=len(self._cuts),
         )
         return True
-
-
-_Attempt = asyncio.Future[ClientConnection] | asyncio.Future[PeerConnection]
-
-
-def _is_connected(direct: asyncio.Future[ClientConnection]) -> bool:
-    return direct.done() and direct.exception() is None
-
-
-def _is_refused(direct: asyncio.Future[ClientConnection]) -> bool:
-    return direct.done() and isinstance(direct.exception(), NobodyListensError)
-
-
-def _abandon(attempt: _Attempt) -> None:
-    """Cancel an attempt to connect, or close the connection that nobody takes."""
-    if attempt.done():
-        _close_unused(attempt)
-    else:
-        attempt.add_done_callback(_close_unused)
-        attempt.cancel()
-
-
-def _close_unused(attempt: _Attempt) -> None:
-    if attempt.cancelled() or attempt.exception() is not None:
-        return
-    result = attempt.result()
-    if isinstance(result, PeerConnection):
-        result = result.connection
-    result.abort()
--- a/fuchsiaroute/forwarding/tests/test_endpoint_paths.py
+++ b/fuchsiaroute/forwarding/tests/test_endpoint_paths.py
@@ -279,6 +279,17 @@
     )
 
 
+async def test_exchanges_that_end_together_cause_one_check() -> None:
+    case = Paths()
+    case.endpoints = [endpoint("e")]
+    case.direct = case.through_peer = REFUSED
+    checks = [case.paths.is_refused(endpoint()) for _ in range(20)]
+    assert await asyncio.gather(*checks) == [True] * 20
+    assert (len(case.tried), case.asked) == (1, 1)
+    assert await case.paths.is_refused(endpoint())
+    assert (len(case.tried), case.asked) == (2, 2)
+
+
 async def test_refusal_by_cut_peers_is_no_evidence() -> None:
     case = Paths()
     case.endpoints = [endpoint("e"), endpoint("other")]
--- a/fuchsiaroute/platform/tests/node_harness.py
+++ b/fuchsiaroute/platform/tests/node_harness.py
@@ -204,6 +204,7 @@
         grace_s: float = 8,
         name: str = "me",
         store: Store | None = None,
+        has_tunnel_port: bool = True,
     ) -> None:
         self.store = store or Store()
         self.name = name
@@ -211,6 +212,7 @@
         self.lines: list[bytes] = []
         self._configuration = configuration
         self._grace_s = grace_s
+        self._has_tunnel_port = has_tunnel_port
         self._callers: list[Caller] = []
         self._clock = clock or BootClock()
 
@@ -223,12 +225,13 @@
             self.store.put("op", "config", self._configuration)
         self.frontend, self.control = free_ports(2)
         peer = free_port_pair()
+        last_peer = peer + 1 if self._has_tunnel_port else peer
         self.settings_text = (
             f"NodeName={self.name}\nZone=z1\nIp=127.0.0.1\n"
             f"Listen.Frontend=127.0.0.1:{self.frontend}\n"
             f"Listen.Readiness=127.0.0.1:{self.control}\n"
             f"Listen.Directory=127.0.0.1:{self.control}\n"
-            f"PortRange={peer},{peer + 1}\n"
+            f"PortRange={peer},{last_peer}\n"
             f"Platform.Address=127.0.0.1:{self.store.port}\n"
             f"Bounds.GraceS={self._grace_s}\n"
         )
--- a/fuchsiaroute/platform/tests/test_partitioned_instance.py
+++ b/fuchsiaroute/platform/tests/test_partitioned_instance.py
@@ -268,3 +268,18 @@
             assert all(member.is_usable for member in pool.members(ServiceId("app")))
     assert sum(len(item.requests) for item in endpoints) == len(callers)
     assert b"endpoint:crashed" not in b"".join(harnesses[0].lines)
+
+
+async def test_instances_without_a_port_for_tunnels_serve_and_refuse_as_before(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    endpoint = Recorder()
+    async with cluster(2, endpoint, has_tunnel_port=False) as harnesses:
+        first, second = harnesses
+        assert b"tunnel:not-listening" in b"".join(first.lines)
+        with cut_paths(monkeypatch, {endpoint.port}) as paths:
+            paths.cut(CutKind.REFUSED, first.name)
+            refused = await first.caller().ask("/write/x", request_id="a")
+            served = await second.caller().ask("/write/x", request_id="b")
+    assert (refused.status, served.status) == (503, 200)
+    assert endpoint.ran == ["b"]
