--- a/fuchsiaroute/forwarding/__init__.py
+++ b/fuchsiaroute/forwarding/__init__.py
@@ -3,6 +3,7 @@
 from fuchsiaroute.forwarding._attempt_runner import AttemptRunner
 from fuchsiaroute.forwarding._buffered_relay import BufferedRelay
 from fuchsiaroute.forwarding._call import Call
+from fuchsiaroute.forwarding._connect_records import ConnectRecords
 from fuchsiaroute.forwarding._connection_pool import ConnectionPool
 from fuchsiaroute.forwarding._counters import LATENCY_BOUNDS_MS, Counters
 from fuchsiaroute.forwarding._endpoint_client import EndpointClient
@@ -13,6 +14,7 @@
     SharedEstimate,
 )
 from fuchsiaroute.forwarding._model_choice import CascadeTimes, ModelChoice
+from fuchsiaroute.forwarding._peer_connector import PeerConnection, PeerConnector
 from fuchsiaroute.forwarding._request_resolver import RequestResolver
 from fuchsiaroute.forwarding._speed_comparison import SpeedComparison
 from fuchsiaroute.forwarding._stop_admission import StopAdmission
@@ -24,6 +26,7 @@
     "BufferedRelay",
     "Call",
     "CascadeTimes",
+    "ConnectRecords",
     "ConnectionPool",
     "Counters",
     "EndpointClient",
@@ -32,6 +35,8 @@
     "LatencyEstimator",
     "ModelChoice",
     "RequestResolver",
+    "PeerConnection",
+    "PeerConnector",
     "SharedEstimate",
     "StopAdmission",
     "SpeedComparison",
--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -48,6 +48,10 @@
 RESUME_RESERVE = 1
 
 
+#: Outcomes of a connection that ended: the endpoint may have crashed.
+_CRASH_OUTCOMES = frozenset({Outcome.FAILED_AFTER_SENT, Outcome.PATH_LOST})
+
+
 class SendKind(Enum):
     """Why a request is sent to an endpoint, for the counters."""
 
@@ -219,7 +223,7 @@
                 self._record_silence(call, reservation, model, result)
                 return result
             self._records.record_failure(call, result, endpoint.id, endpoint.version)
-            if result.outcome is Outcome.FAILED_AFTER_SENT:
+            if result.outcome in _CRASH_OUTCOMES:
                 await self.check_crash(call, endpoint)
             return result
         if result.fields.unreadable:
--- a/fuchsiaroute/http1/__init__.py
+++ b/fuchsiaroute/http1/__init__.py
@@ -7,9 +7,11 @@
     ResponseHead,
     connect,
 )
+from fuchsiaroute.http1._connecting import connect_protocol
 from fuchsiaroute.http1._exceptions import (
     BrokenResponseError,
     ConnectError,
+    ConnectTimeoutError,
     ExchangeError,
     NobodyListensError,
     NoConnectionLeftError,
@@ -30,6 +32,7 @@
     ServerConnection,
     ServerLimits,
 )
+from fuchsiaroute.http1._socket_options import DeadPathDetection
 
 __all__ = [
     "BodyBudget",
@@ -37,7 +40,9 @@
     "ClientConnection",
     "CloseReason",
     "ConnectError",
+    "ConnectTimeoutError",
     "ConnectionState",
+    "DeadPathDetection",
     "ExchangeError",
     "Handler",
     "Headers",
@@ -50,6 +55,7 @@
     "ServerConnection",
     "ServerLimits",
     "connect",
+    "connect_protocol",
     "encode_request",
     "encode_response_head",
     "end_to_end_headers",
--- a/fuchsiaroute/node/_run.py
+++ b/fuchsiaroute/node/_run.py
@@ -21,6 +21,7 @@
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.node._metrics import METRICS_PATH
 from fuchsiaroute.node._parts import NodeParts
+from fuchsiaroute.node._peer_tunnels import tunnel_port
 from fuchsiaroute.platform import (
     Address,
     NodeSettings,
@@ -80,6 +81,7 @@
         parts = self._parts
         await parts.gossip.open(self._settings.ip, self._settings.peer_ports[0])
         await self._listen()
+        await self._open_tunnels()
         self._log.write(
             "process:started",
             pid=os.getpid(),
@@ -92,6 +94,7 @@
         self._start("instance register", parts.registry.run)
         self._start("roll-outs", parts.driver.run)
         self._start("quarantine rows", parts.quarantine_rows.run)
+        self._start("paths to endpoints", parts.connections.paths.run)
         self._start("ticks", self._tick)
         await self._stop.wait()
         await self._shut_down()
@@ -122,6 +125,19 @@
                 "metrics:listening", address=str(metrics), path=METRICS_PATH.decode()
             )
 
+    async def _open_tunnels(self) -> None:
+        """Carry connections of peers, if there is a port for them."""
+        port = tunnel_port(self._settings)
+        if not port:
+            reason = "the range for peers has no second port"
+            self._log.write("tunnel:not-listening", reason=reason)
+            return
+        try:
+            await self._parts.tunnels.open(self._settings.ip, port)
+        except OSError as error:
+            # Peers leave this instance out; it serves all the same.
+            self._log.write("tunnel:not-listening", reason=str(error))
+
     async def _serve(
         self,
         address: Address,
@@ -221,15 +237,17 @@
         started_at = now if self._stop_signal_at is None else self._stop_signal_at
         drain.begin(grace=self._settings.bounds.grace, signalled_at=started_at)
         parts.gossip.send_soon()
+        parts.tunnels.announce_leaving()
         self._log.write(
             "process:stopping",
             handled_after_ms=now - started_at,
             active=parts.forwarder.active,
+            tunnels=parts.tunnels.active,
             connections=self._connection_counts(),
             grace_ms=self._settings.bounds.grace,
         )
         while drain.phase is not Phase.ENDED:
-            if drain.may_exit() and self._is_settled():
+            if drain.may_exit() and self._is_settled() and not parts.tunnels.active:
                 break
             await self._clock.sleep(IDLE_CHECK_INTERVAL)
         remaining = parts.forwarder.active
@@ -245,6 +263,7 @@
         unsent = sum(item.unsent_bytes for item in self._caller_connections)
         for connection in list(self._caller_connections | self._control_connections):
             connection.close()
+        parts.tunnels.close()
         parts.gossip.close()
         for task in self._tasks:
             task.cancel()
