Requests: await an endpoint that took over as long as any other one

Callers saw: a stream was cut although its second endpoint would have gone on. Cause: an endpoint that had replaced a silent one, and worked on the request alone, was still given up at its attempt's timeout before a third one had taken the request; if that one was full or failing, the attempts were used up. Class: work is given up before what replaces it has proved itself.

An attempt beside another one ends like any other once the other one has been given up: only for an endpoint that takes over. While both work, its timeout ends nothing; MAX_OVERLAP does.

Evidence: test_endpoint_that_took_over_is_awaited_as_well failed before where the third endpoint fails or resets connections (2 of 3 cases), and passes.

--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -152,6 +152,7 @@
         is_resumption: bool = False,
         max_silence: Milliseconds | None = None,
         before_send: Callable[[Reservation], None] = lambda reservation: None,
+        is_alone: Callable[[], bool] = lambda: True,
     ) -> OpenResponse | AttemptFailure | NoReservation:
         """
         Reserve an endpoint and send the request to it.
@@ -160,7 +161,8 @@
         is queued before all new requests. With ``max_silence``, it does not wait for
         capacity, and goes neither to an endpoint that has failed this request nor to
         one that has been silent for that long. ``before_send`` is called once an
-        endpoint is reserved.
+        endpoint is reserved. No other endpoint takes over from this one unless
+        ``is_alone`` returns that it is the only one that works on the request.
         """
         reservation = await self._reserve(
             call, model, is_resumption=is_resumption, max_silence=max_silence
@@ -182,9 +184,8 @@
         head_timeout = self._estimates.head_timeout(
             call, model, reservation.backlog, is_escalation=is_escalation
         )
-        # A weak answer need not wait longer for a better one, and an attempt beside
-        # another one is itself a replacement.
-        is_replaceable = not is_escalation and max_silence is None
+        # A weak answer need not wait longer for a better one.
+        is_replaceable = not is_escalation
         result = await self._client.send(
             call,
             reservation,
@@ -200,6 +201,7 @@
                     resume_after=resume_after,
                     is_resumption=is_resumption,
                     silence=head_timeout,
+                    is_alone=is_alone,
                 )
                 if is_replaceable
                 else None
@@ -243,12 +245,16 @@
         resume_after: EventId | None,
         is_resumption: bool,
         silence: Milliseconds,
+        is_alone: Callable[[], bool] = lambda: True,
     ) -> OpenResponse | Silence:
         """
         Look for an endpoint that takes over from one that was silent for ``silence``.
 
-        See ``StandbyRunner.replace``.
+        See ``attempt`` and ``StandbyRunner.replace``.
         """
+        if not is_alone():
+            bytes_arrive.close()
+            return Silence.KEPT
         call.excluded.add(reservation.endpoint.id)
         reservation.record_silence()
         if not self.may_retry(call):
--- a/fuchsiaroute/forwarding/_standby.py
+++ b/fuchsiaroute/forwarding/_standby.py
@@ -34,6 +34,7 @@
         is_resumption: bool = False,
         max_silence: Milliseconds | None = None,
         before_send: Callable[[Reservation], None],
+        is_alone: Callable[[], bool],
     ) -> OpenResponse | AttemptFailure | NoReservation:
         """Reserve an endpoint and send the request to it."""
         ...
@@ -77,6 +78,7 @@
         called to end the present run; it is unless ``KEPT`` is returned.
         """
         reserved: list[Reservation] = []
+        is_given_up = False
         attempt: _Attempt = asyncio.create_task(
             self._attempts.attempt(
                 call,
@@ -85,10 +87,10 @@
                 is_resumption=is_resumption,
                 max_silence=max_silence,
                 before_send=reserved.append,
+                is_alone=lambda: is_given_up,
             )
         )
         data = asyncio.create_task(bytes_arrive)
-        is_given_up = False
         try:
             await asyncio.wait(
                 {attempt, data},
--- a/fuchsiaroute/platform/tests/test_silent_endpoints.py
+++ b/fuchsiaroute/platform/tests/test_silent_endpoints.py
@@ -254,3 +254,37 @@
         replies = await asking
         assert {f"r{number}".encode() for number in range(6)} <= sent_to.keys()
         assert [reply.status for reply in replies] == [200] * len(replies)
+
+
+async def arrival(endpoints: list[PausingEndpoint]) -> PausingEndpoint:
+    """Return the endpoint among ``endpoints`` at which a request arrives first."""
+    while True:
+        for endpoint in endpoints:
+            if endpoint.arrived:
+                return endpoint
+        await asyncio.sleep(0.005)
+
+
+@pytest.mark.parametrize("others", [Others.FULL, Others.FAILING, Others.RESETTING])
+async def test_endpoint_that_took_over_is_awaited_as_well(others: Others) -> None:
+    """
+    Guards against a run that is ended after it has replaced a silent one.
+
+    It is silent itself, the third endpoint turns the stream away, and it would have
+    gone on.
+    """
+    endpoints = [PausingEndpoint() for _ in range(3)]
+    async with cluster(1, *endpoints, configuration=configuration()) as harnesses:
+        asking = asyncio.create_task(ask_all(harnesses, "/stream/", 1))
+        first = await arrival(endpoints)
+        await asyncio.sleep(FIRST_EVENT_S + EVENT_INTERVAL_S)
+        for endpoint in endpoints:
+            endpoint.fall_silent()
+        left = [endpoint for endpoint in endpoints if endpoint is not first]
+        second = await arrival(left)
+        left.remove(second)
+        left[0].turned_away = _TURNING_AWAY[others]
+        await asyncio.sleep(2.0)
+        for endpoint in endpoints:
+            endpoint.go_on()
+        assert_whole(await asking)
