Requests: keep the other endpoint's run when the silent one fails

Callers saw: 502, or a stream cut, though a second endpoint was at work on the request. Cause: an error of the silent endpoint, or its refusal, counted as a sign of life. The run beside it was ended, the error was then read, and the attempts were used up. Class: work is given up before what replaces it has proved itself.

The wait beside a standby now tells a run that goes on from one that has failed. After a failure the other endpoint is awaited like a sole one; the crash of the silent endpoint is checked as before.

Evidence: test_silent_endpoint_breaks_off_while_another_one_works failed before (both cases) and passes; so do test_silent_endpoints.py, forwarding/, pool/ and http1/.

--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -239,7 +239,7 @@
         call: Call,
         reservation: Reservation,
         *,
-        bytes_arrive: Coroutine[Any, Any, object],
+        goes_on: Coroutine[Any, Any, bool],
         give_up: Callable[[], None],
         model: ModelId | None,
         resume_after: EventId | None,
@@ -253,17 +253,17 @@
         See ``attempt`` and ``StandbyRunner.replace``.
         """
         if not is_alone():
-            bytes_arrive.close()
+            goes_on.close()
             return Silence.KEPT
         call.excluded.add(reservation.endpoint.id)
         reservation.record_silence()
         if not self.may_retry(call):
-            bytes_arrive.close()
+            goes_on.close()
             return Silence.KEPT
         return await self._standby.replace(
             call,
             reservation.endpoint,
-            bytes_arrive=bytes_arrive,
+            goes_on=goes_on,
             model=model,
             resume_after=resume_after,
             is_resumption=is_resumption,
--- a/fuchsiaroute/forwarding/_endpoint_client.py
+++ b/fuchsiaroute/forwarding/_endpoint_client.py
@@ -99,9 +99,9 @@
         self._reservation.record_bytes()
         return data
 
-    async def wait_readable(self) -> None:
-        """Wait until ``read`` returns or raises at once."""
-        await self._connection.wait_readable()
+    async def wait_readable(self) -> bool:
+        """Wait until ``read`` does not wait; return whether it will not raise."""
+        return await self._connection.wait_readable()
 
     async def read_whole(self, *, limit: int) -> bytes:
         """Return the whole body; raise ``ExchangeError`` above ``limit`` bytes."""
@@ -126,7 +126,7 @@
     async def __call__(
         self,
         *,
-        bytes_arrive: Coroutine[Any, Any, object],
+        goes_on: Coroutine[Any, Any, bool],
         give_up: Callable[[], None],
     ) -> OpenResponse | Silence:
         """Return the response of another endpoint, or what becomes of the run."""
@@ -241,7 +241,7 @@
                 if replace is None:
                     return None
             result = await replace(
-                bytes_arrive=connection.head(), give_up=connection.abort
+                goes_on=_has_success(connection), give_up=connection.abort
             )
             if isinstance(result, OpenResponse):
                 return result
@@ -299,6 +299,15 @@
         )
 
 
+async def _has_success(connection: ClientConnection) -> bool:
+    """Wait for the response head; return whether it states success."""
+    try:
+        head = await connection.head()
+    except ExchangeError:
+        return False
+    return 200 <= head.status < 300
+
+
 def _connect_failure(reservation: Reservation, error: ConnectError) -> AttemptFailure:
     outcome = Outcome.FAILED_BEFORE_SENT
     if isinstance(error, NoConnectionLeftError):
--- a/fuchsiaroute/forwarding/_standby.py
+++ b/fuchsiaroute/forwarding/_standby.py
@@ -39,6 +39,12 @@
         """Reserve an endpoint and send the request to it."""
         ...
 
+    async def check_crash(
+        self, call: Call, endpoint: Endpoint, *, has_event: bool = False
+    ) -> None:
+        """Record whether an endpoint crashed; see ``CrashGuard.check``."""
+        ...
+
     def is_rather_alive(
         self, call: Call, reservation: Reservation, silent: Endpoint
     ) -> bool:
@@ -63,7 +69,7 @@
         call: Call,
         silent: Endpoint,
         *,
-        bytes_arrive: Coroutine[Any, Any, object],
+        goes_on: Coroutine[Any, Any, bool],
         model: ModelId | None,
         max_silence: Milliseconds,
         give_up: Callable[[], None],
@@ -73,12 +79,13 @@
         """
         Return the successful response of another endpoint that takes over, if any.
 
-        ``bytes_arrive`` ends when the silent endpoint sends something. An endpoint that
-        has been silent for ``max_silence`` does not get the request. ``give_up`` is
-        called to end the present run; it is unless ``KEPT`` is returned.
+        ``goes_on`` ends when the silent endpoint sends something or its run fails, and
+        returns False if it fails. An endpoint that has been silent for ``max_silence``
+        does not get the request. ``give_up`` is called to end the present run; it is
+        unless ``KEPT`` is returned.
         """
         reserved: list[Reservation] = []
-        is_given_up = False
+        is_given_up = has_failed = False
         attempt: _Attempt = asyncio.create_task(
             self._attempts.attempt(
                 call,
@@ -87,27 +94,32 @@
                 is_resumption=is_resumption,
                 max_silence=max_silence,
                 before_send=reserved.append,
-                is_alone=lambda: is_given_up,
+                is_alone=lambda: is_given_up or has_failed,
             )
         )
-        data = asyncio.create_task(bytes_arrive)
+        data = asyncio.create_task(goes_on)
         try:
             await asyncio.wait(
                 {attempt, data},
                 timeout=MAX_OVERLAP / MILLISECONDS_PER_SECOND,
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if data.done():
+            has_failed = data.done() and not data.result()
+            if data.done() and not has_failed:
                 _end(attempt)
                 return Silence.KEPT
-            if not attempt.done():
+            if not attempt.done() and not has_failed:
                 if not self._is_rather_alive(call, reserved, silent):
                     _end(attempt)
                     return Silence.KEPT
                 is_given_up = True
                 give_up()
             result = await attempt
-        except asyncio.CancelledError:
+            if has_failed and _is_success(result):
+                await self._attempts.check_crash(
+                    call, silent, has_event=resume_after is not None
+                )
+        except BaseException:
             _end(attempt)
             raise
         finally:
@@ -131,6 +143,10 @@
         return False
 
 
+def _is_success(result: OpenResponse | AttemptFailure | NoReservation) -> bool:
+    return isinstance(result, OpenResponse) and result.is_success
+
+
 def _end(task: asyncio.Task[Any]) -> None:
     """End a task whose result is not needed."""
     task.cancel()
@@ -138,7 +154,6 @@
 
 
 def _close_response(task: asyncio.Task[Any]) -> None:
-    # An error of the silent run is raised again where its answer is read.
     if task.cancelled() or task.exception() is not None:
         return
     if isinstance(task.result(), OpenResponse):
--- a/fuchsiaroute/forwarding/_stream_relay.py
+++ b/fuchsiaroute/forwarding/_stream_relay.py
@@ -297,7 +297,7 @@
         result = await self._runner.replace_silent(
             call,
             state.response.reservation,
-            bytes_arrive=state.response.wait_readable(),
+            goes_on=state.response.wait_readable(),
             model=state.response.model,
             resume_after=_last_event_id(state),
             is_resumption=True,
--- a/fuchsiaroute/forwarding/tests/test_standby.py
+++ b/fuchsiaroute/forwarding/tests/test_standby.py
@@ -24,16 +24,24 @@
 
 
 class Response(OpenResponse):
-    """A response of which bytes arrive after ``readable_s``."""
-
-    def __init__(self, *, status: int = 200, readable_s: float = NEVER_S) -> None:
+    """A response of which bytes arrive, or that fails, after ``readable_s``."""
+
+    def __init__(
+        self,
+        *,
+        status: int = 200,
+        readable_s: float = NEVER_S,
+        is_readable: bool = True,
+    ) -> None:
         self.head = SimpleNamespace(status=status)  # type: ignore[assignment]
         self.model = None
         self.closed: Outcome | None = None
         self._readable_s = readable_s
+        self._is_readable = is_readable
 
-    async def wait_readable(self) -> None:
+    async def wait_readable(self) -> bool:
         await asyncio.sleep(self._readable_s)
+        return self._is_readable
 
     def close(self, outcome: Outcome) -> None:
         self.closed = outcome
@@ -48,6 +56,7 @@
     is_alive: bool = False
     is_reserved: bool = True
     is_ended: bool = False
+    crash_checks: int = 0
     reservation: Any = field(
         default_factory=lambda: SimpleNamespace(silences=0, record_silence=None)
     )
@@ -64,6 +73,9 @@
             raise
         return self.result
 
+    async def check_crash(self, call: Any, endpoint: Any, *, has_event: bool) -> None:
+        self.crash_checks += 1
+
     def is_rather_alive(self, call: Any, reservation: Any, silent: Any) -> bool:
         return self.is_alive
 
@@ -78,7 +90,7 @@
     result = await StandbyRunner(runner).replace(  # type: ignore[arg-type]
         SimpleNamespace(),  # type: ignore[arg-type]
         SimpleNamespace(id="e"),  # type: ignore[arg-type]
-        bytes_arrive=silent.wait_readable(),
+        goes_on=silent.wait_readable(),
         model=None,
         max_silence=MAX_SILENCE,
         give_up=lambda: given_up.append(loop.time() - start),
@@ -142,6 +154,29 @@
     assert all(instant < OVERLAP_S * 1.4 for instant in given_up)
 
 
+@pytest.mark.parametrize(
+    ("result", "answer_s", "is_moved"),
+    [
+        ("success", SOON_S * 2, True),
+        ("success", LATE_S, True),
+        (FAILURE, LATE_S, False),
+        (NO_PLACE, SOON_S * 2, False),
+    ],
+)
+async def test_attempt_goes_on_when_the_silent_run_fails(
+    result: Any, answer_s: float, is_moved: bool
+) -> None:
+    """Guards against a run that is ended though it is the only one left."""
+    response = Response()
+    runner = Runner(response if result == "success" else result, answer_s)
+    silent = Response(readable_s=SOON_S, is_readable=False)
+    found, given_up = await replace(runner, silent)
+    assert found is (response if is_moved else Silence.KEPT)
+    assert bool(given_up) is is_moved
+    # Otherwise the failure is found, and the crash checked, where the answer is read.
+    assert runner.crash_checks == is_moved
+
+
 async def test_attempt_ends_with_its_request() -> None:
     """Guards against a run that goes on after the caller has left."""
     runner = Runner(Response(), NEVER_S)
--- a/fuchsiaroute/http1/_client.py
+++ b/fuchsiaroute/http1/_client.py
@@ -175,11 +175,12 @@
             self._transport.resume_reading()
         return data
 
-    async def wait_readable(self) -> None:
-        """Wait until ``read`` returns bytes, the end, or an error at once."""
+    async def wait_readable(self) -> bool:
+        """Wait until ``read`` does not wait; return whether it will not raise."""
         while not (self._chunks or self._is_complete or self._error is not None):
             self._arrived.clear()
             await self._arrived.wait()
+        return bool(self._chunks) or self._is_complete
 
     async def read_whole(self, *, limit: int) -> ResponseBody:
         """
--- a/fuchsiaroute/platform/tests/test_silent_endpoints.py
+++ b/fuchsiaroute/platform/tests/test_silent_endpoints.py
@@ -265,6 +265,30 @@
         await asyncio.sleep(0.005)
 
 
+@pytest.mark.parametrize("path", ["/read/", "/stream/"])
+async def test_silent_endpoint_breaks_off_while_another_one_works(path: str) -> None:
+    """
+    Guards against a run that is ended because the silent one before it broke off.
+
+    The other endpoint would have answered, and no attempt is left for a third one.
+    """
+    endpoints = [PausingEndpoint() for _ in range(3)]
+    async with cluster(
+        1, *endpoints, configuration=configuration(MaxAttempts=2)
+    ) as harnesses:
+        asking = asyncio.create_task(ask_all(harnesses, path, 1))
+        silent = await arrival(endpoints)
+        await asyncio.sleep(FIRST_EVENT_S / 2 if path == "/read/" else FIRST_EVENT_S)
+        silent.fall_silent()
+        await arrival([endpoint for endpoint in endpoints if endpoint is not silent])
+        await asyncio.sleep(FIRST_EVENT_S / 2)
+        for connection in list(silent.connections):
+            connection.close()
+        [reply] = await asking
+        assert reply.is_whole
+        assert reply.status == 200
+
+
 @pytest.mark.parametrize("others", [Others.FULL, Others.FAILING, Others.RESETTING])
 async def test_endpoint_that_took_over_is_awaited_as_well(others: Others) -> None:
     """
