Requests: compare a standby's time with the usual one of its model

Callers saw: on routes that choose a model, a stream was cut while all endpoints were silent, though its own would have gone on. Cause: durations of such routes are learned by model, and the question whether a sound endpoint may take longer was asked without one; it was always answered yes, so the present run was ended for an endpoint that was silent as well.

Evidence: test_stream_stays_where_a_sound_endpoint_would_have_answered failed before on a route with models (and passed without), and passes.

--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -306,7 +306,12 @@
             self._tracker.sessions.record_served(call.session, version)
 
     def is_rather_alive(
-        self, call: Call, reservation: Reservation, silent: Endpoint
+        self,
+        call: Call,
+        reservation: Reservation,
+        silent: Endpoint,
+        *,
+        model: ModelId | None,
     ) -> bool:
         """
         Return whether an endpoint that has not answered is preferable to a silent one.
@@ -321,7 +326,9 @@
         waited = Milliseconds(self._clock.now() - reservation.reserved_at)
         return (
             has_attempt
-            and self._estimates.may_take_longer(call, None, reservation.backlog, waited)
+            and self._estimates.may_take_longer(
+                call, model, reservation.backlog, waited
+            )
             and not self._pool.has_silent(call.service, beside=silent.id)
         )
 
--- a/fuchsiaroute/forwarding/_standby.py
+++ b/fuchsiaroute/forwarding/_standby.py
@@ -46,7 +46,12 @@
         ...
 
     def is_rather_alive(
-        self, call: Call, reservation: Reservation, silent: Endpoint
+        self,
+        call: Call,
+        reservation: Reservation,
+        silent: Endpoint,
+        *,
+        model: ModelId | None,
     ) -> bool:
         """Return whether a reserved endpoint is preferable to a silent one."""
         ...
@@ -109,7 +114,7 @@
                 _end(attempt)
                 return Silence.KEPT
             if not attempt.done() and not has_failed:
-                if not self._is_rather_alive(call, reserved, silent):
+                if not self._is_rather_alive(call, reserved, silent, model):
                     _end(attempt)
                     return Silence.KEPT
                 is_given_up = True
@@ -133,11 +138,15 @@
         return Silence.GIVEN_UP if is_given_up else Silence.KEPT
 
     def _is_rather_alive(
-        self, call: Call, reserved: list[Reservation], silent: Endpoint
+        self,
+        call: Call,
+        reserved: list[Reservation],
+        silent: Endpoint,
+        model: ModelId | None,
     ) -> bool:
         """Return whether the endpoint of the attempt, if any, is preferable."""
         for reservation in reserved:
-            if self._attempts.is_rather_alive(call, reservation, silent):
+            if self._attempts.is_rather_alive(call, reservation, silent, model=model):
                 return True
             reservation.record_silence()
         return False
--- a/fuchsiaroute/forwarding/tests/test_standby.py
+++ b/fuchsiaroute/forwarding/tests/test_standby.py
@@ -76,7 +76,9 @@
     async def check_crash(self, call: Any, endpoint: Any, *, has_event: bool) -> None:
         self.crash_checks += 1
 
-    def is_rather_alive(self, call: Any, reservation: Any, silent: Any) -> bool:
+    def is_rather_alive(
+        self, call: Any, reservation: Any, silent: Any, *, model: Any
+    ) -> bool:
         return self.is_alive
 
     def _record_silence(self) -> None:
--- a/fuchsiaroute/platform/tests/test_silent_endpoints.py
+++ b/fuchsiaroute/platform/tests/test_silent_endpoints.py
@@ -312,3 +312,38 @@
         for endpoint in endpoints:
             endpoint.go_on()
         assert_whole(await asking)
+
+
+@pytest.mark.parametrize(("sizes", "model"), [([], ""), (["small"], "X-Model: *\r\n")])
+async def test_stream_stays_where_a_sound_endpoint_would_have_answered(
+    sizes: list[str], model: str
+) -> None:
+    """
+    Guards against a run that is ended for an endpoint that is silent for too long.
+
+    On routes that choose a model, usual durations are those of the model.
+    """
+    endpoints = [PausingEndpoint() for _ in range(3)]
+    async with cluster(
+        1, *endpoints, configuration=configuration(Sizes=sizes)
+    ) as harnesses:
+        ask = harnesses[0].caller
+        await asyncio.gather(
+            *(
+                ask().ask(f"/stream/w{number}", request_id=f"w{number}", extra=model)
+                for number in range(20)
+            )
+        )
+        for endpoint in endpoints:
+            endpoint.arrived.clear()
+        asking = asyncio.create_task(
+            ask().ask("/stream/", deadline=TIMEOUT_MS, extra=model)
+        )
+        first = await arrival(endpoints)
+        await asyncio.sleep(FIRST_EVENT_S + EVENT_INTERVAL_S)
+        for endpoint in endpoints:
+            endpoint.fall_silent()
+        await arrival([endpoint for endpoint in endpoints if endpoint is not first])
+        await asyncio.sleep(GAP_TARGET_MS / 1_000)
+        first.go_on()
+        assert_whole([await asking])
