Tests: a last attempt spent on an endpoint without time to answer, failing

A stream whose endpoint is silent is sent to another one for 250 ms. Where endpoints usually take longer to begin and the route has no further attempt, that one is always ended, and a silent endpoint that then breaks off ends the stream.

--- a/fuchsiaroute/platform/tests/test_silent_endpoints.py
+++ b/fuchsiaroute/platform/tests/test_silent_endpoints.py
@@ -45,8 +45,9 @@
 class PausingEndpoint(Endpoint):
     """Sends nothing while it is silent; then goes on with every run it still has."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, first_event_s: float = FIRST_EVENT_S) -> None:
         super().__init__(self._run)
+        self._first_event_s = first_event_s
         self._goes_on = asyncio.Event()
         self._goes_on.set()
         #: Ids of the requests that arrived, in order.
@@ -68,7 +69,7 @@
             await self.turned_away(endpoint, request, responder)
             return
         self.arrived.append(find_header(request.headers, b"x-request-id"))
-        await asyncio.sleep(FIRST_EVENT_S)
+        await asyncio.sleep(self._first_event_s)
         await self._goes_on.wait()
         if not request.path.startswith(STREAM_PATHS):
             responder.send(200, self.headers(request), b"done")
@@ -347,3 +348,26 @@
         await asyncio.sleep(GAP_TARGET_MS / 1_000)
         first.go_on()
         assert_whole([await asking])
+
+
+async def test_last_attempt_is_kept_for_a_silent_run_that_breaks_off() -> None:
+    """
+    Guards against a last attempt at an endpoint that has no time to answer.
+
+    Endpoints usually take longer than two may work on one stream.
+    """
+    endpoints = [PausingEndpoint(first_event_s=0.5) for _ in range(3)]
+    async with cluster(
+        1, *endpoints, configuration=configuration(MaxAttempts=2)
+    ) as harnesses:
+        await ask_all(harnesses, "/stream/")
+        for endpoint in endpoints:
+            endpoint.arrived.clear()
+        asking = asyncio.create_task(ask_all(harnesses, "/stream/", 1))
+        silent = await arrival(endpoints)
+        await asyncio.sleep(0.5 + EVENT_INTERVAL_S)
+        silent.fall_silent()
+        await asyncio.sleep(1.0)
+        for connection in list(silent.connections):
+            connection.close()
+        assert_whole(await asking)
