Requests: charge a retry at a silent endpoint only if another one has room

The retry budget is shared by all requests to a service. While all of its endpoints were silent, each stream at them was charged a retry although no endpoint could be asked; the budget was then missing for streams and requests whose endpoints really fail.

EndpointPool.can_take, which nothing used, now decides whether a standby is tried at all. It no longer asks for a permit in hand, as choosing an endpoint is what requests one.

Evidence: test_silence_of_all_endpoints_leaves_the_retry_budget failed before (12 retries charged, none sent), and passes.

--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -257,7 +257,9 @@
             return Silence.KEPT
         call.excluded.add(reservation.endpoint.id)
         reservation.record_silence()
-        if not self.may_retry(call):
+        max_silence = Milliseconds(round(silence * MAX_SILENCE_SHARE))
+        demand = self._estimates.demand(call, model, max_silence=max_silence)
+        if not self._pool.can_take(demand) or not self.may_retry(call):
             goes_on.close()
             return Silence.KEPT
         return await self._standby.replace(
@@ -267,7 +269,7 @@
             model=model,
             resume_after=resume_after,
             is_resumption=is_resumption,
-            max_silence=Milliseconds(round(silence * MAX_SILENCE_SHARE)),
+            max_silence=max_silence,
             give_up=give_up,
         )
 
--- a/fuchsiaroute/platform/tests/test_silent_endpoints.py
+++ b/fuchsiaroute/platform/tests/test_silent_endpoints.py
@@ -371,3 +371,21 @@
         for connection in list(silent.connections):
             connection.close()
         assert_whole(await asking)
+
+
+async def test_silence_of_all_endpoints_leaves_the_retry_budget() -> None:
+    """Guards against retries that are charged though no endpoint can take them."""
+    endpoints = [PausingEndpoint() for _ in range(3)]
+    async with cluster(1, *endpoints, configuration=configuration()) as harnesses:
+        asking = asyncio.create_task(ask_all(harnesses, "/stream/"))
+        await asyncio.sleep(STREAMS * EVENT_INTERVAL_S / 2 + FIRST_EVENT_S)
+        for endpoint in endpoints:
+            endpoint.fall_silent()
+        await asyncio.sleep(2.0)
+        for endpoint in endpoints:
+            endpoint.go_on()
+        assert_whole(await asking)
+        sends = sum(len(endpoint.arrived) for endpoint in endpoints)
+        runner = harnesses[0].node._parts.forwarder._runner
+        charged = sum(len(budget._retries) for budget in runner._budgets.values())
+        assert charged == sends - STREAMS
--- a/fuchsiaroute/pool/_pool.py
+++ b/fuchsiaroute/pool/_pool.py
@@ -271,11 +271,13 @@
         )
 
     def can_take(self, demand: Demand) -> bool:
-        """Return whether an endpoint could be selected now."""
+        """
+        Return whether an endpoint has room for a request now.
+
+        It may still need a permit, which ``choose`` asks for.
+        """
         return any(
-            member.is_usable
-            and self._has_capacity(member, demand)
-            and self._permits.may_send(member.endpoint)
+            member.is_usable and self._has_capacity(member, demand)
             for member in self._candidates(demand)
         )
 
