--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -156,6 +156,7 @@
         is_resumption: bool = False,
         max_silence: Milliseconds | None = None,
         before_send: Callable[[Reservation], None] = lambda reservation: None,
+        is_alone: Callable[[], bool] = lambda: True,
     ) -> OpenResponse | AttemptFailure | NoReservation:
         """
         Reserve an endpoint and send the request to it.
@@ -164,7 +165,8 @@
         is queued before all new requests. With ``max_silence``, it does not wait for
         capacity, and goes neither to an endpoint that has failed this request nor to
         one that has been silent for that long. ``before_send`` is called once an
-        endpoint is reserved.
+        endpoint is reserved. No other endpoint takes over from this one unless
+        ``is_alone`` returns that it is the only one that works on the request.
         """
         reservation = await self._reserve(
             call, model, is_resumption=is_resumption, max_silence=max_silence
@@ -186,9 +188,8 @@
         head_timeout = self._estimates.head_timeout(
             call, model, reservation.backlog, is_escalation=is_escalation
         )
-        # A weak answer need not wait longer for a better one, and an attempt beside
-        # another one is itself a replacement.
-        is_replaceable = not is_escalation and max_silence is None
+        # A weak answer need not wait longer for a better one.
+        is_replaceable = not is_escalation
         result = await self._client.send(
             call,
             reservation,
@@ -204,6 +205,7 @@
                     resume_after=resume_after,
                     is_resumption=is_resumption,
                     silence=head_timeout,
+                    is_alone=is_alone,
                 )
                 if is_replaceable
                 else None
@@ -241,31 +243,37 @@
         call: Call,
         reservation: Reservation,
         *,
-        bytes_arrive: Coroutine[Any, Any, object],
+        goes_on: Coroutine[Any, Any, bool],
         give_up: Callable[[], None],
         model: ModelId | None,
         resume_after: EventId | None,
         is_resumption: bool,
         silence: Milliseconds,
+        is_alone: Callable[[], bool] = lambda: True,
     ) -> OpenResponse | Silence:
         """
         Look for an endpoint that takes over from one that was silent for ``silence``.
 
-        See ``StandbyRunner.replace``.
+        See ``attempt`` and ``StandbyRunner.replace``.
         """
+        if not is_alone():
+            goes_on.close()
+            return Silence.KEPT
         call.excluded.add(reservation.endpoint.id)
         reservation.record_silence()
-        if not self.may_retry(call):
-            bytes_arrive.close()
+        max_silence = Milliseconds(round(silence * MAX_SILENCE_SHARE))
+        demand = self._estimates.demand(call, model, max_silence=max_silence)
+        if not self._pool.can_take(demand) or not self.may_retry(call):
+            goes_on.close()
             return Silence.KEPT
         return await self._standby.replace(
             call,
             reservation.endpoint,
-            bytes_arrive=bytes_arrive,
+            goes_on=goes_on,
             model=model,
             resume_after=resume_after,
             is_resumption=is_resumption,
-            max_silence=Milliseconds(round(silence * MAX_SILENCE_SHARE)),
+            max_silence=max_silence,
             give_up=give_up,
         )
 
@@ -304,7 +312,12 @@
             self._tracker.sessions.record_served(call.session, version)
 
     def is_rather_alive(
-        self, call: Call, reservation: Reservation, silent: Endpoint
+        self,
+        call: Call,
+        reservation: Reservation,
+        silent: Endpoint,
+        *,
+        model: ModelId | None,
     ) -> bool:
         """
         Return whether an endpoint that has not answered is preferable to a silent one.
@@ -319,7 +332,9 @@
         waited = Milliseconds(self._clock.now() - reservation.reserved_at)
         return (
             has_attempt
-            and self._estimates.may_take_longer(call, None, reservation.backlog, waited)
+            and self._estimates.may_take_longer(
+                call, model, reservation.backlog, waited
+            )
             and not self._pool.has_silent(call.service, beside=silent.id)
         )
 
--- a/fuchsiaroute/forwarding/_standby.py
+++ b/fuchsiaroute/forwarding/_standby.py
@@ -34,12 +34,24 @@
         is_resumption: bool = False,
         max_silence: Milliseconds | None = None,
         before_send: Callable[[Reservation], None],
+        is_alone: Callable[[], bool],
     ) -> OpenResponse | AttemptFailure | NoReservation:
         """Reserve an endpoint and send the request to it."""
         ...
 
+    async def check_crash(
+        self, call: Call, endpoint: Endpoint, *, has_event: bool = False
+    ) -> None:
+        """Record whether an endpoint crashed; see ``CrashGuard.check``."""
+        ...
+
     def is_rather_alive(
-        self, call: Call, reservation: Reservation, silent: Endpoint
+        self,
+        call: Call,
+        reservation: Reservation,
+        silent: Endpoint,
+        *,
+        model: ModelId | None,
     ) -> bool:
         """Return whether a reserved endpoint is preferable to a silent one."""
         ...
@@ -62,7 +74,7 @@
         call: Call,
         silent: Endpoint,
         *,
-        bytes_arrive: Coroutine[Any, Any, object],
+        goes_on: Coroutine[Any, Any, bool],
         model: ModelId | None,
         max_silence: Milliseconds,
         give_up: Callable[[], None],
@@ -72,11 +84,13 @@
         """
         Return the successful response of another endpoint that takes over, if any.
 
-        ``bytes_arrive`` ends when the silent endpoint sends something. An endpoint that
-        has been silent for ``max_silence`` does not get the request. ``give_up`` is
-        called to end the present run; it is unless ``KEPT`` is returned.
+        ``goes_on`` ends when the silent endpoint sends something or its run fails, and
+        returns False if it fails. An endpoint that has been silent for ``max_silence``
+        does not get the request. ``give_up`` is called to end the present run; it is
+        unless ``KEPT`` is returned.
         """
         reserved: list[Reservation] = []
+        is_given_up = has_failed = False
         attempt: _Attempt = asyncio.create_task(
             self._attempts.attempt(
                 call,
@@ -85,27 +99,32 @@
                 is_resumption=is_resumption,
                 max_silence=max_silence,
                 before_send=reserved.append,
+                is_alone=lambda: is_given_up or has_failed,
             )
         )
-        data = asyncio.create_task(bytes_arrive)
-        is_given_up = False
+        data = asyncio.create_task(goes_on)
         try:
             await asyncio.wait(
                 {attempt, data},
                 timeout=MAX_OVERLAP / MILLISECONDS_PER_SECOND,
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if data.done():
+            has_failed = data.done() and not data.result()
+            if data.done() and not has_failed:
                 _end(attempt)
                 return Silence.KEPT
-            if not attempt.done():
-                if not self._is_rather_alive(call, reserved, silent):
+            if not attempt.done() and not has_failed:
+                if not self._is_rather_alive(call, reserved, silent, model):
                     _end(attempt)
                     return Silence.KEPT
                 is_given_up = True
                 give_up()
             result = await attempt
-        except asyncio.CancelledError:
+            if has_failed and _is_success(result):
+                await self._attempts.check_crash(
+                    call, silent, has_event=resume_after is not None
+                )
+        except BaseException:
             _end(attempt)
             raise
         finally:
@@ -119,16 +138,24 @@
         return Silence.GIVEN_UP if is_given_up else Silence.KEPT
 
     def _is_rather_alive(
-        self, call: Call, reserved: list[Reservation], silent: Endpoint
+        self,
+        call: Call,
+        reserved: list[Reservation],
+        silent: Endpoint,
+        model: ModelId | None,
     ) -> bool:
         """Return whether the endpoint of the attempt, if any, is preferable."""
         for reservation in reserved:
-            if self._attempts.is_rather_alive(call, reservation, silent):
+            if self._attempts.is_rather_alive(call, reservation, silent, model=model):
                 return True
             reservation.record_silence()
         return False
 
 
+def _is_success(result: OpenResponse | AttemptFailure | NoReservation) -> bool:
+    return isinstance(result, OpenResponse) and result.is_success
+
+
 def _end(task: asyncio.Task[Any]) -> None:
     """End a task whose result is not needed."""
     task.cancel()
@@ -136,7 +163,6 @@
 
 
 def _close_response(task: asyncio.Task[Any]) -> None:
-    # An error of the silent run is raised again where its answer is read.
     if task.cancelled() or task.exception() is not None:
         return
     if isinstance(task.result(), OpenResponse):
--- a/fuchsiaroute/platform/tests/test_silent_endpoints.py
+++ b/fuchsiaroute/platform/tests/test_silent_endpoints.py
@@ -45,8 +45,9 @@
 class PausingEndpoint(Endpoint):
     """Sends nothing while it is silent; then goes on with every run it still has."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, first_event_s: float = FIRST_EVENT_S) -> None:
         super().__init__(self._run)
+        self._first_event_s = first_event_s
         self._goes_on = asyncio.Event()
         self._goes_on.set()
         #: Ids of the requests that arrived, in order.
@@ -68,7 +69,7 @@
             await self.turned_away(endpoint, request, responder)
             return
         self.arrived.append(find_header(request.headers, b"x-request-id"))
-        await asyncio.sleep(FIRST_EVENT_S)
+        await asyncio.sleep(self._first_event_s)
         await self._goes_on.wait()
         if not request.path.startswith(STREAM_PATHS):
             responder.send(200, self.headers(request), b"done")
@@ -254,3 +255,137 @@
         replies = await asking
         assert {f"r{number}".encode() for number in range(6)} <= sent_to.keys()
         assert [reply.status for reply in replies] == [200] * len(replies)
+
+
+async def arrival(endpoints: list[PausingEndpoint]) -> PausingEndpoint:
+    """Return the endpoint among ``endpoints`` at which a request arrives first."""
+    while True:
+        for endpoint in endpoints:
+            if endpoint.arrived:
+                return endpoint
+        await asyncio.sleep(0.005)
+
+
+@pytest.mark.parametrize("path", ["/read/", "/stream/"])
+async def test_silent_endpoint_breaks_off_while_another_one_works(path: str) -> None:
+    """
+    Guards against a run that is ended because the silent one before it broke off.
+
+    The other endpoint would have answered, and no attempt is left for a third one.
+    """
+    endpoints = [PausingEndpoint() for _ in range(3)]
+    async with cluster(
+        1, *endpoints, configuration=configuration(MaxAttempts=2)
+    ) as harnesses:
+        asking = asyncio.create_task(ask_all(harnesses, path, 1))
+        silent = await arrival(endpoints)
+        await asyncio.sleep(FIRST_EVENT_S / 2 if path == "/read/" else FIRST_EVENT_S)
+        silent.fall_silent()
+        await arrival([endpoint for endpoint in endpoints if endpoint is not silent])
+        await asyncio.sleep(FIRST_EVENT_S / 2)
+        for connection in list(silent.connections):
+            connection.close()
+        [reply] = await asking
+        assert reply.is_whole
+        assert reply.status == 200
+
+
+@pytest.mark.parametrize("others", [Others.FULL, Others.FAILING, Others.RESETTING])
+async def test_endpoint_that_took_over_is_awaited_as_well(others: Others) -> None:
+    """
+    Guards against a run that is ended after it has replaced a silent one.
+
+    It is silent itself, the third endpoint turns the stream away, and it would have
+    gone on.
+    """
+    endpoints = [PausingEndpoint() for _ in range(3)]
+    async with cluster(1, *endpoints, configuration=configuration()) as harnesses:
+        asking = asyncio.create_task(ask_all(harnesses, "/stream/", 1))
+        first = await arrival(endpoints)
+        await asyncio.sleep(FIRST_EVENT_S + EVENT_INTERVAL_S)
+        for endpoint in endpoints:
+            endpoint.fall_silent()
+        left = [endpoint for endpoint in endpoints if endpoint is not first]
+        second = await arrival(left)
+        left.remove(second)
+        left[0].turned_away = _TURNING_AWAY[others]
+        await asyncio.sleep(2.0)
+        for endpoint in endpoints:
+            endpoint.go_on()
+        assert_whole(await asking)
+
+
+@pytest.mark.parametrize(("sizes", "model"), [([], ""), (["small"], "X-Model: *\r\n")])
+async def test_stream_stays_where_a_sound_endpoint_would_have_answered(
+    sizes: list[str], model: str
+) -> None:
+    """
+    Guards against a run that is ended for an endpoint that is silent for too long.
+
+    On routes that choose a model, usual durations are those of the model.
+    """
+    endpoints = [PausingEndpoint() for _ in range(3)]
+    async with cluster(
+        1, *endpoints, configuration=configuration(Sizes=sizes)
+    ) as harnesses:
+        ask = harnesses[0].caller
+        await asyncio.gather(
+            *(
+                ask().ask(f"/stream/w{number}", request_id=f"w{number}", extra=model)
+                for number in range(20)
+            )
+        )
+        for endpoint in endpoints:
+            endpoint.arrived.clear()
+        asking = asyncio.create_task(
+            ask().ask("/stream/", deadline=TIMEOUT_MS, extra=model)
+        )
+        first = await arrival(endpoints)
+        await asyncio.sleep(FIRST_EVENT_S + EVENT_INTERVAL_S)
+        for endpoint in endpoints:
+            endpoint.fall_silent()
+        await arrival([endpoint for endpoint in endpoints if endpoint is not first])
+        await asyncio.sleep(GAP_TARGET_MS / 1_000)
+        first.go_on()
+        assert_whole([await asking])
+
+
+async def test_last_attempt_is_kept_for_a_silent_run_that_breaks_off() -> None:
+    """
+    Guards against a last attempt at an endpoint that has no time to answer.
+
+    Endpoints usually take longer than two may work on one stream.
+    """
+    endpoints = [PausingEndpoint(first_event_s=0.5) for _ in range(3)]
+    async with cluster(
+        1, *endpoints, configuration=configuration(MaxAttempts=2)
+    ) as harnesses:
+        await ask_all(harnesses, "/stream/")
+        for endpoint in endpoints:
+            endpoint.arrived.clear()
+        asking = asyncio.create_task(ask_all(harnesses, "/stream/", 1))
+        silent = await arrival(endpoints)
+        await asyncio.sleep(0.5 + EVENT_INTERVAL_S)
+        silent.fall_silent()
+        await asyncio.sleep(1.0)
+        for connection in list(silent.connections):
+            connection.close()
+        assert_whole(await asking)
+
+
+async def test_silence_of_all_endpoints_leaves_the_retry_budget() -> None:
+    """Guards against retries that are charged though no endpoint can take them."""
+    endpoints = [PausingEndpoint() for _ in range(3)]
+    async with cluster(1, *endpoints, configuration=configuration()) as harnesses:
+        asking = asyncio.create_task(ask_all(harnesses, "/stream/"))
+        await asyncio.sleep(STREAMS * EVENT_INTERVAL_S / 2 + FIRST_EVENT_S)
+        for endpoint in endpoints:
+            endpoint.fall_silent()
+        await asyncio.sleep(2.0)
+        for endpoint in endpoints:
+            endpoint.go_on()
+        assert_whole(await asking)
+        sends = sum(len(endpoint.arrived) for endpoint in endpoints)
+        runner = harnesses[0].node._parts.forwarder._runner
+        charged = sum(len(budget._retries) for budget in runner._budgets.values())
+        assert charged == sends - STREAMS
