--- a/fuchsiaroute/quarantine/tests/test_requests.py
+++ b/fuchsiaroute/quarantine/tests/test_requests.py
@@ -263,6 +263,21 @@
         assert not any(map(instance.is_refused, sound))
 
 
+@pytest.mark.parametrize("delay", [0, 50, 250])
+@pytest.mark.parametrize(("times", "is_held_back"), [(2, False), (3, True)])
+def test_request_waits_until_its_last_crash_is_decided_on(
+    times: int, is_held_back: bool, delay: int
+) -> None:
+    """A caller repeats it at once, before the reports of other instances are in."""
+    instance = Instance()
+    for number in range(times - 1):
+        instance.crash(BAD, endpoint=f"e{number}")
+        instance.wait(2_000)
+    instance.crash(BAD, endpoint=f"e{times}")
+    instance.clock.tick(Milliseconds(delay))
+    assert instance.quarantine.is_held_back(BAD) is is_held_back
+
+
 def test_request_without_others_in_its_crashes_does_not_wait() -> None:
     instance = Instance()
     for number, request in enumerate((BAD, SOUND)):
