Quarantine: a request with three crashes waits until they are decided on

Its quarantine follows 150 to 250 ms after the third crash. Until 300 ms after the latest crash it is now refused as a request that waits for its turn is, with a retry delay of 1 s; so is a sound one that was in the same crashes.

--- a/fuchsiaroute/forwarding/_crash_guard.py
+++ b/fuchsiaroute/forwarding/_crash_guard.py
@@ -10,8 +10,9 @@
 from fuchsiaroute.pool import EndpointPool, NoChoice, QueueRefusal
 from fuchsiaroute.quarantine import Quarantine
 
-#: Retry delay sent to the caller of a request that waits for its turn, or is kept from
-#: the last endpoint of a service. A crashed endpoint takes seconds to be back.
+#: Retry delay sent to the caller of a request that waits for its turn or a decision, or
+#: is kept from the last endpoint of a service. A crashed endpoint takes seconds to be
+#: back.
 RETRY_DELAY_OF_SUSPECTED = Milliseconds(1_000)
 
 
--- a/fuchsiaroute/quarantine/_quarantine.py
+++ b/fuchsiaroute/quarantine/_quarantine.py
@@ -41,6 +41,9 @@
 #: Age from which a crash counts: the reports of other instances, whose requests it has
 #: broken as well, have arrived.
 SETTLE_TIME = Milliseconds(150)
+#: Age of a crash up to which a request with enough of them is not sent. Later, they are
+#: settled and ``refresh`` has decided on them.
+DECISION_TIME = Milliseconds(300)
 #: Parts of which answers are known without which crashes say nothing of a part that was
 #: never answered.
 MIN_ANSWERED_PARTS = 5
@@ -168,17 +171,20 @@
 
     def is_held_back(self, subject: SubjectKey) -> bool:
         """
-        Return whether a request waits for its turn, as others were in its crashes.
-
-        Sent together, the sound ones among them would be in the next crash as well. In
-        each turn about half of them are sent, so that a sound one is soon answered in a
-        turn without the one that crashes endpoints. They are numbered, and sent by one
-        binary digit of their numbers: within two turns for each digit, each of them is
-        sent without each other one.
+        Return whether a request waits for a decision on its crashes, or for its turn.
+
+        Requests in the same crashes are sent in turns. Sent together, the sound ones
+        among them would be in the next crash as well. In each turn about half of them
+        are sent, so that a sound one is soon answered in a turn without the one that
+        crashes endpoints. They are numbered, and sent by one binary digit of their
+        numbers: within two turns for each digit, each of them is sent without each
+        other one.
         """
         suspect = self._suspects.get(subject)
         if suspect is None or not _takes_turns(suspect):
             return False
+        if self._is_undecided(suspect):
+            return True
         group = sorted(
             name
             for name, other in self._suspects.items()
@@ -455,6 +461,13 @@
             return count >= CRASHES_UNTIL_ALL_REQUESTS_QUARANTINED
         return count >= CRASHES_UNTIL_ALL_QUARANTINED
 
+    def _is_undecided(self, suspect: _Suspect) -> bool:
+        """Return whether the latest crash may show that a subject is the cause."""
+        if suspect.count() < CRASHES_UNTIL_QUARANTINE:
+            return False
+        latest = max(item.at for item in suspect.crashes.values())
+        return self._clock.now() - latest < DECISION_TIME
+
     def _competes(self, name: SubjectKey, subject: SubjectKey) -> bool:
         """Return whether another subject may be the cause of the crashes of one."""
         return not is_request(subject) or self._shares_crash(name, subject)
