--- a/fuchsiaroute/platform/tests/test_partitioned_instance.py
+++ b/fuchsiaroute/platform/tests/test_partitioned_instance.py
@@ -198,6 +198,9 @@
     # The cut is no evidence of crashes.
     for harness in harnesses:
         assert b"endpoint:crashed" not in b"".join(harness.lines)
+    for harness in harnesses[cut_count:]:
+        parts = harness.node._parts
+        assert not [name for name, _ in parts.counters.counts if name == "tunnels"]
     for name in names:
         assert failed[name] > 0
         # The direct path is used again.
