Endpoints: log what they say of rejections they tolerate; count rejections and falls

No line told that an endpoint is brittle, rejections were not counted by endpoint, and a crash of a brittle endpoint looked like one under a request. The notices are held by `places.BrittleNotices`; nothing decides by them yet.

--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -79,6 +79,7 @@
         admission: StopAdmission,
         quarantine: Quarantine,
         is_refused: Callable[[Endpoint], Awaitable[bool]],
+        is_brittle: Callable[[Endpoint], bool] = lambda endpoint: False,
     ) -> None:
         self._queue = queue
         self._client = client
@@ -105,6 +106,7 @@
             pool=pool,
             quarantine=quarantine,
             is_refused=is_refused,
+            is_brittle=is_brittle,
             counters=counters,
             log=log,
         )
--- a/fuchsiaroute/forwarding/_crash_guard.py
+++ b/fuchsiaroute/forwarding/_crash_guard.py
@@ -19,7 +19,8 @@
     """
     Finds crashes of endpoints and refuses requests that may be their cause.
 
-    ``is_refused`` returns whether no process listens at an endpoint's address.
+    ``is_refused`` returns whether no process listens at an endpoint's address, and
+    ``is_brittle`` whether it falls over if it has to reject too much.
     """
 
     def __init__(
@@ -28,12 +29,14 @@
         pool: EndpointPool,
         quarantine: Quarantine,
         is_refused: Callable[[Endpoint], Awaitable[bool]],
+        is_brittle: Callable[[Endpoint], bool],
         counters: Counters,
         log: LineLog,
     ) -> None:
         self._pool = pool
         self._quarantine = quarantine
         self._is_refused = is_refused
+        self._is_brittle = is_brittle
         self._counters = counters
         self._log = log
 
@@ -49,6 +52,8 @@
         if not self._pool.has_crashed(endpoint.id):
             if not await self._is_refused(endpoint):
                 return
+            if self._is_brittle(endpoint) and not self._pool.has_crashed(endpoint.id):
+                self._counters.add("endpoint_falls", endpoint.id)
             self._pool.record_crash(endpoint.id)
         self._counters.add("endpoint_crashes", call.route.name)
         self._log.write(
@@ -57,6 +62,7 @@
             request=call.request_id,
             request_key=call.key,
             attempt=len(call.sent_to),
+            is_brittle=self._is_brittle(endpoint),
             prompt_parts=sorted(call.shared_parts),
         )
         self._quarantine.record_crash(
--- a/fuchsiaroute/forwarding/_endpoint_notices.py
+++ b/fuchsiaroute/forwarding/_endpoint_notices.py
@@ -7,6 +7,7 @@
 from fuchsiaroute.forwarding._counters import Counters
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.permits import NamedRates
+from fuchsiaroute.places import BrittleNotices
 from fuchsiaroute.platform import ResponseFields
 from fuchsiaroute.pool import EndpointPool
 
@@ -28,17 +29,22 @@
         counters: Counters,
         log: LineLog,
         rates: NamedRates,
+        brittle: BrittleNotices,
         on_change: Callable[[], None],
     ) -> None:
         self._pool = pool
         self._counters = counters
         self._log = log
         self._rates = rates
+        self._brittle = brittle
         self._on_change = on_change
 
     def record(self, call: Call, endpoint: Endpoint, fields: ResponseFields) -> None:
         """Apply the notices in the head of an answer of ``endpoint``."""
         self._record_rate(call, endpoint, fields)
+        self._record_tolerance(call, endpoint, fields)
+        if fields.is_not_run:
+            self._counters.add("endpoint_rejections", endpoint.id)
         if fields.is_leaving and self._pool.mark_leaving(
             endpoint.id, endpoint.started_at
         ):
@@ -80,3 +86,22 @@
             request=call.request_id,
         )
         self._on_change()
+
+    def _record_tolerance(
+        self, call: Call, endpoint: Endpoint, fields: ResponseFields
+    ) -> None:
+        is_stated = fields.rejection_tolerance is not None
+        if not is_stated and (fields.is_not_run or fields.is_tolerance_unreadable):
+            # Does not say that the endpoint is sound again.
+            return
+        if not self._brittle.record(endpoint, fields.rejection_tolerance):
+            return
+        self._counters.add("endpoint_notices", "brittle")
+        self._log.write(
+            "endpoint:brittle",
+            endpoint=endpoint.id,
+            rejections_per_s=fields.rejection_tolerance,
+            source="answer",
+            request=call.request_id,
+        )
+        self._on_change()
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -36,6 +36,7 @@
 from fuchsiaroute.node._rollout_rows import rollout_record_key, rollout_status_put
 from fuchsiaroute.node._table_readers import TableReaders
 from fuchsiaroute.permits import NamedRates, PermitHolder
+from fuchsiaroute.places import BrittleNotices
 from fuchsiaroute.platform import (
     NodeSettings,
     PlatformStore,
@@ -87,6 +88,7 @@
         self.counters = Counters()
         self.store = PlatformStore(settings.store, clock=clock)
         self._rates = NamedRates(clock=clock)
+        self._brittle = BrittleNotices(clock=clock)
         self._permit_holder = PermitHolder(
             rates=self._rates,
             clock=clock,
@@ -364,6 +366,7 @@
                     counters=self.counters,
                     log=self.log,
                     rates=self._rates,
+                    brittle=self._brittle,
                     on_change=self.gossip.send_soon,
                 ),
             ),
@@ -379,6 +382,7 @@
             admission=admission,
             quarantine=self.quarantine,
             is_refused=self.connections.is_refused,
+            is_brittle=lambda item: self._brittle.tolerance(item) is not None,
         )
         return Forwarder(
             resolver=RequestResolver(self.catalog, clock=self._clock),
--- a/fuchsiaroute/platform/_headers.py
+++ b/fuchsiaroute/platform/_headers.py
@@ -29,6 +29,9 @@
 _IS_LEAVING = b"1"
 #: Requests a second, a decimal number, that the endpoint takes from all instances.
 _REQUEST_RATE = b"server-limit"
+#: Rejections for want of room in a second, a decimal number, beyond which the endpoint
+#: falls over.
+_REJECTION_TOLERANCE = b"server-brittle"
 _RETRY_AFTER = b"retry-after"
 #: Limits the time to a value that the clock can add.
 _MAX_RETRY_AFTER_SECONDS = 30.0 * 24 * 3_600
@@ -112,6 +115,10 @@
     #: it names no rate.
     request_rate: float | None = None
     is_rate_unreadable: bool = False
+    #: Rejections a second beyond which the endpoint falls over; None if it is not
+    #: brittle.
+    rejection_tolerance: float | None = None
+    is_tolerance_unreadable: bool = False
     #: Names of malformed fields, which count as absent.
     unreadable: tuple[str, ...] = ()
 
@@ -205,6 +212,10 @@
     request_rate = _parse_rate(named_rate)
     if named_rate is not None and request_rate is None:
         unreadable.append(_REQUEST_RATE.decode())
+    stated = None if is_misdirected else find_header(headers, _REJECTION_TOLERANCE)
+    tolerance = _parse_rate(stated)
+    if stated is not None and tolerance is None:
+        unreadable.append(_REJECTION_TOLERANCE.decode())
     return ResponseFields(
         request_id=find_header(headers, _REQUEST_ID),
         is_signed=find_header(headers, _SIGNATURE) is not None,
@@ -214,6 +225,8 @@
         back_off=back_off,
         request_rate=request_rate,
         is_rate_unreadable=named_rate is not None and request_rate is None,
+        rejection_tolerance=tolerance,
+        is_tolerance_unreadable=stated is not None and tolerance is None,
         unreadable=tuple(unreadable),
     )
 
--- a/fuchsiaroute/platform/tests/test_decode.py
+++ b/fuchsiaroute/platform/tests/test_decode.py
@@ -377,3 +377,28 @@
 def test_rate_of_another_endpoint_is_not_read() -> None:
     """The answer is another endpoint's, which has taken over the address."""
     assert read_response(421, [(b"Server-Limit", b"2")]).request_rate is None
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "expected"),
+    [
+        (200, b"4", 4.0),
+        (503, b" 2.5 ", 2.5),
+        (500, b"0", 0.0),
+        (200, b"-1", None),
+        (200, b"inf", None),
+        (200, b"few", None),
+    ],
+)
+def test_rejections_that_an_endpoint_tolerates(
+    status: int, value: bytes, expected: float | None
+) -> None:
+    fields = read_response(status, [(b"Server-Brittle", value)])
+    assert fields.rejection_tolerance == expected
+    assert fields.is_tolerance_unreadable is (expected is None)
+    assert fields.unreadable == (("server-brittle",) if expected is None else ())
+
+
+def test_tolerance_of_another_endpoint_is_not_read() -> None:
+    """The answer is another endpoint's, which has taken over the address."""
+    assert read_response(421, [(b"Server-Brittle", b"2")]).rejection_tolerance is None
