Test of brittle endpoints: a target latency that lets requests wait there

An attempt is given up after half the target latency until answers have been timed. At the harness's 400 ms that equals the time of an answer, so the first requests got 502 whether the endpoints were brittle or not (11 of 1,080 on endpoints that were not). The bounds are unchanged.

--- a/fuchsiaroute/platform/tests/test_brittle_endpoints.py
+++ b/fuchsiaroute/platform/tests/test_brittle_endpoints.py
@@ -16,6 +16,8 @@
 from fuchsiaroute.gossip import GossipNode
 from fuchsiaroute.http1 import InboundRequest, Responder, find_header
 from fuchsiaroute.platform.tests.node_harness import (
+    CONFIGURATION,
+    ROUTES,
     Caller,
     NodeHarness,
     cluster,
@@ -28,6 +30,13 @@
 DOWN_S = 1.5
 SERVICE_S = 0.2
 WAITING_WHILE_BRITTLE = 1
+#: Until instances have learned how long answers take, they give up an attempt after
+#: half the target latency, which a request that waits at the endpoint must not exceed.
+TARGET_LATENCY_MS = 1_000
+PATIENT = {
+    **CONFIGURATION,
+    "Routes": [{**route, "TargetLatencyMs": TARGET_LATENCY_MS} for route in ROUTES],
+}
 #: Target: share of what the endpoints can do that is served while callers ask for twice
 #: as much.
 USED_SHARE = 0.8
@@ -227,7 +236,7 @@
     instances: int, slots: int, count: int, tolerance: float, path: str
 ) -> None:
     endpoints = [BrittleEndpoint(slots, tolerance) for _ in range(count)]
-    async with cluster(instances, *endpoints) as harnesses:
+    async with cluster(instances, *endpoints, configuration=PATIENT) as harnesses:
         load = Load(harnesses, endpoints, path=path)
         await load.run(CONTACT_S)
         start = _now()
@@ -243,7 +252,7 @@
 @pytest.mark.parametrize("number", [0, 1, 2])
 async def test_room_is_used_where_all_requests_arrive(number: int) -> None:
     endpoints = [BrittleEndpoint(), BrittleEndpoint()]
-    async with cluster(3, *endpoints) as harnesses:
+    async with cluster(3, *endpoints, configuration=PATIENT) as harnesses:
         load = Load([harnesses[number]], endpoints)
         await load.run(CONTACT_S)
         start = _now()
@@ -261,7 +270,7 @@
         endpoint.strong_model = b"large" if kind == "escalation" else None
         endpoint.cuts_streams = kind == "resumption"
     path = "/sized/" if kind == "escalation" else "/stream/"
-    async with cluster(3, *endpoints) as harnesses:
+    async with cluster(3, *endpoints, configuration=PATIENT) as harnesses:
         load = Load(harnesses, endpoints, path=path)
         await load.run(CONTACT_S + 6.0)
         await load.finish()
@@ -271,7 +280,7 @@
 async def test_endpoints_stand_while_instances_die_and_join() -> None:
     """Whichever instance decides for an endpoint is among those that die."""
     endpoints = [BrittleEndpoint() for _ in range(3)]
-    async with cluster(3, *endpoints) as harnesses:
+    async with cluster(3, *endpoints, configuration=PATIENT) as harnesses:
         load = Load(harnesses, endpoints)
         await load.run(CONTACT_S)
         for number in (1, 2):
@@ -302,7 +311,7 @@
             receive(node, data, addr)
 
     endpoints = [BrittleEndpoint() for _ in range(3)]
-    async with cluster(3, *endpoints) as harnesses:
+    async with cluster(3, *endpoints, configuration=PATIENT) as harnesses:
         load = Load(harnesses, endpoints)
         await load.run(CONTACT_S)
         monkeypatch.setattr(GossipNode, "datagram_received", receive_some)
@@ -316,7 +325,7 @@
 
 async def test_lower_tolerance_is_kept() -> None:
     endpoints = [BrittleEndpoint(tolerance=20) for _ in range(3)]
-    async with cluster(3, *endpoints) as harnesses:
+    async with cluster(3, *endpoints, configuration=PATIENT) as harnesses:
         load = Load(harnesses, endpoints)
         await load.run(CONTACT_S)
         for endpoint in endpoints:
@@ -334,7 +343,7 @@
 async def test_endpoint_that_is_back_does_not_fall_again(is_new_process: bool) -> None:
     endpoints = [BrittleEndpoint() for _ in range(3)]
     fallen = endpoints[0]
-    async with cluster(3, *endpoints) as harnesses:
+    async with cluster(3, *endpoints, configuration=PATIENT) as harnesses:
         load = Load(harnesses, endpoints)
         await load.run(CONTACT_S)
         fall = asyncio.create_task(fallen.fall())
@@ -354,7 +363,7 @@
 
 async def test_end_of_brittleness_is_noticed_everywhere() -> None:
     endpoints = [BrittleEndpoint() for _ in range(3)]
-    async with cluster(3, *endpoints) as harnesses:
+    async with cluster(3, *endpoints, configuration=PATIENT) as harnesses:
         load = Load(harnesses, endpoints)
         await load.run(CONTACT_S + 1)
         for endpoint in endpoints:
