--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -30,6 +30,7 @@
 from fuchsiaroute.node._control import ControlHandler
 from fuchsiaroute.node._gossip_exchange import GossipExchange
 from fuchsiaroute.node._instance_registry import InstanceRegistry
+from fuchsiaroute.node._issuer_choice import IssuerChoice
 from fuchsiaroute.node._metrics import MetricsHandler
 from fuchsiaroute.node._permit_exchange import PermitExchange
 from fuchsiaroute.node._quarantine_rows import QuarantineRows
@@ -152,13 +153,15 @@
             on_table_request=lambda request: self.exchange.rows_for(request),
             on_permit_message=lambda message: self.permits.apply(message),
         )
+        issuers = IssuerChoice(
+            instance=settings.instance, liveness=self.liveness, is_ready=self.is_ready
+        )
         self.permits = PermitExchange(
             instance=settings.instance,
             rates=self._rates,
             holder=self._permit_holder,
             gossip=self.gossip,
-            liveness=self.liveness,
-            is_ready=self.is_ready,
+            issuers=issuers,
             is_announced=lambda endpoint: endpoint in self.pool,
             on_permit=self.queue.wake,
             clock=clock,
--- a/fuchsiaroute/node/_permit_exchange.py
+++ b/fuchsiaroute/node/_permit_exchange.py
@@ -8,14 +8,13 @@
 from fuchsiaroute.gossip import (
     FORMAT,
     GossipNode,
-    Liveness,
     PermitReply,
     PermitRequest,
     RateUpdate,
 )
-from fuchsiaroute.hashing import rendezvous_order
 from fuchsiaroute.ids import EndpointId, InstanceId
 from fuchsiaroute.linelog import LineLog
+from fuchsiaroute.node._issuer_choice import IssuerChoice
 from fuchsiaroute.permits import NamedRate, NamedRates, PermitHolder, PermitIssuer
 
 #: Minimum delay of a timer.
@@ -39,8 +38,7 @@
         rates: NamedRates,
         holder: PermitHolder,
         gossip: GossipNode,
-        liveness: Liveness,
-        is_ready: Callable[[], bool],
+        issuers: IssuerChoice,
         is_announced: Callable[[EndpointId], bool],
         on_permit: Callable[[], None],
         clock: Clock,
@@ -50,16 +48,12 @@
         self._rates = rates
         self._holder = holder
         self._gossip = gossip
-        self._liveness = liveness
-        self._is_ready = is_ready
+        self._issuers = issuers
         self._is_announced = is_announced
         self._on_permit = on_permit
         self._clock = clock
         self._log = log
         self._issuer = PermitIssuer(rate_of=rates.rate_of, clock=clock)
-        self._candidates: tuple[InstanceId, ...] = ()
-        #: Issuers by endpoint; valid for ``_candidates``.
-        self._issuers: dict[EndpointId, InstanceId] = {}
         self._timer: asyncio.TimerHandle | None = None
 
     def refresh(self) -> None:
@@ -75,7 +69,7 @@
         if statement is None:
             return
         count = self._holder.take_wanted(endpoint)
-        issuer = self._issuer_of(endpoint.id)
+        issuer = self._issuers.of(endpoint.id)
         if issuer != self._instance:
             request = PermitRequest(
                 format=FORMAT,
@@ -194,34 +188,14 @@
         if not self._rates.has_rates:
             self._issuer.own(())
             return
-        self._update_candidates()
+        self._issuers.refresh()
         self._issuer.own(
             item
             for item in self._rates.statements()
             if item.rate is not None
-            and self._issuer_of(item.endpoint) == self._instance
+            and self._issuers.of(item.endpoint) == self._instance
         )
 
-    def _update_candidates(self) -> None:
-        """Let the instances that are ready issue permits; all, if none is."""
-        alive = self._liveness.alive()
-        ready = [item.instance for item in alive if item.is_ready]
-        if self._is_ready():
-            ready.append(self._instance)
-        names = ready or [self._instance, *(item.instance for item in alive)]
-        candidates = tuple(sorted(names))
-        if candidates != self._candidates:
-            self._candidates = candidates
-            self._issuers = {}
-
-    def _issuer_of(self, endpoint: EndpointId) -> InstanceId:
-        issuer = self._issuers.get(endpoint)
-        if issuer is None:
-            self._update_candidates()
-            issuer = rendezvous_order(endpoint, self._candidates)[0]
-            self._issuers[endpoint] = issuer
-        return issuer
-
     def _rate_update(self, statement: NamedRate) -> RateUpdate:
         return RateUpdate(
             statement.endpoint,
