Places: what instances send together stays within a brittle endpoint's room

Cause: no instance read the notice, and each sends by loads of its peers that are up to 0.25 s old. A limit on a sum cannot be kept by instances that each see a part of it.

A request to a brittle endpoint now needs a place, from its reservation to its end. One instance, the issuer of the endpoint's permits, grants as many as it has slots, to instances with work, in turns. Reports and allowances are states with numbers; what was allowed counts until a later allowance is acknowledged, so the sum is kept when messages are late or lost, instances join or die, and the issuer changes. A rejection takes its place away at once and lowers the room for a while. A process that has not answered yet counts as its service.

--- a/fuchsiaroute/gossip/__init__.py
+++ b/fuchsiaroute/gossip/__init__.py
@@ -3,11 +3,14 @@
 from fuchsiaroute.gossip._liveness import Liveness, MemberInfo
 from fuchsiaroute.gossip._messages import (
     FORMAT,
+    BrittleUpdate,
     GossipMessage,
     Heartbeat,
     LatencyUpdate,
     PermitReply,
     PermitRequest,
+    PlaceReply,
+    PlaceReport,
     PromptCrash,
     PromptPartUpdate,
     RateUpdate,
@@ -24,6 +27,7 @@
 
 __all__ = [
     "FORMAT",
+    "BrittleUpdate",
     "GossipMessage",
     "GossipNode",
     "Heartbeat",
@@ -32,6 +36,8 @@
     "MemberInfo",
     "PermitReply",
     "PermitRequest",
+    "PlaceReply",
+    "PlaceReport",
     "PromptCrash",
     "PromptPartUpdate",
     "RateUpdate",
--- a/fuchsiaroute/gossip/_messages.py
+++ b/fuchsiaroute/gossip/_messages.py
@@ -192,6 +192,53 @@
     sharers: int
 
 
+class BrittleUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """What an endpoint process said in an answer of the rejections it tolerates."""
+
+    endpoint: str
+    service: str
+    #: Start of the process, as announced.
+    started_at: int
+    #: Rejections a second; None if it is not brittle.
+    tolerance: float | None
+    #: Time since the answer, in milliseconds.
+    age: int
+
+
+class PlaceReport(
+    msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag="places-held"
+):
+    """What an instance holds of an endpoint's places; see ``places.Holding``."""
+
+    format: int
+    instance: str
+    endpoint: str
+    started_at: int
+    sequence: int
+    used: int
+    held: int
+    is_wanted: bool
+    rejected: int
+    term: int
+    number: int
+
+
+class PlaceReply(
+    msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag="places"
+):
+    """How many requests the receiver may have in flight; see ``places.Allowance``."""
+
+    format: int
+    #: The instance that grants the endpoint's places.
+    issuer: str
+    endpoint: str
+    started_at: int
+    term: int
+    number: int
+    allowed: int
+    is_contended: bool
+
+
 class GossipMessage(
     msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag="news"
 ):
@@ -232,9 +279,19 @@
     answered_parts: list[PromptPartUpdate] = []
     #: Rates that endpoints name, and recent ends of them.
     rates: list[RateUpdate] = []
-
-
-AnyMessage = GossipMessage | TableUpdate | TableRequest | PermitRequest | PermitReply
+    #: Endpoints that are brittle, and recent ends of it.
+    brittle: list[BrittleUpdate] = []
+
+
+AnyMessage = (
+    GossipMessage
+    | TableUpdate
+    | TableRequest
+    | PermitRequest
+    | PermitReply
+    | PlaceReport
+    | PlaceReply
+)
 _DECODER = msgspec.msgpack.Decoder(AnyMessage)
 _ENCODER = msgspec.msgpack.Encoder()
 
--- a/fuchsiaroute/gossip/_node.py
+++ b/fuchsiaroute/gossip/_node.py
@@ -13,6 +13,8 @@
     Heartbeat,
     PermitReply,
     PermitRequest,
+    PlaceReply,
+    PlaceReport,
     TableRequest,
     TableUpdate,
     decode_message,
@@ -56,7 +58,7 @@
     ``on_table_update`` receives changes of the store and returns whether any was new;
     if so, the update is relayed. ``on_table_request`` returns the changes that another
     instance lacks, if any. ``on_permit_message`` receives requests for permits and
-    replies.
+    replies, ``on_place_message`` reports of places and replies.
     """
 
     def __init__(
@@ -74,6 +76,9 @@
         on_permit_message: Callable[[PermitRequest | PermitReply], None] = (
             lambda message: None
         ),
+        on_place_message: Callable[[PlaceReport | PlaceReply], None] = (
+            lambda message: None
+        ),
     ) -> None:
         self._liveness = liveness
         self._failure_domain = failure_domain
@@ -85,6 +90,7 @@
         self._on_table_update = on_table_update
         self._on_table_request = on_table_request
         self._on_permit_message = on_permit_message
+        self._on_place_message = on_place_message
         self._transport: asyncio.DatagramTransport | None = None
         #: Members that were alive when changes were last logged.
         self._logged_alive: set[InstanceId] = set()
@@ -144,7 +150,9 @@
             self._send_to(data, RELAY_FANOUT)
 
     def send_to(
-        self, instance: InstanceId, message: PermitRequest | PermitReply
+        self,
+        instance: InstanceId,
+        message: PermitRequest | PermitReply | PlaceReport | PlaceReply,
     ) -> None:
         """Send a message to one member; without its address nothing is sent."""
         for member in self._liveness.members:
@@ -180,6 +188,9 @@
         if isinstance(message, PermitRequest | PermitReply):
             self._on_permit_message(message)
             return
+        if isinstance(message, PlaceReport | PlaceReply):
+            self._on_place_message(message)
+            return
         is_new = self._liveness.update_member(
             MemberInfo(
                 instance=InstanceId(message.instance),
--- a/fuchsiaroute/node/_gossip_exchange.py
+++ b/fuchsiaroute/node/_gossip_exchange.py
@@ -31,6 +31,7 @@
 )
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.node._permit_exchange import PermitExchange
+from fuchsiaroute.node._place_exchange import PlaceExchange
 from fuchsiaroute.platform import NodeSettings, Row, Rows
 from fuchsiaroute.pool import EndpointPool, Load
 from fuchsiaroute.quarantine import (
@@ -79,6 +80,7 @@
         latencies: LatencyEstimator,
         quarantine: Quarantine,
         permits: PermitExchange,
+        places: PlaceExchange,
         clock: Clock,
         log: LineLog,
     ) -> None:
@@ -92,6 +94,7 @@
         self._latencies = latencies
         self._quarantine = quarantine
         self._permits = permits
+        self._places = places
         self._clock = clock
         self._log = log
         #: Members that were alive when loads were last removed.
@@ -158,6 +161,7 @@
             quarantined_parts=self._subject_updates(self._quarantine.quarantined()),
             answered_parts=self._subject_updates(self._quarantine.answered()),
             rates=self._permits.rate_updates(),
+            brittle=self._places.notice_updates(),
         )
 
     def apply(self, message: GossipMessage) -> None:
@@ -188,6 +192,7 @@
                 self._feeds[name].peer_answered(answered_at)
         self._apply_leaving(message)
         self._permits.apply_rates(message.rates, source=message.instance)
+        self._places.apply_notices(message.brittle, source=message.instance)
         self._apply_crash_evidence(message)
         self._latencies.adopt(
             SharedEstimate(
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -33,18 +33,19 @@
 from fuchsiaroute.node._issuer_choice import IssuerChoice
 from fuchsiaroute.node._metrics import MetricsHandler
 from fuchsiaroute.node._permit_exchange import PermitExchange
+from fuchsiaroute.node._place_exchange import PlaceExchange
 from fuchsiaroute.node._quarantine_rows import QuarantineRows
 from fuchsiaroute.node._rollout_rows import rollout_record_key, rollout_status_put
 from fuchsiaroute.node._table_readers import TableReaders
 from fuchsiaroute.permits import NamedRates, PermitHolder
-from fuchsiaroute.places import BrittleNotices
+from fuchsiaroute.places import BrittleNotices, PlaceHolder
 from fuchsiaroute.platform import (
     NodeSettings,
     PlatformStore,
     Rows,
     Table,
 )
-from fuchsiaroute.pool import EndpointPool, RequestQueue
+from fuchsiaroute.pool import EndpointPool, RequestQueue, SendGate
 from fuchsiaroute.quarantine import Quarantine, SubjectKey
 from fuchsiaroute.retry import WindowedRetryBudget
 from fuchsiaroute.staging import RolloutDriver, RolloutTracker
@@ -95,11 +96,18 @@
             clock=clock,
             on_want=lambda endpoint: self.permits.want(endpoint),
         )
+        self._place_holder = PlaceHolder(
+            notices=self._brittle,
+            clock=clock,
+            on_change=lambda endpoint: self.places.settle(endpoint),
+        )
         self.pool = EndpointPool(
             instance=settings.instance,
             clock=clock,
             random=random,
-            permits=self._permit_holder,
+            gate=SendGate(
+                clock=clock, permits=self._permit_holder, places=self._place_holder
+            ),
         )
         self.queue = RequestQueue(self.pool, clock=clock, random=random)
         self.catalog = Catalog(pool=self.pool, clock=clock, log=log, drain=bounds.drain)
@@ -152,6 +160,7 @@
             on_table_update=lambda update: self.exchange.apply_table_update(update),
             on_table_request=lambda request: self.exchange.rows_for(request),
             on_permit_message=lambda message: self.permits.apply(message),
+            on_place_message=lambda message: self.places.apply(message),
         )
         issuers = IssuerChoice(
             instance=settings.instance, liveness=self.liveness, is_ready=self.is_ready
@@ -167,6 +176,17 @@
             clock=clock,
             log=log,
         )
+        self.places = PlaceExchange(
+            instance=settings.instance,
+            notices=self._brittle,
+            holder=self._place_holder,
+            pool=self.pool,
+            gossip=self.gossip,
+            issuers=issuers,
+            on_place=self.queue.wake,
+            clock=clock,
+            log=log,
+        )
         self.exchange = GossipExchange(
             settings=settings,
             catalog=self.catalog,
@@ -181,6 +201,7 @@
             latencies=self._latencies,
             quarantine=self.quarantine,
             permits=self.permits,
+            places=self.places,
             clock=clock,
             log=log,
         )
@@ -298,6 +319,7 @@
         self.pool.update_instances(self.instances())
         self.exchange.refresh()
         self.permits.refresh()
+        self.places.refresh()
         self.quarantine.refresh()
         for request in self.exchange.missing_rows():
             self.gossip.request(request)
--- a/fuchsiaroute/pool/__init__.py
+++ b/fuchsiaroute/pool/__init__.py
@@ -6,6 +6,7 @@
 from fuchsiaroute.pool._pool import EndpointPool
 from fuchsiaroute.pool._request_queue import QueueRefusal, RequestQueue
 from fuchsiaroute.pool._reservation import Reservation
+from fuchsiaroute.pool._send_gate import SendGate
 
 __all__ = [
     "ColdRateLimiter",
@@ -17,4 +18,5 @@
     "QueueRefusal",
     "RequestQueue",
     "Reservation",
+    "SendGate",
 ]
--- a/fuchsiaroute/pool/_member.py
+++ b/fuchsiaroute/pool/_member.py
@@ -150,6 +150,16 @@
             self.success_rate_updated_at
         )
 
+    def is_replaced_by(self, endpoint: Endpoint) -> bool:
+        """Return whether the endpoint's id now belongs to a different process."""
+        known = self.endpoint
+        return (known.host, known.port, known.started_at, known.service) != (
+            endpoint.host,
+            endpoint.port,
+            endpoint.started_at,
+            endpoint.service,
+        )
+
     def apply(self, event: EndpointEvent) -> None:
         """Change the state according to the endpoint life cycle."""
         self.state = next_state(self.state, event)
--- a/fuchsiaroute/pool/_pool.py
+++ b/fuchsiaroute/pool/_pool.py
@@ -13,7 +13,6 @@
     VersionId,
 )
 from fuchsiaroute.lifecycle import EndpointEvent, EndpointState
-from fuchsiaroute.permits import NamedRates, PermitHolder
 from fuchsiaroute.pool._capacity import capacity
 from fuchsiaroute.pool._cold_rate_limiter import ColdRateLimiter
 from fuchsiaroute.pool._demand import Demand, NoChoice
@@ -22,6 +21,7 @@
 from fuchsiaroute.pool._process_notices import ProcessNotices
 from fuchsiaroute.pool._reservation import Reservation
 from fuchsiaroute.pool._selection import Selection
+from fuchsiaroute.pool._send_gate import SendGate
 
 
 class EndpointPool:
@@ -37,14 +37,12 @@
         instance: InstanceId,
         clock: Clock,
         random: Random,
-        permits: PermitHolder | None = None,
+        gate: SendGate | None = None,
     ) -> None:
         self._instance = instance
         self._clock = clock
         self._selection = Selection(random)
-        self._permits = permits or PermitHolder(
-            rates=NamedRates(clock=clock), clock=clock
-        )
+        self._gate = gate or SendGate(clock=clock)
         self._members: dict[EndpointId, PoolMember] = {}
         self._peer_loads = PeerLoads()
         self._notices = ProcessNotices(clock=clock)
@@ -93,6 +91,14 @@
             default=0.0,
         )
 
+    def member(self, endpoint: EndpointId) -> PoolMember | None:
+        """Return an announced endpoint; None if there is none with this id."""
+        return self._members.get(endpoint)
+
+    def endpoints(self) -> list[Endpoint]:
+        """Return all announced endpoints."""
+        return [member.endpoint for member in self._members.values()]
+
     def own_loads(self) -> dict[EndpointId, Load]:
         """Return this instance's load at each endpoint, zeros left out."""
         return {
@@ -150,7 +156,7 @@
     def announce(self, endpoint: Endpoint) -> None:
         """Add or update an endpoint from its announcement."""
         member = self._members.get(endpoint.id)
-        if member is None or _is_new_process(member.endpoint, endpoint):
+        if member is None or member.is_replaced_by(endpoint):
             member = PoolMember(
                 clock=self._clock,
                 endpoint=endpoint,
@@ -277,7 +283,7 @@
             return NoChoice.PAUSED
         if not available:
             return NoChoice.FULL
-        if not self._permits.is_needed:
+        if not self._gate.is_needed:
             return self._reserve(self._selection.select(available, demand), demand)
         return self._choose_permitted(available, demand)
 
@@ -288,35 +294,38 @@
         ``ahead`` requests wait before the one with ``demand``. None is returned if an
         endpoint without a rate or with a permit could take it, or none has capacity.
         """
-        if not self._permits.is_needed:
+        if not self._gate.is_needed:
             return None
         available = [
-            member.endpoint
+            member
             for member in self._candidates(demand)
             if member.is_usable and self._has_capacity(member, demand)
         ]
-        if not available or any(map(self._permits.may_send, available)):
+        if not available or not all(map(self._gate.lacks_only_permit, available)):
             return None
-        return self._permits.expected_wait(available, ahead)
+        return self._gate.expected_wait(available, ahead)
 
     def _reserve(self, member: PoolMember, demand: Demand) -> Reservation:
-        return Reservation(member, permits=self._permits, work=demand.work)
+        return Reservation(member, gate=self._gate, work=demand.work)
 
     def _choose_permitted(
         self, available: list[PoolMember], demand: Demand
     ) -> Reservation | NoChoice:
-        """Select an endpoint; request permits of those that would have been better."""
-        permitted = [
-            member for member in available if self._permits.may_send(member.endpoint)
-        ]
+        """
+        Select an endpoint to which a request may be sent now.
+
+        Permits or places of those that would have been better are requested.
+        """
+        permitted = [member for member in available if self._gate.may_send(member)]
         if not permitted:
+            is_rate_limited = all(map(self._gate.lacks_only_permit, available))
             for member in available:
-                self._permits.want(member.endpoint)
-            return NoChoice.RATE_LIMITED
+                self._gate.want(member)
+            return NoChoice.RATE_LIMITED if is_rate_limited else NoChoice.FULL
         best = self._selection.select(available, demand)
         if best in permitted:
             return self._reserve(best, demand)
-        self._permits.want(best.endpoint)
+        self._gate.want(best)
         return self._reserve(self._selection.select(permitted, demand), demand)
 
     def _candidates(self, demand: Demand) -> list[PoolMember]:
@@ -348,9 +357,9 @@
             )
             if not is_due or not self._has_capacity(member, demand):
                 continue
-            if self._permits.may_send(member.endpoint):
+            if self._gate.may_send(member):
                 return member
-            self._permits.want(member.endpoint)
+            self._gate.want(member)
         return None
 
     def _has_capacity(self, member: PoolMember, demand: Demand) -> bool:
@@ -359,7 +368,9 @@
         if member.is_cold and not member.cold_limiter.is_allowed():
             return False
         service = self._services.get(member.endpoint.service)
-        return member.load < capacity(member, service)
+        # Places limit the sum over all instances; the loads of others are delayed.
+        load = member.own_load if self._gate.needs_place(member) else member.load
+        return load < capacity(member, service)
 
     def _update_cold_rate(self, member: PoolMember) -> None:
         service = self._services.get(member.endpoint.service)
@@ -387,13 +398,3 @@
         for member in self._members.values():
             by_service.setdefault(member.endpoint.service, []).append(member)
         return by_service
-
-
-def _is_new_process(previous: Endpoint, current: Endpoint) -> bool:
-    """Return whether an endpoint's id now belongs to a different process."""
-    return (previous.host, previous.port, previous.started_at, previous.service) != (
-        current.host,
-        current.port,
-        current.started_at,
-        current.service,
-    )
--- a/fuchsiaroute/pool/_reservation.py
+++ b/fuchsiaroute/pool/_reservation.py
@@ -4,20 +4,20 @@
 
 from fuchsiaroute.deployment import Endpoint
 from fuchsiaroute.lifecycle import EndpointState, Outcome
-from fuchsiaroute.permits import PermitHolder
 from fuchsiaroute.pool._member import PoolMember
+from fuchsiaroute.pool._send_gate import SendGate
 
 
 class Reservation:
     """A request counted at an endpoint until ``finish`` is called with its outcome."""
 
     def __init__(
-        self, member: PoolMember, *, permits: PermitHolder, work: float = 0.0
+        self, member: PoolMember, *, gate: SendGate, work: float = 0.0
     ) -> None:
         self._member = member
-        self._permits = permits
+        self._gate = gate
         #: End of the validity of the permit that this uses up, if it needs one.
-        self._permit_expiry = permits.take(member.endpoint)
+        self._permit_expiry = gate.take_permit(member)
         self._is_sent = False
         self._is_open = True
         self._on_answer_started: Callable[[], None] | None = None
@@ -78,7 +78,11 @@
             self._is_open = False
             self.answer_started()
             self._member.finish_request(outcome)
-            if self._permit_expiry is not None and not self._is_sent:
-                self._permits.give_back(self.endpoint, self._permit_expiry)
+            self._gate.release(
+                self._member,
+                outcome,
+                permit_expiry=self._permit_expiry,
+                is_sent=self._is_sent,
+            )
             if self._on_finish is not None:
                 self._on_finish()
--- a/fuchsiaroute/pool/tests/test_request_queue.py
+++ b/fuchsiaroute/pool/tests/test_request_queue.py
@@ -26,6 +26,7 @@
     QueueRefusal,
     RequestQueue,
     Reservation,
+    SendGate,
 )
 from fuchsiaroute.pool.tests.test_pool import DEMAND, SERVICE, endpoint, service
 from fuchsiaroute.request import Request
@@ -376,7 +377,7 @@
             instance=InstanceId("me"),
             clock=self.clock,
             random=Random(1),
-            permits=self.permits,
+            gate=SendGate(clock=self.clock, permits=self.permits),
         )
         pool.update_services({SERVICE: service(is_engine=True)})
         pool.announce(endpoint("a", slots=8))
