--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -82,6 +82,7 @@
         admission: StopAdmission,
         quarantine: Quarantine,
         is_refused: Callable[[Endpoint], Awaitable[bool]],
+        is_brittle: Callable[[Endpoint], bool] = lambda endpoint: False,
     ) -> None:
         self._pool = pool
         self._queue = queue
@@ -109,6 +110,7 @@
             pool=pool,
             quarantine=quarantine,
             is_refused=is_refused,
+            is_brittle=is_brittle,
             counters=counters,
             log=log,
         )
--- a/fuchsiaroute/node/_gossip_exchange.py
+++ b/fuchsiaroute/node/_gossip_exchange.py
@@ -32,6 +32,7 @@
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.node._peer_tunnels import tunnel_port
 from fuchsiaroute.node._permit_exchange import PermitExchange
+from fuchsiaroute.node._place_exchange import PlaceExchange
 from fuchsiaroute.platform import NodeSettings, Row, Rows
 from fuchsiaroute.pool import EndpointPool, Load
 from fuchsiaroute.quarantine import (
@@ -81,6 +82,7 @@
         quarantine: Quarantine,
         permits: PermitExchange,
         is_cut: Callable[[], bool],
+        places: PlaceExchange,
         clock: Clock,
         log: LineLog,
     ) -> None:
@@ -95,6 +97,7 @@
         self._quarantine = quarantine
         self._permits = permits
         self._is_cut = is_cut
+        self._places = places
         self._clock = clock
         self._log = log
         #: Members that were alive when loads were last removed.
@@ -164,6 +167,7 @@
             region=settings.region,
             tunnel_port=tunnel_port(settings),
             is_cut=self._is_cut(),
+            brittle=self._places.notice_updates(),
         )
 
     def apply(self, message: GossipMessage) -> None:
@@ -194,6 +198,7 @@
                 self._feeds[name].peer_answered(answered_at)
         self._apply_leaving(message)
         self._permits.apply_rates(message.rates, source=message.instance)
+        self._places.apply_notices(message.brittle, source=message.instance)
         self._apply_crash_evidence(message)
         self._latencies.adopt(
             SharedEstimate(
