--- a/fuchsiaroute/places/tests/test_sum.py
+++ b/fuchsiaroute/places/tests/test_sum.py
@@ -214,6 +214,7 @@
         return (self.served - served) / can
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3, 4, 5])
 @pytest.mark.parametrize(
     ("count", "slots", "loss"),
     [
@@ -227,9 +228,9 @@
     ],
 )
 def test_sum_is_within_the_room_and_uses_it(
-    count: int, slots: int, loss: float
+    count: int, slots: int, loss: float, seed: int
 ) -> None:
-    simulation = Simulation(count, slots=slots, loss=loss)
+    simulation = Simulation(count, slots=slots, loss=loss, seed=seed)
     simulation.run(CONTACT)
     share = simulation.used_share(6_000)
     assert share >= (USED_SHARE_WITH_LOSS if loss else USED_SHARE)
