Forwarding: permission to send once more in a module of its own

AttemptRunner ran attempts and decided on retries and their budgets, in 436 lines. No decision changes: the tests of forwarding/ and tunnel/ pass unchanged.

--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -20,10 +20,11 @@
 from fuchsiaroute.forwarding._latency_estimator import LatencyEstimator
 from fuchsiaroute.forwarding._model_choice import CascadeTimes
 from fuchsiaroute.forwarding._result import NoReservation, Silence
+from fuchsiaroute.forwarding._retry_permission import RetryPermission
 from fuchsiaroute.forwarding._speed_comparison import SpeedComparison
 from fuchsiaroute.forwarding._standby import StandbyRunner
 from fuchsiaroute.forwarding._stop_admission import STOPPING_REFUSAL, StopAdmission
-from fuchsiaroute.ids import ModelId, ServiceId
+from fuchsiaroute.ids import ModelId
 from fuchsiaroute.lifecycle import Outcome
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.platform import EventId
@@ -32,20 +33,11 @@
 from fuchsiaroute.retry import WindowedRetryBudget
 from fuchsiaroute.staging import RolloutTracker
 
-#: Sends beyond the route's attempts, to replace those that endpoints reject.
-MAX_REJECTIONS = 2
 #: Queue priority of the rest of a stream: the most urgent one.
 RESUMPTION_PRIORITY = 0
-#: Remaining time below which a request is not retried.
-MIN_REMAINING_TO_RETRY = Milliseconds(40)
-#: Share of the retry budget that escalations leave to retries of failed attempts and to
-#: the resumption of broken streams.
-ESCALATION_RESERVE = 0.05
 #: Silence of an endpoint, as a share of that of the present one, from which it is not
 #: preferred to it: those that fall silent together are found silent one by one.
 MAX_SILENCE_SHARE = 0.5
-#: Attempts that an escalation leaves for the resumption of its stream.
-RESUME_RESERVE = 1
 
 
 #: Outcomes of a connection that ended: the endpoint may have crashed.
@@ -91,9 +83,7 @@
         self._counters = counters
         self._clock = clock
         self._log = log
-        self._new_budget = new_budget
         self._on_session = on_session
-        self._is_stopping = is_stopping
         self._admission = admission
         self._estimates = AttemptEstimates(
             pool=pool, tracker=tracker, latencies=latencies, clock=clock
@@ -115,38 +105,24 @@
             log=log,
         )
         self._standby = StandbyRunner(self)
-        self._budgets: dict[ServiceId, WindowedRetryBudget] = {}
+        self._permission = RetryPermission(
+            clock=clock,
+            new_budget=new_budget,
+            is_stopping=is_stopping,
+            may_run_again=self._guard.may_retry,
+        )
 
     def record_request(self, call: Call) -> None:
         """Count a new request to a service for its retry budget."""
-        self._retry_budget(call.service).record_first_attempt()
+        self._permission.record_request(call)
 
     def may_retry(self, call: Call) -> bool:
         """Return whether the request may be sent again; charges the retry budget."""
-        if not self._is_retry_allowed(call):
-            return False
-        if call.charged_retries >= len(call.sent_to):
-            # The last attempt was not sent, so the next one is not a further retry.
-            return True
-        # A retry counts whether the endpoint runs or rejects it.
-        if not self._retry_budget(call.service).spend():
-            return False
-        call.charged_retries += 1
-        return True
+        return self._permission.may_retry(call)
 
     def may_escalate(self, call: Call) -> bool:
         """Return whether a larger model may be asked; charges the retry budget."""
-        reserve = RESUME_RESERVE if call.route.is_resumable else 0
-        if (
-            self._is_stopping()
-            or not call.route.is_repeatable
-            or call.possible_runs + reserve >= call.route.max_attempts
-        ):
-            return False
-        if not self._retry_budget(call.service).spend(reserve_share=ESCALATION_RESERVE):
-            return False
-        call.charged_retries += 1
-        return True
+        return self._permission.may_escalate(call)
 
     async def attempt(
         self,
@@ -403,17 +379,6 @@
         self._records.record_failure(call, failure, endpoint.id, endpoint.version)
         self._records.record_unanswered(call, model, failure, reservation.backlog)
 
-    def _is_retry_allowed(self, call: Call) -> bool:
-        max_sends = call.route.max_attempts + MAX_REJECTIONS
-        is_late = call.remaining(self._clock) < MIN_REMAINING_TO_RETRY
-        if is_late or len(call.failure_reasons) > max_sends:
-            return False
-        if call.is_not_run:
-            return len(call.sent_to) < max_sends
-        if not self._guard.may_retry(call):
-            return False
-        return call.route.is_repeatable and call.possible_runs < call.route.max_attempts
-
     def _refusal_after_wait(self, call: Call) -> QueueRefusal | None:
         """Return why the request is not sent to the endpoint that it waited for."""
         if not call.sent_to and not self._admission.admits(call):
@@ -421,12 +386,6 @@
             return STOPPING_REFUSAL
         return self._guard.refusal(call)
 
-    def _retry_budget(self, service: ServiceId) -> WindowedRetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets.setdefault(service, self._new_budget())
-        return budget
-
 
 def _send_kind(call: Call, *, is_escalation: bool, is_resumption: bool) -> SendKind:
     if is_resumption:
