--- a/fuchsiaroute/tunnel/_tunnel.py
+++ b/fuchsiaroute/tunnel/_tunnel.py
@@ -181,7 +181,7 @@
         self._state = TunnelState.ENDED
         self._close_endpoint()
         self._context.log.write(
-            "tunnel-closed",
+            "tunnel:closed",
             endpoint=self._address,
             reason=self._reason,
             lasted_ms=self._context.clock.now() - self._started_at,
@@ -312,7 +312,7 @@
 
     def _fail(self, reason: str) -> None:
         self._context.log.write(
-            "tunnel-malformed",
+            "tunnel:malformed",
             peer=str(self._transport.get_extra_info("peername")),
             reason=reason,
         )
--- a/fuchsiaroute/tunnel/tests/test_opening.py
+++ b/fuchsiaroute/tunnel/tests/test_opening.py
@@ -120,7 +120,7 @@
         assert found.type is error
         assert loop.time() - started < 1
         await wait_until(lambda: not peer.server._context.tunnels)
-        assert peer.events() == ["tunnel-closed"]
+        assert peer.events() == ["tunnel:closed"]
         assert peer.reasons() == [reason]
 
 
@@ -250,7 +250,7 @@
                 assert await reader.read() == b""
         writer.close()
         await wait_until(lambda: not peer.server._context.tunnels)
-        assert peer.events() == ["tunnel-malformed", "tunnel-closed"]
+        assert peer.events() == ["tunnel:malformed", "tunnel:closed"]
 
 
 @pytest.mark.parametrize("sent", [b"", b"\x00", _request()[:-1]])
