--- a/fuchsiaroute/platform/tests/test_silent_endpoints.py
+++ b/fuchsiaroute/platform/tests/test_silent_endpoints.py
@@ -387,5 +387,7 @@
         assert_whole(await asking)
         sends = sum(len(endpoint.arrived) for endpoint in endpoints)
         runner = harnesses[0].node._parts.forwarder._runner
-        charged = sum(len(budget._retries) for budget in runner._budgets.values())
+        charged = sum(
+            len(budget._retries) for budget in runner._permission._budgets.values()
+        )
         assert charged == sends - STREAMS
