--- a/fuchsiaroute/tunnel/_client.py
+++ b/fuchsiaroute/tunnel/_client.py
@@ -145,6 +145,8 @@
         elif not self._reply.done():
             reason = f"the peer closed the connection: {error or 'closed'}"
             self._reply.set_exception(PeerUnavailableError(reason))
+            # Marks the exception as retrieved, as the opening may have been given up.
+            self._reply.exception()
 
     def pause_writing(self) -> None:
         """Forward to the connection."""
