--- a/review/stand_ins/review_stand_ins.py
+++ b/review/stand_ins/review_stand_ins.py
@@ -861,9 +861,12 @@
             await asyncio.sleep(0.1)
 
     status = 2
+    # Ends the processes under test as well if the script itself is ended.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     try:
         status = 0 if asyncio.run(play()) else 1
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except Exception as error:
+        # Only a check that has been made may end with 0 or 1.
         record.say(f"cannot run: {error!r}")
     finally:
         record.say(
