Decoding: one unreadable row no longer stops a table for good

Cause: the decoders of rows caught fewer errors than msgspec and int raise (RecursionError for nested data in a skipped field, ValueError for "²" or for more than 4,300 digits), so the error left the feed before the revision was stored and the next watch met the same row.

Change: fuchsiaroute.decoding has the decoder whose errors are of one type, bounded number types and parse_digits; all of these use it. Connecting turns the errors of such an address into ConnectError. Decoded numbers are bounded by what messages and floats hold.

--- a/fuchsiaroute/confidence/_answer.py
+++ b/fuchsiaroute/confidence/_answer.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from fuchsiaroute.decoding import DECODER_ERRORS
+
 #: An answer with a reported confidence below this value is weak.
 DEFAULT_CONFIDENCE_THRESHOLD = 0.5
 
@@ -55,7 +57,7 @@
     """
     try:
         completion = _DECODER.decode(body)
-    except msgspec.MsgspecError:
+    except DECODER_ERRORS:
         return Answer(tokens=len(body))
     confidence = completion.confidence
     return Answer(
--- a/fuchsiaroute/declaration/_canonical.py
+++ b/fuchsiaroute/declaration/_canonical.py
@@ -4,6 +4,7 @@
 
 from fuchsiaroute.configuration import Configuration
 from fuchsiaroute.declaration._exceptions import DeclarationError
+from fuchsiaroute.decoding import DECODER_ERRORS
 
 _ENCODER = msgspec.json.Encoder(order="sorted")
 _DECODER = msgspec.json.Decoder(Configuration)
@@ -23,5 +24,5 @@
     """
     try:
         return _DECODER.decode(encoded)
-    except msgspec.MsgspecError as error:
+    except DECODER_ERRORS as error:
         raise DeclarationError(str(error)) from error
--- a/fuchsiaroute/dispatch/_status.py
+++ b/fuchsiaroute/dispatch/_status.py
@@ -5,6 +5,7 @@
 from returns.result import Failure, Result, Success
 
 from fuchsiaroute.clock import Milliseconds
+from fuchsiaroute.decoding import DECODER_ERRORS
 from fuchsiaroute.ids import Incarnation
 from fuchsiaroute.transport import NoHook, sending_hook
 
@@ -44,7 +45,7 @@
         return Success(EndpointStatus())
     try:
         return Success(msgspec.json.decode(response.content, type=EndpointStatus))
-    except msgspec.MsgspecError:
+    except DECODER_ERRORS:
         return Success(EndpointStatus())
 
 
--- a/fuchsiaroute/gateway/_parse.py
+++ b/fuchsiaroute/gateway/_parse.py
@@ -9,6 +9,7 @@
 
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.configuration import Configuration, Organisation, RequestClassSpec
+from fuchsiaroute.decoding import DECODER_ERRORS
 from fuchsiaroute.entry import Call, ModelTarget, ServiceTarget
 from fuchsiaroute.gateway._headers import CallerHeaders
 from fuchsiaroute.gateway._refusals import invalid, refuse
@@ -36,8 +37,6 @@
 
 _MODEL_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}", re.ASCII)
 _COMPLETION = msgspec.json.Decoder(_Completion)
-# Too deep nesting raises RecursionError, a too long number ValueError.
-_DECODE_ERRORS = (msgspec.MsgspecError, RecursionError, ValueError)
 _ANY_OBJECT = msgspec.json.Decoder(dict[str, msgspec.Raw])
 
 
@@ -52,7 +51,7 @@
     """Return the call in a chat-completions request."""
     try:
         completion = _COMPLETION.decode(body)
-    except _DECODE_ERRORS as error:
+    except DECODER_ERRORS as error:
         return Failure(invalid(f"the body is malformed: {error}"))
     if not _is_non_empty_list(completion.messages):
         return Failure(invalid("messages must be a list with at least one item"))
@@ -90,7 +89,7 @@
     """Return the call of a plain service."""
     try:
         _ANY_OBJECT.decode(body)
-    except _DECODE_ERRORS as error:
+    except DECODER_ERRORS as error:
         return Failure(invalid(f"the body is malformed: {error}"))
     matches = [
         (item, call)
--- a/fuchsiaroute/gossip/_messages.py
+++ b/fuchsiaroute/gossip/_messages.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from fuchsiaroute.decoding import MalformedDataError, Port, decode
+
 #: Version of the encoding. Messages of another version are rejected.
 FORMAT = 2
 #: Level 1 halved a message of 1,585 bytes; level 6 saved another 3% only.
@@ -253,7 +255,7 @@
     frontend: str
     failure_domain: str
     #: Port of the sender for gossip.
-    port: int
+    port: Port
     #: The sender's requests in flight at each endpoint, and their expected work in
     #: milliseconds.
     loads: dict[str, tuple[int, int]]
@@ -281,7 +283,7 @@
     rates: list[RateUpdate] = []
     region: str = ""
     #: Port on which the sender carries connections of its peers; 0 if it carries none.
-    tunnel_port: int = 0
+    tunnel_port: Port = 0
     #: Whether the sender reaches some endpoints through peers only.
     is_cut: bool = False
     #: Endpoints that are brittle, and recent ends of it.
@@ -309,10 +311,10 @@
 def decode_message(data: bytes) -> AnyMessage:
     """Decode a datagram; raises ``GossipDecodeError``."""
     try:
-        message = _DECODER.decode(
-            zlib.decompressobj().decompress(data, _MAX_DECOMPRESSED_BYTES)
+        message = decode(
+            _DECODER, zlib.decompressobj().decompress(data, _MAX_DECOMPRESSED_BYTES)
         )
-    except (zlib.error, msgspec.MsgspecError) as error:
+    except (zlib.error, MalformedDataError) as error:
         raise GossipDecodeError(str(error)) from error
     if message.format != FORMAT:
         raise GossipDecodeError(f"unsupported message format {message.format}")
--- a/fuchsiaroute/gossip/tests/test_gossip.py
+++ b/fuchsiaroute/gossip/tests/test_gossip.py
@@ -76,7 +76,16 @@
 
 
 @pytest.mark.parametrize(
-    "data", [b"", b"\xff" * 20, encode_message(gossip_message("a", format=99))[:-3]]
+    "data",
+    [
+        b"",
+        b"\xff" * 20,
+        encode_message(gossip_message("a", format=99))[:-3],
+        # Nested more deeply than the decoder allows.
+        zlib.compress(b"\x92\xa4news" + b"\x91" * 5_000 + b"\x00"),
+        # A port to which nothing can be sent.
+        encode_message(gossip_message("a", port=70_000)),
+    ],
 )
 def test_datagrams_that_are_no_message_are_rejected(data: bytes) -> None:
     with pytest.raises(GossipDecodeError):
--- a/fuchsiaroute/http1/_client.py
+++ b/fuchsiaroute/http1/_client.py
@@ -26,7 +26,7 @@
 #: Body bytes that are skipped in responses to other requests.
 MAX_SKIPPED_BYTES = 1024 * 1024
 _FIRST_FINAL_STATUS = 200
-_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
+_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,9})")
 
 #: Returns whether a response with this status and header section is the expected one.
 ResponseMatcher = Callable[[int, Headers], bool]
--- a/fuchsiaroute/http1/_connecting.py
+++ b/fuchsiaroute/http1/_connecting.py
@@ -32,6 +32,7 @@
         raise ConnectTimeoutError(f"no connection within {within} ms") from None
     except ConnectionRefusedError as error:
         raise NobodyListensError(f"connecting failed: {error}") from None
-    except OSError as error:
+    except (OSError, OverflowError, ValueError) as error:
+        # The latter two are raised for a port or host name that cannot exist.
         raise ConnectError(f"connecting failed: {error}") from None
     return protocol
--- a/fuchsiaroute/http1/tests/test_client.py
+++ b/fuchsiaroute/http1/tests/test_client.py
@@ -233,6 +233,17 @@
         )
 
 
+@pytest.mark.parametrize(
+    ("host", "port"), [("127.0.0.1", 70_000), ("x" * 80, 80), ("a\0b", 80)]
+)
+async def test_address_that_cannot_exist_raises_connect_error(
+    host: str, port: int
+) -> None:
+    """Guards against 500 answers that count as no failure of the endpoint."""
+    with pytest.raises(ConnectError):
+        await connect(host, port, clock=SystemClock(), within=Milliseconds(2_000))
+
+
 async def test_idle_connection_that_receives_bytes_is_closed() -> None:
     late = OK + b"Content-Length: 0\r\n\r\n"
 
@@ -268,6 +279,16 @@
         connection.abort()
 
 
+async def test_response_with_a_too_long_number_in_keep_alive_is_complete() -> None:
+    """Guards against a failure in place of the endpoint's answer."""
+    field = b"Keep-Alive: timeout=" + b"9" * 5_000
+    sent = OK + field + b"\r\nContent-Length: 1\r\n\r\na"
+    async with Endpoint(sent) as endpoint:
+        connection = await endpoint.connect()
+        assert await exchange(connection) == (200, b"a")
+        connection.abort()
+
+
 async def test_response_before_the_end_of_the_request_closes_the_connection() -> None:
     """The rest of the body would be read as the start of the next request."""
     finished = asyncio.Event()
--- a/fuchsiaroute/idempotency/_record.py
+++ b/fuchsiaroute/idempotency/_record.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from fuchsiaroute.decoding import DECODER_ERRORS
 from fuchsiaroute.ids import Incarnation, InstanceId, OrganisationId, RequestId
 from fuchsiaroute.request import Request
 from fuchsiaroute.verdict import Verdict
@@ -74,5 +75,5 @@
     """Return the record in ``encoded``, or None if it cannot be decoded."""
     try:
         return _DECODER.decode(encoded)
-    except msgspec.MsgspecError:
+    except DECODER_ERRORS:
         return None
--- a/fuchsiaroute/node/_instance_registry.py
+++ b/fuchsiaroute/node/_instance_registry.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Success
 
 from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.decoding import MalformedDataError, Port, decode
 from fuchsiaroute.gossip import Liveness, MemberInfo
 from fuchsiaroute.hashing import rendezvous_order
 from fuchsiaroute.ids import FailureDomainId, InstanceId
@@ -37,7 +38,7 @@
 
 class _RegistryRow(msgspec.Struct):
     host: str
-    port: int
+    port: Port
     frontend: str
     failure_domain: str
 
@@ -184,8 +185,8 @@
             if row.value is None:
                 continue
             try:
-                decoded = _DECODER.decode(row.value)
-            except msgspec.MsgspecError as error:
+                decoded = decode(_DECODER, row.value)
+            except MalformedDataError as error:
                 self._log.write(
                     "instance:unreadable", member=row.key, reason=str(error)
                 )
--- a/fuchsiaroute/node/_quarantine_rows.py
+++ b/fuchsiaroute/node/_quarantine_rows.py
@@ -1,11 +1,13 @@
 """Keeps quarantined subjects in the store, for a restart of all instances."""
 
 import asyncio
+import re
 
 import msgspec
 from returns.result import Failure
 
 from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.decoding import Int64, MalformedDataError, decode
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.platform import PlatformStore, Table, row_key
 from fuchsiaroute.quarantine import Quarantine, SubjectKey, SubjectReport
@@ -19,10 +21,13 @@
     """The value of a row."""
 
     #: Start of the quarantine on the store's clock; None once it is cleared.
-    since: int | None
+    since: Int64 | None
     companions: list[int] = []
 
 
+#: The subject in hexadecimal digits, negative for a request.
+_KEY = re.compile(r"-?[0-9a-f]{1,16}", re.ASCII)
+_MIN_SUBJECT, _MAX_SUBJECT = -(2**63), 2**64 - 1
 _DECODER = msgspec.json.Decoder(_QuarantineRow)
 
 
@@ -77,9 +82,10 @@
             if row.value is None:
                 continue
             try:
-                subject = SubjectKey(int(row.key, 16))
-                found = _DECODER.decode(row.value)
-            except (ValueError, msgspec.MsgspecError) as error:
+                subject = _subject(row.key)
+                found = decode(_DECODER, row.value)
+                companions = frozenset(_checked(item) for item in found.companions)
+            except MalformedDataError as error:
                 self._log.write(
                     "prompt-part:unreadable", key=row.key, reason=str(error)
                 )
@@ -88,7 +94,7 @@
                 report = SubjectReport(
                     subject,
                     Milliseconds(found.since + offset),
-                    frozenset(SubjectKey(item) for item in found.companions),
+                    companions,
                 )
                 self._quarantine.apply_quarantine(report, source="store")
         self.is_loaded = True
@@ -120,3 +126,17 @@
             if self._unwritten.get(subject) == since:
                 self._unwritten.pop(subject, None)
         return True
+
+
+def _subject(key: str) -> SubjectKey:
+    """Return the subject of a row; raises ``MalformedDataError``."""
+    if _KEY.fullmatch(key) is None:
+        raise MalformedDataError("the key is no subject")
+    return _checked(int(key, 16))
+
+
+def _checked(subject: int) -> SubjectKey:
+    """Return a key that messages can carry; raises ``MalformedDataError``."""
+    if not _MIN_SUBJECT <= subject <= _MAX_SUBJECT:
+        raise MalformedDataError("the hash of a subject is out of range")
+    return SubjectKey(subject)
--- a/fuchsiaroute/node/tests/test_instance_registry.py
+++ b/fuchsiaroute/node/tests/test_instance_registry.py
@@ -93,6 +93,28 @@
         task.cancel()
 
 
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"{",
+        b"[" * 5_000 + b"]" * 5_000,
+        b'{"host": "h", "port": 70000, "frontend": "f:1", "failure_domain": "z"}',
+    ],
+)
+async def test_unreadable_row_leaves_the_other_instances_known(
+    clock: ManualClock, value: bytes
+) -> None:
+    """Guards against an instance that neither registers nor knows of others."""
+    store = Store()
+    store.rows.append(Row(key="foreign", value=value, revision=1))
+    await Member("n1", store, clock).register._register(())
+    member = Member("n0", store, clock)
+    task = asyncio.create_task(member.register.run())
+    await clock.advance(Milliseconds(500))
+    assert member.known == {"n1"}
+    task.cancel()
+
+
 async def test_table_is_read_again_when_a_peer_reports_an_unknown_instance(
     clock: ManualClock,
 ) -> None:
--- a/fuchsiaroute/operators/_app.py
+++ b/fuchsiaroute/operators/_app.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from fuchsiaroute.declaration import parse
+from fuchsiaroute.decoding import DECODER_ERRORS
 from fuchsiaroute.ids import ChangeId
 from fuchsiaroute.logs import ChangeSubmitted, log_event
 from fuchsiaroute.metrics import CONTENT_TYPE
@@ -176,7 +177,7 @@
 def _decode(body: bytes, message: type[_Message]) -> Result[_Message, OperatorError]:
     try:
         return Success(msgspec.json.decode(body, type=message))
-    except (msgspec.MsgspecError, RecursionError) as error:
+    except DECODER_ERRORS as error:
         return Failure(OperatorError(message=str(error)))
 
 
--- a/fuchsiaroute/operators/_client.py
+++ b/fuchsiaroute/operators/_client.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.decoding import DECODER_ERRORS
 from fuchsiaroute.operators._messages import (
     ChangeOutcome,
     ChangeReply,
@@ -110,7 +111,7 @@
             return Failure(_no_answer(f"{type(error).__name__}: {error}"))
         try:
             return Success(msgspec.json.decode(response.content, type=message))
-        except msgspec.MsgspecError:
+        except DECODER_ERRORS:
             return Failure(_error_of(response))
 
 
@@ -145,7 +146,7 @@
 def _error_of(response: httpx.Response) -> ClientError:
     try:
         error = msgspec.json.decode(response.content, type=OperatorError)
-    except msgspec.MsgspecError:
+    except DECODER_ERRORS:
         return _no_answer(f"status {response.status_code} with an unrecognised body")
     return ClientError(kind=ClientErrorKind.REFUSED, message=error.message)
 
--- a/fuchsiaroute/platform/__init__.py
+++ b/fuchsiaroute/platform/__init__.py
@@ -4,6 +4,7 @@
 Contains no routing decisions.
 """
 
+from fuchsiaroute.platform._address import Address
 from fuchsiaroute.platform._calls import (
     JSON_HEADERS,
     ControlCall,
@@ -27,7 +28,6 @@
     retry_after,
 )
 from fuchsiaroute.platform._node_settings import (
-    Address,
     Bounds,
     NodeSettings,
     NodeSettingsError,
--- a/fuchsiaroute/platform/_decode.py
+++ b/fuchsiaroute/platform/_decode.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from fuchsiaroute.clock import Milliseconds
+from fuchsiaroute.decoding import Int64, MalformedDataError, Number, decode
 from fuchsiaroute.deployment import (
     Deployment,
     Endpoint,
@@ -26,6 +27,7 @@
     ServiceId,
     VersionId,
 )
+from fuchsiaroute.platform._address import parse_address
 
 MILLISECONDS_PER_SECOND = 1_000
 _KINDS = {
@@ -46,7 +48,7 @@
 
 class _Split(msgspec.Struct):
     Service: str
-    Weight: float = 1.0
+    Weight: Number = 1.0
 
 
 class _Route(msgspec.Struct):
@@ -54,54 +56,54 @@
     Prefix: str
     Kind: str
     Name: str = ""
-    TimeoutMs: float = _DEFAULT_TIMEOUT_MS
+    TimeoutMs: Number = _DEFAULT_TIMEOUT_MS
     # Response time that counts as on target; not a timeout.
-    TargetLatencyMs: float = 0.0
-    Priority: int = 0
+    TargetLatencyMs: Number = 0.0
+    Priority: Int64 = 0
     Sizes: list[str] = []
     Service: str | None = None
     TrafficSplit: list[_Split] = []
     # Endpoints that one request may be sent to, the first one included.
-    MaxAttempts: int = 1
+    MaxAttempts: Int64 = 1
     Public: bool = False
     Resumable: bool = False
-    GapTargetMs: float = _DEFAULT_MAX_EVENT_GAP_MS
+    GapTargetMs: Number = _DEFAULT_MAX_EVENT_GAP_MS
 
 
 class _Model(msgspec.Struct):
     Name: str
-    Cost: float = 0.0
+    Cost: Number = 0.0
 
 
 class _Engine(msgspec.Struct):
-    Slots: int = 1
-    KvCapacityTokens: int = 0
+    Slots: Int64 = 1
+    KvCapacityTokens: Int64 = 0
     Models: list[_Model] = []
 
 
 class _Service(msgspec.Struct):
     Name: str
-    MaxConnections: int = 100
-    ColdStartS: float = 0.0
-    ColdPerS: float = 0.0
+    MaxConnections: Int64 = 100
+    ColdStartS: Number = 0.0
+    ColdPerS: Number = 0.0
     Engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct):
-    MaxHeaderBytes: int = 16_384
-    MaxBodyBytes: int = 4_194_304
-    HeaderTimeoutMs: float = 3_000.0
-    IdleTimeoutMs: float = 15_000.0
+    MaxHeaderBytes: Int64 = 16_384
+    MaxBodyBytes: Int64 = 4_194_304
+    HeaderTimeoutMs: Number = 3_000.0
+    IdleTimeoutMs: Number = 15_000.0
 
 
 class _Tenant(msgspec.Struct):
     Name: str
     ApiKeys: list[str] = []
-    Priority: int | None = None
+    Priority: Int64 | None = None
 
 
 class _Configuration(msgspec.Struct):
-    Version: int
+    Version: Int64
     Routes: list[_Route] = []
     Services: list[_Service] = []
     Limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -113,18 +115,18 @@
     Address: str
     Zone: str
     Version: str
-    Slots: int
+    Slots: Int64
     State: str
     # Cold time that remained when the announcement was written.
-    ColdLeftMs: float = 0.0
-    born: int = 0
+    ColdLeftMs: Number = 0.0
+    born: Int64 = 0
 
 
 class _Rollout(msgspec.Struct):
     Service: str
     # Target version.
     To: str
-    DurationS: float
+    DurationS: Number
 
 
 _CONFIGURATION_DECODER = msgspec.json.Decoder(_Configuration)
@@ -160,19 +162,21 @@
 def decode_endpoint(id: str, value: bytes) -> Endpoint:
     """Decode the announcement of endpoint ``id``; raises ``DecodeError``."""
     decoded = _decode(_ENDPOINT_DECODER, value)
-    host, _, port = decoded.Address.rpartition(":")
-    if decoded.State not in _IS_DRAINING or not host or not port.isdigit():
+    address = parse_address(decoded.Address)
+    if decoded.State not in _IS_DRAINING or address is None or not address.port:
         raise DecodeError(
             f"unknown state or malformed address: state {decoded.State!r}, "
             f"address {decoded.Address!r}"
         )
+    if not _is_header_value(id):
+        raise DecodeError("the id cannot be sent in a header")
     if decoded.Slots <= 0:
         raise DecodeError(f"the number of slots must be positive, got {decoded.Slots}")
     return Endpoint(
         id=EndpointId(id),
         service=ServiceId(decoded.Service),
-        host=host,
-        port=int(port),
+        host=address.host,
+        port=address.port,
         failure_domain=FailureDomainId(decoded.Zone),
         version=VersionId(decoded.Version),
         slots=decoded.Slots,
@@ -195,11 +199,16 @@
 
 def _decode(decoder: msgspec.json.Decoder[Any], value: bytes) -> Any:
     try:
-        return decoder.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return decode(decoder, value)
+    except MalformedDataError as error:
         raise DecodeError(str(error)) from error
 
 
+def _is_header_value(text: str) -> bool:
+    """Return whether an endpoint's id can name it in the requests to it."""
+    return text.isprintable() and all(ord(character) <= 0xFF for character in text)
+
+
 def _route(decoded: _Route) -> Route:
     shares = [(item.Service, item.Weight) for item in decoded.TrafficSplit]
     if not shares and decoded.Service:
--- a/fuchsiaroute/platform/_headers.py
+++ b/fuchsiaroute/platform/_headers.py
@@ -5,6 +5,7 @@
 from typing import NewType
 
 from fuchsiaroute.clock import Milliseconds
+from fuchsiaroute.decoding import parse_digits
 from fuchsiaroute.http1 import Headers, end_to_end_headers, find_header
 from fuchsiaroute.ids import EndpointId, ModelId, OrganisationId, RequestId
 
@@ -294,9 +295,7 @@
 
 
 def _parse_number(value: bytes | None) -> int | None:
-    if value is None or not value.strip().isdigit():
-        return None
-    return int(value)
+    return parse_digits(value.strip()) if value is not None else None
 
 
 def _item_count(value: bytes | None) -> int:
@@ -304,13 +303,15 @@
 
 
 def _parse_numbers(value: bytes) -> list[int]:
-    return [int(item) for item in value.split(b",") if item.strip().isdigit()]
+    numbers = (parse_digits(item.strip()) for item in value.split(b","))
+    return [number for number in numbers if number is not None]
 
 
 def _parse_prompt(value: bytes) -> tuple[PromptPart, ...]:
     parts = []
     for item in value.split(b","):
-        name, _, tokens = item.strip().partition(b":")
-        if name and tokens.isdigit():
-            parts.append(PromptPart(id=name.decode("latin-1"), tokens=int(tokens)))
+        name, _, digits = item.strip().partition(b":")
+        tokens = parse_digits(digits)
+        if name and tokens is not None:
+            parts.append(PromptPart(id=name.decode("latin-1"), tokens=tokens))
     return tuple(parts)
--- a/fuchsiaroute/platform/_node_settings.py
+++ b/fuchsiaroute/platform/_node_settings.py
@@ -1,33 +1,28 @@
 """The settings file that the platform writes for each process."""
 
+import math
 import os
 from dataclasses import dataclass, field
 from pathlib import Path
 
 from fuchsiaroute.clock import Milliseconds
+from fuchsiaroute.decoding import parse_digits
 from fuchsiaroute.ids import FailureDomainId, InstanceId, RegionId
+from fuchsiaroute.platform._address import Address, parse_address
 
 #: Environment variable with the path of the settings file, and the default path.
 SETTINGS_VARIABLE = "FUCHSIAROUTE_NODE_FILE"
 DEFAULT_PATH = "/etc/fuchsiaroute/node.conf"
 MILLISECONDS_PER_SECOND = 1_000
+_MAX_PORT = 65_535
+#: Limit of a setting that is a number.
+_MAX_NUMBER = 1e12
 
 
 class NodeSettingsError(Exception):
     """The settings file cannot be used; the message lists every fault."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class Address:
-    """An IP address and a port."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
-
-
 @dataclass(frozen=True, kw_only=True)
 class Bounds:
     """Service-level bounds that the deployment's operators set."""
@@ -178,10 +173,14 @@
         if not value:
             return default
         try:
-            return float(value)
+            number = float(value)
         except ValueError:
+            number = math.nan
+        # Neither NaN nor an infinite number can be rounded.
+        if not abs(number) <= _MAX_NUMBER:
             self.faults.append(f"{name} is not a number: {value!r}")
             return default
+        return number
 
     def milliseconds(self, name: str, default: Milliseconds) -> Milliseconds:
         return Milliseconds(round(self.number(name, default)))
@@ -196,8 +195,9 @@
 
     def ports(self, name: str) -> tuple[int, int]:
         first, _, last = self.text(name, default="0,0").partition(",")
-        if first.isdigit() and last.isdigit():
-            return int(first), int(last)
+        match parse_digits(first), parse_digits(last):
+            case (int(low), int(high)) if max(low, high) <= _MAX_PORT:
+                return low, high
         self.faults.append(f"{name} is not a pair of ports")
         return 0, 0
 
@@ -207,8 +207,7 @@
             if is_required:
                 self.faults.append(f"{name} is missing")
             return None
-        host, _, port = value.rpartition(":")
-        if not host or not port.isdigit():
+        address = parse_address(value)
+        if address is None:
             self.faults.append(f"{name} is not an address: {value!r}")
-            return None
-        return Address(host=host, port=int(port))
+        return address
--- a/fuchsiaroute/platform/_store.py
+++ b/fuchsiaroute/platform/_store.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import base64
-import binascii
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -14,6 +13,7 @@
 from returns.result import Failure, Result, Success
 
 from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.decoding import MalformedDataError, decode, parse_digits
 from fuchsiaroute.http1 import (
     ClientConnection,
     ConnectError,
@@ -23,7 +23,7 @@
     encode_request,
     find_header,
 )
-from fuchsiaroute.platform._node_settings import Address
+from fuchsiaroute.platform._address import Address
 from fuchsiaroute.store import (
     MAX_ERA,
     MAX_VERSION,
@@ -326,9 +326,9 @@
         if value is None:
             # A platform without restores does not send the field.
             return Success(self._era)
-        if not value.strip().isdigit() or int(value) > MAX_ERA:
+        era = parse_digits(value.strip())
+        if era is None or era > MAX_ERA:
             return Failure(_unknown(f"malformed era {value[:40]!r}"))
-        era = int(value)
         if era < self._era:
             return Failure(_unknown(f"response of era {era}, before era {self._era}"))
         self._era = era
@@ -421,7 +421,7 @@
         if not row.Deleted:
             try:
                 value = base64.b64decode(row.Value, validate=True)
-            except binascii.Error:
+            except ValueError:
                 # The decoder of the row rejects the empty value and logs the key.
                 value = b""
         position = store_position(era, row.SchemaVersion)
@@ -441,8 +441,8 @@
 
 def _decode_response(response: ResponseBody) -> Result[_StoreResponse, StoreError]:
     try:
-        return Success(_RESPONSE_DECODER.decode(response.data))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Success(decode(_RESPONSE_DECODER, response.data))
+    except MalformedDataError as error:
         return Failure(_unknown(f"malformed response: {error}"))
 
 
--- a/fuchsiaroute/platform/tests/test_decode.py
+++ b/fuchsiaroute/platform/tests/test_decode.py
@@ -26,6 +26,7 @@
     read_request,
     read_response,
 )
+from fuchsiaroute.store import StorePosition
 
 ENTRY = {
     "Service": "s",
@@ -95,6 +96,15 @@
         {"Slots": 0},
         {"Slots": "four"},
         {"Version": None},
+        {"Address": "10.0.0.1:\u00b2"},
+        {"Address": "10.0.0.1:" + "8" * 5_000},
+        {"Address": "10.0.0.1:70000"},
+        {"Address": "10.0.0.1:0"},
+        {"Address": "10.0.0.1 :80"},
+        {"Address": "a\u0000b:80"},
+        {"Slots": 10**400},
+        {"born": 2**70},
+        {"ColdLeftMs": 1e300},
     ],
 )
 def test_announcement_with_an_invalid_field_is_rejected(change: dict) -> None:
@@ -109,12 +119,23 @@
         decode_endpoint("i", json.dumps(entry).encode())
 
 
-@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"{"])
+#: Nested more deeply than decoders allow, also in a field that they skip.
+NESTED = b'{"Unknown":' + b"[" * 5_000 + b"]" * 5_000 + b"}"
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"{", NESTED])
 def test_announcement_that_is_not_a_json_object_is_rejected(value: bytes) -> None:
     with pytest.raises(DecodeError):
         decode_endpoint("i", value)
 
 
+@pytest.mark.parametrize("id", ["i\r\nX-Other: 1", "i\u0000", "\u65e5\u672c"])
+def test_announcement_under_an_id_that_no_header_can_carry_is_rejected(id: str) -> None:
+    """Guards against requests to the endpoint that all fail with 500."""
+    with pytest.raises(DecodeError):
+        decode_endpoint(id, json.dumps(ENTRY).encode())
+
+
 def test_announcement() -> None:
     endpoint = decode_endpoint("i", json.dumps(ENTRY).encode())
     assert (endpoint.host, endpoint.port) == ("10.0.0.1", 80)
@@ -157,6 +178,24 @@
     assert isinstance(decode_order(row(key, value)), kind)
 
 
+@pytest.mark.parametrize(
+    "value",
+    [
+        NESTED,
+        b'{"Service": "s", "To": "v2", "DurationS": 1e308}',
+        b'{"Version": 7, "Services": [{"Name": "s", "ColdStartS": 1.7e308}]}',
+        b'{"Version": 1' + b"0" * 400 + b"}",
+    ],
+)
+@pytest.mark.parametrize("key", ["rollout/s", "config"])
+def test_order_that_raises_another_error_in_the_decoder_is_unreadable(
+    key: str, value: bytes
+) -> None:
+    """Guards against an order that stops all later ones, as its row is read again."""
+    found = decode_order(Row(key=key, value=value, revision=StorePosition(3)))
+    assert isinstance(found, UnknownOrder)
+
+
 def test_settings() -> None:
     settings = parse_node_settings(SETTINGS)
     assert str(settings.frontend) == "10.1.0.40:8227"
@@ -172,6 +211,13 @@
         ("Platform.Address=nowhere", "Platform.Address is not an address"),
         ("Bounds.GraceS=long", "Bounds.GraceS is not a number"),
         ("PortRange=7340", "PortRange is not a pair of ports"),
+        ("PortRange=7340,\u00b2", "PortRange is not a pair of ports"),
+        ("PortRange=7340,70000", "PortRange is not a pair of ports"),
+        ("Platform.Address=10.200.1.7:70000", "Platform.Address is not an address"),
+        ("Platform.Address=10.200.1.7:\u00b2", "Platform.Address is not an address"),
+        ("Bounds.GraceS=nan", "Bounds.GraceS is not a number"),
+        ("Bounds.GraceS=1e400", "Bounds.GraceS is not a number"),
+        ("Limits.MemoryMb=inf", "Limits.MemoryMb is not a number"),
     ],
 )
 def test_error_of_faulty_settings_states_the_fault(line: str, fault: str) -> None:
@@ -290,6 +336,9 @@
         (b"X-Deadline-Ms", b"4000", True),
         (b"X-Deadline-Ms", b"soon", False),
         (b"X-Length-Hint", b"-1", False),
+        (b"X-Deadline-Ms", b"4" * 5_000, False),
+        (b"X-Token-Counts", b"340," + b"2" * 5_000, False),
+        (b"X-Prompt-Prefix", b"ab:" + b"3" * 5_000, False),
         (b"X-Request-Id", b"anything", True),
     ],
 )
--- a/fuchsiaroute/quality/_codec.py
+++ b/fuchsiaroute/quality/_codec.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from fuchsiaroute.decoding import DECODER_ERRORS
 from fuchsiaroute.ids import RequestClass, RolloutId, VersionId
 from fuchsiaroute.quality._cell import Cell
 from fuchsiaroute.quality._table import QualityTable
@@ -98,7 +99,7 @@
     try:
         packed = _DECODER.decode(encoded)
         return _unpack(packed)
-    except (msgspec.MsgspecError, IndexError, ValueError) as error:
+    except (*DECODER_ERRORS, IndexError) as error:
         raise BookError(f"bytes are not an encoded quality table: {error}") from error
 
 
--- a/fuchsiaroute/session/_pin.py
+++ b/fuchsiaroute/session/_pin.py
@@ -15,6 +15,7 @@
 from returns.result import Failure, Result, Success
 
 from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.decoding import DECODER_ERRORS
 from fuchsiaroute.ids import OrganisationId, SessionId, VersionId
 from fuchsiaroute.verdict import Refusal, RefusalReason, Verdict
 
@@ -109,7 +110,7 @@
             return None
         try:
             return _DECODER.decode(base64_decode(self._signer.unsign(pin)))
-        except (BadData, msgspec.MsgspecError, UnicodeError):
+        except (BadData, *DECODER_ERRORS):
             return None
 
 
--- a/fuchsiaroute/staging/_driver.py
+++ b/fuchsiaroute/staging/_driver.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result
 
 from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.decoding import Int64, MalformedDataError, decode
 from fuchsiaroute.deployment import RolloutOrder
 from fuchsiaroute.hashing import rendezvous_order
 from fuchsiaroute.ids import InstanceId, ServiceId, VersionId
@@ -193,9 +194,9 @@
 
 class _StoredRecord(msgspec.Struct):
     target: str
-    order: int
+    order: Int64
     progress: str
-    started: int
+    started: Int64
 
 
 _DECODER = msgspec.json.Decoder(_StoredRecord)
@@ -216,9 +217,9 @@
 def decode_record(service: ServiceId, value: bytes) -> RolloutRecord | None:
     """Decode the value of a record's row; None if it cannot be decoded."""
     try:
-        found = _DECODER.decode(value)
+        found = decode(_DECODER, value)
         progress = Progress[found.progress]
-    except (msgspec.MsgspecError, KeyError):
+    except (MalformedDataError, KeyError):
         return None
     return RolloutRecord(
         service=service,
--- a/fuchsiaroute/store_http/_http.py
+++ b/fuchsiaroute/store_http/_http.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from fuchsiaroute.clock import Milliseconds
+from fuchsiaroute.decoding import DECODER_ERRORS
 from fuchsiaroute.store._table_store import StoreError, StoreErrorKind
 
 #: Timeout of each step of a call: connect, write, read, and wait for a connection.
@@ -74,7 +75,7 @@
     """Return the JSON body of ``response``, decoded as ``message``."""
     try:
         return Success(msgspec.json.decode(response.content, type=message))
-    except msgspec.MsgspecError as error:
+    except DECODER_ERRORS as error:
         path = response.request.url.path
         return Failure(_error(StoreErrorKind.UNKNOWN, path, str(error)))
 
--- a/fuchsiaroute/tunnel/_messages.py
+++ b/fuchsiaroute/tunnel/_messages.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from fuchsiaroute.decoding import MalformedDataError, decode
 from fuchsiaroute.tunnel._exceptions import TunnelDecodeError
 
 #: Version of the encoding of messages and frames. Another version is rejected.
@@ -97,8 +98,8 @@
 
     def _decode(self, data: bytes) -> _MessageT:
         try:
-            message = self._decoder.decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            message = decode(self._decoder, data)
+        except MalformedDataError as error:
             raise TunnelDecodeError(f"malformed message: {error}") from None
         if message.format != FORMAT:
             raise TunnelDecodeError(f"message of format {message.format}")
