Catalog, gossip: a row or message that fails leaves the others in force

Cause: an error of any other type than DecodeError, raised while one row is applied, left the whole answer of the store unapplied and its revision unstored; every instance would meet the row again for good. An unknown state of a roll-out in a peer's message, as a later build may send one, dropped the rest of that message with a traceback of the event loop.

Change: each row is applied by itself; one that raises is logged (row:failed) and not used. A message that fails is logged (news:failed); an unknown state of a roll-out alone is skipped.

--- a/fuchsiaroute/catalog/_catalog.py
+++ b/fuchsiaroute/catalog/_catalog.py
@@ -7,7 +7,7 @@
 from fuchsiaroute.catalog._removals import PendingRemovals
 from fuchsiaroute.catalog._restore_memory import RemovedEndpoints, UnconfirmedOrders
 from fuchsiaroute.clock import Clock, Milliseconds
-from fuchsiaroute.deployment import Deployment, RolloutOrder
+from fuchsiaroute.deployment import Deployment, Endpoint, RolloutOrder
 from fuchsiaroute.ids import EndpointId, FailureDomainId, ServiceId
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.platform import (
@@ -100,14 +100,18 @@
 
     def apply_orders(self, rows: Rows, is_whole: bool) -> None:
         """Apply rows of operators; ``is_whole`` if ``rows`` is the whole table."""
-        changes = [decode_order(row) for row in rows.rows]
+        changes = [self._decode_order(row) for row in rows.rows]
         if is_whole:
             is_restored = Table.ORDERS in self._restored
             self._restored.discard(Table.ORDERS)
             self._remove_missing_orders(changes, is_restored=is_restored)
-        for change in changes:
-            self._unconfirmed.confirm(change)
-            self._apply(change)
+        for row, change in zip(rows.rows, changes, strict=True):
+            try:
+                self._unconfirmed.confirm(change)
+                self._apply(change)
+            except Exception as error:
+                # The other rows and the table's revision must not wait for this one.
+                self._log_failed_row(row, error)
 
     def apply_endpoints(self, rows: Rows, is_whole: bool) -> None:
         """Apply announcements; ``is_whole`` if ``rows`` is the whole table."""
@@ -157,9 +161,10 @@
             self._log.write("endpoint:removed", endpoint=name)
 
     def _announce(self, name: EndpointId, row: Row) -> None:
+        """Apply the announcement in a row, whatever another writer has put there."""
         assert row.value is not None
         try:
-            endpoint = decode_endpoint(name, row.value)
+            self._announce_endpoint(row, decode_endpoint(name, row.value))
         except DecodeError as error:
             self._log.write(
                 "endpoint:unreadable",
@@ -167,10 +172,20 @@
                 revision=row.revision,
                 reason=str(error),
             )
-            self._services.pop(name, None)
-            self._draining.discard(name)
-            self._pool.withdraw(name)
-            return
+            self._forget(name)
+        except Exception as error:
+            # The other rows and the table's revision must not wait for this one.
+            self._log_failed_row(row, error)
+            self._forget(name)
+
+    def _forget(self, name: EndpointId) -> None:
+        """Stop using an endpoint whose row names no process that can be used."""
+        self._services.pop(name, None)
+        self._draining.discard(name)
+        self._pool.withdraw(name)
+
+    def _announce_endpoint(self, row: Row, endpoint: Endpoint) -> None:
+        name = endpoint.id
         if endpoint.started_at < self._started_at.get(name, 0):
             self._log.write(
                 "endpoint:outdated",
@@ -199,14 +214,26 @@
             revision=row.revision,
         )
 
+    def _decode_order(self, row: Row) -> OrderChange:
+        try:
+            return decode_order(row)
+        except Exception as error:
+            self._log_failed_row(row, error)
+            return UnknownOrder(row.key, repr(error))
+
+    def _log_failed_row(self, row: Row, error: Exception) -> None:
+        self._log.write(
+            "row:failed", key=row.key, revision=row.revision, reason=repr(error)
+        )
+
     def _was_removed(self, name: EndpointId, row: Row) -> bool:
         """Return whether a row announces a process that had been removed."""
         if row.value is None:
             return False
         try:
             endpoint = decode_endpoint(name, row.value)
-        except DecodeError:
-            # ``_announce`` logs the row.
+        except Exception:
+            # ``_announce`` decodes the row once more and logs the fault.
             return False
         return self._removed.was_removed(name, endpoint.started_at)
 
--- a/fuchsiaroute/gossip/_node.py
+++ b/fuchsiaroute/gossip/_node.py
@@ -8,6 +8,7 @@
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.gossip._liveness import Liveness, MemberInfo
 from fuchsiaroute.gossip._messages import (
+    AnyMessage,
     GossipDecodeError,
     GossipMessage,
     Heartbeat,
@@ -178,6 +179,19 @@
         except GossipDecodeError as error:
             self._log.write("news:unreadable", sender=str(addr), reason=str(error))
             return
+        try:
+            self._apply(message, addr)
+        except Exception as error:
+            # A later build may send values that this one does not know.
+            self._log.write("news:failed", sender=str(addr), reason=repr(error))
+
+    def error_received(self, exc: Exception) -> None:
+        """Log a refused datagram; missing heartbeats mark the member as dead."""
+        self._log.write("news:undelivered", reason=str(exc))
+
+    # Private
+
+    def _apply(self, message: AnyMessage, addr: tuple[str | Any, int]) -> None:
         if isinstance(message, TableUpdate):
             if self._on_table_update(message) and not message.is_reply:
                 self.relay(message)
@@ -216,12 +230,6 @@
             self._log_liveness_changes()
             self.send_soon()
 
-    def error_received(self, exc: Exception) -> None:
-        """Log a refused datagram; missing heartbeats mark the member as dead."""
-        self._log.write("news:undelivered", reason=str(exc))
-
-    # Private
-
     def _flush_now(self) -> None:
         self._flush = None
         self._send()
--- a/fuchsiaroute/node/_gossip_exchange.py
+++ b/fuchsiaroute/node/_gossip_exchange.py
@@ -65,6 +65,9 @@
 MAX_SESSION_AGE = Milliseconds(5_500)
 
 
+_PROGRESS_VALUES = frozenset(item.value for item in Progress)
+
+
 class GossipExchange:
     """Composes this instance's messages and applies those of other instances."""
 
@@ -181,14 +184,7 @@
             feed = self._feeds.get(name)
             if feed is not None:
                 feed.hint(StorePosition(revision))
-        for rollout in message.rollouts:
-            self._tracker.apply_record(_record(rollout), source=message.instance)
-        for item in message.evidence:
-            self._apply_evidence(instance, item)
-        for service, revision in message.suspended:
-            order = self._catalog.rollout_orders.get(ServiceId(service))
-            if order is not None and order.revision == revision:
-                self._tracker.suspend(order, source=message.instance)
+        self._apply_rollouts(message)
         now = self._clock.now()
         for name, age in message.answer_ages.items():
             answered_at = Milliseconds(now - age)
@@ -217,6 +213,18 @@
                 age=Milliseconds(session_update.age),
             )
 
+    def _apply_rollouts(self, message: GossipMessage) -> None:
+        for rollout in message.rollouts:
+            record = _record(rollout)
+            if record is not None:
+                self._tracker.apply_record(record, source=message.instance)
+        for item in message.evidence:
+            self._apply_evidence(InstanceId(message.instance), item)
+        for service, revision in message.suspended:
+            order = self._catalog.rollout_orders.get(ServiceId(service))
+            if order is not None and order.revision == revision:
+                self._tracker.suspend(order, source=message.instance)
+
     def _apply_crash_evidence(self, message: GossipMessage) -> None:
         for answered in message.answered_parts:
             self._quarantine.apply_answer(self._subject_report(answered))
@@ -410,7 +418,10 @@
         return updates
 
 
-def _record(update: RolloutUpdate) -> RolloutRecord:
+def _record(update: RolloutUpdate) -> RolloutRecord | None:
+    """Return the record in ``update``; None if its progress is not known here."""
+    if update.progress not in _PROGRESS_VALUES:
+        return None
     return RolloutRecord(
         service=ServiceId(update.service),
         target=VersionId(update.target),
--- a/fuchsiaroute/platform/tests/test_catalog.py
+++ b/fuchsiaroute/platform/tests/test_catalog.py
@@ -60,6 +60,56 @@
     assert len(pool) == int(is_kept)
 
 
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"{",
+        b'{"Unknown":' + b"[" * 5_000 + b"]" * 5_000 + b"}",
+        json.dumps(Endpoint().announcement(Address="10.0.0.2:\u00b2")).encode(),
+        json.dumps(Endpoint().announcement(Address="10.0.0.2:70000")).encode(),
+    ],
+)
+def test_unreadable_announcement_leaves_the_others_in_force(value: bytes) -> None:
+    """Guards against a row that stops the list of endpoints for good (review/1)."""
+    clock = ManualClock()
+    pool = EndpointPool(instance=InstanceId("me"), clock=clock, random=Random(1))
+    log = LineLog(clock=clock, instance="me", write=len)
+    catalog = Catalog(pool=pool, clock=clock, log=log, drain=DRAIN)
+    other = Row(key="0-other", value=value, revision=1)
+    catalog.apply_endpoints(Rows(rows=(other, announced(2)), revision=2), is_whole=True)
+    assert [item.id for item in pool.endpoints()] == ["a"]
+    changes = (Row(key="0-other", value=value, revision=3), removed(4))
+    catalog.apply_endpoints(Rows(rows=changes, revision=4), is_whole=False)
+    clock.tick(LONG)
+    catalog.remove_due()
+    assert len(pool) == 0
+
+
+def test_row_that_fails_in_any_way_leaves_the_others_in_force(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a fault of this build that one row brings out in all instances."""
+    clock = ManualClock()
+    pool = EndpointPool(instance=InstanceId("me"), clock=clock, random=Random(1))
+    lines: list[bytes] = []
+    log = LineLog(
+        clock=clock, instance="me", write=lambda data: lines.append(data) or len(data)
+    )
+    catalog = Catalog(pool=pool, clock=clock, log=log, drain=DRAIN)
+    announce = pool.announce
+
+    def failing(endpoint):  # type: ignore[no-untyped-def]
+        if endpoint.id == "b":
+            raise ZeroDivisionError
+        announce(endpoint)
+
+    monkeypatch.setattr(pool, "announce", failing)
+    bad = Row(key="b", value=announced(1).value, revision=1)
+    catalog.apply_endpoints(Rows(rows=(bad, announced(2)), revision=2), is_whole=True)
+    assert [item.id for item in pool.endpoints()] == ["a"]
+    assert b"ZeroDivisionError" in b"".join(lines)
+
+
 def test_order_that_a_copy_lacks_holds_until_it_may_be_written_again() -> None:
     """The whole table is read a second time right after the restore."""
     clock = ManualClock()
