Catalog: an order whose row becomes unreadable stays in force everywhere

Cause: an instance that read such a row as a change kept the former order, one that read the whole table (after its start, or once the store had dropped its history) took it for removed. Callers could get different versions at different instances.

--- a/fuchsiaroute/catalog/_catalog.py
+++ b/fuchsiaroute/catalog/_catalog.py
@@ -262,6 +262,12 @@
         services = {
             item.order.service for item in present if isinstance(item, RolloutOrdered)
         }
+        # An order whose row has become unreadable was not removed.
+        services |= {
+            item.service
+            for item in present
+            if isinstance(item, UnknownOrder) and item.service is not None
+        }
         for service in set(self.rollout_orders) - services:
             self._remove(RolloutOrderRemoved(service), is_restored=is_restored)
 
--- a/fuchsiaroute/platform/_orders.py
+++ b/fuchsiaroute/platform/_orders.py
@@ -69,6 +69,8 @@
 
     key: str
     reason: str
+    #: The service whose roll-out order is malformed; None for any other row.
+    service: ServiceId | None = None
 
 
 OrderChange = (
@@ -83,6 +85,7 @@
 
 def decode_order(row: Row) -> OrderChange:
     """Decode a row of the operators' table."""
+    service: ServiceId | None = None
     try:
         if row.key == _CONFIGURATION_KEY and row.value is not None:
             return DeploymentChanged(decode_deployment(row.value))
@@ -94,7 +97,7 @@
                 decode_rollout_order(row.value, revision=row.revision)
             )
     except DecodeError as error:
-        return UnknownOrder(row.key, str(error))
+        return UnknownOrder(row.key, str(error), service)
     if row.key.startswith(_EVACUATION_PREFIX):
         domain = FailureDomainId(row.key.removeprefix(_EVACUATION_PREFIX))
         if row.value is None:
--- a/fuchsiaroute/platform/tests/test_catalog.py
+++ b/fuchsiaroute/platform/tests/test_catalog.py
@@ -7,7 +7,7 @@
 
 from fuchsiaroute.catalog import Catalog
 from fuchsiaroute.clock import ManualClock, Milliseconds
-from fuchsiaroute.ids import InstanceId
+from fuchsiaroute.ids import InstanceId, ServiceId
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.platform import Row, Rows, Table
 from fuchsiaroute.platform.tests.standin import Endpoint
@@ -110,6 +110,23 @@
     assert b"ZeroDivisionError" in b"".join(lines)
 
 
+@pytest.mark.parametrize("is_whole", [True, False])
+def test_rollout_order_whose_row_becomes_unreadable_stays_in_force(
+    is_whole: bool,
+) -> None:
+    """Guards against instances that differ, by how they read the row."""
+    clock = ManualClock()
+    pool = EndpointPool(instance=InstanceId("me"), clock=clock, random=Random(1))
+    log = LineLog(clock=clock, instance="me", write=len)
+    catalog = Catalog(pool=pool, clock=clock, log=log, drain=DRAIN)
+    value = b'{"Service": "s", "To": "v2", "DurationS": 12}'
+    order = Row(key="rollout/s", value=value, revision=1)
+    catalog.apply_orders(Rows(rows=(order,), revision=1), is_whole=True)
+    unreadable = Row(key="rollout/s", value=b"[[", revision=2)
+    catalog.apply_orders(Rows(rows=(unreadable,), revision=2), is_whole=is_whole)
+    assert catalog.rollout_orders[ServiceId("s")].target == "v2"
+
+
 def test_order_that_a_copy_lacks_holds_until_it_may_be_written_again() -> None:
     """The whole table is read a second time right after the restore."""
     clock = ManualClock()
