Background tasks: a task that keeps failing starts more and more rarely

Change: TaskRunner (out of node/_run.py) doubles the delay up to 1.6 s while a task keeps failing. test_task_restarts plays 10 s of failures: 8 to 12 starts, where the former loop made 100.

--- a/fuchsiaroute/node/_run.py
+++ b/fuchsiaroute/node/_run.py
@@ -5,7 +5,7 @@
 import os
 import signal
 from collections import Counter
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Callable, Coroutine
 from random import Random
 from types import FrameType
 from typing import Any
@@ -22,6 +22,7 @@
 from fuchsiaroute.node._metrics import METRICS_PATH
 from fuchsiaroute.node._parts import NodeParts
 from fuchsiaroute.node._peer_tunnels import tunnel_port
+from fuchsiaroute.node._task_runner import TaskRunner
 from fuchsiaroute.platform import (
     Address,
     NodeSettings,
@@ -64,7 +65,8 @@
         self._caller_connections: set[ServerConnection] = set()
         self._control_connections: set[ServerConnection] = set()
         self._servers: list[asyncio.Server] = []
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = TaskRunner(clock=clock, log=log)
+        self._tasks = self._background.tasks
         self._stop = asyncio.Event()
         self._stop_signal_at: Milliseconds | None = None
 
@@ -88,14 +90,14 @@
             frontend=str(self._settings.frontend),
             failure_domain=self._settings.failure_domain,
         )
-        self._start("orders feed", parts.orders_feed.run)
-        self._start("endpoints feed", parts.endpoints_feed.run)
-        self._start("gossip", parts.gossip.run)
-        self._start("instance register", parts.registry.run)
-        self._start("roll-outs", parts.driver.run)
-        self._start("quarantine rows", parts.quarantine_rows.run)
-        self._start("paths to endpoints", parts.connections.paths.run)
-        self._start("ticks", self._tick)
+        self._background.start("orders feed", parts.orders_feed.run)
+        self._background.start("endpoints feed", parts.endpoints_feed.run)
+        self._background.start("gossip", parts.gossip.run)
+        self._background.start("instance register", parts.registry.run)
+        self._background.start("roll-outs", parts.driver.run)
+        self._background.start("quarantine rows", parts.quarantine_rows.run)
+        self._background.start("paths to endpoints", parts.connections.paths.run)
+        self._background.start("ticks", self._tick)
         await self._stop.wait()
         await self._shut_down()
 
@@ -162,22 +164,6 @@
         )
         self._servers.append(server)
 
-    def _start(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
-        task = asyncio.get_running_loop().create_task(self._keep_running(name, run))
-        self._tasks.add(task)
-
-    async def _keep_running(
-        self, name: str, run: Callable[[], Awaitable[None]]
-    ) -> None:
-        """Run a background task; log an exception and start the task again."""
-        while True:
-            try:
-                await run()
-                return
-            except Exception as error:
-                self._log.write("task:failed", task=name, reason=repr(error))
-                await self._clock.sleep(TICK)
-
     async def _tick(self) -> None:
         last_tick_at = self._clock.now()
         while True:
@@ -265,8 +251,7 @@
             connection.close()
         parts.tunnels.close()
         parts.gossip.close()
-        for task in self._tasks:
-            task.cancel()
+        self._background.cancel()
         self._log.write(
             "process:stopped",
             took_ms=self._clock.now() - started_at,
