Roll-outs: what a roll-out found out outlives its order

Cause: each version but the target of the present order was a base version. What was found of former targets was kept by the order's revision, its record replaced by the next order's, and neither was looked at again. The bad version's failures also counted as those of the base.

Change: the outcome of the latest roll-out of each version is kept in memory, in messages, and in a row that is written with the record and read at the start. A rolled-back version is used by a roll-out of it only; one whose roll-out was interrupted keeps its bound sessions and goes on to give evidence; targets are compared with accepted versions. An order that another instance has completed is followed also with evidence against its target, as the old endpoints stop then.

--- a/fuchsiaroute/gossip/__init__.py
+++ b/fuchsiaroute/gossip/__init__.py
@@ -20,6 +20,7 @@
     SessionUpdate,
     TableRequest,
     TableUpdate,
+    VersionOutcome,
     decode_message,
     encode_message,
 )
@@ -47,6 +48,7 @@
     "SessionUpdate",
     "TableRequest",
     "TableUpdate",
+    "VersionOutcome",
     "decode_message",
     "encode_message",
 ]
--- a/fuchsiaroute/gossip/_messages.py
+++ b/fuchsiaroute/gossip/_messages.py
@@ -51,6 +51,19 @@
     started: int
 
 
+class VersionOutcome(msgspec.Struct, array_like=True, frozen=True):
+    """What the latest roll-out of a version came to."""
+
+    service: str
+    version: str
+    #: Revision of the roll-out order.
+    order: int
+    #: Value of a ``fuchsiaroute.staging.Progress``.
+    progress: int
+    #: Era of the store in which the outcome is stored; negative for none.
+    stored_era: int
+
+
 class RolloutEvidence(msgspec.Struct, array_like=True, frozen=True):
     """Answers that the sender counted during a roll-out, for one request class."""
 
@@ -288,6 +301,7 @@
     is_cut: bool = False
     #: Endpoints that are brittle, and recent ends of it.
     brittle: list[BrittleUpdate] = []
+    outcomes: list[VersionOutcome] = []
 
 
 AnyMessage = (
--- a/fuchsiaroute/node/_gossip_exchange.py
+++ b/fuchsiaroute/node/_gossip_exchange.py
@@ -21,6 +21,7 @@
     SessionUpdate,
     TableRequest,
     TableUpdate,
+    VersionOutcome,
 )
 from fuchsiaroute.ids import (
     EndpointId,
@@ -44,6 +45,7 @@
 )
 from fuchsiaroute.sequential import Evidence
 from fuchsiaroute.staging import (
+    Outcome,
     Progress,
     RolloutRecord,
     RolloutTracker,
@@ -56,6 +58,8 @@
 #: datagram.
 MAX_SESSIONS = 40
 MAX_HEARTBEATS = 40
+#: Maximum number of outcomes in a message; the latest orders decide.
+MAX_OUTCOMES = 40
 #: Rounds after which learned latencies are sent again; they change slowly.
 LATENCY_ROUNDS = 8
 NANOSECONDS_PER_MS = 1_000_000
@@ -140,9 +144,8 @@
             ],
             evidence=self._evidence(),
             suspended=[
-                (order.service, order.revision)
-                for order in self._catalog.rollout_orders.values()
-                if self._tracker.is_suspended(order.service, order.revision)
+                (str(service), revision)
+                for service, revision in self._tracker.suspended()
             ],
             sessions=self._session_updates(),
             answer_ages={
@@ -171,6 +174,7 @@
             tunnel_port=tunnel_port(settings),
             is_cut=self._is_cut(),
             brittle=self._places.notice_updates(),
+            outcomes=self._outcomes(),
         )
 
     def apply(self, message: GossipMessage) -> None:
@@ -214,6 +218,19 @@
             )
 
     def _apply_rollouts(self, message: GossipMessage) -> None:
+        # Outcomes state whether they are stored, which records leave open.
+        for outcome in message.outcomes:
+            if outcome.progress in _PROGRESS_VALUES:
+                self._tracker.apply_outcome(
+                    ServiceId(outcome.service),
+                    VersionId(outcome.version),
+                    Outcome(
+                        order=outcome.order,
+                        progress=Progress(outcome.progress),
+                        stored_era=outcome.stored_era,
+                    ),
+                    source=message.instance,
+                )
         for rollout in message.rollouts:
             record = _record(rollout)
             if record is not None:
@@ -221,9 +238,9 @@
         for item in message.evidence:
             self._apply_evidence(InstanceId(message.instance), item)
         for service, revision in message.suspended:
-            order = self._catalog.rollout_orders.get(ServiceId(service))
-            if order is not None and order.revision == revision:
-                self._tracker.suspend(order, source=message.instance)
+            trial = self._tracker.trial(ServiceId(service), revision)
+            if trial is not None:
+                self._tracker.suspend(trial, source=message.instance)
 
     def _apply_crash_evidence(self, message: GossipMessage) -> None:
         for answered in message.answered_parts:
@@ -365,9 +382,8 @@
 
     def _evidence(self) -> list[RolloutEvidence]:
         items = []
-        for order in self._catalog.rollout_orders.values():
-            record = self._tracker.record(order.service)
-            if record is None or record.progress is not Progress.RUNNING:
+        for order in self._tracker.all_trials():
+            if not self._tracker.is_running(order):
                 continue
             for name, evidence in self._tracker.counts(order).own().items():
                 items.append(
@@ -383,9 +399,24 @@
                 )
         return items
 
+    def _outcomes(self) -> list[VersionOutcome]:
+        latest = sorted(
+            self._tracker.outcomes, key=lambda item: item[2].sort_key, reverse=True
+        )
+        return [
+            VersionOutcome(
+                service,
+                version,
+                outcome.order,
+                outcome.progress.value,
+                outcome.stored_era,
+            )
+            for service, version, outcome in latest[:MAX_OUTCOMES]
+        ]
+
     def _apply_evidence(self, instance: InstanceId, item: RolloutEvidence) -> None:
-        order = self._catalog.rollout_orders.get(ServiceId(item.service))
-        if order is None or order.revision != item.order:
+        order = self._tracker.trial(ServiceId(item.service), item.order)
+        if order is None:
             return
         evidence = Evidence(
             target_ratings=item.target_ratings,
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -43,7 +43,7 @@
 from fuchsiaroute.node._permit_exchange import PermitExchange
 from fuchsiaroute.node._place_exchange import PlaceExchange
 from fuchsiaroute.node._quarantine_rows import QuarantineRows
-from fuchsiaroute.node._rollout_rows import rollout_record_key, rollout_status_put
+from fuchsiaroute.node._rollout_rows import PlatformRolloutRows, read_outcomes
 from fuchsiaroute.node._table_readers import TableReaders
 from fuchsiaroute.permits import NamedRates, PermitHolder
 from fuchsiaroute.places import BrittleNotices, PlaceHolder
@@ -237,8 +237,9 @@
             instances=self.instances,
             base_version_load=self._base_version_load,
             store_now=self.store.now,
-            record_key=rollout_record_key,
-            status_put=rollout_status_put,
+            store_era=lambda: self.store.era,
+            rows=PlatformRolloutRows(),
+            read_outcomes=lambda: read_outcomes(self.store),
             on_change=self.gossip.send_soon,
         )
         self.connect_records = ConnectRecords(
@@ -327,12 +328,13 @@
         self.gossip.send_soon()
 
     def _has_rollout_records(self) -> bool:
-        """Return whether all roll-outs have a record, or the wait for them is over."""
+        """Return whether the state of all roll-outs is known, or the wait is over."""
         waited = self._clock.now() - self.catalog.deployed_at
-        return waited > MAX_ROLLOUT_WAIT or all(
+        is_known = self.driver.is_loaded and all(
             self.tracker.record(service) is not None
             for service in self.catalog.rollout_orders
         )
+        return is_known or waited > MAX_ROLLOUT_WAIT
 
     def instances(self) -> tuple[InstanceId, ...]:
         """
--- a/fuchsiaroute/platform/_store.py
+++ b/fuchsiaroute/platform/_store.py
@@ -74,6 +74,8 @@
     INSTANCES = "instances"
     #: Records of roll-outs, by service.
     ROLLOUTS = "rollouts"
+    #: What the latest roll-out of each version came to, by service.
+    ROLLOUT_OUTCOMES = "rollout-outcomes"
     #: Prompt parts that no endpoint gets, by the hash of their id.
     QUARANTINE = "quarantine"
 
--- a/fuchsiaroute/staging/__init__.py
+++ b/fuchsiaroute/staging/__init__.py
@@ -3,11 +3,11 @@
 from fuchsiaroute.staging._counts import RolloutCounts
 from fuchsiaroute.staging._driver import RolloutDriver
 from fuchsiaroute.staging._measures import Measure, speed_class
+from fuchsiaroute.staging._outcomes import Outcome
+from fuchsiaroute.staging._records import Progress, RolloutRecord
 from fuchsiaroute.staging._schedule import share_of_sessions
 from fuchsiaroute.staging._sessions import SessionVersions
 from fuchsiaroute.staging._tracker import (
-    Progress,
-    RolloutRecord,
     RolloutTracker,
     SessionHash,
     session_key,
@@ -15,6 +15,7 @@
 
 __all__ = [
     "Measure",
+    "Outcome",
     "Progress",
     "RolloutCounts",
     "RolloutDriver",
--- a/fuchsiaroute/staging/_driver.py
+++ b/fuchsiaroute/staging/_driver.py
@@ -1,19 +1,25 @@
 """Advances ordered roll-outs by conditional writes to the store."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import replace
 from typing import Protocol
 
-import msgspec
 from returns.result import Failure, Result
 
 from fuchsiaroute.clock import Clock, Milliseconds
-from fuchsiaroute.decoding import Int64, MalformedDataError, decode
 from fuchsiaroute.deployment import RolloutOrder
 from fuchsiaroute.hashing import rendezvous_order
 from fuchsiaroute.ids import InstanceId, ServiceId, VersionId
 from fuchsiaroute.linelog import LineLog
-from fuchsiaroute.staging._tracker import Progress, RolloutRecord, RolloutTracker
+from fuchsiaroute.staging._codec import (
+    decode_outcomes,
+    decode_record,
+    encode_outcomes,
+    encode_record,
+)
+from fuchsiaroute.staging._outcomes import Outcome
+from fuchsiaroute.staging._records import Progress, RolloutRecord
+from fuchsiaroute.staging._tracker import RolloutTracker
 from fuchsiaroute.store import (
     Check,
     Committed,
@@ -33,6 +39,11 @@
 #: instance may accept the write of another one, whose turn comes in the meantime.
 MIN_RETRY_DELAY = Milliseconds(400)
 MAX_RETRY_DELAY = Milliseconds(1_600)
+#: Delay after a failed read of the outcomes at the start.
+LOAD_RETRY_DELAY = Milliseconds(1_000)
+#: Time for which peers may still report that an outcome is in the store, as it was
+#: written with the record, before it is written by itself.
+UNSTORED_DELAY = Milliseconds(1_000)
 #: Time between two checks of the orders.
 CHECK_INTERVAL = Milliseconds(200)
 
@@ -46,12 +57,29 @@
         """Apply the whole ``transaction`` or none of it."""
 
 
+class RolloutRows(Protocol):
+    """The rows of a service in the store."""
+
+    def record_key(self, service: ServiceId) -> str:
+        """Return the key of the record of the service's roll-out."""
+
+    def outcomes_key(self, service: ServiceId) -> str:
+        """Return the key of the outcomes of the service's versions."""
+
+    def status_put(self, record: RolloutRecord) -> Put:
+        """Return the write that reports the progress of a roll-out to operators."""
+
+
 class RolloutDriver:
     """
     Advances each ordered roll-out by writes under a condition on its record.
 
     Any instance may write; instances take turns only to avoid conflicts. After a lost
     answer, the next write succeeds or returns the current record as a conflict.
+
+    What the roll-outs of a service's versions came to is written in the same
+    transaction, to a row of its own: the record is replaced by that of the next order.
+    An instance reads these rows once when it starts. ``read_outcomes`` returns them.
     """
 
     def __init__(
@@ -66,8 +94,11 @@
         instances: Callable[[], Sequence[InstanceId]],
         base_version_load: Callable[[RolloutOrder], int],
         store_now: Callable[[], Milliseconds | None],
-        record_key: Callable[[ServiceId], str],
-        status_put: Callable[[RolloutRecord], Put],
+        store_era: Callable[[], int],
+        rows: RolloutRows,
+        read_outcomes: Callable[
+            [], Awaitable[Result[dict[ServiceId, Record], StoreError]]
+        ],
         on_change: Callable[[], None],
     ) -> None:
         self._instance = instance
@@ -79,30 +110,62 @@
         self._instances = instances
         self._base_version_load = base_version_load
         self._store_now = store_now
-        self._record_key = record_key
-        self._status_put = status_put
+        self._store_era = store_era
+        self._rows = rows
+        self._read_outcomes = read_outcomes
         self._on_change = on_change
-        self._versions: dict[ServiceId, int] = {}
+        #: Version of each row, by its key.
+        self._versions: dict[str, int] = {}
+        self._unstored_since: dict[ServiceId, Milliseconds] = {}
         self._due_since: dict[tuple[ServiceId, int, Progress], Milliseconds] = {}
         self._retry_at = Milliseconds(0)
         self._retry_delay = MIN_RETRY_DELAY
+        self._load_at = Milliseconds(0)
+        #: Whether the outcomes of former roll-outs have been read.
+        self.is_loaded = False
 
     async def run(self) -> None:
         """Check the orders every ``CHECK_INTERVAL`` until cancelled."""
         while True:
+            if not self.is_loaded and self._clock.now() >= self._load_at:
+                await self._load()
             for order in list(self._orders.values()):
                 await self._advance(order)
+            for service in self._tracker.outcomes.services():
+                await self._store_outcomes(service)
             await self._clock.sleep(CHECK_INTERVAL)
 
-    def apply_row(self, service: ServiceId, value: bytes, version: int) -> None:
+    async def _load(self) -> None:
+        answer = await self._read_outcomes()
+        if isinstance(answer, Failure):
+            self._load_at = Milliseconds(self._clock.now() + LOAD_RETRY_DELAY)
+            reason = answer.failure().message
+            self._log.write("rollout:outcomes-not-read", reason=reason)
+            return
+        for service, record in answer.unwrap().items():
+            self._apply_outcomes(service, record)
+        self.is_loaded = True
+
+    def _apply_record(self, service: ServiceId, row: Record) -> None:
         """Store the record in a row of the store and the row's version."""
-        self._versions[service] = version
-        record = decode_record(service, value)
+        self._versions[row.key] = row.version
+        record = decode_record(service, row.value)
         if record is not None:
             self._tracker.apply_record(record, source="store")
-        elif value:
+        elif row.value:
             self._log.write("rollout:unreadable-record", service=service)
 
+    def _apply_outcomes(self, service: ServiceId, row: Record) -> None:
+        """Store the outcomes in a row of the store and the row's version."""
+        self._versions[row.key] = row.version
+        found = decode_outcomes(row.value, era=era_of(row.version))
+        if found is None:
+            if row.value:
+                self._log.write("rollout:unreadable-outcomes", service=service)
+            return
+        for version, outcome in found.items():
+            self._tracker.apply_outcome(service, version, outcome, source="store")
+
     async def _advance(self, order: RolloutOrder) -> None:
         self._tracker.evaluate(order)
         progress = self._next_progress(order)
@@ -111,10 +174,25 @@
         key = (order.service, order.revision, progress)
         now = self._clock.now()
         due_since = self._due_since.setdefault(key, now)
-        if now - due_since < self._turn(order) * TURN_TIME or now < self._retry_at:
+        turn = self._turn(f"{order.service}:{order.revision}")
+        if now - due_since < turn * TURN_TIME or now < self._retry_at:
             return
         await self._write(order, progress)
 
+    async def _store_outcomes(self, service: ServiceId) -> None:
+        """Write outcomes that are held here and not in the store."""
+        era = self._store_era()
+        if not self.is_loaded or self._tracker.are_outcomes_stored(service, era=era):
+            self._unstored_since.pop(service, None)
+            return
+        now = self._clock.now()
+        since = self._unstored_since.setdefault(service, now)
+        turn = self._turn(f"{service}:outcomes")
+        is_due = now - since >= UNSTORED_DELAY + turn * TURN_TIME
+        # Instances without a turn of their own learn from the others that it is done.
+        if is_due and turn < MAX_TURNS and now >= self._retry_at:
+            await self._commit(service, self._tracker.settled_outcomes(service))
+
     def _next_progress(self, order: RolloutOrder) -> Progress | None:
         record = self._tracker.record(order.service)
         if record is None:
@@ -131,9 +209,9 @@
             return record.progress
         return None
 
-    def _turn(self, order: RolloutOrder) -> int:
+    def _turn(self, matter: str) -> int:
         """Return the number of turns before this instance's."""
-        names = rendezvous_order(f"{order.service}:{order.revision}", self._instances())
+        names = rendezvous_order(matter, self._instances())
         position = names.index(self._instance) if self._instance in names else 0
         return min(position, MAX_TURNS)
 
@@ -152,15 +230,31 @@
             )
         else:
             record = replace(known, progress=progress, order=order.revision)
-        key = self._record_key(order.service)
-        version = self._versions.get(order.service, 0)
+        outcomes = self._tracker.settled_outcomes(order.service)
+        outcomes[order.target] = Outcome(order=order.revision, progress=progress)
+        await self._commit(order.service, outcomes, record=record)
+
+    async def _commit(
+        self,
+        service: ServiceId,
+        outcomes: dict[VersionId, Outcome],
+        *,
+        record: RolloutRecord | None = None,
+    ) -> None:
+        """Write the outcomes of a service, and a record with its status."""
+        era = self._store_era()
+        keys = [self._rows.outcomes_key(service)]
+        puts = [Put(key=keys[0], value=encode_outcomes(outcomes))]
+        if record is not None:
+            keys.append(self._rows.record_key(service))
+            puts.append(Put(key=keys[1], value=encode_record(record)))
+            puts.append(self._rows.status_put(record))
         answer = await self._store.commit(
             Transaction(
-                checks=(Check(key=key, version=version),),
-                puts=(
-                    Put(key=key, value=encode_record(record)),
-                    self._status_put(record),
+                checks=tuple(
+                    Check(key=key, version=self._versions.get(key, 0)) for key in keys
                 ),
+                puts=tuple(puts),
             )
         )
         if isinstance(answer, Failure):
@@ -170,61 +264,36 @@
             )
             self._log.write(
                 "rollout:write-failed",
-                service=order.service,
-                progress=progress.name.lower(),
+                service=service,
+                progress=record.progress.name.lower() if record else None,
                 reason=answer.failure().message,
             )
             return
         self._retry_delay = MIN_RETRY_DELAY
         outcome = answer.unwrap()
         if isinstance(outcome, Conflict):
-            self._apply_conflict(order.service, outcome.records)
+            self._apply_conflict(service, outcome.records)
         else:
-            self._versions[order.service] = outcome.version
-            self._tracker.apply_record(record, source="own write")
+            self._versions.update(dict.fromkeys(keys, outcome.version))
+            for version, item in outcomes.items():
+                stored = replace(item, stored_era=era)
+                self._tracker.apply_outcome(
+                    service, version, stored, source="own write"
+                )
+            if record is not None:
+                self._tracker.apply_record(record, source="own write")
         self._on_change()
 
     def _apply_conflict(self, service: ServiceId, records: tuple[Record, ...]) -> None:
+        apply = {
+            self._rows.record_key(service): self._apply_record,
+            self._rows.outcomes_key(service): self._apply_outcomes,
+        }
         for record in records:
             self._log.write(
-                "rollout:conflict", service=service, revision=record.version
+                "rollout:conflict",
+                service=service,
+                key=record.key,
+                revision=record.version,
             )
-            self.apply_row(service, record.value, record.version)
-
-
-class _StoredRecord(msgspec.Struct):
-    target: str
-    order: Int64
-    progress: str
-    started: Int64
-
-
-_DECODER = msgspec.json.Decoder(_StoredRecord)
-
-
-def encode_record(record: RolloutRecord) -> bytes:
-    """Return the value of a record's row."""
-    return msgspec.json.encode(
-        _StoredRecord(
-            target=record.target,
-            order=record.order,
-            progress=record.progress.name,
-            started=record.started,
-        )
-    )
-
-
-def decode_record(service: ServiceId, value: bytes) -> RolloutRecord | None:
-    """Decode the value of a record's row; None if it cannot be decoded."""
-    try:
-        found = decode(_DECODER, value)
-        progress = Progress[found.progress]
-    except (MalformedDataError, KeyError):
-        return None
-    return RolloutRecord(
-        service=service,
-        target=VersionId(found.target),
-        order=found.order,
-        progress=progress,
-        started=Milliseconds(found.started),
-    )
+            apply[record.key](service, record)
--- a/fuchsiaroute/staging/_tracker.py
+++ b/fuchsiaroute/staging/_tracker.py
@@ -1,7 +1,6 @@
 """Decides which versions of a service a request may use during a roll-out."""
 
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from collections.abc import Callable, Iterator, Mapping
 from enum import Enum
 from typing import NewType
 
@@ -11,6 +10,8 @@
 from fuchsiaroute.ids import RequestClass, RolloutId, ServiceId, VersionId
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.staging._counts import RolloutCounts
+from fuchsiaroute.staging._outcomes import Outcome, RolloutOutcomes
+from fuchsiaroute.staging._records import Progress, RolloutRecord
 from fuchsiaroute.staging._schedule import (
     CANARY_PART,
     GROWTH,
@@ -31,25 +32,22 @@
     return UnitKey(session.to_bytes(8, "big"))
 
 
-class Progress(Enum):
-    """State of an ordered roll-out; a higher value replaces a lower one."""
+class VersionState(Enum):
+    """What former roll-outs say of a version that is not the target of the order."""
 
-    RUNNING = 1
-    COMPLETED = 2
-    ROLLED_BACK = 3
+    #: It was completed, or never ordered.
+    ACCEPTED = "accepted"
+    #: Its roll-out was interrupted: another order came, or the order was removed.
+    UNPROVEN = "unproven"
+    #: It was found to be bad. Only a roll-out of it may send requests there.
+    REJECTED = "rejected"
 
 
-@dataclass(frozen=True, kw_only=True)
-class RolloutRecord:
-    """The state of a roll-out, as committed to the store."""
-
-    service: ServiceId
-    target: VersionId
-    #: Revision of the roll-out order.
-    order: int
-    progress: Progress
-    #: Start on the store's clock.
-    started: Milliseconds
+_STATES = {
+    Progress.RUNNING: VersionState.UNPROVEN,
+    Progress.COMPLETED: VersionState.ACCEPTED,
+    Progress.ROLLED_BACK: VersionState.REJECTED,
+}
 
 
 class RolloutTracker:
@@ -58,7 +56,8 @@
 
     The share of the target version is a function of the store's clock, so that all
     instances agree on it without exchanging messages. The target is the ordered
-    version; the base versions are all others of the service.
+    version; the base versions are those others that no roll-out has left rejected or
+    unproven.
     """
 
     def __init__(
@@ -80,6 +79,8 @@
         self._suspended: set[tuple[ServiceId, int]] = set()
         #: Longest time since the start of each roll-out.
         self._elapsed: dict[tuple[ServiceId, VersionId], int] = {}
+        #: What the roll-outs of all versions came to, former ones included.
+        self.outcomes = RolloutOutcomes()
         #: Versions that sessions are bound to.
         self.sessions = SessionVersions(clock=clock, pause=session_pause)
 
@@ -97,6 +98,11 @@
 
     def apply_record(self, record: RolloutRecord, *, source: str) -> None:
         """Store a record unless a newer one is held."""
+        self.outcomes.merge(
+            record.service,
+            record.target,
+            Outcome(order=record.order, progress=record.progress),
+        )
         known = self._records.get(record.service)
         if known is not None and self._sort_key(known) >= self._sort_key(record):
             return
@@ -111,6 +117,41 @@
             source=source,
         )
 
+    def apply_outcome(
+        self, service: ServiceId, version: VersionId, outcome: Outcome, *, source: str
+    ) -> None:
+        """Store what a roll-out of a version came to, unless a later one is held."""
+        if self.outcomes.merge(service, version, outcome):
+            self._log.write(
+                "rollout:outcome",
+                service=service,
+                target=version,
+                order=outcome.order,
+                progress=outcome.progress.name.lower(),
+                source=source,
+            )
+
+    def settled_outcomes(self, service: ServiceId) -> dict[VersionId, Outcome]:
+        """
+        Return the outcomes of a service, with verdicts on interrupted roll-outs.
+
+        The record of an interrupted roll-out is not written any more, so the evidence
+        of this or another instance against its target decides.
+        """
+        outcomes = dict(self.outcomes.of_service(service))
+        for trial in self._interrupted(service):
+            if self.is_suspended(service, trial.revision):
+                outcomes[trial.target] = Outcome(
+                    order=trial.revision, progress=Progress.ROLLED_BACK
+                )
+        return outcomes
+
+    def are_outcomes_stored(self, service: ServiceId, *, era: int) -> bool:
+        """Return whether the store of ``era`` holds all outcomes of a service."""
+        return self.outcomes.are_stored(service, era=era) and self.settled_outcomes(
+            service
+        ) == self.outcomes.of_service(service)
+
     def continue_order(self, former: RolloutOrder, order: RolloutOrder) -> None:
         """Keep the state of ``former`` for the same order in a later era."""
         old = (former.service, former.revision)
@@ -153,32 +194,64 @@
 
         ``present`` are the versions that have usable endpoints.
         """
+        bound = self.sessions.version(session) if session is not None else None
         order = self._orders.get(service)
         if order is None:
-            return None
-        target = frozenset({order.target})
-        base_versions = present - target
+            usable = self._usable(service, present, bound)
+            return None if usable == present else usable
+        target = frozenset({order.target}) & present
+        base = self._usable(service, present - target, bound)
         record = self.record(service)
+        if record is not None and record.progress is Progress.COMPLETED:
+            return target or (None if base == present else base)
         if self.is_suspended(service, order.revision):
-            return base_versions
+            return base
         if record is None:
-            return base_versions or None
+            return base or (None if present == target else target)
         if record.progress is Progress.ROLLED_BACK:
-            return base_versions
-        if record.progress is Progress.COMPLETED:
-            return target if order.target in present else None
-        if order.target not in present:
-            return base_versions
-        if not base_versions:
-            return target
-        is_moved = self._is_moved(order, record, session, key)
-        return target if is_moved else base_versions
+            return base
+        if not target or not base:
+            return target or base
+        return target if self._is_moved(order, record, bound, key) else base
+
+    def _usable(
+        self,
+        service: ServiceId,
+        versions: frozenset[VersionId],
+        bound: VersionId | None,
+    ) -> frozenset[VersionId]:
+        """
+        Return those of ``versions`` that former roll-outs leave usable.
+
+        Unproven ones are used by the sessions that are bound to them, and by all if
+        there are no accepted ones.
+        """
+        states = {name: self._state(service, name) for name in versions}
+        accepted = {
+            name for name, state in states.items() if state is VersionState.ACCEPTED
+        }
+        unproven = {
+            name for name, state in states.items() if state is VersionState.UNPROVEN
+        }
+        if bound in unproven:
+            return frozenset({bound})
+        return frozenset(accepted or unproven)
+
+    def _state(self, service: ServiceId, version: VersionId) -> VersionState:
+        """Return what former roll-outs say of a version."""
+        outcome = self.outcomes.get(service, version)
+        if outcome is None:
+            return VersionState.ACCEPTED
+        is_running = outcome.progress is Progress.RUNNING
+        if is_running and self.is_suspended(service, outcome.order):
+            return VersionState.REJECTED
+        return _STATES[outcome.progress]
 
     def is_base(self, service: ServiceId, version: VersionId) -> bool:
-        """Return whether a version is not the target of an unfinished roll-out."""
+        """Return whether a version is one that a roll-out's target is compared with."""
         order = self._orders.get(service)
         if order is None or version != order.target:
-            return True
+            return self._state(service, version) is VersionState.ACCEPTED
         record = self.record(service)
         return record is not None and record.progress is Progress.COMPLETED
 
@@ -209,25 +282,59 @@
         *,
         is_bad: bool,
     ) -> None:
-        """Count an answer as evidence on the target of the service's order."""
+        """Count an answer as evidence on the targets of the service's trials."""
+        is_base = self.is_base(service, version)
+        for trial in list(self.trials(service)):
+            is_target = version == trial.target
+            if is_target or is_base:
+                self.counts(trial).add(request_class, version, is_bad=is_bad)
+            if is_target and is_bad:
+                self.evaluate(trial)
+
+    def trials(self, service: ServiceId) -> Iterator[RolloutOrder]:
+        """
+        Return the orders on whose targets evidence is collected.
+
+        These are the order in force, and former ones that were interrupted: sessions
+        that are bound to their targets still use them.
+        """
         order = self._orders.get(service)
-        if order is None or self.record(service) is None:
-            return
-        self.counts(order).add(request_class, version, is_bad=is_bad)
-        if is_bad and version == order.target:
-            self.evaluate(order)
+        if order is not None and self.record(service) is not None:
+            yield order
+        yield from self._interrupted(service)
 
-    def evaluate(self, order: RolloutOrder) -> None:
+    def _interrupted(self, service: ServiceId) -> Iterator[RolloutOrder]:
+        """Return former orders that were replaced or removed before their outcome."""
+        order = self._orders.get(service)
+        for version, outcome in self.outcomes.of_service(service).items():
+            is_target = order is not None and version == order.target
+            if not is_target and outcome.progress is Progress.RUNNING:
+                yield RolloutOrder(
+                    service=service,
+                    target=version,
+                    duration=Milliseconds(0),
+                    revision=outcome.order,
+                )
+
+    def trial(self, service: ServiceId, revision: int) -> RolloutOrder | None:
+        """Return the trial of an order's revision; None if there is none."""
+        order = self._orders.get(service)
+        if order is not None and order.revision == revision:
+            return order
+        found = (item for item in self.trials(service) if item.revision == revision)
+        return next(found, None)
+
+    def evaluate(self, trial: RolloutOrder) -> None:
         """Suspend the target at this instance if the evidence shows it to be bad."""
-        if self.is_suspended(order.service, order.revision):
+        if self.is_suspended(trial.service, trial.revision):
             return
-        if self._is_running(order.service) and self.counts(order).is_bad():
-            self.suspend(order, source="own evidence")
+        if self.is_running(trial) and self.counts(trial).is_bad():
+            self.suspend(trial, source="own evidence")
 
     def suspend(self, order: RolloutOrder, *, source: str) -> None:
         """Stop using the target at this instance; ``source`` is who found it bad."""
         key = (order.service, order.revision)
-        if key in self._suspended or not self._is_running(order.service):
+        if key in self._suspended or not self.is_running(order):
             return
         self._suspended.add(key)
         self._log.write(
@@ -247,9 +354,26 @@
             },
         )
 
-    def _is_running(self, service: ServiceId) -> bool:
-        record = self.record(service)
-        return record is not None and record.progress is Progress.RUNNING
+    def is_running(self, trial: RolloutOrder) -> bool:
+        """Return whether a trial has begun and its outcome is open."""
+        if self._orders.get(trial.service) == trial:
+            record = self.record(trial.service)
+            return record is not None and record.progress is Progress.RUNNING
+        outcome = self.outcomes.get(trial.service, trial.target)
+        return outcome == Outcome(order=trial.revision, progress=Progress.RUNNING)
+
+    def all_trials(self) -> list[RolloutOrder]:
+        """Return the trials of all services."""
+        services = dict.fromkeys((*self._orders, *self.outcomes.services()))
+        return [trial for service in services for trial in self.trials(service)]
+
+    def suspended(self) -> list[tuple[ServiceId, int]]:
+        """Return the service and order of each trial that was stopped here."""
+        return [
+            (trial.service, trial.revision)
+            for trial in self.all_trials()
+            if self.is_suspended(trial.service, trial.revision)
+        ]
 
     def is_suspended(self, service: ServiceId, order: int) -> bool:
         """Return whether this instance has stopped using the order's target."""
@@ -296,11 +420,10 @@
         self,
         order: RolloutOrder,
         record: RolloutRecord,
-        session: SessionHash | None,
+        bound: VersionId | None,
         key: UnitKey,
     ) -> bool:
         elapsed = self.elapsed(record)
-        bound = self.sessions.version(session) if session is not None else None
         if bound == order.target:
             return True
         if bound is not None and must_keep_sessions(elapsed, order.duration):
--- a/fuchsiaroute/staging/tests/test_driver.py
+++ b/fuchsiaroute/staging/tests/test_driver.py
@@ -2,14 +2,24 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
 from returns.result import Failure, Result, Success
 
 from fuchsiaroute.clock import ManualClock, Milliseconds
-from fuchsiaroute.ids import InstanceId, RequestClass, ServiceId
+from fuchsiaroute.deployment import RolloutOrder
+from fuchsiaroute.ids import InstanceId, RequestClass, ServiceId, VersionId
 from fuchsiaroute.linelog import LineLog
-from fuchsiaroute.staging import Progress, RolloutDriver, RolloutTracker
+from fuchsiaroute.staging import (
+    Progress,
+    RolloutDriver,
+    RolloutRecord,
+    RolloutTracker,
+    SessionHash,
+    session_key,
+)
+from fuchsiaroute.staging._driver import MAX_TURNS
 from fuchsiaroute.staging.tests.test_tracker import (
     DURATION,
     NEW,
@@ -25,32 +35,76 @@
     StoreError,
     StoreErrorKind,
     Transaction,
+    era_of,
+    store_position,
+    version_of,
 )
 
 KEY = "rollouts/s"
+OUTCOMES_KEY = "outcomes/s"
 
 
 class Store:
-    """One row, written under a condition; may be down or lose answers."""
+    """Rows, written under a condition; may be down or lose answers."""
 
     def __init__(self) -> None:
-        self.row = Record(key=KEY, value=b"", version=0)
+        self.rows: dict[str, Record] = {}
+        self.era = 0
+        #: Values that were written to the row with the record.
         self.writes: list[bytes] = []
+        self.calls = 0
+        self.version = 0
         self.is_down = False
         self.loses_answers = False
 
+    def row(self, key: str) -> Record:
+        return self.rows.get(key, Record(key=key, value=b"", version=0))
+
+    async def read_outcomes(self) -> Result[dict[ServiceId, Record], StoreError]:
+        if self.is_down:
+            return Failure(StoreError(kind=StoreErrorKind.UNKNOWN, message="down"))
+        row = self.row(OUTCOMES_KEY)
+        return Success({SERVICE: row} if row.value else {})
+
+    def restore(self, rows: dict[str, Record]) -> None:
+        """Go back to a copy, in a new era."""
+        self.era += 1
+        self.rows = {
+            key: replace(row, version=store_position(self.era, version_of(row.version)))
+            for key, row in rows.items()
+        }
+
     async def commit(
         self, transaction: Transaction
     ) -> Result[Committed | Conflict, StoreError]:
         lost = Failure(StoreError(kind=StoreErrorKind.UNKNOWN, message="lost"))
         if self.is_down:
             return lost
-        if transaction.checks[0].version != self.row.version:
-            return Success(Conflict(records=(self.row,)))
-        value = transaction.puts[0].value
-        self.row = Record(key=KEY, value=value, version=self.row.version + 1)
-        self.writes.append(value)
-        return lost if self.loses_answers else Success(Committed(self.row.version))
+        self.calls += 1
+        rows = tuple(self.row(check.key) for check in transaction.checks)
+        for check, row in zip(transaction.checks, rows, strict=True):
+            # As the store's client does with a position in a former era.
+            is_known = era_of(check.version) == self.era
+            if (check.version if is_known else 0) != row.version:
+                return Success(Conflict(records=rows))
+        self.version += 1
+        version = store_position(self.era, self.version)
+        for put in transaction.puts:
+            self.rows[put.key] = Record(key=put.key, value=put.value, version=version)
+            if put.key == KEY:
+                self.writes.append(put.value)
+        return lost if self.loses_answers else Success(Committed(version))
+
+
+class Rows:
+    def record_key(self, service: ServiceId) -> str:
+        return KEY
+
+    def outcomes_key(self, service: ServiceId) -> str:
+        return OUTCOMES_KEY
+
+    def status_put(self, record: RolloutRecord) -> Put:
+        return Put(key="status", value=b"")
 
 
 class Instance:
@@ -67,7 +121,8 @@
         def now() -> Milliseconds:
             return Milliseconds(clock.now() - start)
 
-        orders = {SERVICE: ORDER}
+        self.orders = {SERVICE: ORDER}
+        orders = self.orders
         self.base_version_load = 0
         self.tracker = RolloutTracker(
             orders=orders,
@@ -87,8 +142,9 @@
             instances=alive,
             base_version_load=lambda order: self.base_version_load,
             store_now=now,
-            record_key=lambda service: KEY,
-            status_put=lambda record: Put(key="status", value=b""),
+            store_era=lambda: store.era,
+            rows=Rows(),
+            read_outcomes=store.read_outcomes,
             on_change=lambda: None,
         )
 
@@ -240,3 +296,112 @@
     await fleet.pass_time(round(DURATION * 0.1))
     assert stored(fleet.store) == ["RUNNING", "COMPLETED"]
     fleet.stop()
+
+
+ORDER_OF_NEXT = replace(ORDER, target=VersionId("v3"), revision=ORDER.revision + 1)
+ALL = frozenset({OLD, NEW, VersionId("v3")})
+
+
+def used(instance: Instance, present: frozenset[VersionId] = ALL) -> set[VersionId]:
+    """Return the versions that some of many sessions get."""
+    found: set[VersionId] = set()
+    for number in range(300):
+        session = SessionHash(number * 7_919)
+        allowed = instance.tracker.allowed_versions(
+            SERVICE, present, session=session, key=session_key(session)
+        )
+        found |= present if allowed is None else allowed
+    return found
+
+
+async def roll_back(fleet: Fleet, name: str) -> None:
+    """Give an instance the evidence against the target, and wait for the record."""
+    tracker = fleet.instances[name].tracker
+    for _ in range(40):
+        tracker.record_answer(SERVICE, OLD, RequestClass("c"), is_bad=False)
+    for _ in range(10):
+        tracker.record_answer(SERVICE, NEW, RequestClass("c"), is_bad=True)
+    await fleet.pass_time(2_000)
+
+
+@pytest.mark.parametrize("next_order", [ORDER_OF_NEXT, None])
+@pytest.mark.parametrize("is_restored", [False, True])
+async def test_new_instance_reads_from_the_store_which_versions_are_rejected(
+    next_order: RolloutOrder | None, is_restored: bool
+) -> None:
+    """Guards against traffic to a rolled-back version after a restart (review/2)."""
+    fleet = Fleet("a", "b")
+    fleet.start("a")
+    await fleet.pass_time(2_000)
+    copy = dict(fleet.store.rows)
+    await roll_back(fleet, "a")
+    if is_restored:
+        fleet.store.restore(copy)
+        await fleet.pass_time(8_000)
+    for instance in fleet.instances.values():
+        instance.orders.clear()
+        if next_order is not None:
+            instance.orders[SERVICE] = next_order
+    await fleet.pass_time(4_000)
+    fleet.stop()
+    fleet.start("b")
+    await fleet.pass_time(4_000)
+    assert NEW not in used(fleet.instances["b"])
+    assert used(fleet.instances["b"], frozenset({NEW})) == set()
+    assert NEW not in used(fleet.instances["a"])
+    fleet.stop()
+
+
+async def test_outcome_that_another_build_has_not_written_is_written() -> None:
+    """An instance of a former build writes the record alone."""
+    fleet = Fleet("a")
+    rolled_back = RolloutRecord(
+        service=SERVICE,
+        target=NEW,
+        order=ORDER.revision,
+        progress=Progress.ROLLED_BACK,
+        started=Milliseconds(0),
+    )
+    fleet.start("a")
+    fleet.instances["a"].tracker.apply_record(rolled_back, source="peer")
+    await fleet.pass_time(3_000)
+    assert b"ROLLED_BACK" in fleet.store.row(OUTCOMES_KEY).value
+    calls = fleet.store.calls
+    await fleet.pass_time(5_000)
+    assert fleet.store.calls == calls
+    fleet.stop()
+
+
+async def test_evidence_against_an_interrupted_rollout_is_written() -> None:
+    """The next order comes after the evidence, and before the record of it."""
+    fleet = Fleet("a")
+    fleet.start("a")
+    await fleet.pass_time(2_000)
+    fleet.store.is_down = True
+    await roll_back(fleet, "a")
+    instance = fleet.instances["a"]
+    instance.orders[SERVICE] = ORDER_OF_NEXT
+    fleet.store.is_down = False
+    await fleet.pass_time(5_000)
+    fleet.stop()
+    assert b"ROLLED_BACK" in fleet.store.row(OUTCOMES_KEY).value
+    assert NEW not in used(instance)
+
+
+@pytest.mark.parametrize("count", [2, 40])
+async def test_outcomes_cause_few_calls(count: int) -> None:
+    """Guards against a write of each instance for each change of a roll-out."""
+    names = [f"n{number:02}" for number in range(count)]
+    fleet = Fleet(*names)
+    fleet.start(names[0])
+    await fleet.pass_time(4_000)
+    record = fleet.instances[names[0]].tracker.record(SERVICE)
+    assert record is not None
+    # They learn of the record, and not that the outcome was written with it.
+    for name in names[1:]:
+        fleet.instances[name].tracker.apply_record(record, source="peer")
+    first = fleet.store.calls
+    fleet.start(*names)
+    await fleet.pass_time(10_000)
+    assert fleet.store.calls - first <= 2 * MAX_TURNS
+    fleet.stop()
