Roll-outs: a later roll-out of a version starts at its beginning

Cause: the longest time since the start was kept by service and version. The same key decided which sessions move first, whether a record of a former era of the store is that of an order, and whether a removed order has come back; a version that had been rolled back could not be tried again after a restore. A clock of a restored store that steps forward ended a roll-out early.

Change: times belong to the order, under the revision at which it was first read, and go on by the instance's clock until the start is stated on the clock of the present era. Records and orders of a former era are matched by what this process has seen, or by versions within the eras.

--- a/fuchsiaroute/catalog/_catalog.py
+++ b/fuchsiaroute/catalog/_catalog.py
@@ -26,7 +26,7 @@
     decode_order,
 )
 from fuchsiaroute.pool import EndpointPool
-from fuchsiaroute.store import era_of
+from fuchsiaroute.store import era_of, version_of
 
 
 class Catalog:
@@ -67,6 +67,8 @@
         self.on_order_continued: Callable[[RolloutOrder, RolloutOrder], None] = (
             lambda former, order: None
         )
+        #: Called with an order that is none of those known before.
+        self.on_order_begun: Callable[[RolloutOrder], None] = lambda order: None
         #: The declaration in force; None before the first one is read.
         self.deployment: Deployment | None = None
         #: Instant at which this instance applied the declaration.
@@ -298,9 +300,12 @@
         known = self.rollout_orders.get(order.service)
         if known is not None and known.revision >= order.revision:
             return
-        former = known or self._removed_orders.pop(order.service, None)
+        removed = self._removed_orders.pop(order.service, None)
         self.rollout_orders[order.service] = order
-        if former is not None and _is_continued(former, order):
+        former = known or removed
+        if former is not None and _is_continued(
+            former, order, is_removed=known is None
+        ):
             self._log.write(
                 "rollout:order-continued",
                 service=order.service,
@@ -310,6 +315,8 @@
             )
             self.on_order_continued(former, order)
             return
+        if former is not None:
+            self.on_order_begun(order)
         self._log.write(
             "rollout:ordered",
             service=order.service,
@@ -344,9 +351,18 @@
         self._log.write("order:unreadable", key=change.key, reason=change.reason)
 
 
-def _is_continued(former: RolloutOrder, order: RolloutOrder) -> bool:
-    """Return whether ``order`` is ``former``, read from a restored store."""
+def _is_continued(
+    former: RolloutOrder, order: RolloutOrder, *, is_removed: bool
+) -> bool:
+    """
+    Return whether ``order`` is ``former``, read from a restored store.
+
+    An order in force may be one that operators have written again after the restore. A
+    removed one comes back by the copy only, which keeps its version within the era.
+    """
+    is_same = version_of(former.revision) == version_of(order.revision)
     return (
         era_of(former.revision) < era_of(order.revision)
         and former.target == order.target
+        and (is_same or not is_removed)
     )
--- a/fuchsiaroute/gossip/__init__.py
+++ b/fuchsiaroute/gossip/__init__.py
@@ -3,6 +3,8 @@
 from fuchsiaroute.gossip._liveness import Liveness, MemberInfo
 from fuchsiaroute.gossip._messages import (
     FORMAT,
+    LATEST_ADDITION,
+    ROLLOUT_ATTEMPTS,
     BrittleUpdate,
     GossipMessage,
     Heartbeat,
@@ -28,6 +30,8 @@
 
 __all__ = [
     "FORMAT",
+    "LATEST_ADDITION",
+    "ROLLOUT_ATTEMPTS",
     "BrittleUpdate",
     "GossipMessage",
     "GossipNode",
--- a/fuchsiaroute/gossip/_messages.py
+++ b/fuchsiaroute/gossip/_messages.py
@@ -13,6 +13,9 @@
 
 #: Version of the encoding. Messages of another version are rejected.
 FORMAT = 2
+#: Additions to the format: fields at the end of a message, which former builds skip.
+ROLLOUT_ATTEMPTS = 1
+LATEST_ADDITION = ROLLOUT_ATTEMPTS
 #: Level 1 halved a message of 1,585 bytes; level 6 saved another 3% only.
 _COMPRESSION_LEVEL = 1
 #: Limit of decompression; a longer message is cut off and fails to decode. The store
@@ -49,6 +52,8 @@
     progress: int
     #: Start of the roll-out, in milliseconds on the store's clock.
     started: int
+    #: Number of earlier roll-outs of the target.
+    attempt: int = 0
 
 
 class VersionOutcome(msgspec.Struct, array_like=True, frozen=True):
@@ -62,6 +67,8 @@
     progress: int
     #: Era of the store in which the outcome is stored; negative for none.
     stored_era: int
+    #: Number of roll-outs of the version before this one.
+    attempt: int = 0
 
 
 class RolloutEvidence(msgspec.Struct, array_like=True, frozen=True):
@@ -302,6 +309,8 @@
     #: Endpoints that are brittle, and recent ends of it.
     brittle: list[BrittleUpdate] = []
     outcomes: list[VersionOutcome] = []
+    #: Latest addition to the format that the sender knows.
+    addition: int = 0
 
 
 AnyMessage = (
--- a/fuchsiaroute/node/_gossip_exchange.py
+++ b/fuchsiaroute/node/_gossip_exchange.py
@@ -9,6 +9,7 @@
 from fuchsiaroute.forwarding import LatencyEstimator, SharedEstimate
 from fuchsiaroute.gossip import (
     FORMAT,
+    LATEST_ADDITION,
     GossipMessage,
     LatencyUpdate,
     Liveness,
@@ -109,6 +110,8 @@
         self._log = log
         #: Members that were alive when loads were last removed.
         self._alive: tuple[MemberInfo, ...] = ()
+        #: Latest addition to the format that each instance knows.
+        self._additions: dict[InstanceId, int] = {}
         #: Monotonic time of the latest response of the store to a watch by any peer,
         #: by table.
         self._answered_at: dict[str, Milliseconds] = {}
@@ -139,6 +142,7 @@
                     record.order,
                     record.progress.value,
                     record.started,
+                    record.attempt,
                 )
                 for record in self._tracker.records()
             ],
@@ -175,11 +179,13 @@
             is_cut=self._is_cut(),
             brittle=self._places.notice_updates(),
             outcomes=self._outcomes(),
+            addition=LATEST_ADDITION,
         )
 
     def apply(self, message: GossipMessage) -> None:
         """Apply the message of another instance."""
         instance = InstanceId(message.instance)
+        self._additions[instance] = message.addition
         self._pool.update_peer(
             instance,
             {EndpointId(name): Load(*load) for name, load in message.loads.items()},
@@ -227,6 +233,7 @@
                     Outcome(
                         order=outcome.order,
                         progress=Progress(outcome.progress),
+                        attempt=outcome.attempt,
                         stored_era=outcome.stored_era,
                     ),
                     source=message.instance,
@@ -320,6 +327,13 @@
             after=None if update.is_whole else StorePosition(update.after),
         )
 
+    def peers_know(self, addition: int) -> bool:
+        """Return whether all instances that are alive know an addition."""
+        return all(
+            self._additions.get(member.instance, 0) >= addition
+            for member in self._liveness.alive()
+        )
+
     def missing_rows(self) -> list[TableRequest]:
         """Return what to ask peers for, as the store does not deliver it."""
         return [
@@ -410,6 +424,7 @@
                 outcome.order,
                 outcome.progress.value,
                 outcome.stored_era,
+                outcome.attempt,
             )
             for service, version, outcome in latest[:MAX_OUTCOMES]
         ]
@@ -459,4 +474,5 @@
         order=update.order,
         progress=Progress(update.progress),
         started=Milliseconds(update.started),
+        attempt=update.attempt,
     )
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -25,7 +25,12 @@
     StopAdmission,
     StreamRelay,
 )
-from fuchsiaroute.gossip import GossipNode, Liveness, MemberInfo
+from fuchsiaroute.gossip import (
+    ROLLOUT_ATTEMPTS,
+    GossipNode,
+    Liveness,
+    MemberInfo,
+)
 from fuchsiaroute.http1 import (
     BodyBudget,
     ConnectError,
@@ -139,11 +144,13 @@
         self.tracker = RolloutTracker(
             orders=self.catalog.rollout_orders,
             store_now=self.store.now,
+            store_era=lambda: self.store.era,
             clock=clock,
             log=log,
             session_pause=bounds.session_pause,
             canary_share=bounds.canary_share,
         )
+        self.catalog.on_order_begun = self.tracker.begin_order
         self.catalog.on_order_continued = self.tracker.continue_order
         self._readers = TableReaders(
             instance=settings.instance,
@@ -240,6 +247,7 @@
             store_era=lambda: self.store.era,
             rows=PlatformRolloutRows(),
             read_outcomes=lambda: read_outcomes(self.store),
+            peers_know_attempts=lambda: self.exchange.peers_know(ROLLOUT_ATTEMPTS),
             on_change=self.gossip.send_soon,
         )
         self.connect_records = ConnectRecords(
--- a/fuchsiaroute/platform/tests/test_catalog.py
+++ b/fuchsiaroute/platform/tests/test_catalog.py
@@ -12,6 +12,7 @@
 from fuchsiaroute.platform import Row, Rows, Table
 from fuchsiaroute.platform.tests.standin import Endpoint
 from fuchsiaroute.pool import EndpointPool
+from fuchsiaroute.store import store_position
 
 DRAIN = Milliseconds(2_000)
 #: Time after which a removal has taken effect, even if it was deferred.
@@ -127,6 +128,37 @@
     assert catalog.rollout_orders[ServiceId("s")].target == "v2"
 
 
+@pytest.mark.parametrize(
+    ("target", "version", "is_continued"),
+    [("v2", 5, True), ("v2", 6, False), ("v3", 5, False)],
+)
+def test_order_that_was_removed_is_continued_only_if_the_copy_brings_it_back(
+    target: str, version: int, is_continued: bool
+) -> None:
+    """Guards against a version that is never tried again after a restore."""
+    clock = ManualClock()
+    pool = EndpointPool(instance=InstanceId("me"), clock=clock, random=Random(1))
+    log = LineLog(clock=clock, instance="me", write=len)
+    catalog = Catalog(pool=pool, clock=clock, log=log, drain=DRAIN)
+    found = []
+    catalog.on_order_continued = lambda former, order: found.append("continued")
+    catalog.on_order_begun = lambda order: found.append("begun")
+
+    def ordered(target: str, revision: int) -> Rows:
+        value = {"Service": "s", "To": target, "DurationS": 12}
+        row = Row(key="rollout/s", value=json.dumps(value).encode(), revision=revision)
+        return Rows(rows=(row,), revision=revision)
+
+    catalog.apply_orders(ordered("v2", 5), is_whole=False)
+    catalog.apply_orders(
+        Rows(rows=(Row(key="rollout/s", value=None, revision=7),), revision=7),
+        is_whole=False,
+    )
+    assert not catalog.rollout_orders
+    catalog.apply_orders(ordered(target, store_position(1, version)), is_whole=False)
+    assert found == ["continued" if is_continued else "begun"]
+
+
 def test_order_that_a_copy_lacks_holds_until_it_may_be_written_again() -> None:
     """The whole table is read a second time right after the restore."""
     clock = ManualClock()
--- a/fuchsiaroute/platform/tests/test_store_restore.py
+++ b/fuchsiaroute/platform/tests/test_store_restore.py
@@ -305,3 +305,40 @@
         checks=(Check(key=key, version=version),),
         puts=(Put(key=key, value=f'"{value}"'.encode()),),
     )
+
+
+@pytest.mark.parametrize("is_removed_before", [True, False])
+async def test_version_that_is_ordered_again_after_a_restore_is_tried_again(
+    is_removed_before: bool,
+) -> None:
+    """
+    Guards against a roll-out that is rolled back at once, as the former one was.
+
+    The copy lacks the former order, or its removal.
+    """
+    old, new = Endpoint(), Endpoint(Version="v2")
+    async with NodeHarness(old, new) as harness:
+        parts = harness.node._parts
+        harness.store.put("op", "rollout/app", {**ORDER, "DurationS": 60})
+        await harness.until(lambda: parts.tracker.record("app") is not None)
+        parts.tracker.suspend(parts.catalog.rollout_orders["app"], source="test")
+        await harness.until(
+            lambda: harness.store.value("rollouts", "app")["progress"] == "ROLLED_BACK"
+        )
+        copy = harness.store.copy()
+        if is_removed_before:
+            harness.store.put("op", "rollout/app", None)
+            await harness.until(lambda: not parts.catalog.rollout_orders)
+        harness.store.restore(copy)
+        await until_restored(harness)
+        await harness.until(
+            lambda: era_of(harness.store.value("rollouts", "app")["order"]) == 2
+        )
+        assert harness.store.value("rollouts", "app")["progress"] == "ROLLED_BACK"
+        harness.store.put("op", "rollout/app", None)
+        await harness.until(lambda: not parts.catalog.rollout_orders)
+        harness.store.put("op", "rollout/app", {**ORDER, "DurationS": 60})
+        await harness.until(
+            lambda: harness.store.value("rollouts", "app")["progress"] == "RUNNING"
+        )
+        assert parts.tracker.record("app").attempt == 1
--- a/fuchsiaroute/staging/_codec.py
+++ b/fuchsiaroute/staging/_codec.py
@@ -19,11 +19,13 @@
     order: Int64
     progress: str
     started: Int64
+    attempt: Int64 = 0
 
 
 class _StoredOutcome(msgspec.Struct):
     order: Int64
     progress: str
+    attempt: Int64 = 0
 
 
 class _StoredOutcomes(msgspec.Struct):
@@ -42,6 +44,7 @@
             order=record.order,
             progress=record.progress.name,
             started=record.started,
+            attempt=record.attempt,
         )
     )
 
@@ -59,13 +62,16 @@
         order=found.order,
         progress=progress,
         started=Milliseconds(found.started),
+        attempt=found.attempt,
     )
 
 
 def encode_outcomes(outcomes: dict[VersionId, Outcome]) -> bytes:
     """Return the value of the row with the outcomes of a service."""
     versions = {
-        str(version): _StoredOutcome(order=item.order, progress=item.progress.name)
+        str(version): _StoredOutcome(
+            order=item.order, progress=item.progress.name, attempt=item.attempt
+        )
         for version, item in outcomes.items()
     }
     return msgspec.json.encode(_StoredOutcomes(versions=versions))
@@ -83,7 +89,10 @@
         return None
     return {
         VersionId(version): Outcome(
-            order=item.order, progress=Progress[item.progress], stored_era=era
+            order=item.order,
+            progress=Progress[item.progress],
+            attempt=item.attempt,
+            stored_era=era,
         )
         for version, item in found.versions.items()
         if item.progress in Progress.__members__
--- a/fuchsiaroute/staging/_driver.py
+++ b/fuchsiaroute/staging/_driver.py
@@ -99,6 +99,7 @@
         read_outcomes: Callable[
             [], Awaitable[Result[dict[ServiceId, Record], StoreError]]
         ],
+        peers_know_attempts: Callable[[], bool],
         on_change: Callable[[], None],
     ) -> None:
         self._instance = instance
@@ -113,6 +114,7 @@
         self._store_era = store_era
         self._rows = rows
         self._read_outcomes = read_outcomes
+        self._peers_know_attempts = peers_know_attempts
         self._on_change = on_change
         #: Version of each row, by its key.
         self._versions: dict[str, int] = {}
@@ -227,13 +229,28 @@
                 order=order.revision,
                 progress=progress,
                 started=store_now,
+                attempt=self._attempt(order),
             )
         else:
             record = replace(known, progress=progress, order=order.revision)
+            if era_of(known.order) < era_of(order.revision):
+                # The restored store may have another clock.
+                elapsed = self._tracker.elapsed(known)
+                record = replace(record, started=Milliseconds(store_now - elapsed))
         outcomes = self._tracker.settled_outcomes(order.service)
-        outcomes[order.target] = Outcome(order=order.revision, progress=progress)
+        outcomes[order.target] = Outcome(
+            order=order.revision, progress=progress, attempt=record.attempt
+        )
         await self._commit(order.service, outcomes, record=record)
 
+    def _attempt(self, order: RolloutOrder) -> int:
+        """Return the number of earlier roll-outs of an order's target."""
+        former = self._tracker.outcomes.get(order.service, order.target)
+        # All instances have to move the same sessions.
+        if former is None or not self._peers_know_attempts():
+            return 0
+        return former.attempt + 1
+
     async def _commit(
         self,
         service: ServiceId,
--- a/fuchsiaroute/staging/_outcomes.py
+++ b/fuchsiaroute/staging/_outcomes.py
@@ -20,13 +20,19 @@
     #: Revision of the roll-out order.
     order: int
     progress: Progress
+    #: Number of roll-outs of the version before this one.
+    attempt: int = 0
     #: Era of the store in which the outcome is known to be stored, or ``NOT_STORED``.
     stored_era: int = field(default=NOT_STORED, compare=False)
 
     @property
-    def sort_key(self) -> tuple[int, int]:
-        """Return a key by which a later outcome of a version sorts after others."""
-        return self.order, self.progress.value
+    def sort_key(self) -> tuple[int, int, int]:
+        """
+        Return a key by which a later outcome of a version sorts after others.
+
+        Instances of former builds forward records without the attempt.
+        """
+        return self.order, self.progress.value, self.attempt
 
 
 class RolloutOutcomes:
--- a/fuchsiaroute/staging/_records.py
+++ b/fuchsiaroute/staging/_records.py
@@ -24,5 +24,7 @@
     #: Revision of the roll-out order.
     order: int
     progress: Progress
-    #: Start on the store's clock.
+    #: Start on the store's clock, in the era of ``order``.
     started: Milliseconds
+    #: Number of earlier roll-outs of the target. Each one moves other sessions first.
+    attempt: int = 0
--- a/fuchsiaroute/staging/_tracker.py
+++ b/fuchsiaroute/staging/_tracker.py
@@ -10,6 +10,7 @@
 from fuchsiaroute.ids import RequestClass, RolloutId, ServiceId, VersionId
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.staging._counts import RolloutCounts
+from fuchsiaroute.staging._elapsed import ElapsedTimes
 from fuchsiaroute.staging._outcomes import Outcome, RolloutOutcomes
 from fuchsiaroute.staging._records import Progress, RolloutRecord
 from fuchsiaroute.staging._schedule import (
@@ -21,7 +22,7 @@
     stage_index,
 )
 from fuchsiaroute.staging._sessions import SessionVersions
-from fuchsiaroute.store import era_of
+from fuchsiaroute.store import era_of, version_of
 
 #: Hash of a session's key; equal at all instances.
 SessionHash = NewType("SessionHash", int)
@@ -65,20 +66,23 @@
         *,
         orders: Mapping[ServiceId, RolloutOrder],
         store_now: Callable[[], Milliseconds | None],
+        store_era: Callable[[], int] = lambda: 0,
         clock: Clock,
         log: LineLog,
         session_pause: Milliseconds,
         canary_share: float,
     ) -> None:
         self._orders = orders
-        self._store_now = store_now
         self._log = log
         self._canary_share = canary_share
         self._records: dict[ServiceId, RolloutRecord] = {}
         self._counts: dict[tuple[ServiceId, int], RolloutCounts] = {}
         self._suspended: set[tuple[ServiceId, int]] = set()
-        #: Longest time since the start of each roll-out.
-        self._elapsed: dict[tuple[ServiceId, VersionId], int] = {}
+        #: Revision under which an order was first read, by its later revisions.
+        self._first_revisions: dict[tuple[ServiceId, int], int] = {}
+        self._times = ElapsedTimes(
+            clock=clock, store_now=store_now, store_era=store_era
+        )
         #: What the roll-outs of all versions came to, former ones included.
         self.outcomes = RolloutOutcomes()
         #: Versions that sessions are bound to.
@@ -88,7 +92,7 @@
         """Return the record of the current order; None if it has not started."""
         order = self._orders.get(service)
         record = self._records.get(service)
-        if order is None or record is None or not _belongs_to(record, order):
+        if order is None or record is None or not self._belongs_to(record, order):
             return None
         return record
 
@@ -101,7 +105,9 @@
         self.outcomes.merge(
             record.service,
             record.target,
-            Outcome(order=record.order, progress=record.progress),
+            Outcome(
+                order=record.order, progress=record.progress, attempt=record.attempt
+            ),
         )
         known = self._records.get(record.service)
         if known is not None and self._sort_key(known) >= self._sort_key(record):
@@ -142,7 +148,9 @@
         for trial in self._interrupted(service):
             if self.is_suspended(service, trial.revision):
                 outcomes[trial.target] = Outcome(
-                    order=trial.revision, progress=Progress.ROLLED_BACK
+                    order=trial.revision,
+                    progress=Progress.ROLLED_BACK,
+                    attempt=outcomes[trial.target].attempt,
                 )
         return outcomes
 
@@ -152,34 +160,58 @@
             service
         ) == self.outcomes.of_service(service)
 
+    def begin_order(self, order: RolloutOrder) -> None:
+        """Record that an order is none that was known in a former era."""
+        key = (order.service, order.revision)
+        self._first_revisions[key] = order.revision
+
     def continue_order(self, former: RolloutOrder, order: RolloutOrder) -> None:
         """Keep the state of ``former`` for the same order in a later era."""
         old = (former.service, former.revision)
         new = (order.service, order.revision)
+        self._first_revisions[new] = self._first_revision(*old)
         if old in self._suspended:
             self._suspended.add(new)
         if old in self._counts:
             self._counts[new] = self._counts.pop(old)
 
-    def _sort_key(self, record: RolloutRecord) -> tuple[int, int, int]:
+    def _first_revision(self, service: ServiceId, revision: int) -> int:
+        """Return the revision under which an order was first read here."""
+        return self._first_revisions.get((service, revision), revision)
+
+    def _belongs_to(self, record: RolloutRecord, order: RolloutOrder) -> bool:
+        """
+        Return whether ``record`` is the state of ``order``.
+
+        An order that is read again in another era of the store has another position
+        there, and its record may not have been written again yet. A process that has
+        not seen the order's beginning goes by the versions within the eras: an order
+        that operators wrote after the restore has a higher one than a record that the
+        copy holds.
+        """
+        if era_of(record.order) == era_of(order.revision):
+            return record.order == order.revision
+        if record.target != order.target:
+            return False
+        first = self._first_revisions.get((order.service, order.revision))
+        if first is None:
+            return version_of(order.revision) <= version_of(record.order)
+        return first == self._first_revision(record.service, record.order)
+
+    def _sort_key(self, record: RolloutRecord) -> tuple[int, int, int, int]:
         """Return a key by which a newer record sorts after an older one."""
         order = self._orders.get(record.service)
         position = record.order
-        if order is not None and _belongs_to(record, order):
+        if order is not None and self._belongs_to(record, order):
             position = order.revision
-        return position, record.progress.value, record.order
+        return position, record.progress.value, record.order, record.attempt
 
     def elapsed(self, record: RolloutRecord) -> Milliseconds:
-        """
-        Return the time since a roll-out started; 0 without the store's clock.
-
-        It never decreases, even if the clock of a restored store has stepped back.
-        """
-        now = self._store_now()
-        elapsed = max(now - record.started, 0) if now is not None else 0
-        key = (record.service, record.target)
-        self._elapsed[key] = max(self._elapsed.get(key, 0), elapsed)
-        return Milliseconds(self._elapsed[key])
+        """Return the time since a roll-out started; 0 without the store's clock."""
+        first = self._first_revision(record.service, record.order)
+        return self._times.get(
+            (record.service, first), started=record.started, era=era_of(record.order)
+        )
 
     def allowed_versions(
         self,
@@ -360,7 +392,11 @@
             record = self.record(trial.service)
             return record is not None and record.progress is Progress.RUNNING
         outcome = self.outcomes.get(trial.service, trial.target)
-        return outcome == Outcome(order=trial.revision, progress=Progress.RUNNING)
+        return (
+            outcome is not None
+            and outcome.order == trial.revision
+            and outcome.progress is Progress.RUNNING
+        )
 
     def all_trials(self) -> list[RolloutOrder]:
         """Return the trials of all services."""
@@ -384,7 +420,7 @@
         key = (order.service, order.revision)
         counts = self._counts.get(key)
         if counts is None:
-            counts = RolloutCounts(_rollout_id(order), target=order.target)
+            counts = RolloutCounts(_rollout_id(order, None), target=order.target)
             self._counts[key] = counts
         return counts
 
@@ -405,7 +441,8 @@
         order = self._orders.get(service)
         if order is None:
             return False
-        return unit_fraction(_rollout_id(order), key) < CANARY_PART * self._canary_share
+        rollout = _rollout_id(order, self.record(service))
+        return unit_fraction(rollout, key) < CANARY_PART * self._canary_share
 
     def may_complete(self, order: RolloutOrder, *, base_version_load: int) -> bool:
         """Return whether the endpoints of the base versions may be stopped."""
@@ -431,22 +468,16 @@
         share = share_of_sessions(
             elapsed, order.duration, canary_share=self._canary_share
         )
-        return unit_fraction(_rollout_id(order), key) < share
-
-
-def _rollout_id(order: RolloutOrder) -> RolloutId:
-    """Return an id that an order keeps when the store is restored from a copy."""
-    return RolloutId(f"{order.service}:{order.target}")
+        return unit_fraction(_rollout_id(order, record), key) < share
 
 
-def _belongs_to(record: RolloutRecord, order: RolloutOrder) -> bool:
+def _rollout_id(order: RolloutOrder, record: RolloutRecord | None) -> RolloutId:
     """
-    Return whether ``record`` is the state of ``order``.
+    Return an id that decides which sessions a roll-out moves first.
 
-    An order that is read again in another era of the store has another position there,
-    and its record may not have been written again yet.
+    It stays the same when the store is restored from a copy. The first roll-out of a
+    version has the id that builds without attempts use.
     """
-    is_same_era = era_of(record.order) == era_of(order.revision)
-    if is_same_era:
-        return record.order == order.revision
-    return record.target == order.target
+    name = f"{order.service}:{order.target}"
+    attempt = record.attempt if record is not None else 0
+    return RolloutId(f"{name}:{attempt}" if attempt else name)
--- a/fuchsiaroute/staging/tests/test_driver.py
+++ b/fuchsiaroute/staging/tests/test_driver.py
@@ -119,14 +119,17 @@
         log = LineLog(clock=clock, instance=name, write=len)
 
         def now() -> Milliseconds:
-            return Milliseconds(clock.now() - start)
+            return Milliseconds(clock.now() - start + self.clock_step)
 
         self.orders = {SERVICE: ORDER}
         orders = self.orders
         self.base_version_load = 0
+        self.clock_step = 0
+        self.peers_know_attempts = True
         self.tracker = RolloutTracker(
             orders=orders,
             store_now=now,
+            store_era=lambda: store.era,
             clock=clock,
             log=log,
             session_pause=Milliseconds(5_000),
@@ -145,6 +148,7 @@
             store_era=lambda: store.era,
             rows=Rows(),
             read_outcomes=store.read_outcomes,
+            peers_know_attempts=lambda: self.peers_know_attempts,
             on_change=lambda: None,
         )
 
@@ -405,3 +409,54 @@
     await fleet.pass_time(10_000)
     assert fleet.store.calls - first <= 2 * MAX_TURNS
     fleet.stop()
+
+
+@pytest.mark.parametrize(
+    ("peers_know_attempts", "attempts"), [(True, [0, 1]), (False, [0, 0])]
+)
+async def test_later_rollout_of_a_version_has_another_attempt(
+    peers_know_attempts: bool, attempts: list[int]
+) -> None:
+    """Instances of former builds move the same sessions in each attempt."""
+    fleet = Fleet("a")
+    instance = fleet.instances["a"]
+    instance.peers_know_attempts = peers_know_attempts
+    fleet.start("a")
+    found = []
+    for revision in (ORDER.revision, ORDER.revision + 1):
+        instance.orders[SERVICE] = replace(ORDER, revision=revision)
+        await fleet.pass_time(1_000)
+        record = instance.tracker.record(SERVICE)
+        assert record is not None
+        found.append(record.attempt)
+        await fleet.pass_time(DURATION)
+        assert instance.progress is Progress.COMPLETED
+    assert found == attempts
+    assert stored(fleet.store) == ["RUNNING", "COMPLETED"] * 2
+    fleet.stop()
+
+
+@pytest.mark.parametrize("step", [-500_000, 500_000])
+async def test_start_is_written_again_on_the_clock_of_the_restored_store(
+    step: int,
+) -> None:
+    """Guards against instances that differ in the share, by when they have started."""
+    fleet = Fleet("a", "b")
+    fleet.start("a")
+    await fleet.pass_time(3_000)
+    fleet.store.restore(dict(fleet.store.rows))
+    for instance in fleet.instances.values():
+        instance.clock_step = step
+        order = instance.orders[SERVICE]
+        instance.orders[SERVICE] = replace(order, revision=store_position(1, 9))
+    await fleet.pass_time(3_000)
+    fleet.start("b")
+    await fleet.pass_time(1_000)
+    elapsed = []
+    for instance in fleet.instances.values():
+        record = instance.tracker.record(SERVICE)
+        assert record is not None
+        elapsed.append(instance.tracker.elapsed(record))
+    assert elapsed[0] == elapsed[1]
+    assert 6_000 <= elapsed[0] <= 7_200
+    fleet.stop()
