Forwarding: a refusal that names no request proves nothing

Where all endpoints do so, callers were told 503 for a request that may be running.

Cause: an answer without a request id counted as one to the request that was sent. Endpoints name the request; only a 400 may lack the id.

Change: such a refusal has the outcome REFUSED_UNNAMED, "may have run". What may run more than once goes elsewhere at once; what may not is awaited for the route's latency target and then answered 502. Other answers without an id are taken only as the first on their connection; requests without an id get a connection of their own.

--- a/fuchsiaroute/forwarding/_attempt_records.py
+++ b/fuchsiaroute/forwarding/_attempt_records.py
@@ -24,6 +24,9 @@
 OUTLIER_FACTOR = 5.0
 MIN_OUTLIER_EXCESS = Milliseconds(400)
 
+#: Outcomes that tell nothing of an endpoint's version, though the request may have run.
+_NO_EVIDENCE = frozenset({Outcome.PATH_LOST, Outcome.REFUSED_UNNAMED})
+
 
 class AttemptRecords:
     """Counts outcomes, learns latencies and collects evidence on roll-outs."""
@@ -113,7 +116,7 @@
             )
         elif (
             failure.verdict is not Verdict.NOT_RUN
-            and failure.outcome is not Outcome.PATH_LOST
+            and failure.outcome not in _NO_EVIDENCE
             and self._breaks.is_independent(endpoint)
         ):
             self._count_answer(call, version, is_bad=True)
--- a/fuchsiaroute/forwarding/_call.py
+++ b/fuchsiaroute/forwarding/_call.py
@@ -53,6 +53,8 @@
     #: Number of sends that may have run the request: all except those that certainly
     #: did not, such as rejected ones.
     possible_runs: int = 0
+    #: Whether an endpoint refused a request without naming this one.
+    has_unnamed_refusal: bool = False
     #: Monotonic instant at which the endpoint's answer was first passed on.
     answer_started_at: Milliseconds | None = None
     #: Retries charged to the retry budget.
@@ -80,7 +82,7 @@
     @property
     def is_not_run(self) -> bool:
         """Return whether certainly no endpoint has run the request."""
-        return self.possible_runs == 0
+        return self.possible_runs == 0 and not self.has_unnamed_refusal
 
     @property
     def request_id(self) -> RequestId | None:
@@ -100,6 +102,16 @@
         """Record that the endpoint of the last send has not run the request."""
         self.possible_runs -= 1
 
+    def record_unnamed_refusal(self) -> None:
+        """
+        Record that the endpoint of the last send refused some request.
+
+        One that may run more than once is sent again as if it was this one.
+        """
+        self.has_unnamed_refusal = True
+        if self.route.is_repeatable:
+            self.possible_runs -= 1
+
     def as_request(self) -> Request:
         """Return the request in the form that the queue schedules."""
         return Request(
--- a/fuchsiaroute/forwarding/_connection_pool.py
+++ b/fuchsiaroute/forwarding/_connection_pool.py
@@ -85,10 +85,14 @@
         self.opened = 0
 
     async def acquire(
-        self, endpoint: Endpoint, *, is_repeatable: bool
+        self, endpoint: Endpoint, *, is_repeatable: bool, may_reuse: bool = True
     ) -> ClientConnection:
-        """Return an idle or new connection; raises ``ConnectError``."""
-        idle = self._idle.get(endpoint.id, [])
+        """
+        Return an idle or, unless it ``may_reuse`` one, a new connection.
+
+        Raises ``ConnectError``.
+        """
+        idle = self._idle.get(endpoint.id, []) if may_reuse else []
         limit = IDLE_TIMEOUT if is_repeatable else NON_REPEATABLE_IDLE_TIMEOUT
         now = self._clock.now()
         while idle:
--- a/fuchsiaroute/forwarding/_endpoint_client.py
+++ b/fuchsiaroute/forwarding/_endpoint_client.py
@@ -6,6 +6,7 @@
 from typing import Any, Protocol
 
 from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.forwarding._answer_matcher import AnswerMatcher
 from fuchsiaroute.forwarding._call import Call
 from fuchsiaroute.forwarding._connection_pool import ConnectionPool
 from fuchsiaroute.forwarding._endpoint_notices import EndpointNotices
@@ -26,7 +27,6 @@
     EventId,
     ResponseFields,
     endpoint_headers,
-    is_response_to,
     read_response,
 )
 from fuchsiaroute.pool import Reservation
@@ -176,7 +176,10 @@
         started_at = self._clock.now()
         try:
             connection = await self._connections.acquire(
-                endpoint, is_repeatable=call.route.is_repeatable
+                endpoint,
+                is_repeatable=call.route.is_repeatable,
+                # Answers to a request without an id name none.
+                may_reuse=call.request_id is not None,
             )
         except ConnectError as error:
             return _connect_failure(reservation, error)
@@ -193,14 +196,15 @@
         data = self._encode(call, reservation, remaining, model, resume_after)
         outcome = Outcome.CANCELLED
         head: ResponseHead | OpenResponse | None = None
+        matcher = AnswerMatcher(
+            call,
+            connection,
+            on_unnamed=lambda fields: self._notices.record(call, endpoint, fields),
+        )
         try:
             call.record_sent(endpoint.id)
             reservation.record_sent()
-            connection.send(
-                data,
-                lambda status, headers: is_response_to(call.request_id, headers),
-                is_head=call.inbound.method == b"HEAD",
-            )
+            connection.send(data, matcher, is_head=call.inbound.method == b"HEAD")
             head = await self._await_head(call, connection, head_timeout, replace)
             outcome = Outcome.SILENT
             reason = f"no response within {min(head_timeout, remaining)} ms"
@@ -208,8 +212,9 @@
             call.record_not_run()
             outcome, reason = Outcome.FAILED_BEFORE_SENT, str(error)
         except ExchangeError as error:
-            outcome, reason = Outcome.FAILED_AFTER_SENT, str(error)
+            outcome, reason = _broken_exchange(call, matcher, error)
         finally:
+            matcher.stop()
             if not isinstance(head, ResponseHead):
                 if self._connections.is_path_lost(endpoint.id, connection, outcome):
                     outcome = Outcome.PATH_LOST
@@ -318,6 +323,17 @@
     return 200 <= head.status < 300
 
 
+def _broken_exchange(
+    call: Call, matcher: AnswerMatcher, error: ExchangeError
+) -> tuple[Outcome, str]:
+    """Return the outcome of an exchange without an answer, and the reason."""
+    if not matcher.has_unnamed_refusal:
+        return Outcome.FAILED_AFTER_SENT, str(error)
+    call.record_unnamed_refusal()
+    reason = "the endpoint refused a request that it does not name"
+    return Outcome.REFUSED_UNNAMED, reason
+
+
 def _connect_failure(reservation: Reservation, error: ConnectError) -> AttemptFailure:
     outcome = Outcome.FAILED_BEFORE_SENT
     if isinstance(error, NoConnectionLeftError):
--- a/fuchsiaroute/lifecycle/_outcome.py
+++ b/fuchsiaroute/lifecycle/_outcome.py
@@ -14,6 +14,9 @@
     REFUSED_COLD = "refused-cold"
     #: The endpoint refused the request before running it, because it is full.
     REFUSED_FULL = "refused-full"
+    #: The endpoint refused a request before running it, but the answer names none: it
+    #: may be one to an earlier request.
+    REFUSED_UNNAMED = "refused-unnamed"
     #: The dispatch failed before any byte of the request was sent.
     FAILED_BEFORE_SENT = "failed-before-sent"
     #: No byte was sent because the reservation was no longer valid; this does not count
@@ -37,12 +40,18 @@
 
 #: Outcomes that show a working endpoint and reset its consecutive failures.
 HEALTHY_OUTCOMES = frozenset(
-    {Outcome.ANSWERED, Outcome.REFUSED_COLD, Outcome.REFUSED_FULL}
+    {
+        Outcome.ANSWERED,
+        Outcome.REFUSED_COLD,
+        Outcome.REFUSED_FULL,
+        Outcome.REFUSED_UNNAMED,
+    }
 )
 
 #: Outcomes after which the endpoint may still be working on the request.
 UNSETTLED_OUTCOMES = frozenset(
     {
+        Outcome.REFUSED_UNNAMED,
         Outcome.PATH_LOST,
         Outcome.FAILED_AFTER_SENT,
         Outcome.SILENT,
@@ -56,6 +65,7 @@
     Outcome.ANSWERED: Verdict.RUN,
     Outcome.REFUSED_COLD: Verdict.NOT_RUN,
     Outcome.REFUSED_FULL: Verdict.NOT_RUN,
+    Outcome.REFUSED_UNNAMED: Verdict.MAY_HAVE_RUN,
     Outcome.FAILED_BEFORE_SENT: Verdict.NOT_RUN,
     Outcome.REVOKED: Verdict.NOT_RUN,
     Outcome.PATH_CUT: Verdict.NOT_RUN,
--- a/fuchsiaroute/platform/__init__.py
+++ b/fuchsiaroute/platform/__init__.py
@@ -15,13 +15,14 @@
 )
 from fuchsiaroute.platform._decode import DecodeError, decode_endpoint
 from fuchsiaroute.platform._headers import (
+    AnswerSubject,
     EventId,
     PromptPart,
     RequestFields,
     ResponseFields,
+    answer_subject,
     caller_headers,
     endpoint_headers,
-    is_response_to,
     local_reply_headers,
     read_request,
     read_response,
@@ -56,6 +57,8 @@
 )
 
 __all__ = [
+    "AnswerSubject",
+    "answer_subject",
     "JSON_HEADERS",
     "Address",
     "Bounds",
@@ -87,7 +90,6 @@
     "decode_order",
     "encode_directory_answer",
     "endpoint_headers",
-    "is_response_to",
     "load_node_settings",
     "local_reply_headers",
     "parse_node_settings",
--- a/fuchsiaroute/platform/_headers.py
+++ b/fuchsiaroute/platform/_headers.py
@@ -2,6 +2,7 @@
 
 import math
 from dataclasses import dataclass
+from enum import Enum
 from typing import NewType
 
 from fuchsiaroute.clock import Milliseconds
@@ -232,12 +233,24 @@
     )
 
 
-def is_response_to(request_id: RequestId | None, headers: Headers) -> bool:
-    """Return whether a response carries ``request_id``, or no request id at all."""
+class AnswerSubject(Enum):
+    """The request that an answer names by its id."""
+
+    #: The request that was sent, or one without an id.
+    THIS = "this"
+    OTHER = "other"
+    UNNAMED = "unnamed"
+
+
+def answer_subject(request_id: RequestId | None, headers: Headers) -> AnswerSubject:
+    """Return whether a response is to the request with ``request_id``."""
     found = find_header(headers, _REQUEST_ID)
-    if found is None or request_id is None:
-        return True
-    return found.decode("latin-1") == request_id
+    if request_id is None:
+        return AnswerSubject.THIS
+    if found is None:
+        return AnswerSubject.UNNAMED
+    is_same = found.decode("latin-1") == request_id
+    return AnswerSubject.THIS if is_same else AnswerSubject.OTHER
 
 
 def caller_headers(headers: Headers) -> Headers:
--- a/fuchsiaroute/platform/tests/recording_endpoint.py
+++ b/fuchsiaroute/platform/tests/recording_endpoint.py
@@ -84,13 +84,17 @@
         self, endpoint: Endpoint, request: InboundRequest, responder: Responder
     ) -> None:
         run = self._record(request)
+        named = [
+            (b"X-Request-Id", find_header(request.headers, b"x-request-id") or b"")
+        ]
         if find_header(request.headers, b"x-expect-instance") != self.id.encode():
             run.is_rejected = True
-            responder.send(421, [(b"X-Instance-Id", self.id.encode())], b"")
+            misdirected = [*named, (b"X-Instance-Id", self.id.encode())]
+            responder.send(421, misdirected, b"")
             return
         if self._active >= self._slots:
             run.is_rejected = True
-            responder.send(503, [(b"X-Not-Executed", b"1")], b"")
+            responder.send(503, [*named, (b"X-Not-Executed", b"1")], b"")
             return
         self._active += 1
         try:
--- a/fuchsiaroute/platform/tests/standin.py
+++ b/fuchsiaroute/platform/tests/standin.py
@@ -258,7 +258,8 @@
         self.requests.append(request)
         if self.pause is not None:
             retry_after = (b"Retry-After", self.pause.encode())
-            responder.send(503, [(b"X-Not-Executed", b"1"), retry_after], b"")
+            headers = [*self.headers(request), (b"X-Not-Executed", b"1"), retry_after]
+            responder.send(503, headers, b"")
             return
         try:
             await self.answer(self, request, responder)
@@ -300,7 +301,8 @@
     endpoint: Endpoint, request: InboundRequest, responder: Responder
 ) -> None:
     """Reject the request without running it."""
-    responder.send(503, [(b"X-Not-Executed", b"1")], b"")
+    headers = [*endpoint.headers(request), (b"X-Not-Executed", b"1")]
+    responder.send(503, headers, b"")
 
 
 async def fail(
--- a/fuchsiaroute/platform/tests/test_decode.py
+++ b/fuchsiaroute/platform/tests/test_decode.py
@@ -6,8 +6,9 @@
 
 from fuchsiaroute.clock import Milliseconds
 from fuchsiaroute.deployment import RequestKind
-from fuchsiaroute.ids import EndpointId, ModelId, OrganisationId
+from fuchsiaroute.ids import EndpointId, ModelId, OrganisationId, RequestId
 from fuchsiaroute.platform import (
+    AnswerSubject,
     DecodeError,
     DeploymentChanged,
     EvacuationEnded,
@@ -18,10 +19,10 @@
     RolloutOrderRemoved,
     Row,
     UnknownOrder,
+    answer_subject,
     decode_endpoint,
     decode_order,
     endpoint_headers,
-    is_response_to,
     parse_node_settings,
     read_request,
     read_response,
@@ -319,11 +320,22 @@
 
 
 @pytest.mark.parametrize(
-    ("found", "is_match"), [(b"q", True), (b"other", False), (None, True)]
+    ("sent", "found", "subject"),
+    [
+        ("q", b"q", AnswerSubject.THIS),
+        ("q", b"other", AnswerSubject.OTHER),
+        # It may be an earlier answer that the endpoint has written again.
+        ("q", None, AnswerSubject.UNNAMED),
+        (None, None, AnswerSubject.THIS),
+        (None, b"other", AnswerSubject.THIS),
+    ],
 )
-def test_response_is_matched_by_request_id(found: bytes | None, is_match: bool) -> None:
+def test_response_is_matched_by_request_id(
+    sent: str | None, found: bytes | None, subject: AnswerSubject
+) -> None:
     headers = [] if found is None else [(b"x-request-id", found)]
-    assert is_response_to("q", headers) is is_match  # type: ignore[arg-type]
+    request_id = None if sent is None else RequestId(sent)
+    assert answer_subject(request_id, headers) is subject
 
 
 @pytest.mark.parametrize(
--- a/fuchsiaroute/pool/_member.py
+++ b/fuchsiaroute/pool/_member.py
@@ -37,6 +37,7 @@
         Outcome.TRUNCATED,
     }
 )
+_REJECTIONS = frozenset({Outcome.REFUSED_FULL, Outcome.REFUSED_UNNAMED})
 _USABLE = frozenset({EndpointState.COLD, EndpointState.WARMING, EndpointState.WARM})
 
 
@@ -221,7 +222,7 @@
         """Remove a request and update state and statistics from its outcome."""
         self.own_load = max(self.own_load - 1, 0)
         self.is_on_trial = False
-        if outcome is Outcome.REFUSED_FULL:
+        if outcome in _REJECTIONS:
             self.full_until = Milliseconds(self.clock.now() + FULL_BACKOFF)
         elif outcome is Outcome.ANSWERED:
             self._succeeded()
--- a/fuchsiaroute/pool/_send_gate.py
+++ b/fuchsiaroute/pool/_send_gate.py
@@ -9,6 +9,7 @@
 from fuchsiaroute.pool._member import PoolMember
 
 #: Outcomes after which the endpoint may still run the request for a moment.
+_REJECTIONS = frozenset({Outcome.REFUSED_FULL, Outcome.REFUSED_UNNAMED})
 _GIVEN_UP = frozenset({Outcome.SILENT, Outcome.CANCELLED})
 
 
@@ -78,7 +79,7 @@
             self._places.release(
                 member.endpoint,
                 member.own_load,
-                was_rejected=is_sent and outcome is Outcome.REFUSED_FULL,
+                was_rejected=is_sent and outcome in _REJECTIONS,
                 may_run=is_sent and outcome in _GIVEN_UP,
             )
 
