Dispatch: look at the nonce of an answer before its refusal

Cause: serve took a refusal for one of this call whatever nonce it carried, so a refusal of another call, written again on a kept connection, let a call that runs be sent to a second endpoint.

Change: an answer with another nonce is crossed, refusal or not; the stand-in engine states the nonce in its refusals as in its answers. The new case of test_outcome_and_verdict_by_response_head gives REFUSED_FULL without this change.

--- a/fuchsiaroute/dispatch/_client.py
+++ b/fuchsiaroute/dispatch/_client.py
@@ -234,11 +234,12 @@
 
 
 def _head_fault(call: EndpointCall, response: httpx.Response) -> DispatchOutcome | None:
+    if response.headers.get(NONCE_HEADER) != call.nonce:
+        # A refusal of another call says nothing of this one.
+        return DispatchOutcome.CROSSED
     refusal = _REFUSALS.get(response.headers.get(REFUSAL_HEADER, ""))
     if refusal is not None:
         return refusal
-    if response.headers.get(NONCE_HEADER) != call.nonce:
-        return DispatchOutcome.CROSSED
     if response.status_code >= httpx.codes.INTERNAL_SERVER_ERROR:
         return DispatchOutcome.FAILED
     return None
--- a/fuchsiaroute/dispatch/tests/test_client.py
+++ b/fuchsiaroute/dispatch/tests/test_client.py
@@ -176,6 +176,14 @@
             DispatchOutcome.CROSSED,
             Verdict.MAY_HAVE_RUN,
         ),
+        # A refusal of another call.
+        (
+            responding(
+                head(status=503, nonce="other", extra="x-not-run: full\r\n"), LAST
+            ),
+            DispatchOutcome.CROSSED,
+            Verdict.MAY_HAVE_RUN,
+        ),
         (
             responding(head(status=503, extra="x-not-run: cold\r\n"), LAST),
             DispatchOutcome.REFUSED_COLD,
@@ -194,7 +202,7 @@
         (responding(then="close"), DispatchOutcome.FAILED, Verdict.MAY_HAVE_RUN),
         (responding(then="hang"), DispatchOutcome.SILENT, Verdict.MAY_HAVE_RUN),
     ],
-    ids=["crossed", "cold", "full", "error", "closed", "silent"],
+    ids=["crossed", "crossed-refusal", "cold", "full", "error", "closed", "silent"],
 )
 async def test_outcome_and_verdict_by_response_head(
     answer: Handler, outcome: DispatchOutcome, verdict: Verdict
--- a/fuchsiaroute/standin/_engine.py
+++ b/fuchsiaroute/standin/_engine.py
@@ -181,11 +181,15 @@
             INCARNATION_HEADER: str(self._incarnation),
         }
 
+    def _refuse(self, request: AnyRequest, reason: str) -> AnyResponse:
+        headers = {**self._headers(request), REFUSAL_HEADER: reason}
+        return Response(content=b"", status_code=503, headers=headers)
+
     async def _complete(self, request: AnyRequest) -> AnyResponse:
         prompt = msgspec.json.decode(await request.body(), type=_Prompt)
         refusal = self._reserve()
         if refusal:
-            return _refuse(refusal)
+            return self._refuse(request, refusal)
         subject = prompt.messages[0].content if prompt.messages else ""
         self._record(prompt.model, subject)
         tokens = self._tokens(prompt)
@@ -215,7 +219,7 @@
         body = msgspec.json.decode(await request.body(), type=_ServiceBody)
         refusal = self._reserve()
         if refusal:
-            return _refuse(refusal)
+            return self._refuse(request, refusal)
         self._record(path, body.subject)
         try:
             await self._clock.sleep(self._behaviour.time_to_first_token)
@@ -228,10 +232,6 @@
         )
 
 
-def _refuse(reason: str) -> AnyResponse:
-    return Response(content=b"", status_code=503, headers={REFUSAL_HEADER: reason})
-
-
 def _event(prompt: _Prompt, number: int) -> bytes:
     """Return an event whose token repeats the prompt, so that callers can check it."""
     subject = prompt.messages[0].content if prompt.messages else "token"
