Streams: only an event stream that holds the missing event ends one as whole

Cause: the end of a resumed answer was the end of the caller's stream, whatever the answer was.

A typed answer without events still ends a stream that broke off between two events: its endpoint may have sent them all. A better answer without events no longer replaces a weak one.

--- a/fuchsiaroute/forwarding/_endpoint_client.py
+++ b/fuchsiaroute/forwarding/_endpoint_client.py
@@ -236,7 +236,7 @@
             model=model,
             time_to_first_byte=Milliseconds(self._clock.now() - started_at),
         )
-        return self._check_head(call, response)
+        return self._check_head(call, response, is_rest=resume_after is not None)
 
     async def _await_head(
         self,
@@ -265,8 +265,9 @@
         return None
 
     def _check_head(
-        self, call: Call, response: OpenResponse
+        self, call: Call, response: OpenResponse, *, is_rest: bool
     ) -> OpenResponse | AttemptFailure:
+        """Return ``response``, or a failure; ``is_rest`` for the rest of a stream."""
         status = response.head.status
         self._notices.record(call, response.reservation.endpoint, response.fields)
         if response.fields.is_not_run:
@@ -279,13 +280,16 @@
             return AttemptFailure(
                 outcome=outcome, reason=f"not run by the endpoint: status {status}"
             )
+        reason = None
         if response.is_success and not response.fields.is_signed:
-            response.close(Outcome.FAILED_AFTER_SENT)
-            return AttemptFailure(
-                outcome=Outcome.FAILED_AFTER_SENT,
-                reason="2xx status without a signature",
-            )
-        return response
+            reason = "2xx status without a signature"
+        elif response.is_success and is_rest and not response.fields.is_event_stream:
+            # Its end would be taken for the end of the caller's stream.
+            reason = "an answer that is no series of events"
+        if reason is None:
+            return response
+        response.close(Outcome.FAILED_AFTER_SENT)
+        return AttemptFailure(outcome=Outcome.FAILED_AFTER_SENT, reason=reason)
 
     def _encode(
         self,
--- a/fuchsiaroute/forwarding/_stream_relay.py
+++ b/fuchsiaroute/forwarding/_stream_relay.py
@@ -39,6 +39,7 @@
 MILLISECONDS_PER_SECOND = 1_000
 #: Reason in the log for a stream whose end, however it is marked, is not one.
 _INSIDE_EVENT = "the stream ended inside an event"
+_BEFORE_EVENT = "the stream ended before an event that had begun elsewhere"
 #: Reason in the log for giving up a stream without data.
 _SILENCE = "silence"
 
@@ -55,6 +56,8 @@
     pace: EventPace = field(default_factory=EventPace)
     #: Whether ``response`` has delivered an event.
     has_event: bool = False
+    #: Whether a former response broke off inside the next event.
+    is_event_missing: bool = False
     resumptions: int = 0
 
 
@@ -240,22 +243,35 @@
                 if not await self._replace_broken(call, state, str(error)):
                     return False
                 continue
-            if not data and state.splitter.has_incomplete:
-                if not await self._replace_broken(call, state, _INSIDE_EVENT):
-                    return False
-                continue
             if not data:
-                self._start(call, state)
-                return True
-            if complete:
+                is_whole = await self._end(call, state)
+                if is_whole is not None:
+                    return is_whole
+            elif complete:
                 self._record_events(call, state, state.splitter.count - count)
                 self._start(call, state)
                 responder.write(complete)
                 await responder.drain()
 
+    async def _end(self, call: Call, state: _RelayState) -> bool | None:
+        """
+        Handle the end of a response; return whether it is that of the stream.
+
+        None is returned if another endpoint goes on with the stream.
+        """
+        if state.fallback is not None:
+            # The weak answer is better than one without an event.
+            return False
+        early_end = _early_end(state)
+        if early_end is None:
+            self._start(call, state)
+            return True
+        return None if await self._replace_broken(call, state, early_end) else False
+
     def _record_events(self, call: Call, state: _RelayState, count: int) -> None:
         if not state.has_event:
             state.has_event = True
+            state.is_event_missing = False
             self._runner.record_answer_begun(call)
         state.pace.record(self._clock.now(), count)
         if state.pace.is_known:
@@ -341,6 +357,7 @@
         state.response = response
         state.pace = EventPace()
         state.has_event = False
+        state.is_event_missing |= state.splitter.has_incomplete
         state.splitter.discard_incomplete()
         state.resumptions += 1
         self._log.write(
@@ -378,6 +395,13 @@
         )
 
 
+def _early_end(state: _RelayState) -> str | None:
+    """Return why the end of a response is not that of the stream; None if it is."""
+    if state.splitter.has_incomplete:
+        return _INSIDE_EVENT
+    return _BEFORE_EVENT if state.is_event_missing else None
+
+
 def _last_event_id(state: _RelayState) -> EventId | None:
     """Return the id of the last event that was relayed."""
     last_id = state.splitter.last_id
--- a/fuchsiaroute/platform/_headers.py
+++ b/fuchsiaroute/platform/_headers.py
@@ -35,6 +35,8 @@
 #: falls over.
 _REJECTION_TOLERANCE = b"server-brittle"
 _RETRY_AFTER = b"retry-after"
+_CONTENT_TYPE = b"content-type"
+_EVENT_STREAM = b"text/event-stream"
 #: Limits the time to a value that the clock can add.
 _MAX_RETRY_AFTER_SECONDS = 30.0 * 24 * 3_600
 _UNAVAILABLE = 503
@@ -108,6 +110,8 @@
     is_not_run: bool
     #: The model's confidence in its answer, from 0 to 1; None if it states none.
     confidence: float | None
+    #: Whether the body is a series of events.
+    is_event_stream: bool = False
     #: Whether the endpoint is about to stop and wants no new requests.
     is_leaving: bool = False
     #: Time for which the endpoint wants no requests from this instance; None if it
@@ -223,6 +227,7 @@
         is_signed=find_header(headers, _SIGNATURE) is not None,
         is_not_run=is_misdirected or find_header(headers, _NOT_RUN) is not None,
         confidence=confidence,
+        is_event_stream=_is_event_stream(find_header(headers, _CONTENT_TYPE)),
         is_leaving=leaving is not None and leaving.strip() == _IS_LEAVING,
         back_off=back_off,
         request_rate=request_rate,
@@ -270,6 +275,11 @@
     return [(b"X-Request-Id", request_id.encode("latin-1"))]
 
 
+def _is_event_stream(content_type: bytes | None) -> bool:
+    media_type = (content_type or b"").partition(b";")[0]
+    return media_type.strip().lower() == _EVENT_STREAM
+
+
 def _parse_confidence(value: bytes | None) -> float | None:
     try:
         confidence = float(value) / _FULL_CONFIDENCE if value is not None else None
