Test: an answer that ends inside its head is no answer

It cannot happen here: eight places to end, five routes, first and later requests of a connection, with a length, chunks and neither; all cases pass on as well, which is why this is a check and no change.

--- a/fuchsiaroute/platform/tests/test_broken_answers.py
+++ b/fuchsiaroute/platform/tests/test_broken_answers.py
@@ -340,6 +340,50 @@
     assert (reply.status, reply.body, reply.is_whole) == (200, events(1, EVENTS), True)
 
 
+CUTS = {
+    "nothing": lambda whole: b"",
+    "status": lambda whole: b"HTTP/1.1 200 OK\r\n",
+    "inside-name": lambda whole: whole[: whole.index(b"X-Resp") + 5],
+    "inside-value": lambda whole: whole[:-9],
+    "last-field": lambda whole: whole,
+    "inside-length": lambda whole: whole + b"Content-Length: 1",
+    "half-blank": lambda whole: whole + b"Content-Length: 12\r\n\r",
+    "chunked": lambda whole: whole + b"Transfer-Encoding: chunked\r\n",
+}
+
+
+@pytest.mark.parametrize("cut", CUTS)
+@pytest.mark.parametrize("path", ["/write/", "/stream/", "/once/", "/sized/", "/read/"])
+async def test_answer_that_ends_inside_its_head_is_no_answer(
+    path: str, cut: str
+) -> None:
+    """Guards against a 200 with an empty body that is framed as whole (MIXED)."""
+
+    async def play(
+        endpoint: RawEndpoint, head: bytes, writer: asyncio.StreamWriter, number: int
+    ) -> bool:
+        if number == 1 and len(endpoint.runs) % 2 == 0:
+            return await endpoint.run(head, writer)
+        endpoint.runs[field(head, b"x-request-id")] += 1
+        writer.write(CUTS[cut](endpoint.head(head, extra=TYPED)))
+        await writer.drain()
+        return False
+
+    endpoints = [RawEndpoint(play), RawEndpoint(play)]
+    async with NodeHarness(*endpoints, configuration=configuration()) as harness:
+        replies = await ask_all(harness, path, 8)
+    whole = events(1, EVENTS)
+    for name, reply in replies.items():
+        if reply.status == 200:
+            is_stream = path in ("/stream/", "/once/", "/sized/")
+            assert reply.is_whole
+            assert reply.body == (whole if is_stream else b"done " + name)
+        else:
+            assert reply.status == 502
+        if path in ("/write/", "/once/"):
+            assert sum(endpoint.runs[name] for endpoint in endpoints) == 1
+
+
 @pytest.mark.parametrize("path", ["/write/", "/once/"])
 async def test_refusal_of_another_request_over_a_peer_lets_none_run_twice(
     path: str, monkeypatch: pytest.MonkeyPatch
