Forwarding: endpoints that name no requests are served on new connections

Cause: since answers without an id are not taken on kept connections, an endpoint that never names requests would have failed each second one; a named answer could be cut by the end of the wait for it in the same turn of the event loop.

Change: a connection that has carried an answer without an id is not used again, and the wait ends as soon as the named answer arrives. The new case of test_broken_answers: 4 of 4 requests answered, each on its own connection.

--- a/fuchsiaroute/forwarding/_answer_matcher.py
+++ b/fuchsiaroute/forwarding/_answer_matcher.py
@@ -50,14 +50,17 @@
     def __call__(self, status: int, headers: Headers) -> bool:
         """Return whether an answer with this head is to the request."""
         subject = answer_subject(self._call.request_id, headers)
+        if subject is AnswerSubject.THIS:
+            self.stop()
         if subject is not AnswerSubject.UNNAMED:
             return subject is AnswerSubject.THIS
+        # The next answer could not be told from this one.
+        self._connection.refuse_further_requests()
         fields = read_response(status, headers)
         if self._is_first and not fields.is_not_run:
             return True
         self.has_unnamed_refusal |= fields.is_not_run
         self._on_unnamed(fields)
-        self._connection.refuse_further_requests()
         if self._timer is None:
             self._timer = asyncio.get_running_loop().call_later(
                 self._patience() / MILLISECONDS_PER_SECOND, self._connection.abort
--- a/fuchsiaroute/platform/tests/test_broken_answers.py
+++ b/fuchsiaroute/platform/tests/test_broken_answers.py
@@ -453,3 +453,23 @@
         )
     # The silent endpoint goes on, as no other one can.
     assert (reply.body, reply.is_whole) == (events(1, EVENTS), True)
+
+
+async def test_endpoint_that_names_no_requests_is_used_on_new_connections() -> None:
+    """Guards against failures of all requests after the first of a connection."""
+    numbers = []
+
+    async def play(
+        endpoint: RawEndpoint, head: bytes, writer: asyncio.StreamWriter, number: int
+    ) -> bool:
+        numbers.append(number)
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n"
+            b"Content-Length: 4\r\n\r\ndone"
+        )
+        return True
+
+    async with NodeHarness(RawEndpoint(play), configuration=configuration()) as harness:
+        replies = await ask_all(harness, "/write/", 4)
+    assert {reply.status for reply in replies.values()} == {200}
+    assert numbers == [1] * 4
