Streams: the rest of a stream may leave its type out if it has events

Change: an answer of another type is rejected, one without a type must have events, and a standby takes over from a live run only with a typed one.

--- a/fuchsiaroute/forwarding/_endpoint_client.py
+++ b/fuchsiaroute/forwarding/_endpoint_client.py
@@ -283,8 +283,7 @@
         reason = None
         if response.is_success and not response.fields.is_signed:
             reason = "2xx status without a signature"
-        elif response.is_success and is_rest and not response.fields.is_event_stream:
-            # Its end would be taken for the end of the caller's stream.
+        elif response.is_success and is_rest and _is_of_other_type(response.fields):
             reason = "an answer that is no series of events"
         if reason is None:
             return response
@@ -338,6 +337,11 @@
     return Outcome.REFUSED_UNNAMED, reason
 
 
+def _is_of_other_type(fields: ResponseFields) -> bool:
+    """Return whether an answer says that it is no event stream."""
+    return fields.is_event_stream is False
+
+
 def _connect_failure(reservation: Reservation, error: ConnectError) -> AttemptFailure:
     outcome = Outcome.FAILED_BEFORE_SENT
     if isinstance(error, NoConnectionLeftError):
--- a/fuchsiaroute/forwarding/_standby.py
+++ b/fuchsiaroute/forwarding/_standby.py
@@ -61,9 +61,9 @@
     """
     Sends a request whose endpoint is silent to another one beside its present run.
 
-    The present run is ended only once the other endpoint answers, or is more likely to
-    be alive. Ended any sooner, the answer is lost if the other endpoint is silent, full
-    or failing as well.
+    The present run is ended only once the other endpoint answers, with an event stream
+    if events have been sent, or is more likely to be alive. Ended any sooner, the
+    answer is lost if the other endpoint is silent, full or failing as well.
     """
 
     def __init__(self, attempts: Attempts) -> None:
@@ -130,7 +130,9 @@
         finally:
             _end(data)
         if isinstance(result, OpenResponse):
-            if result.is_success:
+            if result.is_success and (
+                is_given_up or resume_after is None or result.fields.is_event_stream
+            ):
                 if not is_given_up:
                     give_up()
                 return result
--- a/fuchsiaroute/forwarding/_stream_relay.py
+++ b/fuchsiaroute/forwarding/_stream_relay.py
@@ -40,6 +40,7 @@
 #: Reason in the log for a stream whose end, however it is marked, is not one.
 _INSIDE_EVENT = "the stream ended inside an event"
 _BEFORE_EVENT = "the stream ended before an event that had begun elsewhere"
+_WITHOUT_EVENT = "the rest of the stream has neither an event nor the type of one"
 #: Reason in the log for giving up a stream without data.
 _SILENCE = "silence"
 
@@ -399,7 +400,10 @@
     """Return why the end of a response is not that of the stream; None if it is."""
     if state.splitter.has_incomplete:
         return _INSIDE_EVENT
-    return _BEFORE_EVENT if state.is_event_missing else None
+    if state.is_event_missing:
+        return _BEFORE_EVENT
+    is_stream = state.has_event or state.response.fields.is_event_stream
+    return None if is_stream or not state.resumptions else _WITHOUT_EVENT
 
 
 def _last_event_id(state: _RelayState) -> EventId | None:
--- a/fuchsiaroute/platform/_headers.py
+++ b/fuchsiaroute/platform/_headers.py
@@ -110,8 +110,8 @@
     is_not_run: bool
     #: The model's confidence in its answer, from 0 to 1; None if it states none.
     confidence: float | None
-    #: Whether the body is a series of events.
-    is_event_stream: bool = False
+    #: Whether the body is a series of events; None if its type is not stated.
+    is_event_stream: bool | None = None
     #: Whether the endpoint is about to stop and wants no new requests.
     is_leaving: bool = False
     #: Time for which the endpoint wants no requests from this instance; None if it
@@ -275,9 +275,10 @@
     return [(b"X-Request-Id", request_id.encode("latin-1"))]
 
 
-def _is_event_stream(content_type: bytes | None) -> bool:
-    media_type = (content_type or b"").partition(b";")[0]
-    return media_type.strip().lower() == _EVENT_STREAM
+def _is_event_stream(content_type: bytes | None) -> bool | None:
+    if content_type is None:
+        return None
+    return content_type.partition(b";")[0].strip().lower() == _EVENT_STREAM
 
 
 def _parse_confidence(value: bytes | None) -> float | None:
