Roll-outs: one without endpoints of its target is not completed

Cause: completion looked at the load of the old endpoints only.

Change: it needs a usable endpoint of the target. test_rollout_without_endpoints_of_its_target_is_not_completed found COMPLETED before the change.

--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -243,6 +243,9 @@
             log=log,
             instances=self.instances,
             base_version_load=self._base_version_load,
+            has_target_endpoint=lambda order: (
+                order.target in self.pool.versions(order.service)
+            ),
             store_now=self.store.now,
             store_era=lambda: self.store.era,
             rows=PlatformRolloutRows(),
--- a/fuchsiaroute/staging/_driver.py
+++ b/fuchsiaroute/staging/_driver.py
@@ -93,6 +93,7 @@
         log: LineLog,
         instances: Callable[[], Sequence[InstanceId]],
         base_version_load: Callable[[RolloutOrder], int],
+        has_target_endpoint: Callable[[RolloutOrder], bool],
         store_now: Callable[[], Milliseconds | None],
         store_era: Callable[[], int],
         rows: RolloutRows,
@@ -110,6 +111,7 @@
         self._log = log
         self._instances = instances
         self._base_version_load = base_version_load
+        self._has_target_endpoint = has_target_endpoint
         self._store_now = store_now
         self._store_era = store_era
         self._rows = rows
@@ -202,15 +204,23 @@
         is_running = record.progress is Progress.RUNNING
         if is_running and self._tracker.is_suspended(order.service, order.revision):
             return Progress.ROLLED_BACK
-        if is_running and self._tracker.may_complete(
-            order, base_version_load=self._base_version_load(order)
-        ):
+        if is_running and self._may_complete(order):
             return Progress.COMPLETED
         if era_of(record.order) < era_of(order.revision):
             # The store was restored from a copy, which may lack the record.
             return record.progress
         return None
 
+    def _may_complete(self, order: RolloutOrder) -> bool:
+        """
+        Return whether the endpoints of the base versions may be stopped.
+
+        They may not while no endpoint of the target could take their requests.
+        """
+        return self._has_target_endpoint(order) and self._tracker.may_complete(
+            order, base_version_load=self._base_version_load(order)
+        )
+
     def _turn(self, matter: str) -> int:
         """Return the number of turns before this instance's."""
         names = rendezvous_order(matter, self._instances())
--- a/fuchsiaroute/staging/tests/test_driver.py
+++ b/fuchsiaroute/staging/tests/test_driver.py
@@ -124,6 +124,7 @@
         self.orders = {SERVICE: ORDER}
         orders = self.orders
         self.base_version_load = 0
+        self.has_target_endpoint = True
         self.clock_step = 0
         self.peers_know_attempts = True
         self.tracker = RolloutTracker(
@@ -144,6 +145,7 @@
             log=log,
             instances=alive,
             base_version_load=lambda order: self.base_version_load,
+            has_target_endpoint=lambda order: self.has_target_endpoint,
             store_now=now,
             store_era=lambda: store.era,
             rows=Rows(),
@@ -460,3 +462,17 @@
     assert elapsed[0] == elapsed[1]
     assert 6_000 <= elapsed[0] <= 7_200
     fleet.stop()
+
+
+async def test_rollout_without_endpoints_of_its_target_is_not_completed() -> None:
+    """Guards against 503 for all requests, as the old endpoints stop then."""
+    fleet = Fleet("a")
+    instance = fleet.instances["a"]
+    instance.has_target_endpoint = False
+    fleet.start("a")
+    await fleet.pass_time(DURATION)
+    assert stored(fleet.store) == ["RUNNING"]
+    instance.has_target_endpoint = True
+    await fleet.pass_time(1_000)
+    assert stored(fleet.store) == ["RUNNING", "COMPLETED"]
+    fleet.stop()
