--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -379,8 +379,13 @@
 
     def reload(self, settings: NodeSettings) -> None:
         """Apply changed settings."""
+        is_store_moved = settings.store != self._settings.store
         self._settings = settings
         self.store.set_address(settings.store)
+        if is_store_moved:
+            # The former address may never answer the watches that it holds.
+            self.orders_feed.restart_watch("the store has another address")
+            self.endpoints_feed.restart_watch("the store has another address")
 
     def tick(self) -> None:
         """Run periodic work; called several times per second."""
--- a/fuchsiaroute/node/_run.py
+++ b/fuchsiaroute/node/_run.py
@@ -22,12 +22,14 @@
 from fuchsiaroute.node._metrics import METRICS_PATH
 from fuchsiaroute.node._parts import NodeParts
 from fuchsiaroute.node._peer_tunnels import tunnel_port
+from fuchsiaroute.node._settings_file import SettingsFile
 from fuchsiaroute.node._task_runner import TaskRunner
 from fuchsiaroute.platform import (
     Address,
     NodeSettings,
     NodeSettingsError,
     load_node_settings,
+    node_settings_path,
 )
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -35,6 +37,8 @@
 TICK = Milliseconds(100)
 #: Delay of a tick above which the process counts as having been suspended.
 MIN_SUSPENSION = Milliseconds(1_000)
+#: Interval at which the settings file is looked at; it may change without a signal.
+SETTINGS_CHECK_INTERVAL = Milliseconds(500)
 #: Interval at which a stopping instance checks what callers wait for.
 IDLE_CHECK_INTERVAL = Milliseconds(50)
 #: States of connections whose callers wait for something.
@@ -59,6 +63,7 @@
     ) -> None:
         self._settings = settings
         self._settings_path = settings_path
+        self._settings_file = SettingsFile(node_settings_path(settings_path))
         self._clock = clock
         self._log = log
         self._parts = NodeParts(settings, clock=clock, log=log, random=random)
@@ -97,6 +102,7 @@
         self._background.start("roll-outs", parts.driver.run)
         self._background.start("quarantine rows", parts.quarantine_rows.run)
         self._background.start("paths to endpoints", parts.connections.paths.run)
+        self._background.start("settings file", self._follow_settings_file)
         self._background.start("ticks", self._tick)
         await self._stop.wait()
         await self._shut_down()
@@ -176,8 +182,16 @@
             last_tick_at = now
             self._parts.tick()
 
+    async def _follow_settings_file(self) -> None:
+        """Apply changes of the settings file that come without a signal."""
+        while True:
+            await self._clock.sleep(SETTINGS_CHECK_INTERVAL)
+            if self._settings_file.has_changed():
+                self._reload()
+
     def _reload_if_changed(self) -> None:
         """Apply a change whose SIGHUP arrived before the handler was installed."""
+        self._settings_file.record()
         try:
             is_changed = load_node_settings(self._settings_path) != self._settings
         except NodeSettingsError:
@@ -187,6 +201,7 @@
 
     def _reload(self) -> None:
         """Read the settings file again; keep the current settings on a fault."""
+        self._settings_file.record()
         try:
             settings = load_node_settings(self._settings_path)
         except NodeSettingsError as error:
--- a/fuchsiaroute/platform/__init__.py
+++ b/fuchsiaroute/platform/__init__.py
@@ -33,6 +33,7 @@
     NodeSettings,
     NodeSettingsError,
     load_node_settings,
+    node_settings_path,
     parse_node_settings,
 )
 from fuchsiaroute.platform._orders import (
@@ -91,6 +92,7 @@
     "encode_directory_answer",
     "endpoint_headers",
     "load_node_settings",
+    "node_settings_path",
     "local_reply_headers",
     "parse_node_settings",
     "read_directory_query",
--- a/fuchsiaroute/platform/_node_settings.py
+++ b/fuchsiaroute/platform/_node_settings.py
@@ -85,11 +85,15 @@
     bounds: Bounds = field(default_factory=Bounds)
 
 
+def node_settings_path(path: str | None = None) -> Path:
+    """Return the path of the settings file, ``path`` if it is given."""
+    return Path(path or os.environ.get(SETTINGS_VARIABLE) or DEFAULT_PATH)
+
+
 def load_node_settings(path: str | None = None) -> NodeSettings:
     """Read the settings file; raises ``NodeSettingsError``."""
-    file_path = path or os.environ.get(SETTINGS_VARIABLE) or DEFAULT_PATH
     try:
-        text = Path(file_path).read_text(encoding="utf-8")
+        text = node_settings_path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise NodeSettingsError(f"cannot read the settings file: {error}") from error
     return parse_node_settings(text)
