Sessions: peers are told of all sessions that a roll-out could move

Cause: messages held the 40 latest sessions, own and others' together, and none served over 5.5 s ago, whatever SessionS is.

--- a/fuchsiaroute/node/_gossip_exchange.py
+++ b/fuchsiaroute/node/_gossip_exchange.py
@@ -66,8 +66,6 @@
 NANOSECONDS_PER_MS = 1_000_000
 #: Age up to which an endpoint counts as down because a peer has seen its crash.
 MAX_NOTICE_AGE = Milliseconds(300)
-#: Age up to which a session is sent again: later messages make up for a lost one.
-MAX_SESSION_AGE = Milliseconds(5_500)
 
 
 _PROGRESS_VALUES = frozenset(item.value for item in Progress)
@@ -221,6 +219,7 @@
                 session_update.session,
                 VersionId(session_update.version),
                 age=Milliseconds(session_update.age),
+                is_own=False,
             )
 
     def _apply_rollouts(self, message: GossipMessage) -> None:
@@ -449,19 +448,19 @@
         services = self._catalog.rollout_orders
         if not any(self._tracker.must_keep_sessions(service) for service in services):
             return []
-        now = self._clock.now()
-        updates: list[SessionUpdate] = []
-        for session, binding in self._tracker.sessions.recent():
-            if len(updates) >= MAX_SESSIONS:
-                break
-            age = Milliseconds(now - binding.served_at)
-            if age > MAX_SESSION_AGE:
-                # Sessions that peers have reported are not in order of their age.
-                continue
+
+        def is_moved_first(session: int) -> bool:
             key = session_key(SessionHash(session))
-            if any(self._tracker.is_in_canary_share(name, key) for name in services):
-                updates.append(SessionUpdate(session, binding.version, age))
-        return updates
+            return any(
+                self._tracker.is_in_canary_share(service, key) for service in services
+            )
+
+        return [
+            SessionUpdate(session, binding.version, self._age(binding.served_at))
+            for session, binding in self._tracker.sessions.take_reports(
+                is_moved_first, limit=MAX_SESSIONS
+            )
+        ]
 
 
 def _record(update: RolloutUpdate) -> RolloutRecord | None:
--- a/fuchsiaroute/staging/_sessions.py
+++ b/fuchsiaroute/staging/_sessions.py
@@ -1,7 +1,8 @@
 """The version that each recent session is bound to."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from heapq import nsmallest
 
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.ids import VersionId
@@ -19,6 +20,10 @@
 
     version: VersionId
     served_at: Milliseconds
+    #: Whether this instance served it.
+    is_own: bool = True
+    #: Number of messages in which peers were told of it.
+    reports: int = 0
 
 
 class SessionVersions:
@@ -41,15 +46,20 @@
         return binding.version
 
     def record_served(
-        self, session: int, version: VersionId, *, age: Milliseconds = Milliseconds(0)
+        self,
+        session: int,
+        version: VersionId,
+        *,
+        age: Milliseconds = Milliseconds(0),
+        is_own: bool = True,
     ) -> None:
-        """Record that a session was served ``age`` milliseconds ago."""
+        """Record that a session was served ``age`` milliseconds ago, here or not."""
         served_at = Milliseconds(self._clock.now() - age)
         binding = self._bindings.get(session)
         if binding is not None and binding.served_at >= served_at:
             return
         self._bindings.pop(session, None)
-        self._bindings[session] = SessionBinding(version, served_at)
+        self._bindings[session] = SessionBinding(version, served_at, is_own)
         self._trim()
 
     def recent(self) -> Iterator[tuple[int, SessionBinding]]:
@@ -59,6 +69,25 @@
             if not self._is_expired(binding):
                 yield session, binding
 
+    def take_reports(
+        self, is_wanted: Callable[[int], bool], *, limit: int
+    ) -> list[tuple[int, SessionBinding]]:
+        """
+        Return up to ``limit`` bound sessions to tell peers of.
+
+        Those that this instance served come before those that it was told of, as peers
+        have no other source; the least reported ones come first, so that none is left
+        out by others for long.
+        """
+        found = nsmallest(
+            limit,
+            (item for item in self.recent() if is_wanted(item[0])),
+            key=lambda item: (not item[1].is_own, item[1].reports, -item[1].served_at),
+        )
+        for _, binding in found:
+            binding.reports += 1
+        return found
+
     def _is_expired(self, binding: SessionBinding) -> bool:
         return self._clock.now() - binding.served_at > self._lifetime
 
--- a/fuchsiaroute/staging/_tracker.py
+++ b/fuchsiaroute/staging/_tracker.py
@@ -258,6 +258,8 @@
         Unproven ones are used by the sessions that are bound to them, and by all if
         there are no accepted ones.
         """
+        if not self.outcomes.of_service(service):
+            return versions
         states = {name: self._state(service, name) for name in versions}
         accepted = {
             name for name, state in states.items() if state is VersionState.ACCEPTED
--- a/fuchsiaroute/staging/tests/test_sessions.py
+++ b/fuchsiaroute/staging/tests/test_sessions.py
@@ -52,3 +52,45 @@
     sessions.record_served(99, NEW)
     assert [session for session, _ in sessions.recent()] == [99]
     assert len(sessions._bindings) == 1
+
+
+def test_sessions_up_to_the_longest_pause_are_reported() -> None:
+    """Guards against a session that changes version at another instance (review/5)."""
+    clock = ManualClock()
+    sessions = SessionVersions(clock=clock, pause=Milliseconds(8_500))
+    sessions.record_served(1, OLD)
+    clock.tick(Milliseconds(8_400))
+    assert [session for session, _ in sessions.take_reports(any_, limit=40)] == [1]
+
+
+def any_(session: int) -> bool:
+    return True
+
+
+@pytest.mark.parametrize("others", [0, 300])
+def test_own_sessions_are_all_reported_soon_among_many(others: int) -> None:
+    """Guards against sessions beyond the latest ones of a message (review/5)."""
+    sessions = SessionVersions(clock=ManualClock(), pause=PAUSE)
+    for session in range(100):
+        sessions.record_served(session, OLD)
+    for session in range(1_000, 1_000 + others):
+        sessions.record_served(session, OLD, is_own=False)
+    told: set[int] = set()
+    for _ in range(3):
+        told |= {name for name, _ in sessions.take_reports(any_, limit=40)}
+    assert told >= set(range(100))
+    assert len(told) <= 120
+
+
+def test_session_that_is_served_again_is_reported_first() -> None:
+    clock = ManualClock()
+    sessions = SessionVersions(clock=clock, pause=PAUSE)
+    for session in range(10):
+        sessions.record_served(session, OLD)
+    sessions.take_reports(any_, limit=10)
+    clock.tick(Milliseconds(100))
+    sessions.record_served(7, NEW)
+    assert [name for name, _ in sessions.take_reports(any_, limit=1)] == [7]
+    assert [
+        name for name, _ in sessions.take_reports(lambda name: name == 3, limit=9)
+    ] == [3]
