Weak answers: notice a crash of their endpoint while a better one is awaited

A crash of its endpoint counted 0.2 s late, or never, against the request; in that time a sound request of the same crashes was quarantined, and the deadly one was sent again (BUDGET).

Change: HeldAnswer watches the connection until the answer is read or dropped. test_crash_under_a_weak_answer_is_noticed_when_it_happens, red since it was written, passes (3 of 3 runs).

--- a/fuchsiaroute/forwarding/_endpoint_client.py
+++ b/fuchsiaroute/forwarding/_endpoint_client.py
@@ -104,6 +104,15 @@
         """Wait until ``read`` does not wait; return whether it will not raise."""
         return await self._connection.wait_readable()
 
+    async def wait_whole(self) -> bool:
+        """Wait until the response has ended, unread; return whether it is whole."""
+        return await self._connection.wait_whole()
+
+    @property
+    def has_body_bytes(self) -> bool:
+        """Return whether a part of the body has arrived."""
+        return self._connection.has_body_bytes
+
     async def read_whole(self, *, limit: int) -> bytes:
         """Return the whole body; raise ``ExchangeError`` above ``limit`` bytes."""
         return (await self._connection.read_whole(limit=limit)).data
--- a/fuchsiaroute/forwarding/_stream_relay.py
+++ b/fuchsiaroute/forwarding/_stream_relay.py
@@ -11,6 +11,7 @@
 from fuchsiaroute.forwarding._endpoint_client import AttemptFailure, OpenResponse
 from fuchsiaroute.forwarding._event_pace import EventPace
 from fuchsiaroute.forwarding._events import EventSplitter, EventTooLongError
+from fuchsiaroute.forwarding._held_answer import HeldAnswer
 from fuchsiaroute.forwarding._model_choice import ModelChoice
 from fuchsiaroute.forwarding._result import (
     CallResult,
@@ -51,7 +52,7 @@
 
     response: OpenResponse
     #: Weak answer to relay if ``response`` ends before its first event.
-    fallback: OpenResponse | None = None
+    fallback: HeldAnswer | None = None
     splitter: EventSplitter = field(default_factory=EventSplitter)
     #: Pace of ``response``.
     pace: EventPace = field(default_factory=EventPace)
@@ -88,32 +89,44 @@
         """Serve ``call``; nothing is sent on ``NO_PLACE`` or ``ATTEMPTS_FAILED``."""
         models = call.route.models
         model = self._choice.first(call.route, self._runner.cascade_times(call))
-        weak_response: OpenResponse | None = None
+        weak_answer: HeldAnswer | None = None
         try:
             while True:
                 result = await self._runner.attempt(
-                    call, model=model, is_escalation=weak_response is not None
+                    call, model=model, is_escalation=weak_answer is not None
                 )
                 if isinstance(result, OpenResponse) and result.is_success:
-                    if weak_response is not None:
-                        return await self._relay(call, result, fallback=weak_response)
+                    if weak_answer is not None:
+                        return await self._relay(call, result, fallback=weak_answer)
                     if not self._should_escalate(call, result):
                         return await self._relay(call, result)
-                    weak_response, model = result, models[-1]
-                elif weak_response is not None and self._may_retry_escalation(
+                    weak_answer, model = self._hold(call, result), models[-1]
+                elif weak_answer is not None and self._may_retry_escalation(
                     call, result
                 ):
                     _discard(result)
-                elif weak_response is not None:
+                elif weak_answer is not None:
                     _discard(result)
-                    return await self._relay(call, weak_response)
+                    return await self._relay(call, weak_answer.take())
                 elif isinstance(result, NoReservation) or not self._may_retry(call):
                     return await self._fail(call, result)
                 else:
                     _discard(result)
         finally:
-            if weak_response is not None:
-                weak_response.close(Outcome.CANCELLED)
+            if weak_answer is not None:
+                weak_answer.drop()
+
+    def _hold(self, call: Call, response: OpenResponse) -> HeldAnswer:
+        """Hold a weak answer back; a crash of its endpoint is noticed meanwhile."""
+
+        async def check_crash(broken: OpenResponse) -> None:
+            await self._runner.check_crash(
+                call,
+                broken.reservation.endpoint,
+                has_event=broken.has_body_bytes,
+            )
+
+        return HeldAnswer(response, on_broken=check_crash)
 
     def _may_retry(self, call: Call) -> bool:
         return self._runner.may_retry(call)
@@ -184,7 +197,7 @@
         call: Call,
         response: OpenResponse,
         *,
-        fallback: OpenResponse | None = None,
+        fallback: HeldAnswer | None = None,
     ) -> CallResult:
         """
         Relay ``response``, or ``fallback`` if ``response`` ends before its first event.
@@ -204,7 +217,7 @@
             self._runner.record_complete_response(call, state.response)
             call.responder.finish()
         elif state.fallback is not None:
-            return await self._relay(call, state.fallback)
+            return await self._relay(call, state.fallback.take())
         elif not call.responder.is_started:
             return CallResult(ending=Ending.ATTEMPTS_FAILED)
         else:
@@ -219,7 +232,7 @@
         head = state.response.head
         call.responder.start(head.status, caller_headers(head.headers))
         if state.fallback is not None:
-            state.fallback.close(Outcome.CANCELLED)
+            state.fallback.drop()
             state.fallback = None
 
     async def _relay_events(self, call: Call, state: _RelayState) -> bool:
--- a/fuchsiaroute/http1/_client.py
+++ b/fuchsiaroute/http1/_client.py
@@ -161,6 +161,18 @@
             await self._arrived.wait()
         return bool(self._chunks) or self._is_complete
 
+    async def wait_whole(self) -> bool:
+        """Wait until the response has ended; return whether it is whole."""
+        while not (self._is_complete or self._error is not None):
+            self._arrived.clear()
+            await self._arrived.wait()
+        return self._is_complete
+
+    @property
+    def has_body_bytes(self) -> bool:
+        """Return whether a part of the body has arrived."""
+        return self._body_bytes > 0
+
     async def read_whole(self, *, limit: int) -> ResponseBody:
         """
         Return the complete response.
