Forwarding: 421 of another endpoint proves that a request has not run

Change: a 421 that names an endpoint other than the expected one comes from a process that runs no such request, whichever it answers. test_send_gate lists the new outcome with the rejections.

--- a/fuchsiaroute/forwarding/_answer_matcher.py
+++ b/fuchsiaroute/forwarding/_answer_matcher.py
@@ -6,6 +6,7 @@
 from fuchsiaroute.clock import Milliseconds
 from fuchsiaroute.forwarding._call import Call
 from fuchsiaroute.http1 import ClientConnection, Headers
+from fuchsiaroute.ids import EndpointId
 from fuchsiaroute.platform import (
     AnswerSubject,
     ResponseFields,
@@ -25,7 +26,9 @@
 
     Endpoints name the request in their answers. One that names none may be an earlier
     one that is written again: on a connection that has carried other requests it is
-    skipped, and a refusal always, as it would allow the request to be sent again.
+    skipped, and a refusal always, as it would allow the request to be sent again. One
+    from another endpoint, which the address belongs to now, is proof all the same: that
+    endpoint runs no request that expects this one.
 
     The request may be running then. If it may run more than once, its connection is
     closed and it may be sent elsewhere. Otherwise the endpoint has some time left for
@@ -35,11 +38,13 @@
     def __init__(
         self,
         call: Call,
+        endpoint: EndpointId,
         connection: ClientConnection,
         *,
         on_unnamed: Callable[[ResponseFields], None],
     ) -> None:
         self._call = call
+        self._endpoint = endpoint
         self._connection = connection
         self._on_unnamed = on_unnamed
         self._is_first = connection.request_count == 0
@@ -57,6 +62,8 @@
         # The next answer could not be told from this one.
         self._connection.refuse_further_requests()
         fields = read_response(status, headers)
+        if fields.misdirected_to not in (None, self._endpoint):
+            return True
         if self._is_first and not fields.is_not_run:
             return True
         self.has_unnamed_refusal |= fields.is_not_run
--- a/fuchsiaroute/forwarding/_endpoint_client.py
+++ b/fuchsiaroute/forwarding/_endpoint_client.py
@@ -207,6 +207,7 @@
         head: ResponseHead | OpenResponse | None = None
         matcher = AnswerMatcher(
             call,
+            endpoint.id,
             connection,
             on_unnamed=lambda fields: self._notices.record(call, endpoint, fields),
         )
--- a/fuchsiaroute/platform/_headers.py
+++ b/fuchsiaroute/platform/_headers.py
@@ -34,6 +34,7 @@
 #: Rejections for want of room in a second, a decimal number, beyond which the endpoint
 #: falls over.
 _REJECTION_TOLERANCE = b"server-brittle"
+_INSTANCE = b"x-instance-id"
 _RETRY_AFTER = b"retry-after"
 _CONTENT_TYPE = b"content-type"
 _EVENT_STREAM = b"text/event-stream"
@@ -108,6 +109,8 @@
     is_signed: bool
     #: Whether the endpoint guarantees that the request has not run and never will.
     is_not_run: bool
+    #: The endpoint that answers 421; None if it does not state its id.
+    misdirected_to: EndpointId | None
     #: The model's confidence in its answer, from 0 to 1; None if it states none.
     confidence: float | None
     #: Whether the body is a series of events; None if its type is not stated.
@@ -226,6 +229,7 @@
         request_id=find_header(headers, _REQUEST_ID),
         is_signed=find_header(headers, _SIGNATURE) is not None,
         is_not_run=is_misdirected or find_header(headers, _NOT_RUN) is not None,
+        misdirected_to=_misdirected_to(headers) if is_misdirected else None,
         confidence=confidence,
         is_event_stream=_is_event_stream(find_header(headers, _CONTENT_TYPE)),
         is_leaving=leaving is not None and leaving.strip() == _IS_LEAVING,
@@ -275,6 +279,11 @@
     return [(b"X-Request-Id", request_id.encode("latin-1"))]
 
 
+def _misdirected_to(headers: Headers) -> EndpointId | None:
+    found = find_header(headers, _INSTANCE)
+    return EndpointId(found.decode("latin-1")) if found is not None else None
+
+
 def _is_event_stream(content_type: bytes | None) -> bool | None:
     if content_type is None:
         return None
--- a/fuchsiaroute/pool/tests/test_send_gate.py
+++ b/fuchsiaroute/pool/tests/test_send_gate.py
@@ -90,6 +90,7 @@
     first.finish(outcome)
     keeps_place = outcome not in (
         Outcome.REFUSED_FULL,
+        Outcome.REFUSED_UNNAMED,
         Outcome.SILENT,
         Outcome.CANCELLED,
     )
