Test of running requests: wait for the lost store after its address changed

The test waited for a revision that only the watch at the former address could bring. Such watches end with the change now, as the former address may never answer them; what is waited for instead is that both feeds have noticed that nothing answers at the new address.

--- a/fuchsiaroute/platform/tests/test_running_requests.py
+++ b/fuchsiaroute/platform/tests/test_running_requests.py
@@ -125,9 +125,12 @@
         await endpoint.is_running.wait()
         change(harness)
         position = store_position(store.era or 0, store.counter)
-        await harness.until(
-            lambda: any((feed.revision or 0) >= position for feed in feeds)
-        )
+        if change is reload:
+            await harness.until(lambda: all(feed.unreachable_for() for feed in feeds))
+        else:
+            await harness.until(
+                lambda: any((feed.revision or 0) >= position for feed in feeds)
+            )
         if change is withdraw:
             await harness.until(lambda: endpoint.id not in parts.pool)
         await asyncio.sleep(EFFECT_SECONDS)
