--- /dev/null
+++ b/fuchsiaroute/forwarding/_relay_state.py
@@ -0,0 +1,47 @@
+"""State of an event stream that is being relayed, over all its responses."""
+
+from dataclasses import dataclass, field
+
+from fuchsiaroute.forwarding._endpoint_client import OpenResponse
+from fuchsiaroute.forwarding._event_pace import EventPace
+from fuchsiaroute.forwarding._events import EventSplitter
+from fuchsiaroute.forwarding._held_answer import HeldAnswer
+from fuchsiaroute.platform import EventId
+
+#: Reasons in the log for streams whose end, however it is marked, is not one.
+_INSIDE_EVENT = "the stream ended inside an event"
+_BEFORE_EVENT = "the stream ended before an event that had begun elsewhere"
+_WITHOUT_EVENT = "the rest of the stream has neither an event nor the type of one"
+
+
+@dataclass(slots=True)
+class RelayState:
+    """State of a stream that is being relayed."""
+
+    response: OpenResponse
+    #: Weak answer to relay if ``response`` ends before its first event.
+    fallback: HeldAnswer | None = None
+    splitter: EventSplitter = field(default_factory=EventSplitter)
+    #: Pace of ``response``.
+    pace: EventPace = field(default_factory=EventPace)
+    #: Whether ``response`` has delivered an event.
+    has_event: bool = False
+    #: Whether a former response broke off inside the next event.
+    is_event_missing: bool = False
+    resumptions: int = 0
+
+
+def early_end(state: RelayState) -> str | None:
+    """Return why the end of a response is not that of the stream; None if it is."""
+    if state.splitter.has_incomplete:
+        return _INSIDE_EVENT
+    if state.is_event_missing:
+        return _BEFORE_EVENT
+    is_stream = state.has_event or state.response.fields.is_event_stream
+    return None if is_stream or not state.resumptions else _WITHOUT_EVENT
+
+
+def last_event_id(state: RelayState) -> EventId | None:
+    """Return the id of the last event that was relayed."""
+    last_id = state.splitter.last_id
+    return EventId(last_id.decode("latin-1")) if last_id else None
--- a/fuchsiaroute/forwarding/_stream_relay.py
+++ b/fuchsiaroute/forwarding/_stream_relay.py
@@ -1,7 +1,6 @@
 """Relaying of event streams, with escalation and resumption."""
 
 import asyncio
-from dataclasses import dataclass, field
 
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.confidence import Answer, ConfidenceUnknown, is_weak
@@ -10,9 +9,14 @@
 from fuchsiaroute.forwarding._call import Call
 from fuchsiaroute.forwarding._endpoint_client import AttemptFailure, OpenResponse
 from fuchsiaroute.forwarding._event_pace import EventPace
-from fuchsiaroute.forwarding._events import EventSplitter, EventTooLongError
+from fuchsiaroute.forwarding._events import EventTooLongError
 from fuchsiaroute.forwarding._held_answer import HeldAnswer
 from fuchsiaroute.forwarding._model_choice import ModelChoice
+from fuchsiaroute.forwarding._relay_state import (
+    RelayState,
+    early_end,
+    last_event_id,
+)
 from fuchsiaroute.forwarding._result import (
     CallResult,
     Ending,
@@ -24,7 +28,7 @@
 from fuchsiaroute.ids import ModelId
 from fuchsiaroute.lifecycle import Outcome
 from fuchsiaroute.linelog import LineLog
-from fuchsiaroute.platform import EventId, caller_headers
+from fuchsiaroute.platform import caller_headers
 from fuchsiaroute.verdict import Verdict
 
 #: Confidence below which the largest model is asked instead.
@@ -38,31 +42,10 @@
 #: Interval between two attempts to get an endpoint for the rest of a stream.
 RESUME_RETRY_INTERVAL = Milliseconds(50)
 MILLISECONDS_PER_SECOND = 1_000
-#: Reason in the log for a stream whose end, however it is marked, is not one.
-_INSIDE_EVENT = "the stream ended inside an event"
-_BEFORE_EVENT = "the stream ended before an event that had begun elsewhere"
-_WITHOUT_EVENT = "the rest of the stream has neither an event nor the type of one"
 #: Reason in the log for giving up a stream without data.
 _SILENCE = "silence"
 
 
-@dataclass(slots=True)
-class _RelayState:
-    """State of a stream that is being relayed."""
-
-    response: OpenResponse
-    #: Weak answer to relay if ``response`` ends before its first event.
-    fallback: HeldAnswer | None = None
-    splitter: EventSplitter = field(default_factory=EventSplitter)
-    #: Pace of ``response``.
-    pace: EventPace = field(default_factory=EventPace)
-    #: Whether ``response`` has delivered an event.
-    has_event: bool = False
-    #: Whether a former response broke off inside the next event.
-    is_event_missing: bool = False
-    resumptions: int = 0
-
-
 class StreamRelay:
     """
     Relays events as they arrive.
@@ -190,7 +173,7 @@
             result.close(outcome)
         headers = caller_headers(result.head.headers)
         call.responder.send(result.head.status, headers, body)
-        return self._result(call, _RelayState(result), Ending.ANSWERED, False)
+        return self._result(call, RelayState(result), Ending.ANSWERED, False)
 
     async def _relay(
         self,
@@ -204,7 +187,7 @@
 
         ``fallback`` is the weak answer that ``response`` replaces.
         """
-        state = _RelayState(response, fallback=fallback)
+        state = RelayState(response, fallback=fallback)
         ending = Ending.BROKEN_OFF
         outcome = Outcome.CANCELLED
         try:
@@ -224,7 +207,7 @@
             call.responder.abort()
         return self._result(call, state, ending, is_escalated=fallback is not None)
 
-    def _start(self, call: Call, state: _RelayState) -> None:
+    def _start(self, call: Call, state: RelayState) -> None:
         """Send the response head, unless it has been sent."""
         if call.responder.is_started:
             return
@@ -235,7 +218,7 @@
             state.fallback.drop()
             state.fallback = None
 
-    async def _relay_events(self, call: Call, state: _RelayState) -> bool:
+    async def _relay_events(self, call: Call, state: RelayState) -> bool:
         """Relay the stream; return whether it reached its end."""
         responder = call.responder
         while True:
@@ -267,7 +250,7 @@
                 responder.write(complete)
                 await responder.drain()
 
-    async def _end(self, call: Call, state: _RelayState) -> bool | None:
+    async def _end(self, call: Call, state: RelayState) -> bool | None:
         """
         Handle the end of a response; return whether it is that of the stream.
 
@@ -276,13 +259,13 @@
         if state.fallback is not None:
             # The weak answer is better than one without an event.
             return False
-        early_end = _early_end(state)
-        if early_end is None:
+        reason = early_end(state)
+        if reason is None:
             self._start(call, state)
             return True
-        return None if await self._replace_broken(call, state, early_end) else False
+        return None if await self._replace_broken(call, state, reason) else False
 
-    def _record_events(self, call: Call, state: _RelayState, count: int) -> None:
+    def _record_events(self, call: Call, state: RelayState, count: int) -> None:
         if not state.has_event:
             state.has_event = True
             state.is_event_missing = False
@@ -291,30 +274,28 @@
         if state.pace.is_known:
             self._record_pace(call, state)
 
-    def _record_pace(self, call: Call, state: _RelayState) -> None:
+    def _record_pace(self, call: Call, state: RelayState) -> None:
         """Record the pace of the stream's present response, once."""
         pace = state.pace.take()
         if pace is not None:
             self._runner.record_pace(call, state.response, pace)
 
     def _give_up(
-        self, call: Call, state: _RelayState, outcome: Outcome, reason: str
+        self, call: Call, state: RelayState, outcome: Outcome, reason: str
     ) -> None:
         """End the stream's run at its endpoint."""
         self._record_pace(call, state)
         self._runner.record_broken_response(call, state.response, reason)
         state.response.close(outcome)
 
-    async def _replace_broken(
-        self, call: Call, state: _RelayState, reason: str
-    ) -> bool:
+    async def _replace_broken(self, call: Call, state: RelayState, reason: str) -> bool:
         """Resume a stream that broke off; return whether it succeeded."""
         self._give_up(call, state, Outcome.TRUNCATED, reason)
         endpoint = state.response.reservation.endpoint
         await self._runner.check_crash(call, endpoint, has_event=state.has_event)
         return await self._resume(call, state, reason)
 
-    async def _replace_silent(self, call: Call, state: _RelayState) -> bool:
+    async def _replace_silent(self, call: Call, state: RelayState) -> bool:
         """
         Resume a silent stream at another endpoint if one goes on with it.
 
@@ -329,7 +310,7 @@
             state.response.reservation,
             goes_on=state.response.wait_readable(),
             model=state.response.model,
-            resume_after=_last_event_id(state),
+            resume_after=last_event_id(state),
             is_resumption=True,
             silence=Milliseconds(round(self._idle_limit(call))),
             give_up=lambda: self._give_up(call, state, Outcome.SILENT, _SILENCE),
@@ -341,14 +322,14 @@
             return True
         return await self._resume(call, state, _SILENCE)
 
-    async def _resume(self, call: Call, state: _RelayState, reason: str) -> bool:
+    async def _resume(self, call: Call, state: RelayState, reason: str) -> bool:
         """Resume a stream that was given up; return whether it succeeded."""
         model = state.response.model
         while call.route.is_resumable and self._runner.may_retry(call):
             result = await self._runner.attempt(
                 call,
                 model=model,
-                resume_after=_last_event_id(state),
+                resume_after=last_event_id(state),
                 is_resumption=True,
             )
             if isinstance(result, NoReservation):
@@ -365,7 +346,7 @@
         return False
 
     def _continue_with(
-        self, call: Call, state: _RelayState, response: OpenResponse, reason: str
+        self, call: Call, state: RelayState, response: OpenResponse, reason: str
     ) -> None:
         """Relay the rest of the stream from ``response``."""
         state.response = response
@@ -378,7 +359,7 @@
             "request:resumed",
             request=call.request_id,
             endpoint=response.reservation.endpoint.id,
-            after=_last_event_id(state),
+            after=last_event_id(state),
             reason=reason,
         )
 
@@ -394,7 +375,7 @@
         return call.route.max_event_gap * IDLE_TIMEOUT_SHARE
 
     def _result(
-        self, call: Call, state: _RelayState, ending: Ending, is_escalated: bool
+        self, call: Call, state: RelayState, ending: Ending, is_escalated: bool
     ) -> CallResult:
         response = state.response
         model: ModelId | None = response.model
@@ -409,22 +390,6 @@
         )
 
 
-def _early_end(state: _RelayState) -> str | None:
-    """Return why the end of a response is not that of the stream; None if it is."""
-    if state.splitter.has_incomplete:
-        return _INSIDE_EVENT
-    if state.is_event_missing:
-        return _BEFORE_EVENT
-    is_stream = state.has_event or state.response.fields.is_event_stream
-    return None if is_stream or not state.resumptions else _WITHOUT_EVENT
-
-
-def _last_event_id(state: _RelayState) -> EventId | None:
-    """Return the id of the last event that was relayed."""
-    last_id = state.splitter.last_id
-    return EventId(last_id.decode("latin-1")) if last_id else None
-
-
 def _discard(result: OpenResponse | AttemptFailure | NoReservation) -> None:
     """Close a response that is not relayed."""
     if isinstance(result, OpenResponse):
--- a/fuchsiaroute/node/_gossip_exchange.py
+++ b/fuchsiaroute/node/_gossip_exchange.py
@@ -17,24 +17,18 @@
     PromptCrash,
     PromptPartUpdate,
     RelayedRow,
-    RolloutEvidence,
-    RolloutUpdate,
-    SessionUpdate,
     TableRequest,
     TableUpdate,
-    VersionOutcome,
 )
 from fuchsiaroute.ids import (
     EndpointId,
     InstanceId,
-    RequestClass,
-    ServiceId,
-    VersionId,
 )
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.node._peer_tunnels import tunnel_port
 from fuchsiaroute.node._permit_exchange import PermitExchange
 from fuchsiaroute.node._place_exchange import PlaceExchange
+from fuchsiaroute.node._rollout_exchange import RolloutExchange
 from fuchsiaroute.platform import NodeSettings, Row, Rows
 from fuchsiaroute.pool import EndpointPool, Load
 from fuchsiaroute.quarantine import (
@@ -44,23 +38,13 @@
     SubjectKey,
     SubjectReport,
 )
-from fuchsiaroute.sequential import Evidence
 from fuchsiaroute.staging import (
-    Outcome,
-    Progress,
-    RolloutRecord,
     RolloutTracker,
-    SessionHash,
-    session_key,
 )
 from fuchsiaroute.store import StorePosition
 
-#: Maximum number of sessions and of heartbeats in a message, which must fit into a
-#: datagram.
-MAX_SESSIONS = 40
+#: Maximum number of heartbeats in a message, which must fit into a datagram.
 MAX_HEARTBEATS = 40
-#: Maximum number of outcomes in a message; the latest orders decide.
-MAX_OUTCOMES = 40
 #: Rounds after which learned latencies are sent again; they change slowly.
 LATENCY_ROUNDS = 8
 NANOSECONDS_PER_MS = 1_000_000
@@ -68,9 +52,6 @@
 MAX_NOTICE_AGE = Milliseconds(300)
 
 
-_PROGRESS_VALUES = frozenset(item.value for item in Progress)
-
-
 class GossipExchange:
     """Composes this instance's messages and applies those of other instances."""
 
@@ -95,7 +76,9 @@
         self._settings = settings
         self._catalog = catalog
         self._pool = pool
-        self._tracker = tracker
+        self._rollouts = RolloutExchange(
+            tracker=tracker, orders=catalog.rollout_orders, clock=clock
+        )
         self._liveness = liveness
         self._feeds = feeds
         self._is_ready = is_ready
@@ -133,23 +116,10 @@
             revisions={
                 name: feed.newest_revision for name, feed in self._feeds.items()
             },
-            rollouts=[
-                RolloutUpdate(
-                    record.service,
-                    record.target,
-                    record.order,
-                    record.progress.value,
-                    record.started,
-                    record.attempt,
-                )
-                for record in self._tracker.records()
-            ],
-            evidence=self._evidence(),
-            suspended=[
-                (str(service), revision)
-                for service, revision in self._tracker.suspended()
-            ],
-            sessions=self._session_updates(),
+            rollouts=self._rollouts.records(),
+            evidence=self._rollouts.evidence(),
+            suspended=self._rollouts.suspended(),
+            sessions=self._rollouts.sessions(),
             answer_ages={
                 name: age
                 for name in self._feeds
@@ -176,7 +146,7 @@
             tunnel_port=tunnel_port(settings),
             is_cut=self._is_cut(),
             brittle=self._places.notice_updates(),
-            outcomes=self._outcomes(),
+            outcomes=self._rollouts.outcomes(),
             addition=LATEST_ADDITION,
         )
 
@@ -192,7 +162,7 @@
             feed = self._feeds.get(name)
             if feed is not None:
                 feed.hint(StorePosition(revision))
-        self._apply_rollouts(message)
+        self._rollouts.apply(message)
         now = self._clock.now()
         for name, age in message.answer_ages.items():
             answered_at = Milliseconds(now - age)
@@ -214,39 +184,6 @@
             )
             for item in message.latencies
         )
-        for session_update in message.sessions:
-            self._tracker.sessions.record_served(
-                session_update.session,
-                VersionId(session_update.version),
-                age=Milliseconds(session_update.age),
-                is_own=False,
-            )
-
-    def _apply_rollouts(self, message: GossipMessage) -> None:
-        # Outcomes state whether they are stored, which records leave open.
-        for outcome in message.outcomes:
-            if outcome.progress in _PROGRESS_VALUES:
-                self._tracker.apply_outcome(
-                    ServiceId(outcome.service),
-                    VersionId(outcome.version),
-                    Outcome(
-                        order=outcome.order,
-                        progress=Progress(outcome.progress),
-                        attempt=outcome.attempt,
-                        stored_era=outcome.stored_era,
-                    ),
-                    source=message.instance,
-                )
-        for rollout in message.rollouts:
-            record = _record(rollout)
-            if record is not None:
-                self._tracker.apply_record(record, source=message.instance)
-        for item in message.evidence:
-            self._apply_evidence(InstanceId(message.instance), item)
-        for service, revision in message.suspended:
-            trial = self._tracker.trial(ServiceId(service), revision)
-            if trial is not None:
-                self._tracker.suspend(trial, source=message.instance)
 
     def _apply_crash_evidence(self, message: GossipMessage) -> None:
         for answered in message.answered_parts:
@@ -392,86 +329,3 @@
         if alive is not self._alive:
             self._alive = alive
             self._pool.keep_peers(item.instance for item in alive)
-
-    def _evidence(self) -> list[RolloutEvidence]:
-        items = []
-        for order in self._tracker.all_trials():
-            if not self._tracker.is_running(order):
-                continue
-            for name, evidence in self._tracker.counts(order).own().items():
-                items.append(
-                    RolloutEvidence(
-                        order.service,
-                        order.revision,
-                        name,
-                        evidence.target_ratings,
-                        evidence.target_bad,
-                        evidence.base_ratings,
-                        evidence.base_bad,
-                    )
-                )
-        return items
-
-    def _outcomes(self) -> list[VersionOutcome]:
-        latest = sorted(
-            self._tracker.outcomes, key=lambda item: item[2].sort_key, reverse=True
-        )
-        return [
-            VersionOutcome(
-                service,
-                version,
-                outcome.order,
-                outcome.progress.value,
-                outcome.stored_era,
-                outcome.attempt,
-            )
-            for service, version, outcome in latest[:MAX_OUTCOMES]
-        ]
-
-    def _apply_evidence(self, instance: InstanceId, item: RolloutEvidence) -> None:
-        order = self._tracker.trial(ServiceId(item.service), item.order)
-        if order is None:
-            return
-        evidence = Evidence(
-            target_ratings=item.target_ratings,
-            target_bad=item.target_bad,
-            base_ratings=item.base_ratings,
-            base_bad=item.base_bad,
-        )
-        self._tracker.counts(order).merge(
-            instance, RequestClass(item.request_class), evidence
-        )
-        if item.target_bad:
-            self._tracker.evaluate(order)
-
-    def _session_updates(self) -> list[SessionUpdate]:
-        services = self._catalog.rollout_orders
-        if not any(self._tracker.must_keep_sessions(service) for service in services):
-            return []
-
-        def is_moved_first(session: int) -> bool:
-            key = session_key(SessionHash(session))
-            return any(
-                self._tracker.is_in_canary_share(service, key) for service in services
-            )
-
-        return [
-            SessionUpdate(session, binding.version, self._age(binding.served_at))
-            for session, binding in self._tracker.sessions.take_reports(
-                is_moved_first, limit=MAX_SESSIONS
-            )
-        ]
-
-
-def _record(update: RolloutUpdate) -> RolloutRecord | None:
-    """Return the record in ``update``; None if its progress is not known here."""
-    if update.progress not in _PROGRESS_VALUES:
-        return None
-    return RolloutRecord(
-        service=ServiceId(update.service),
-        target=VersionId(update.target),
-        order=update.order,
-        progress=Progress(update.progress),
-        started=Milliseconds(update.started),
-        attempt=update.attempt,
-    )
--- a/fuchsiaroute/staging/__init__.py
+++ b/fuchsiaroute/staging/__init__.py
@@ -6,7 +6,7 @@
 from fuchsiaroute.staging._outcomes import Outcome
 from fuchsiaroute.staging._records import Progress, RolloutRecord
 from fuchsiaroute.staging._schedule import share_of_sessions
-from fuchsiaroute.staging._sessions import SessionVersions
+from fuchsiaroute.staging._sessions import SessionBinding, SessionVersions
 from fuchsiaroute.staging._tracker import (
     RolloutTracker,
     SessionHash,
@@ -21,6 +21,7 @@
     "RolloutDriver",
     "RolloutRecord",
     "RolloutTracker",
+    "SessionBinding",
     "SessionHash",
     "SessionVersions",
     "session_key",
--- a/fuchsiaroute/staging/_tracker.py
+++ b/fuchsiaroute/staging/_tracker.py
@@ -1,7 +1,6 @@
 """Decides which versions of a service a request may use during a roll-out."""
 
 from collections.abc import Callable, Iterator, Mapping
-from enum import Enum
 from typing import NewType
 
 from fuchsiaroute.clock import Clock, Milliseconds
@@ -12,6 +11,7 @@
 from fuchsiaroute.staging._counts import RolloutCounts
 from fuchsiaroute.staging._elapsed import ElapsedTimes
 from fuchsiaroute.staging._outcomes import Outcome, RolloutOutcomes
+from fuchsiaroute.staging._record_book import RecordBook
 from fuchsiaroute.staging._records import Progress, RolloutRecord
 from fuchsiaroute.staging._schedule import (
     CANARY_PART,
@@ -22,7 +22,8 @@
     stage_index,
 )
 from fuchsiaroute.staging._sessions import SessionVersions
-from fuchsiaroute.store import era_of, version_of
+from fuchsiaroute.staging._version_states import VersionState, VersionStates
+from fuchsiaroute.store import era_of
 
 #: Hash of a session's key; equal at all instances.
 SessionHash = NewType("SessionHash", int)
@@ -33,24 +34,6 @@
     return UnitKey(session.to_bytes(8, "big"))
 
 
-class VersionState(Enum):
-    """What former roll-outs say of a version that is not the target of the order."""
-
-    #: It was completed, or never ordered.
-    ACCEPTED = "accepted"
-    #: Its roll-out was interrupted: another order came, or the order was removed.
-    UNPROVEN = "unproven"
-    #: It was found to be bad. Only a roll-out of it may send requests there.
-    REJECTED = "rejected"
-
-
-_STATES = {
-    Progress.RUNNING: VersionState.UNPROVEN,
-    Progress.COMPLETED: VersionState.ACCEPTED,
-    Progress.ROLLED_BACK: VersionState.REJECTED,
-}
-
-
 class RolloutTracker:
     """
     Decides the versions of each request from orders, records and sessions.
@@ -75,30 +58,25 @@
         self._orders = orders
         self._log = log
         self._canary_share = canary_share
-        self._records: dict[ServiceId, RolloutRecord] = {}
+        self._records = RecordBook(orders)
         self._counts: dict[tuple[ServiceId, int], RolloutCounts] = {}
         self._suspended: set[tuple[ServiceId, int]] = set()
-        #: Revision under which an order was first read, by its later revisions.
-        self._first_revisions: dict[tuple[ServiceId, int], int] = {}
         self._times = ElapsedTimes(
             clock=clock, store_now=store_now, store_era=store_era
         )
         #: What the roll-outs of all versions came to, former ones included.
         self.outcomes = RolloutOutcomes()
+        self._states = VersionStates(self.outcomes, is_suspended=self.is_suspended)
         #: Versions that sessions are bound to.
         self.sessions = SessionVersions(clock=clock, pause=session_pause)
 
     def record(self, service: ServiceId) -> RolloutRecord | None:
         """Return the record of the current order; None if it has not started."""
-        order = self._orders.get(service)
-        record = self._records.get(service)
-        if order is None or record is None or not self._belongs_to(record, order):
-            return None
-        return record
+        return self._records.get(service)
 
     def records(self) -> list[RolloutRecord]:
         """Return the latest record of each service, for the other instances."""
-        return list(self._records.values())
+        return self._records.latest()
 
     def apply_record(self, record: RolloutRecord, *, source: str) -> None:
         """Store a record unless a newer one is held."""
@@ -109,10 +87,8 @@
                 order=record.order, progress=record.progress, attempt=record.attempt
             ),
         )
-        known = self._records.get(record.service)
-        if known is not None and self._sort_key(known) >= self._sort_key(record):
+        if not self._records.apply(record):
             return
-        self._records[record.service] = record
         self._log.write(
             "rollout:progress",
             service=record.service,
@@ -162,53 +138,21 @@
 
     def begin_order(self, order: RolloutOrder) -> None:
         """Record that an order is none that was known in a former era."""
-        key = (order.service, order.revision)
-        self._first_revisions[key] = order.revision
+        self._records.begin_order(order)
 
     def continue_order(self, former: RolloutOrder, order: RolloutOrder) -> None:
         """Keep the state of ``former`` for the same order in a later era."""
         old = (former.service, former.revision)
         new = (order.service, order.revision)
-        self._first_revisions[new] = self._first_revision(*old)
+        self._records.continue_order(former, order)
         if old in self._suspended:
             self._suspended.add(new)
         if old in self._counts:
             self._counts[new] = self._counts.pop(old)
 
-    def _first_revision(self, service: ServiceId, revision: int) -> int:
-        """Return the revision under which an order was first read here."""
-        return self._first_revisions.get((service, revision), revision)
-
-    def _belongs_to(self, record: RolloutRecord, order: RolloutOrder) -> bool:
-        """
-        Return whether ``record`` is the state of ``order``.
-
-        An order that is read again in another era of the store has another position
-        there, and its record may not have been written again yet. A process that has
-        not seen the order's beginning goes by the versions within the eras: an order
-        that operators wrote after the restore has a higher one than a record that the
-        copy holds.
-        """
-        if era_of(record.order) == era_of(order.revision):
-            return record.order == order.revision
-        if record.target != order.target:
-            return False
-        first = self._first_revisions.get((order.service, order.revision))
-        if first is None:
-            return version_of(order.revision) <= version_of(record.order)
-        return first == self._first_revision(record.service, record.order)
-
-    def _sort_key(self, record: RolloutRecord) -> tuple[int, int, int, int]:
-        """Return a key by which a newer record sorts after an older one."""
-        order = self._orders.get(record.service)
-        position = record.order
-        if order is not None and self._belongs_to(record, order):
-            position = order.revision
-        return position, record.progress.value, record.order, record.attempt
-
     def elapsed(self, record: RolloutRecord) -> Milliseconds:
         """Return the time since a roll-out started; 0 without the store's clock."""
-        first = self._first_revision(record.service, record.order)
+        first = self._records.first_revision(record.service, record.order)
         return self._times.get(
             (record.service, first), started=record.started, era=era_of(record.order)
         )
@@ -229,10 +173,10 @@
         bound = self.sessions.version(session) if session is not None else None
         order = self._orders.get(service)
         if order is None:
-            usable = self._usable(service, present, bound)
+            usable = self._states.usable(service, present, bound=bound)
             return None if usable == present else usable
         target = frozenset({order.target}) & present
-        base = self._usable(service, present - target, bound)
+        base = self._states.usable(service, present - target, bound=bound)
         record = self.record(service)
         if record is not None and record.progress is Progress.COMPLETED:
             return target or (None if base == present else base)
@@ -246,46 +190,11 @@
             return target or base
         return target if self._is_moved(order, record, bound, key) else base
 
-    def _usable(
-        self,
-        service: ServiceId,
-        versions: frozenset[VersionId],
-        bound: VersionId | None,
-    ) -> frozenset[VersionId]:
-        """
-        Return those of ``versions`` that former roll-outs leave usable.
-
-        Unproven ones are used by the sessions that are bound to them, and by all if
-        there are no accepted ones.
-        """
-        if not self.outcomes.of_service(service):
-            return versions
-        states = {name: self._state(service, name) for name in versions}
-        accepted = {
-            name for name, state in states.items() if state is VersionState.ACCEPTED
-        }
-        unproven = {
-            name for name, state in states.items() if state is VersionState.UNPROVEN
-        }
-        if bound in unproven:
-            return frozenset({bound})
-        return frozenset(accepted or unproven)
-
-    def _state(self, service: ServiceId, version: VersionId) -> VersionState:
-        """Return what former roll-outs say of a version."""
-        outcome = self.outcomes.get(service, version)
-        if outcome is None:
-            return VersionState.ACCEPTED
-        is_running = outcome.progress is Progress.RUNNING
-        if is_running and self.is_suspended(service, outcome.order):
-            return VersionState.REJECTED
-        return _STATES[outcome.progress]
-
     def is_base(self, service: ServiceId, version: VersionId) -> bool:
         """Return whether a version is one that a roll-out's target is compared with."""
         order = self._orders.get(service)
         if order is None or version != order.target:
-            return self._state(service, version) is VersionState.ACCEPTED
+            return self._states.get(service, version) is VersionState.ACCEPTED
         record = self.record(service)
         return record is not None and record.progress is Progress.COMPLETED
 
