--- a/fuchsiaroute/staging/_tracker.py
+++ b/fuchsiaroute/staging/_tracker.py
@@ -226,6 +226,8 @@
         is_bad: bool,
     ) -> None:
         """Count an answer as evidence on the targets of the service's trials."""
+        if service not in self._orders and not self.outcomes.of_service(service):
+            return
         is_base = self.is_base(service, version)
         for trial in list(self.trials(service)):
             is_target = version == trial.target
