--- a/fuchsiaroute/staging/_tracker.py
+++ b/fuchsiaroute/staging/_tracker.py
@@ -22,7 +22,7 @@
     stage_index,
 )
 from fuchsiaroute.staging._sessions import SessionVersions
-from fuchsiaroute.staging._version_states import VersionState, VersionStates
+from fuchsiaroute.staging._version_standings import Standing, VersionStandings
 from fuchsiaroute.store import era_of
 
 #: Hash of a session's key; equal at all instances.
@@ -66,7 +66,9 @@
         )
         #: What the roll-outs of all versions came to, former ones included.
         self.outcomes = RolloutOutcomes()
-        self._states = VersionStates(self.outcomes, is_suspended=self.is_suspended)
+        self._standings = VersionStandings(
+            self.outcomes, is_suspended=self.is_suspended
+        )
         #: Versions that sessions are bound to.
         self.sessions = SessionVersions(clock=clock, pause=session_pause)
 
@@ -173,10 +175,10 @@
         bound = self.sessions.version(session) if session is not None else None
         order = self._orders.get(service)
         if order is None:
-            usable = self._states.usable(service, present, bound=bound)
+            usable = self._standings.usable(service, present, bound=bound)
             return None if usable == present else usable
         target = frozenset({order.target}) & present
-        base = self._states.usable(service, present - target, bound=bound)
+        base = self._standings.usable(service, present - target, bound=bound)
         record = self.record(service)
         if record is not None and record.progress is Progress.COMPLETED:
             return target or (None if base == present else base)
@@ -194,7 +196,7 @@
         """Return whether a version is one that a roll-out's target is compared with."""
         order = self._orders.get(service)
         if order is None or version != order.target:
-            return self._states.get(service, version) is VersionState.ACCEPTED
+            return self._standings.get(service, version) is Standing.ACCEPTED
         record = self.record(service)
         return record is not None and record.progress is Progress.COMPLETED
 
--- a/fuchsiaroute/staging/_version_states.py
+++ b/fuchsiaroute/staging/_version_standings.py
@@ -1,4 +1,4 @@
-"""What former roll-outs say of versions that are not the target of the order."""
+"""Standings of versions that are not the target of the order in force."""
 
 from collections.abc import Callable
 from enum import Enum
@@ -8,8 +8,8 @@
 from fuchsiaroute.staging._records import Progress
 
 
-class VersionState(Enum):
-    """What the latest roll-out of a version says of it."""
+class Standing(Enum):
+    """What a version may be used for, by its latest roll-out."""
 
     #: It was completed, or never ordered.
     ACCEPTED = "accepted"
@@ -19,16 +19,16 @@
     REJECTED = "rejected"
 
 
-_STATES = {
-    Progress.RUNNING: VersionState.UNPROVEN,
-    Progress.COMPLETED: VersionState.ACCEPTED,
-    Progress.ROLLED_BACK: VersionState.REJECTED,
+_STANDINGS = {
+    Progress.RUNNING: Standing.UNPROVEN,
+    Progress.COMPLETED: Standing.ACCEPTED,
+    Progress.ROLLED_BACK: Standing.REJECTED,
 }
 
 
-class VersionStates:
+class VersionStandings:
     """
-    States of versions by the outcomes of their roll-outs.
+    Standings of versions by the outcomes of their roll-outs.
 
     ``is_suspended(service, order)`` returns whether the evidence of this or another
     instance has stopped the roll-out of an order.
@@ -43,15 +43,15 @@
         self._outcomes = outcomes
         self._is_suspended = is_suspended
 
-    def get(self, service: ServiceId, version: VersionId) -> VersionState:
-        """Return the state of a version."""
+    def get(self, service: ServiceId, version: VersionId) -> Standing:
+        """Return the standing of a version."""
         outcome = self._outcomes.get(service, version)
         if outcome is None:
-            return VersionState.ACCEPTED
+            return Standing.ACCEPTED
         is_running = outcome.progress is Progress.RUNNING
         if is_running and self._is_suspended(service, outcome.order):
-            return VersionState.REJECTED
-        return _STATES[outcome.progress]
+            return Standing.REJECTED
+        return _STANDINGS[outcome.progress]
 
     def usable(
         self,
@@ -68,12 +68,12 @@
         """
         if not self._outcomes.of_service(service):
             return versions
-        states = {name: self.get(service, name) for name in versions}
+        standings = {name: self.get(service, name) for name in versions}
         accepted = {
-            name for name, state in states.items() if state is VersionState.ACCEPTED
+            name for name, found in standings.items() if found is Standing.ACCEPTED
         }
         unproven = {
-            name for name, state in states.items() if state is VersionState.UNPROVEN
+            name for name, found in standings.items() if found is Standing.UNPROVEN
         }
         if bound in unproven:
             return frozenset({bound})
