Test of a version ordered again after a restore: wait for the answer of the write

The test read the record as soon as the store held the write.

The state of the instance's record is checked too, so that the test asks for more than before.

--- a/fuchsiaroute/platform/tests/test_store_restore.py
+++ b/fuchsiaroute/platform/tests/test_store_restore.py
@@ -9,6 +9,7 @@
 from fuchsiaroute.platform import Address, HistoryGone, PlatformStore, Table
 from fuchsiaroute.platform.tests.node_harness import CONFIGURATION, NodeHarness
 from fuchsiaroute.platform.tests.standin import Endpoint, Store
+from fuchsiaroute.staging import Progress
 from fuchsiaroute.store import (
     Check,
     Committed,
@@ -341,4 +342,7 @@
         await harness.until(
             lambda: harness.store.value("rollouts", "app")["progress"] == "RUNNING"
         )
+        # The store applies the write before its answer arrives.
+        await harness.until(lambda: parts.tracker.record("app") is not None)
+        assert parts.tracker.record("app").progress is Progress.RUNNING
         assert parts.tracker.record("app").attempt == 1
