Places: the return of a recalled place is reported again

Cause: an issuer that lowers an allowance to nothing waits for the report that the last request has ended. If that datagram was lost, it went on to state the allowance, ten times a second, and the holder did not answer, as it had the same one: it answered only if the issuer allowed more than it knew of. Without places or waiting requests it had nothing else to report, so the place counted as used until the instance wanted one again or 3.6 s were over. Callers of a brittle endpoint waited or got 503 beside a free place.

Change: a holder of no place answers each repeated allowance. The issuer does not reply to such a report, so the exchange ends; requests that were given up count as places here.

--- a/fuchsiaroute/places/_holder.py
+++ b/fuchsiaroute/places/_holder.py
@@ -158,8 +158,10 @@
         places.heard_at = self._clock.now()
         places.is_contended = is_contended
         if is_same_term and number == places.number:
-            # The issuer may have missed that places were returned.
-            places.must_report |= allowed > places.allowed
+            # The issuer may have missed that places were returned. It also answers
+            # reports, except those of instances that hold no place.
+            held = max(places.allowed, load + len(places.given_up))
+            places.must_report |= not held or allowed > places.allowed
             return
         places.issuer, places.term, places.number = issuer, term, number
         if allowed > places.allowed:
--- a/fuchsiaroute/places/tests/test_holder.py
+++ b/fuchsiaroute/places/tests/test_holder.py
@@ -167,6 +167,39 @@
     assert harness.holder.report(ENDPOINT, 0).held == 0
 
 
+def test_return_of_a_recalled_place_is_reported_again() -> None:
+    """Guards against a place that nobody uses, as its last report was lost."""
+    harness = HolderHarness()
+    harness.receive(1, number=1)
+    harness.receive(0, load=1, number=2)
+    assert harness.holder.report(ENDPOINT, 1).held == 1
+    harness.holder.release(ENDPOINT, 0, was_rejected=False, may_run=False)
+    assert harness.holder.settle(ENDPOINT, 0)
+    assert harness.holder.report(ENDPOINT, 0).held == 0
+    assert not harness.holder.settle(ENDPOINT, 0)
+    # The issuer goes on to state the allowance of an instance that holds places.
+    harness.receive(0, number=2)
+    assert harness.holder.settle(ENDPOINT, 0)
+    assert harness.holder.report(ENDPOINT, 0).held == 0
+
+
+@pytest.mark.parametrize("has_given_up", [False, True])
+def test_repeated_allowance_of_an_instance_with_requests_is_not_answered(
+    has_given_up: bool,
+) -> None:
+    """Guards against reports and replies that follow each other without an end."""
+    harness = HolderHarness()
+    harness.receive(1, number=1)
+    harness.receive(0, load=1, number=2)
+    load = 1
+    if has_given_up:
+        load = 0
+        harness.holder.release(ENDPOINT, 0, was_rejected=False, may_run=True)
+    harness.holder.report(ENDPOINT, load)
+    harness.receive(0, load=load, number=2)
+    assert not harness.holder.settle(ENDPOINT, load)
+
+
 def test_new_process_has_no_places() -> None:
     harness = HolderHarness()
     harness.receive(1)
