Silent endpoints: a last attempt is not spent for nothing

Cause: the last attempt was sent beside the silent run, to an endpoint that usually takes longer to answer than both may work on the stream (250 ms). When that was over the attempt was ended, as none was left for the case that it failed. So it was spent for nothing, and there was none either for the case that the silent run failed.

Change: whether the other endpoint is preferable no longer depends on attempts that are left. The silent run is kept, as before, if a further endpoint was found silent or a sound one would have answered.

--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -301,20 +301,16 @@
         Return whether an endpoint that has not answered is preferable to a silent one.
 
         It is if it has sent anything since it was reserved. Otherwise a sound endpoint
-        must be able to take longer, no other one may have been found silent, and an
-        attempt must be left.
+        must be able to take longer, and no other one may have been found silent. That
+        holds for the last attempt too: without this endpoint, none is left if the
+        silent one fails.
         """
         if reservation.is_heard:
             return True
-        has_attempt = call.possible_runs < call.route.max_attempts
         waited = Milliseconds(self._clock.now() - reservation.reserved_at)
-        return (
-            has_attempt
-            and self._estimates.may_take_longer(
-                call, model, reservation.backlog, waited
-            )
-            and not self._pool.has_silent(call.service, beside=silent.id)
-        )
+        return self._estimates.may_take_longer(
+            call, model, reservation.backlog, waited
+        ) and not self._pool.has_silent(call.service, beside=silent.id)
 
     def relative_backlog(self, call: Call) -> float:
         """Return the smallest backlog of an endpoint divided by the latency target."""
