Tunnels: a peer that was late once is asked again if no other has a path

Cause: a peer that does not reply within 150 ms is left out for 1 s, and was so even if all others were cut. Without peers to ask, a refused connection also counted as a crash of the endpoint.

Change: peers that were left out are asked after the others, before those that are cut.

test_peer_that_failed_is_asked_again_if_there_is_no_other failed before, all three cases.

--- a/fuchsiaroute/node/_peer_tunnels.py
+++ b/fuchsiaroute/node/_peer_tunnels.py
@@ -24,7 +24,7 @@
 #: Peers that have to find that nobody listens at an address, since one of them may be
 #: cut from it as this instance is.
 REFUSALS_NEEDED = 2
-#: Time for which a peer that could not be used is left out.
+#: Time for which a peer that could not be used is asked only if there is no other.
 LEFT_OUT_TIME = Milliseconds(1_000)
 
 
@@ -81,7 +81,7 @@
         self._counters = counters
         self._log = log
         self._open_tunnel = opener
-        #: Peers that could not be used, and until when they are left out.
+        #: Peers that could not be used, and until when others are preferred.
         self._left_out: dict[InstanceId, Milliseconds] = {}
 
     def has_peers(self) -> bool:
@@ -153,11 +153,14 @@
             for member in self._liveness.alive()
             if self._is_usable(member) and member.instance not in names
         ]
-        whole = [member for member in usable if not member.is_cut]
+        preferred = [member for member in usable if not self._is_left_out(member)]
+        whole = [member for member in preferred if not member.is_cut]
         domains = {member.failure_domain for member in asked}
         elsewhere = [item for item in whole if item.failure_domain not in domains]
         local = self._local_peers(whole) if not asked else []
-        for group in (local, elsewhere, whole, usable):
+        # One that was late once may be the only one that has a path.
+        left_out = [member for member in usable if not member.is_cut]
+        for group in (local, elsewhere, whole, left_out, preferred, usable):
             if group:
                 return self._random.choice(group)
         return None
@@ -178,9 +181,10 @@
         if not member.is_ready or not member.tunnel_port:
             return False
         # A body may have to stay in the region that it was sent to.
-        if member.region != self._region:
-            return False
-        return self._left_out.get(member.instance, 0) <= self._clock.now()
+        return member.region == self._region
+
+    def _is_left_out(self, member: MemberInfo) -> bool:
+        return self._left_out.get(member.instance, 0) > self._clock.now()
 
     def _leave_out(self, peer: InstanceId) -> None:
         now = self._clock.now()
--- a/fuchsiaroute/node/tests/test_peer_tunnels.py
+++ b/fuchsiaroute/node/tests/test_peer_tunnels.py
@@ -188,6 +188,22 @@
     assert case.asked.count("bad") == 2
 
 
+@pytest.mark.parametrize("cut", [0, 1, 4])
+async def test_peer_that_failed_is_asked_again_if_there_is_no_other(cut: int) -> None:
+    """Guards against refused requests beside a peer that was late once."""
+    case = Peers()
+    case.add("late", "z1")
+    for number in range(cut):
+        case.add(f"cut{number}", is_cut=True)
+        case.errors[f"cut{number}"] = MISSING
+    case.errors["late"] = UNAVAILABLE
+    with pytest.raises(ConnectError):
+        await case.opened_by()
+    assert case.tunnels.has_peers()
+    del case.errors["late"]
+    assert await case.opened_by() == "late"
+
+
 async def test_peer_that_does_not_reach_what_another_reaches_is_left_out() -> None:
     case = Peers()
     case.add("cut")
