--- a/fuchsiaroute/pool/_send_gate.py
+++ b/fuchsiaroute/pool/_send_gate.py
@@ -8,8 +8,8 @@
 from fuchsiaroute.places import BrittleNotices, PlaceHolder
 from fuchsiaroute.pool._member import PoolMember
 
-#: Outcomes after which the endpoint may still run the request for a moment.
 _REJECTIONS = frozenset({Outcome.REFUSED_FULL, Outcome.REFUSED_UNNAMED})
+#: Outcomes after which the endpoint may still run the request for a moment.
 _GIVEN_UP = frozenset({Outcome.SILENT, Outcome.CANCELLED})
 
 
