Soak: rows that cannot be read, and endpoints that refuse once more

A third generation of kinds: a row that is nested too deeply or names an address that cannot exist, among the endpoints and the orders; an endpoint that writes a refusal of an earlier request before 0.3 of its answers, with its id or without one. Drawn apart, so seeds that once failed keep their schedules; the answers of endpoints without the fault draw no more numbers than before.

--- a/fuchsiaroute/platform/tests/failing_store.py
+++ b/fuchsiaroute/platform/tests/failing_store.py
@@ -1,7 +1,6 @@
 """Stand-in of the platform's store with injected faults."""
 
 import asyncio
-import json
 from enum import Enum
 from typing import Any
 
@@ -92,7 +91,7 @@
             former = restored.get(key, absent)
             value, _ = lost.get(key, absent)
             if present.get(key, absent) == former and value != former[0]:
-                self.put(*key, None if value is None else json.loads(value))
+                self.put_bytes(*key, value)
 
     def restore(
         self, copy: tuple[dict[tuple[str, str], tuple[bytes | None, int]], int]
--- a/fuchsiaroute/platform/tests/recording_endpoint.py
+++ b/fuchsiaroute/platform/tests/recording_endpoint.py
@@ -55,6 +55,10 @@
     cutting: float = 0.0
     garbling: float = 0.0
     slowness: float = 1.0
+    #: Writes a refusal of an earlier request once more before an answer.
+    repeating: float = 0.0
+    #: Whether these refusals name the earlier request.
+    names_requests: bool = False
 
 
 class RecordingEndpoint(Endpoint):
@@ -143,6 +147,9 @@
         behaviour, draw = self.behaviour, self._random.random
         answer = answer_of(run.request_id) + _FILLER * _length_of(request)
         await asyncio.sleep(behaviour.slowness * (0.01 + 0.03 * draw()))
+        # Not drawn without the fault, so that the answers of kept seeds stay the same.
+        if behaviour.repeating and draw() < behaviour.repeating:
+            responder._transport.write(_refusal(behaviour.names_requests))
         if draw() < behaviour.losing_answers:
             run.is_broken_off = True
             responder.abort()
@@ -178,6 +185,13 @@
         responder.finish()
 
 
+def _refusal(names_request: bool) -> bytes:
+    """Return a refusal of a request that arrived earlier on another connection."""
+    name = b"X-Request-Id: earlier\r\n" if names_request else b""
+    head = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+    return head + name + b"Content-Length: 0\r\n\r\n"
+
+
 def _length_of(request: InboundRequest) -> int:
     """Return the number of events, or of bytes of filler, that a request asks for."""
     return int(request.path.rpartition(b"/")[2])
--- a/fuchsiaroute/platform/tests/standin.py
+++ b/fuchsiaroute/platform/tests/standin.py
@@ -85,8 +85,13 @@
 
     def put(self, table: str, key: str, value: object | None) -> None:
         """Write a row; None removes it."""
+        self.put_bytes(
+            table, key, None if value is None else json.dumps(value).encode()
+        )
+
+    def put_bytes(self, table: str, key: str, data: bytes | None) -> None:
+        """Write a row with any value; None removes it."""
         self.counter += 1
-        data = None if value is None else json.dumps(value).encode()
         self.rows[table, key] = (data, self.counter)
         self._changed.set()
         self._changed = asyncio.Event()
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -16,6 +16,7 @@
     added_route,
 )
 from soak._fleet import Fleet, Node
+from soak._foreign_rows import FOREIGN_ROWS
 from soak._instances import RESTART_DELAY
 from soak._proxy import Link, LinkState
 from soak._record import STORE, BadRollout, OperatorOrder
@@ -37,6 +38,8 @@
     "cutting": Behaviour(cutting=0.1),
     "garbling": Behaviour(garbling=0.4),
     "slow": Behaviour(slowness=10.0),
+    "named": Behaviour(repeating=0.3, names_requests=True),
+    "unnamed": Behaviour(repeating=0.3),
 }
 #: Time for which the store is away before it comes back from a copy, and after which
 #: operators and endpoints write again what it has lost.
@@ -87,6 +90,8 @@
             FaultKind.ENDPOINT_SAYS_LEAVING: self._leave_by_answer,
             FaultKind.ENDPOINT_PAUSES: self._pause_endpoint,
             FaultKind.STOP_SERIES: stops.stop_series,
+            FaultKind.FOREIGN_ROW: self._write_foreign_row,
+            FaultKind.ENDPOINT_REPEATS: self._degrade_endpoint,
         }
 
     async def inject(self, fault: Fault) -> None:
@@ -347,5 +352,12 @@
             rollout = BadRollout(service=service, version="v2", begin=begin, end=end)
             fleet.record.bad_rollouts.append(rollout)
 
+    async def _write_foreign_row(self, fault: Fault) -> None:
+        """Write a row that instances must neither use nor fail at."""
+        table, key, value = FOREIGN_ROWS[fault.variant]
+        self._fleet.store.put_bytes(table, key, value)
+        await self._clock.sleep(fault.lasts)
+        self._fleet.store.put_bytes(table, key, None)
+
     async def _burst(self, fault: Fault) -> None:
         await self._traffic.burst(_BURST_CALLERS, fault.lasts)
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -37,6 +37,10 @@
     ENDPOINT_PAUSES = "endpoint-pauses"
     #: Some instances stop at overlapping times.
     STOP_SERIES = "stop-series"
+    #: Another writer puts a row into the store that cannot be read.
+    FOREIGN_ROW = "foreign-row"
+    #: An endpoint refuses an earlier request once more before other answers.
+    ENDPOINT_REPEATS = "endpoint-repeats"
 
 
 #: Variants by kind, drawn with equal probability.
@@ -71,6 +75,13 @@
         "store-away",
         "reconfigured",
     ),
+    FaultKind.FOREIGN_ROW: (
+        "nested-endpoint",
+        "endpoint-without-port",
+        "endpoint-with-long-port",
+        "nested-rollout",
+    ),
+    FaultKind.ENDPOINT_REPEATS: ("named", "unnamed"),
 }
 #: Kinds that occur at most once per schedule: a roll-out and stops in turn last for
 #: most of it, and killing all instances hides the effects of other faults.
@@ -84,6 +95,7 @@
         FaultKind.ENDPOINT_PAUSES: 0.15,
     },
     {FaultKind.STOP_SERIES: 0.1},
+    {FaultKind.FOREIGN_ROW: 0.15, FaultKind.ENDPOINT_REPEATS: 0.15},
 )
 _ADDED_KINDS = frozenset(kind for rates in _ADDED_RATES for kind in rates)
 LAST_GENERATION = len(_ADDED_RATES)
