--- a/fuchsiaroute/places/_holder.py
+++ b/fuchsiaroute/places/_holder.py
@@ -158,8 +158,9 @@
         places.heard_at = self._clock.now()
         places.is_contended = is_contended
         if is_same_term and number == places.number:
-            # The issuer may have missed that places were returned. It also answers
-            # reports, except those of instances that hold no place.
+            # The issuer may have missed that places were returned. An instance that
+            # holds some gets the same allowance in reply to each report, and must not
+            # report for that alone.
             held = max(places.allowed, load + len(places.given_up))
             places.must_report |= not held or allowed > places.allowed
             return
