Streams: the rest of a stream must follow its last event

What callers saw: a stream broke off after three of six events, and the next endpoint answered with an event stream that did not go on with it. Its events were joined to those before: the first ones came twice, or an error without an id stood in the middle (ORDER).

Cause: the bytes of the next answer were relayed as they came; only their number and the last id were looked at.

Change: each event of the rest must have an id above the one before it; comments may have none. Otherwise the answer counts as broken off before that event, and another endpoint is asked. Streams of one answer are relayed as before.

The eight cases from-the-start and error-event of resumable streams in test_broken_streams.py and test_rest_of_a_stream_follows_its_last_event failed before.

--- a/fuchsiaroute/forwarding/_events.py
+++ b/fuchsiaroute/forwarding/_events.py
@@ -2,8 +2,11 @@
 
 import re
 
+from fuchsiaroute.decoding import parse_digits
+
 _ID = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
 _END = re.compile(rb"\r?\n\r?\n")
+_COMMENT = b":"
 #: Maximum size of one event; a longer one is treated as a broken stream.
 MAX_EVENT_BYTES = 1_048_576
 #: Maximum size of a stream, as separators may come without end. Answers are some
@@ -11,10 +14,18 @@
 MAX_STREAM_BYTES = 16 * MAX_EVENT_BYTES
 
 
-class EventTooLongError(Exception):
+class EventStreamError(Exception):
+    """Bytes that cannot be relayed as the next events of a stream."""
+
+
+class EventTooLongError(EventStreamError):
     """No event boundary within ``MAX_EVENT_BYTES``, or no end of the stream."""
 
 
+class EventOutOfOrderError(EventStreamError):
+    """An event in the rest of a stream that does not follow those before it."""
+
+
 class EventSplitter:
     """
     Buffers the bytes of an event until it is complete.
@@ -26,6 +37,8 @@
     def __init__(self) -> None:
         self._pending = b""
         self._size = 0
+        #: Id that the events of the rest of a stream must exceed; None if unchecked.
+        self._floor: int | None = None
         #: Id of the last complete event, as received; None before the first.
         self.last_id: bytes | None = None
         #: Number of complete events.
@@ -52,12 +65,33 @@
                 )
             return b""
         complete, self._pending = self._pending[:end], self._pending[end:]
+        if self._floor is not None:
+            self._check_order(complete, self._floor)
         ids = _ID.findall(complete)
         self.count += len(_END.findall(complete))
         if ids:
             self.last_id = ids[-1]
         return complete
 
-    def discard_incomplete(self) -> None:
-        """Discard the incomplete event; a resumed stream begins with it again."""
+    def begin_rest(self) -> None:
+        """
+        Prepare for the rest of the stream from another response.
+
+        It begins with the incomplete event, which is discarded. Its events must follow
+        the last complete one: a response that starts the stream anew, or that tells of
+        an error in an event without an id, does not go on with it.
+        """
         self._pending = b""
+        self._floor = parse_digits(self.last_id) if self.last_id else None
+
+    def _check_order(self, complete: bytes, floor: int) -> None:
+        for event in _END.split(complete):
+            if all(line.startswith(_COMMENT) for line in event.splitlines()):
+                continue
+            found = _ID.search(event)
+            number = parse_digits(found[1].strip()) if found else None
+            if number is None or number <= floor:
+                self._pending = b""
+                raise EventOutOfOrderError(f"the event after {floor} has id {number}")
+            floor = number
+        self._floor = floor
--- a/fuchsiaroute/forwarding/_stream_relay.py
+++ b/fuchsiaroute/forwarding/_stream_relay.py
@@ -9,7 +9,7 @@
 from fuchsiaroute.forwarding._call import Call
 from fuchsiaroute.forwarding._endpoint_client import AttemptFailure, OpenResponse
 from fuchsiaroute.forwarding._event_pace import EventPace
-from fuchsiaroute.forwarding._events import EventTooLongError
+from fuchsiaroute.forwarding._events import EventStreamError
 from fuchsiaroute.forwarding._held_answer import HeldAnswer
 from fuchsiaroute.forwarding._model_choice import ModelChoice
 from fuchsiaroute.forwarding._relay_state import (
@@ -236,7 +236,7 @@
                 if not is_going_on:
                     return False
                 continue
-            except (ExchangeError, EventTooLongError) as error:
+            except (ExchangeError, EventStreamError) as error:
                 if not await self._replace_broken(call, state, str(error)):
                     return False
                 continue
@@ -353,7 +353,7 @@
         state.pace = EventPace()
         state.has_event = False
         state.is_event_missing |= state.splitter.has_incomplete
-        state.splitter.discard_incomplete()
+        state.splitter.begin_rest()
         state.resumptions += 1
         self._log.write(
             "request:resumed",
--- a/fuchsiaroute/forwarding/tests/test_parts.py
+++ b/fuchsiaroute/forwarding/tests/test_parts.py
@@ -4,7 +4,11 @@
 
 from fuchsiaroute.clock import ManualClock, Milliseconds
 from fuchsiaroute.forwarding import LatencyEstimator
-from fuchsiaroute.forwarding._events import EventSplitter, EventTooLongError
+from fuchsiaroute.forwarding._events import (
+    EventOutOfOrderError,
+    EventSplitter,
+    EventTooLongError,
+)
 from fuchsiaroute.retry import WindowedRetryBudget
 
 STREAM = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nx-weights: 4\nid: 3\ndata: c\n\n"
@@ -26,10 +30,37 @@
     splitter = EventSplitter()
     assert splitter.feed(STREAM[:20]) == STREAM[:15]
     assert splitter.last_id == b"1"
-    splitter.discard_incomplete()
+    splitter.begin_rest()
     assert splitter.feed(STREAM[15:]) == STREAM[15:]
 
 
+@pytest.mark.parametrize(
+    ("rest", "is_rest"),
+    [
+        (b"id: 2\ndata: b\n\nid: 5\ndata: c\n\n", True),
+        (b": comment\n\nid: 2\ndata: b\n\n", True),
+        (b"x-weights: 4\r\nid: 2\r\ndata: b\r\n\r\n", True),
+        (b"id: 1\ndata: a\n\n", False),
+        (b"id: 2\ndata: b\n\nid: 2\ndata: b\n\n", False),
+        (b"id: x\ndata: b\n\n", False),
+        (b"event: error\ndata: out of memory\n\n", False),
+        (b"out of memory\n\n", False),
+    ],
+)
+def test_rest_of_a_stream_follows_its_last_event(rest: bytes, is_rest: bool) -> None:
+    """Guards against pieces that come twice, and errors in a stream (ORDER)."""
+    splitter = EventSplitter()
+    splitter.feed(STREAM[:20])
+    splitter.begin_rest()
+    if is_rest:
+        assert splitter.feed(rest) == rest
+        return
+    with pytest.raises(EventOutOfOrderError):
+        splitter.feed(rest)
+    assert splitter.last_id == b"1"
+    assert not splitter.has_incomplete
+
+
 def test_stream_without_event_boundaries_raises() -> None:
     splitter = EventSplitter()
     with pytest.raises(EventTooLongError):
--- a/fuchsiaroute/platform/tests/test_broken_streams.py
+++ b/fuchsiaroute/platform/tests/test_broken_streams.py
@@ -41,11 +41,19 @@
     return play
 
 
+def stream(endpoint: RawEndpoint, head: bytes, body: bytes) -> bytes:
+    """Return an answer that is a whole event stream."""
+    extra = TYPED + b"Content-Length: %d\r\n\r\n" % len(body)
+    return endpoint.head(head, extra=extra) + body
+
+
 TEXT = b"the engine is out of memory\n\n"
 INSIDE_EVENT = events(1, 3) + b"id: 4\nda"
 
 
-@pytest.mark.parametrize("broken", [INSIDE_EVENT, events(1, 3)])
+@pytest.mark.parametrize(
+    "broken", [INSIDE_EVENT, events(1, 3)], ids=["inside-event", "between-events"]
+)
 @pytest.mark.parametrize(
     "answer",
     [
@@ -66,8 +74,18 @@
         lambda e, head: refusal(
             extra=b"X-Request-Id: %s\r\n" % field(head, b"x-request-id")
         ),
+        lambda e, head: stream(e, head, events(1, EVENTS)),
+        lambda e, head: stream(e, head, b"event: error\ndata: " + TEXT),
+    ],
+    ids=[
+        "empty",
+        "empty-unframed",
+        "text",
+        "error",
+        "refusal",
+        "from-the-start",
+        "error-event",
     ],
-    ids=["empty", "empty-unframed", "text", "error", "refusal"],
 )
 @pytest.mark.parametrize("path", ["/stream/", "/once/", "/sized/"])
 async def test_stream_is_not_ended_as_whole_by_an_answer_without_events(
