Streams: an empty rest that ends with its connection is no end of a stream

What callers saw: a stream that had broken off after three of six events ended as whole when the next endpoint sent the head of an event stream and closed (ORDER).

Cause: an event stream without events ends a stream that broke off between two events, as all of them may have been relayed before. If the connection marks the end, that cannot be told from an endpoint that stopped after the head.

Change: without events, the end must be marked by a length or a last chunk. Otherwise another endpoint is asked, or the caller's stream is broken off, which it may resume.

The cases events-unframed on resumable routes failed before for a stream that broke off between two events.

--- a/fuchsiaroute/forwarding/_endpoint_client.py
+++ b/fuchsiaroute/forwarding/_endpoint_client.py
@@ -108,6 +108,11 @@
         """Wait until the response has ended, unread; return whether it is whole."""
         return await self._connection.wait_whole()
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether neither a length nor a last chunk marks the body's end."""
+        return self._connection.ends_with_connection
+
     @property
     def has_body_bytes(self) -> bool:
         """Return whether a part of the body has arrived."""
--- a/fuchsiaroute/forwarding/_relay_state.py
+++ b/fuchsiaroute/forwarding/_relay_state.py
@@ -11,7 +11,7 @@
 #: Reasons in the log for streams whose end, however it is marked, is not one.
 _INSIDE_EVENT = "the stream ended inside an event"
 _BEFORE_EVENT = "the stream ended before an event that had begun elsewhere"
-_WITHOUT_EVENT = "the rest of the stream has neither an event nor the type of one"
+_WITHOUT_EVENT = "the rest of the stream has no event and no marked end"
 
 
 @dataclass(slots=True)
@@ -37,8 +37,13 @@
         return _INSIDE_EVENT
     if state.is_event_missing:
         return _BEFORE_EVENT
-    is_stream = state.has_event or state.response.fields.is_event_stream
-    return None if is_stream or not state.resumptions else _WITHOUT_EVENT
+    if state.has_event or not state.resumptions:
+        return None
+    # All events may have been relayed before. An empty answer without a mark of its end
+    # cannot be told from one that its endpoint has stopped to write.
+    is_empty_stream = state.response.fields.is_event_stream
+    is_marked = not state.response.ends_with_connection
+    return None if is_empty_stream and is_marked else _WITHOUT_EVENT
 
 
 def last_event_id(state: RelayState) -> EventId | None:
--- a/fuchsiaroute/http1/_client.py
+++ b/fuchsiaroute/http1/_client.py
@@ -168,6 +168,11 @@
             await self._arrived.wait()
         return self._is_complete
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether the body of the response ends with the connection."""
+        return self._ends_with_connection
+
     @property
     def has_body_bytes(self) -> bool:
         """Return whether a part of the body has arrived."""
--- a/fuchsiaroute/platform/tests/test_broken_streams.py
+++ b/fuchsiaroute/platform/tests/test_broken_streams.py
@@ -28,8 +28,10 @@
         endpoint: RawEndpoint, head: bytes, writer: asyncio.StreamWriter, number: int
     ) -> bool:
         if field(head, b"last-event-id"):
-            writer.write(answer(endpoint, head))
-            return True
+            data = answer(endpoint, head)
+            writer.write(data)
+            # The connection marks the end of an answer without a length.
+            return b"Content-Length" in data
         endpoint.runs[field(head, b"x-request-id")] += 1
         extra = TYPED + b"Transfer-Encoding: chunked\r\n\r\n"
         writer.write(endpoint.head(head, extra=extra))
@@ -74,6 +76,7 @@
         lambda e, head: refusal(
             extra=b"X-Request-Id: %s\r\n" % field(head, b"x-request-id")
         ),
+        lambda e, head: e.head(head, extra=TYPED + b"\r\n"),
         lambda e, head: stream(e, head, events(1, EVENTS)),
         lambda e, head: stream(e, head, b"event: error\ndata: " + TEXT),
     ],
@@ -83,6 +86,7 @@
         "text",
         "error",
         "refusal",
+        "events-unframed",
         "from-the-start",
         "error-event",
     ],
