--- a/fuchsiaroute/forwarding/_endpoint_client.py
+++ b/fuchsiaroute/forwarding/_endpoint_client.py
@@ -192,7 +192,7 @@
             connection = await self._connections.acquire(
                 endpoint,
                 is_repeatable=call.route.is_repeatable,
-                may_reuse=_is_named_by_answers(call, endpoint.id),
+                may_reuse=_may_reuse_connection(call, endpoint.id),
             )
         except ConnectError as error:
             return _connect_failure(reservation, error)
@@ -331,12 +331,12 @@
         )
 
 
-def _is_named_by_answers(call: Call, endpoint: EndpointId) -> bool:
+def _may_reuse_connection(call: Call, endpoint: EndpointId) -> bool:
     """
-    Return whether the id of an answer tells that it is to this send of the request.
+    Return whether late answers on a kept connection are told from the one to this send.
 
-    An endpoint that the request was sent to before may write its former answer once
-    more, with the same id.
+    Answers to a request without an id name none. An endpoint that the request was sent
+    to before may write its former answer once more, with the same id.
     """
     return call.request_id is not None and endpoint not in call.sent_to
 
