Test: an answer of serve's endpoints that ends inside its head is no answer

Seven places in the head, one of them in a refusal: each is a failure after which the request may have run. All pass as the code is.

--- a/fuchsiaroute/dispatch/tests/test_client.py
+++ b/fuchsiaroute/dispatch/tests/test_client.py
@@ -215,6 +215,32 @@
         assert dispatcher.failures[outcome] == 1
 
 
+WHOLE_HEAD = head()
+
+
+@pytest.mark.parametrize(
+    "part",
+    [
+        b"HTTP/1.1 200 X\r\n",
+        WHOLE_HEAD[: WHOLE_HEAD.index(b"x-incarnation") + 5],
+        WHOLE_HEAD[: WHOLE_HEAD.index(b"text/event")],
+        WHOLE_HEAD[: WHOLE_HEAD.index(b"transfer-encoding")],
+        WHOLE_HEAD[:-2],
+        WHOLE_HEAD[:-1],
+        head(status=503, extra="x-not-run: full\r\n")[:-2],
+    ],
+    ids=["status", "name", "value", "field", "no-blank", "half-blank", "refusal"],
+)
+async def test_answer_that_ends_inside_its_head_is_no_answer(part: bytes) -> None:
+    """Guards against an empty answer that counts as whole, and a false refusal."""
+    async with serving(responding(part, then="close")) as (endpoint, dispatcher):
+        failure = (await dispatcher.open(call(endpoint))).failure()
+        assert (failure.outcome, failure.verdict) == (
+            DispatchOutcome.FAILED,
+            Verdict.MAY_HAVE_RUN,
+        )
+
+
 @pytest.mark.parametrize(
     ("answer", "outcome"),
     [
