Callers' connections: one budget for what clients make the process hold

What callers saw: beside a small crowd of clients outside the limits an instance grew beyond its memory (64 MB in the test's settings) and stopped answering others: 170 MB with bodies in chunks of two bytes, 258 MB with pipelined requests at an unknown path whose answers were unread, 323 MB at the control port, 338 MB at the metrics port; 338 descriptors of 160 with more connections.

Causes: a body was kept as one object for each chunk, and its payload alone was counted; all requests of one read were parsed and held at once; a finished answer resumed reading although its client read nothing; the number of connections had no limit.

Now a body is one buffer, input is parsed in slices with turns for other connections, nothing is parsed while responses are unread, and everything held (input, heads, bodies, waiting requests, unsent responses, the connection) is counted as it is in memory against one budget. If it runs out, the connection with the largest product of memory and time is closed; a request in progress is not. A head, a chunk's framing or empty lines without end are rejected; trailers are dropped instead of joining the checked header section; a response of which nothing is read for 30 s or the idle timeout is given up. Callers may have 0.4 connections for each descriptor, other addresses 0.05; the idlest makes room.

The budget of a test server counts its connections too, so its limit is 20,000 bytes in place of 1,000, and the check that it returns to 0 waits for the close.

--- a/fuchsiaroute/http1/__init__.py
+++ b/fuchsiaroute/http1/__init__.py
@@ -1,12 +1,12 @@
 """HTTP/1.1 on asyncio: server connections for callers, client connections."""
 
-from fuchsiaroute.http1._body_budget import BodyBudget
 from fuchsiaroute.http1._client import (
     ClientConnection,
     ResponseBody,
     ResponseHead,
     connect,
 )
+from fuchsiaroute.http1._client_budget import ClientBudget
 from fuchsiaroute.http1._connecting import connect_protocol
 from fuchsiaroute.http1._exceptions import (
     BrokenResponseError,
@@ -16,6 +16,7 @@
     NobodyListensError,
     NoConnectionLeftError,
 )
+from fuchsiaroute.http1._incoming_request import ServerLimits
 from fuchsiaroute.http1._messages import (
     Headers,
     InboundRequest,
@@ -30,12 +31,11 @@
     ConnectionState,
     Handler,
     ServerConnection,
-    ServerLimits,
 )
 from fuchsiaroute.http1._socket_options import DeadPathDetection
 
 __all__ = [
-    "BodyBudget",
+    "ClientBudget",
     "BrokenResponseError",
     "ClientConnection",
     "CloseReason",
--- a/fuchsiaroute/http1/_responder.py
+++ b/fuchsiaroute/http1/_responder.py
@@ -47,6 +47,8 @@
         self.is_aborted = False
         #: Status of the response; 0 before it has started.
         self.status = 0
+        #: Bytes of the response that have been passed to the transport.
+        self.written = 0
 
     @property
     def keeps_connection(self) -> bool:
@@ -67,7 +69,7 @@
         self.status = status
         head = encode_response_head(status, fields)
         is_bodiless = self._is_head or status in _BODILESS
-        self._transport.write(head if is_bodiless else head + body)
+        self._write(head if is_bodiless else head + body)
         self._finish()
 
     def start(self, status: int, headers: Headers) -> None:
@@ -82,7 +84,7 @@
             fields.append(_CLOSE)
         self.is_started = True
         self.status = status
-        self._transport.write(encode_response_head(status, fields))
+        self._write(encode_response_head(status, fields))
 
     def write(self, data: bytes) -> None:
         """Write a part of a started response."""
@@ -90,7 +92,7 @@
             return
         if self._is_chunked:
             data = b"%x\r\n%s\r\n" % (len(data), data)
-        self._transport.write(data)
+        self._write(data)
 
     async def drain(self) -> None:
         """Wait until the transport's write buffer has room."""
@@ -101,7 +103,7 @@
         if self.is_finished or self._transport.is_closing():
             return
         if self._is_chunked:
-            self._transport.write(_LAST_CHUNK)
+            self._write(_LAST_CHUNK)
         self._finish()
 
     def abort(self) -> None:
@@ -121,6 +123,10 @@
         else:
             self._writable.clear()
 
+    def _write(self, data: bytes) -> None:
+        self.written += len(data)
+        self._transport.write(data)
+
     def _finish(self) -> None:
         self.is_finished = True
         if not self._keep_alive:
--- a/fuchsiaroute/http1/_server.py
+++ b/fuchsiaroute/http1/_server.py
@@ -1,44 +1,45 @@
 """Server connections."""
 
 import asyncio
+import math
 from collections import deque
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Collection
 from enum import Enum
-from typing import cast
+from typing import NamedTuple, cast
 
 import httptools
 
 from fuchsiaroute.clock import Clock, Milliseconds
-from fuchsiaroute.http1._body_budget import BodyBudget
-from fuchsiaroute.http1._messages import Headers, InboundRequest, find_header
+from fuchsiaroute.http1._client_budget import ClientBudget
+from fuchsiaroute.http1._incoming_request import (
+    REQUEST_MEMORY_BYTES,
+    IncomingRequest,
+    ServerLimits,
+)
+from fuchsiaroute.http1._messages import Headers, InboundRequest
 from fuchsiaroute.http1._responder import Responder
 
-#: Number of waiting pipelined requests at which reading from the socket is paused until
-#: the next response is complete.
+#: Number of waiting pipelined requests at which no further input is parsed until the
+#: next response is complete.
 MAX_PIPELINED_REQUESTS = 4
+#: Bytes that are parsed at once; the requests in them are all held.
+SLICE_BYTES = 4 * 1024
+#: Bytes of one connection that are parsed before other connections have their turn.
+TURN_BYTES = 16 * 1024
+#: Memory of a connection that is idle: transport, parser, socket and buffers.
+CONNECTION_MEMORY_BYTES = 6 * 1024
 #: Interval at which a connection's timeouts, which are seconds long, are checked.
 TIMEOUT_CHECK_INTERVAL_SECONDS = 0.5
-#: Bytes of a header field in addition to name and value: colon, space and line end.
-_FIELD_OVERHEAD = 4
+#: Time without any progress after which an unread response is given up, unless the idle
+#: timeout is longer. Callers that read slowly take some bytes of it.
+MIN_UNREAD_TIMEOUT = Milliseconds(30_000)
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_LINE_ENDS = b"\r\n"
 MILLISECONDS_PER_SECOND = 1_000
 
 Handler = Callable[[InboundRequest, Responder], Awaitable[None]]
 
 
-@dataclass(frozen=True, kw_only=True)
-class ServerLimits:
-    """Limits on the size of requests and timeouts for receiving them."""
-
-    header_bytes: int
-    body_bytes: int
-    #: From the first byte of a request to the end of its header section.
-    header_timeout: Milliseconds
-    #: Maximum time without a request, or between two parts of a body.
-    idle_timeout: Milliseconds
-
-
 class ConnectionState(Enum):
     """What a caller's connection is owed, from nothing to a whole response."""
 
@@ -61,17 +62,21 @@
     REJECTED = "rejected"
     #: A response that had begun could not be completed.
     RESPONSE_ABORTED = "response-aborted"
+    #: The memory for all clients was used up, and this one held most for longest.
+    MEMORY = "memory"
+    #: The number of connections had reached its limit.
+    CONNECTIONS = "connections"
+    #: The caller had not read any of its response for too long.
+    UNREAD = "unread"
 
 
-@dataclass
-class _Incoming:
-    """A request while it is being received."""
+class _Waiting(NamedTuple):
+    """A request that has been read and whose handler has not started."""
 
-    method: bytes = b""
-    target: bytes = b""
-    header_bytes: int = 0
-    arrived_at: Milliseconds = Milliseconds(0)
-    is_head_complete: bool = False
+    request: InboundRequest
+    responder: Responder
+    #: Memory of the request, in bytes.
+    held: int
 
 
 class ServerConnection(asyncio.Protocol):
@@ -80,7 +85,7 @@
 
     Ambiguous framing (two lengths, a length with chunked coding, an unknown transfer
     coding, an upgrade) is rejected and the connection closed, which prevents request
-    smuggling.
+    smuggling. Input is parsed only while the caller reads its responses.
     """
 
     def __init__(
@@ -89,8 +94,9 @@
         clock: Clock,
         handler: Handler,
         limits: Callable[[], ServerLimits],
-        budget: BodyBudget,
+        budget: ClientBudget,
         open_connections: set["ServerConnection"],
+        max_connections: Callable[[], float] = lambda: math.inf,
         is_draining: Callable[[], bool] = lambda: False,
         on_close: Callable[[CloseReason], None] = lambda reason: None,
     ) -> None:
@@ -100,30 +106,42 @@
         self._limits = limits
         self._budget = budget
         self._open = open_connections
+        self._max_connections = max_connections
         self._parser = httptools.HttpRequestParser(self)
-        self._incoming = _Incoming()
-        self._headers: Headers = []
-        self._body: list[bytes] = []
-        self._body_size = 0
-        self._has_body = False
-        self._waiting: deque[tuple[InboundRequest, Responder]] = deque()
+        self._incoming = IncomingRequest()
+        #: Limits during the present turn of parsing.
+        self._turn_limits = limits()
+        #: Bytes that have arrived and are not parsed yet.
+        self._input = memoryview(b"")
+        self._is_turn_due = False
+        self._waiting: deque[_Waiting] = deque()
         self._active: Responder | None = None
+        self._active_held = 0
         self._task: asyncio.Task[None] | None = None
         self._ignores_input = False
         self._is_draining = is_draining
         self._last_activity = clock.now()
         self._started_at: Milliseconds | None = None
         self._timeout_check: asyncio.TimerHandle | None = None
+        self._is_writable = True
+        #: Bytes of the responses that have ended.
+        self._written = 0
+        #: Bytes that the operating system had taken when they last grew, and when.
+        self._taken = 0
+        self._taken_at = self._last_activity
+        self._held_since = self._last_activity
+        #: See ``MemoryHolder``.
+        self.held = 0
 
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being received or answered."""
-        return self._active is None and self._started_at is None
+        return self._active is None and self._started_at is None and not self._waiting
 
     @property
     def state(self) -> ConnectionState:
         """Return what the caller is owed."""
-        if self._active is not None:
+        if self._active is not None or self._waiting:
             return ConnectionState.ANSWERING
         if self._started_at is not None:
             return ConnectionState.RECEIVING
@@ -134,6 +152,38 @@
         """Return the bytes of responses that the operating system has not taken."""
         return self._transport.get_write_buffer_size()
 
+    @property
+    def held_since(self) -> Milliseconds:
+        """Return since when the connection has held more than an idle one."""
+        return self._held_since
+
+    @property
+    def may_be_evicted(self) -> bool:
+        """Return whether it can be closed without loss of a request that may run."""
+        if self._transport.is_closing():
+            return self.unsent_bytes > 0
+        if self._active is None:
+            return True
+        return not self._is_writable or len(self._waiting) >= MAX_PIPELINED_REQUESTS
+
+    @property
+    def siblings(self) -> Collection["ServerConnection"]:
+        """Return all open connections of the listener."""
+        return self._open
+
+    @property
+    def last_activity(self) -> Milliseconds:
+        """Return when bytes last arrived or a response last ended."""
+        return self._last_activity
+
+    def evict(self) -> None:
+        """Close the connection and release what it holds."""
+        if self.state is ConnectionState.RECEIVING and not self.unsent_bytes:
+            self._reject(503, CloseReason.MEMORY)
+        else:
+            self._abort(CloseReason.MEMORY)
+        self._account()
+
     def reject_partial_request(self) -> None:
         """Reject a request that has arrived in part; no handler has seen it."""
         if self.state is ConnectionState.RECEIVING:
@@ -146,20 +196,32 @@
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Start to check the timeouts."""
+        """Start to check the timeouts; close a connection if there are too many."""
         self._transport = cast(asyncio.Transport, transport)
         self._open.add(self)
         self._schedule_timeout_check()
+        self._account()
+        if len(self._open) > self._max_connections():
+            _to_close_for(self).close_for_others()
+
+    def close_for_others(self) -> None:
+        """Close the connection in favour of others; a partial request is rejected."""
+        # The next new connection must not choose it again.
+        self._open.discard(self)
+        if self.state is ConnectionState.RECEIVING:
+            self._reject(503, CloseReason.CONNECTIONS)
+        else:
+            self._abort(CloseReason.CONNECTIONS)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, as its caller has disconnected."""
         self._open.discard(self)
         if self._timeout_check is not None:
             self._timeout_check.cancel()
-        self._discard_body()
-        for request, _ in self._waiting:
-            self._budget.release(len(request.body))
+        self._ignores_input = True
+        self._discard_input()
         self._waiting.clear()
+        self._budget.remove(self)
         if self._active is not None:
             self._active.set_writable(True)
         if self._task is not None:
@@ -171,74 +233,56 @@
 
     def pause_writing(self) -> None:
         """Pause the response while the write buffer is full."""
+        self._is_writable = False
         if self._active is not None:
             self._active.set_writable(False)
 
     def resume_writing(self) -> None:
-        """Resume the response."""
+        """Resume the response, or answer the next request."""
+        self._is_writable = True
         if self._active is not None:
             self._active.set_writable(True)
+        else:
+            self._answer_next()
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes."""
+        """Parse received bytes, as far as it is their turn."""
         if self._ignores_input:
             return
-        self._last_activity = self._clock.now()
-        if self._started_at is None:
-            self._started_at = self._last_activity
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(501)
-        except httptools.HttpParserError:
-            self._reject(400)
+        rest = self._input
+        self._input = memoryview(b"".join((rest, data)) if rest else data)
+        self._parse()
 
     # httptools callbacks
 
     def on_message_begin(self) -> None:
         """Reset the state of the request being received."""
-        self._incoming = _Incoming()
-        self._headers = []
-        self._body = []
-        self._body_size = 0
-        self._has_body = False
+        self._incoming = IncomingRequest()
         self._started_at = self._clock.now()
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
-        self._incoming.target += url
-        self._count_header_bytes(len(url))
+        self._check(self._incoming.add_target(url, self._turn_limits))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header field."""
-        self._count_header_bytes(len(name) + len(value) + _FIELD_OVERHEAD)
-        self._headers.append((name, value))
+        self._check(self._incoming.add_header(name, value, self._turn_limits))
 
     def on_headers_complete(self) -> None:
         """Check the header section."""
-        incoming = self._incoming
-        incoming.method = self._parser.get_method()
-        incoming.arrived_at = self._clock.now()
-        incoming.is_head_complete = True
         if self._ignores_input:
             return
-        status = self._check_headers()
-        if status is not None:
-            self._reject(status)
-        elif self._expects_continue():
+        incoming = self._incoming
+        method = self._parser.get_method()
+        now = self._clock.now()
+        self._check(incoming.complete_head(method, now, self._turn_limits))
+        if not self._ignores_input and incoming.expects_continue():
             self._transport.write(_CONTINUE)
 
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body within the limits."""
-        if self._ignores_input:
-            return
-        if self._body_size + len(body) > self._limits().body_bytes:
-            self._reject(413)
-        elif not self._budget.reserve(len(body)):
-            self._reject(503)
-        else:
-            self._body_size += len(body)
-            self._body.append(body)
+        if not self._ignores_input:
+            self._check(self._incoming.add_body(body, self._turn_limits))
 
     def on_message_complete(self) -> None:
         """Run the handler, or queue the request while another one is in progress."""
@@ -246,16 +290,7 @@
         if self._ignores_input:
             return
         incoming = self._incoming
-        request = InboundRequest(
-            method=incoming.method,
-            target=incoming.target,
-            headers=self._headers,
-            body=b"".join(self._body),
-            arrived_at=incoming.arrived_at,
-            has_body=self._has_body,
-        )
-        self._body = []
-        self._body_size = 0
+        self._incoming = IncomingRequest()
         responder = Responder(
             self._transport,
             keep_alive=self._parser.should_keep_alive(),
@@ -264,38 +299,99 @@
             on_finished=self._response_finished,
             is_last=self._is_last,
         )
-        self._waiting.append((request, responder))
-        if self._active is None:
+        held = incoming.held + REQUEST_MEMORY_BYTES
+        self._waiting.append(_Waiting(incoming.complete(), responder, held))
+        if self._active is None and self._is_writable:
             self._serve_next()
-        elif len(self._waiting) >= MAX_PIPELINED_REQUESTS:
-            self._transport.pause_reading()
 
     # Private
 
-    def _check_headers(self) -> int | None:
-        """Return the status with which to reject the header section, or None."""
-        hosts = 0
-        for name, value in self._headers:
-            field = name.lower()
-            if field == b"host":
-                hosts += 1
-            elif field == b"transfer-encoding":
-                self._has_body = True
-                if value.strip().lower() != b"chunked":
-                    return 501
-            elif field == b"content-length":
-                self._has_body = True
-                if int(value) > self._limits().body_bytes:
-                    return 413
-        is_valid = hosts == 1 and self._incoming.target.startswith(b"/")
-        return None if is_valid else 400
-
-    def _expects_continue(self) -> bool:
-        value = find_header(self._headers, b"expect")
-        return value is not None and value.strip().lower() == b"100-continue"
+    def _parse(self) -> None:
+        """
+        Parse what has arrived, for one turn at most.
+
+        Nothing more is read meanwhile, nor while requests or responses wait.
+        """
+        self._turn_limits = self._limits()
+        left = TURN_BYTES
+        while self._input and self._may_parse():
+            if left <= 0:
+                self._schedule_turn()
+                break
+            part = self._input[:SLICE_BYTES]
+            self._input = self._input[SLICE_BYTES:]
+            left -= len(part)
+            self._feed(part)
+        if self._transport.is_closing():
+            return
+        if not self._input and self._may_parse():
+            self._transport.resume_reading()
+        else:
+            self._transport.pause_reading()
+        self._account()
+
+    def _may_parse(self) -> bool:
+        return (
+            not self._ignores_input
+            and self._is_writable
+            and len(self._waiting) < MAX_PIPELINED_REQUESTS
+        )
+
+    def _schedule_turn(self) -> None:
+        if not self._is_turn_due:
+            self._is_turn_due = True
+            asyncio.get_running_loop().call_soon(self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._is_turn_due = False
+        if not self._ignores_input:
+            self._parse()
+
+    def _feed(self, part: memoryview) -> None:
+        if self._started_at is None and _is_blank(part):
+            # Empty lines before a request are skipped, and neither begin one nor keep
+            # the connection open.
+            self._check(self._incoming.count_received(len(part), self._turn_limits))
+            return
+        self._last_activity = self._clock.now()
+        if self._started_at is None:
+            self._started_at = self._last_activity
+        incoming = self._incoming
+        try:
+            self._parser.feed_data(part)
+        except httptools.HttpParserUpgrade:
+            self._reject(501)
+        except httptools.HttpParserError:
+            if not self._ignores_input:
+                self._reject(400)
+        if self._incoming is incoming:
+            self._check(incoming.count_received(len(part), self._turn_limits))
+
+    def _check(self, status: int | None) -> None:
+        """Reject the request being received if there is a status to do so."""
+        if status is not None and not self._ignores_input:
+            self._reject(status)
+
+    def _account(self) -> None:
+        """Count what the connection holds; it is closed if there is no room."""
+        if self._transport.is_closing() and not self.unsent_bytes:
+            self._budget.remove(self)
+            return
+        held = (
+            CONNECTION_MEMORY_BYTES
+            + (len(cast(bytes, self._input.obj)) if self._input else 0)
+            + self._incoming.held
+            + sum(item.held for item in self._waiting)
+            + self._active_held
+            + self.unsent_bytes
+        )
+        if self.state is ConnectionState.IDLE:
+            self._held_since = self._clock.now()
+        if not self._budget.resize(self, held) and self.may_be_evicted:
+            self.evict()
 
     def _serve_next(self) -> None:
-        request, responder = self._waiting.popleft()
+        request, responder, self._active_held = self._waiting.popleft()
         self._active = responder
         self._task = asyncio.get_running_loop().create_task(
             self._run(request, responder)
@@ -305,7 +401,6 @@
         try:
             await self._handler(request, responder)
         finally:
-            self._budget.release(len(request.body))
             if not responder.is_finished:
                 # The handler raised or was cancelled: the response is incomplete and
                 # must not end as a complete one.
@@ -317,28 +412,37 @@
             return
         if responder.is_aborted:
             self._on_close(CloseReason.RESPONSE_ABORTED)
+        self._written += responder.written
         self._active = None
+        self._active_held = 0
         self._task = None
         if not responder.keeps_connection:
             self._ignores_input = True
+            self._discard_input()
+            self._waiting.clear()
+            self._account()
+            return
+        self._answer_next()
+
+    def _answer_next(self) -> None:
+        """Answer the next request and parse further ones, if the caller reads."""
+        if not self._is_writable:
+            # Responses that the caller does not read would fill the memory.
+            self._account()
             return
-        self._transport.resume_reading()
         if self._waiting:
             self._serve_next()
         elif self._ignores_input:
             self._transport.close()
+            self._account()
+            return
+        self._parse()
 
     def _is_last(self) -> bool:
         """Return whether no request is served after those that have been read."""
         return (self._ignores_input or self._is_draining()) and not self._waiting
 
-    def _count_header_bytes(self, size: int) -> None:
-        self._incoming.header_bytes += size
-        is_too_large = self._incoming.header_bytes > self._limits().header_bytes
-        if is_too_large and not self._ignores_input:
-            self._reject(431)
-
-    def _reject(self, status: int) -> None:
+    def _reject(self, status: int, reason: CloseReason = CloseReason.REJECTED) -> None:
         """
         Send ``status`` and close.
 
@@ -346,8 +450,8 @@
         is closed after the last of them.
         """
         self._ignores_input = True
-        self._on_close(CloseReason.REJECTED)
-        self._discard_body()
+        self._on_close(reason)
+        self._discard_input()
         headers: Headers = [(b"Retry-After", b"1")] if status in (408, 503) else []
         responder = Responder(
             self._transport,
@@ -356,13 +460,19 @@
             supports_chunked=True,
             on_finished=self._response_finished,
         )
-        if self._active is None:
+        if self._active is None and not self._waiting:
             responder.send(status, headers, b"")
 
-    def _discard_body(self) -> None:
-        self._budget.release(self._body_size)
-        self._body = []
-        self._body_size = 0
+    def _abort(self, reason: CloseReason) -> None:
+        self._ignores_input = True
+        self._on_close(reason)
+        self._discard_input()
+        self._waiting.clear()
+        self._transport.abort()
+
+    def _discard_input(self) -> None:
+        self._incoming = IncomingRequest(is_head_complete=True)
+        self._input = memoryview(b"")
 
     def _schedule_timeout_check(self) -> None:
         self._timeout_check = asyncio.get_running_loop().call_later(
@@ -370,21 +480,60 @@
         )
 
     def _check_timeouts(self) -> None:
-        if self._transport.is_closing():
-            return
         now = self._clock.now()
         limits = self._limits()
+        if self._is_unread(now, limits):
+            self._abort(CloseReason.UNREAD)
+            return
+        if self._transport.is_closing() and not self.unsent_bytes:
+            return
+        self._schedule_timeout_check()
+        if self._transport.is_closing():
+            return
+        self._account()
         if self._started_at is not None and not self._incoming.is_head_complete:
             if now - self._started_at > limits.header_timeout:
                 self._reject(408)
-                return
         elif self._started_at is not None:
             if now - self._last_activity > limits.idle_timeout:
                 # The body has stalled; the handler has not seen the request.
                 self._reject(408)
-                return
         elif self.is_idle and now - self._last_activity > limits.idle_timeout:
             self._on_close(CloseReason.IDLE)
             self._transport.close()
-            return
-        self._schedule_timeout_check()
+
+    def _is_unread(self, now: Milliseconds, limits: ServerLimits) -> bool:
+        """Return whether the caller has long read nothing of what is sent to it."""
+        active = 0 if self._active is None else self._active.written
+        taken = self._written + active - self.unsent_bytes
+        if not self.unsent_bytes or taken != self._taken:
+            self._taken, self._taken_at = taken, now
+        longest = max(limits.idle_timeout, MIN_UNREAD_TIMEOUT)
+        return now - self._taken_at > longest
+
+
+def _is_blank(part: memoryview) -> bool:
+    return part[0] in _LINE_ENDS and not bytes(part).strip(_LINE_ENDS)
+
+
+def _to_close_for(newest: ServerConnection) -> ServerConnection:
+    """
+    Return the connection to close as there are too many.
+
+    That is the one which has been idle for longest, or has received nothing for
+    longest, and ``newest`` itself only if all others have a request in progress.
+    """
+    others = [
+        item
+        for item in newest.siblings
+        if item is not newest and item.state in _CLOSED_FOR_OTHERS
+    ]
+    return min(
+        others,
+        key=lambda item: (_CLOSED_FOR_OTHERS[item.state], item.last_activity),
+        default=newest,
+    )
+
+
+#: States of connections that are closed in favour of others, in that order.
+_CLOSED_FOR_OTHERS = {ConnectionState.IDLE: 0, ConnectionState.RECEIVING: 1}
--- a/fuchsiaroute/http1/tests/test_server.py
+++ b/fuchsiaroute/http1/tests/test_server.py
@@ -7,7 +7,7 @@
 
 from fuchsiaroute.clock import Milliseconds, SystemClock
 from fuchsiaroute.http1 import (
-    BodyBudget,
+    ClientBudget,
     InboundRequest,
     Responder,
     ServerConnection,
@@ -33,7 +33,7 @@
         self.cancelled = 0
         self._handler = handler or self._echo
         self._open: set[ServerConnection] = set()
-        self.budget = BodyBudget(limit=1_000)
+        self.budget = ClientBudget(limit=20_000, clock=SystemClock())
 
     async def __aenter__(self) -> "Server":
         loop = asyncio.get_running_loop()
@@ -135,7 +135,10 @@
     assert server.requests[0].body == b"abcde"
     assert server.requests[0].target == b"/a?b=1"
     assert received.endswith(b"abcde")
-    assert server.budget.used == 0
+    async with asyncio.timeout(5):
+        while server.budget.used:  # noqa: ASYNC110
+            # The server has not noticed yet that the connection was closed.
+            await asyncio.sleep(0.01)
 
 
 async def test_body_in_the_form_of_a_request_is_not_handled_as_one() -> None:
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -32,7 +32,7 @@
     MemberInfo,
 )
 from fuchsiaroute.http1 import (
-    BodyBudget,
+    ClientBudget,
     ConnectError,
     ServerLimits,
     connect_protocol,
@@ -80,8 +80,14 @@
 RETRY_SLACK_SHARE = 0.6
 #: Mean deviations above the mean duration of a route's responses that count as usual.
 DURATION_DEVIATIONS = 6.0
-#: Share of the memory limit that request bodies may use.
-BODY_SHARE = 0.2
+#: Share of the memory limit that all clients' connections may use. Requests that are
+#: forwarded are held a second time, and the program itself takes some 25 MB.
+CLIENT_MEMORY_SHARE = 0.2
+#: Connections for each file descriptor of this process: of callers, and to each of the
+#: addresses for the directory, readiness and metrics. The rest is for endpoints, peers
+#: and the store.
+CALLER_CONNECTION_SHARE = 0.4
+CONTROL_CONNECTION_SHARE = 0.05
 #: Tunnels of peers for each file descriptor of this process; a tunnel needs two.
 TUNNEL_SHARE = 0.15
 _BYTES_PER_MB = 1_000_000
@@ -296,9 +302,7 @@
             log=log,
         )
         self.metrics = MetricsHandler(self.counters, gauges=self._gauges)
-        self.bodies = BodyBudget(
-            limit=round(settings.memory_mb * _BYTES_PER_MB * BODY_SHARE)
-        )
+        self.clients = ClientBudget(limit=_client_memory(settings), clock=clock)
 
     def is_ready(self) -> bool:
         """Return whether callers may send requests to this instance."""
@@ -377,11 +381,20 @@
             idle_timeout=deployment.limits.idle_timeout,
         )
 
+    def max_caller_connections(self) -> float:
+        """Return how many connections callers may have."""
+        return self._settings.max_descriptors * CALLER_CONNECTION_SHARE
+
+    def max_control_connections(self) -> float:
+        """Return how many connections each other address may have."""
+        return self._settings.max_descriptors * CONTROL_CONNECTION_SHARE
+
     def reload(self, settings: NodeSettings) -> None:
         """Apply changed settings."""
         is_store_moved = settings.store != self._settings.store
         self._settings = settings
         self.store.set_address(settings.store)
+        self.clients.limit = _client_memory(settings)
         if is_store_moved:
             # The former address may never answer the watches that it holds.
             self.orders_feed.restart_watch("the store has another address")
@@ -550,10 +563,15 @@
             "requests_active": self.forwarder.active,
             "requests_waiting": self.queue.waiting,
             "connections_opened": self.connections.opened,
+            "client_memory_bytes": self.clients.used,
             "event_loop_tasks": len(asyncio.all_tasks()),
         }
 
 
+def _client_memory(settings: NodeSettings) -> int:
+    return round(settings.memory_mb * _BYTES_PER_MB * CLIENT_MEMORY_SHARE)
+
+
 #: Limits before the first declaration; all requests are rejected until then.
 _UNDECLARED_LIMITS = ServerLimits(
     header_bytes=16_384,
--- a/fuchsiaroute/node/_run.py
+++ b/fuchsiaroute/node/_run.py
@@ -4,6 +4,7 @@
 import dataclasses
 import os
 import signal
+import socket
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from random import Random
@@ -19,6 +20,7 @@
     ServerConnection,
 )
 from fuchsiaroute.linelog import LineLog
+from fuchsiaroute.node._client_closes import ClientCloses
 from fuchsiaroute.node._metrics import METRICS_PATH
 from fuchsiaroute.node._parts import NodeParts
 from fuchsiaroute.node._peer_tunnels import tunnel_port
@@ -47,6 +49,9 @@
 RELOADABLE_SETTINGS = frozenset({"bounds", "store", "memory_mb", "max_descriptors"})
 #: Maximum number of connections that wait to be accepted, per listening socket.
 BACKLOG = 512
+#: Connections that are accepted at once. Those beyond a listener's limit are closed
+#: after that, so this many descriptors are used in addition.
+ACCEPT_BATCH = 16
 
 
 class Node:
@@ -67,6 +72,9 @@
         self._clock = clock
         self._log = log
         self._parts = NodeParts(settings, clock=clock, log=log, random=random)
+        self._client_closes = ClientCloses(
+            clock=clock, log=log, memory=lambda: self._parts.clients.used
+        )
         self._caller_connections: set[ServerConnection] = set()
         self._control_connections: set[ServerConnection] = set()
         self._servers: list[asyncio.Server] = []
@@ -118,7 +126,8 @@
             settings.frontend,
             parts.forwarder.handle,
             self._caller_connections,
-            on_close=lambda reason: parts.counters.add("caller_closes", reason.value),
+            max_connections=parts.max_caller_connections,
+            closes="caller_closes",
         )
         control = {settings.readiness, settings.directory} - {None}
         for address in control:
@@ -152,22 +161,38 @@
         handler: Handler,
         connections: set[ServerConnection],
         *,
-        on_close: Callable[[CloseReason], None] = lambda reason: None,
+        max_connections: Callable[[], float] | None = None,
+        closes: str = "control_closes",
     ) -> None:
+        """Listen; ``closes`` is the counter of the connections that are closed."""
+        if max_connections is None:
+            max_connections = self._parts.max_control_connections
+
+        def on_close(reason: CloseReason) -> None:
+            self._parts.counters.add(closes, reason.value)
+            self._client_closes.record(str(address), reason)
+
         def new_connection() -> ServerConnection:
             return ServerConnection(
                 clock=self._clock,
                 handler=handler,
                 limits=self._parts.limits,
-                budget=self._parts.bodies,
+                budget=self._parts.clients,
                 open_connections=connections,
+                max_connections=max_connections,
                 is_draining=lambda: self._parts.drain.is_draining,
                 on_close=on_close,
             )
 
+        listening = socket.create_server(
+            (address.host, address.port), backlog=BACKLOG, reuse_port=False
+        )
         server = await asyncio.get_running_loop().create_server(
-            new_connection, address.host, address.port, backlog=BACKLOG
+            new_connection, sock=listening, backlog=ACCEPT_BATCH
         )
+        # The server has passed its number of connections to accept at once to the
+        # socket, as that of connections to keep waiting.
+        listening.listen(BACKLOG)
         self._servers.append(server)
 
     async def _tick(self) -> None:
