Callers' connections: small requests are not counted apart from their connection

A request of up to 12 KB is now part of what a connection counts for, one turn of 16 KB is parsed without being split, and reading is paused and resumed only on a change.

--- a/fuchsiaroute/http1/_server.py
+++ b/fuchsiaroute/http1/_server.py
@@ -22,12 +22,14 @@
 #: Number of waiting pipelined requests at which no further input is parsed until the
 #: next response is complete.
 MAX_PIPELINED_REQUESTS = 4
-#: Bytes that are parsed at once; the requests in them are all held.
-SLICE_BYTES = 4 * 1024
-#: Bytes of one connection that are parsed before other connections have their turn.
+#: Bytes of one connection that are parsed before other connections have their turn. The
+#: requests in them are all held.
 TURN_BYTES = 16 * 1024
-#: Memory of a connection that is idle: transport, parser, socket and buffers.
-CONNECTION_MEMORY_BYTES = 6 * 1024
+#: Memory of a request up to which it is not counted apart from its connection, which
+#: saves the work for most requests.
+SMALL_REQUEST_BYTES = 12 * 1024
+#: Memory of a connection: transport, parser, socket, buffers and a small request.
+CONNECTION_MEMORY_BYTES = 6 * 1024 + SMALL_REQUEST_BYTES
 #: Interval at which a connection's timeouts, which are seconds long, are checked.
 TIMEOUT_CHECK_INTERVAL_SECONDS = 0.5
 #: Time without any progress after which an unread response is given up, unless the idle
@@ -114,6 +116,7 @@
         #: Bytes that have arrived and are not parsed yet.
         self._input = memoryview(b"")
         self._is_turn_due = False
+        self._is_reading = True
         self._waiting: deque[_Waiting] = deque()
         self._active: Responder | None = None
         self._active_held = 0
@@ -247,11 +250,16 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, as far as it is their turn."""
-        if self._ignores_input:
+        if self._ignores_input or not data:
             return
-        rest = self._input
-        self._input = memoryview(b"".join((rest, data)) if rest else data)
-        self._parse()
+        if not self._input and len(data) <= TURN_BYTES and self._may_parse():
+            self._turn_limits = self._limits()
+            self._feed(data)
+        else:
+            self._input = memoryview(b"".join((self._input, data)))
+            self._parse()
+        self._set_reading()
+        self._account()
 
     # httptools callbacks
 
@@ -307,55 +315,52 @@
     # Private
 
     def _parse(self) -> None:
-        """
-        Parse what has arrived, for one turn at most.
-
-        Nothing more is read meanwhile, nor while requests or responses wait.
-        """
-        self._turn_limits = self._limits()
-        left = TURN_BYTES
-        while self._input and self._may_parse():
-            if left <= 0:
-                self._schedule_turn()
-                break
-            part = self._input[:SLICE_BYTES]
-            self._input = self._input[SLICE_BYTES:]
-            left -= len(part)
-            self._feed(part)
-        if self._transport.is_closing():
+        """Parse what has arrived, for one turn at most."""
+        if not self._input or not self._may_parse():
             return
-        if not self._input and self._may_parse():
-            self._transport.resume_reading()
-        else:
-            self._transport.pause_reading()
+        self._turn_limits = self._limits()
+        part = self._input[:TURN_BYTES]
+        self._input = self._input[TURN_BYTES:]
+        self._feed(part)
+        if self._input and not self._is_turn_due:
+            self._is_turn_due = True
+            asyncio.get_running_loop().call_soon(self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._is_turn_due = False
+        self._parse()
+        self._set_reading()
         self._account()
 
     def _may_parse(self) -> bool:
         return (
-            not self._ignores_input
-            and self._is_writable
+            self._is_writable
+            and not self._ignores_input
             and len(self._waiting) < MAX_PIPELINED_REQUESTS
         )
 
-    def _schedule_turn(self) -> None:
-        if not self._is_turn_due:
-            self._is_turn_due = True
-            asyncio.get_running_loop().call_soon(self._take_turn)
-
-    def _take_turn(self) -> None:
-        self._is_turn_due = False
-        if not self._ignores_input:
-            self._parse()
-
-    def _feed(self, part: memoryview) -> None:
-        if self._started_at is None and _is_blank(part):
-            # Empty lines before a request are skipped, and neither begin one nor keep
-            # the connection open.
-            self._check(self._incoming.count_received(len(part), self._turn_limits))
+    def _set_reading(self) -> None:
+        """Read further input only if all that has arrived could be parsed."""
+        is_reading = not self._input and self._may_parse()
+        if is_reading is self._is_reading or self._transport.is_closing():
             return
-        self._last_activity = self._clock.now()
+        self._is_reading = is_reading
+        if is_reading:
+            self._transport.resume_reading()
+        else:
+            self._transport.pause_reading()
+
+    def _feed(self, part: bytes | memoryview) -> None:
+        now = self._clock.now()
         if self._started_at is None:
-            self._started_at = self._last_activity
+            if _is_blank(part):
+                # Empty lines before a request are skipped, and neither begin one nor
+                # keep the connection open.
+                limits = self._turn_limits
+                self._check(self._incoming.count_received(len(part), limits))
+                return
+            self._started_at = now
+        self._last_activity = now
         incoming = self._incoming
         try:
             self._parser.feed_data(part)
@@ -374,22 +379,36 @@
 
     def _account(self) -> None:
         """Count what the connection holds; it is closed if there is no room."""
+        if self._is_small and self.held == CONNECTION_MEMORY_BYTES:
+            return
         if self._transport.is_closing() and not self.unsent_bytes:
             self._budget.remove(self)
             return
-        held = (
-            CONNECTION_MEMORY_BYTES
-            + (len(cast(bytes, self._input.obj)) if self._input else 0)
-            + self._incoming.held
-            + sum(item.held for item in self._waiting)
-            + self._active_held
-            + self.unsent_bytes
-        )
-        if self.state is ConnectionState.IDLE:
+        held = CONNECTION_MEMORY_BYTES
+        if self._is_small:
             self._held_since = self._clock.now()
+        else:
+            held += (
+                (len(cast(bytes, self._input.obj)) if self._input else 0)
+                + self._incoming.held
+                + sum(item.held for item in self._waiting)
+                + self._active_held
+                + self.unsent_bytes
+            )
         if not self._budget.resize(self, held) and self.may_be_evicted:
             self.evict()
 
+    @property
+    def _is_small(self) -> bool:
+        """Return whether the connection holds no more than a small request."""
+        return (
+            not self._input
+            and not self._waiting
+            and self._started_at is None
+            and self._active_held <= SMALL_REQUEST_BYTES
+            and not self.unsent_bytes
+        )
+
     def _serve_next(self) -> None:
         request, responder, self._active_held = self._waiting.popleft()
         self._active = responder
@@ -437,6 +456,8 @@
             self._account()
             return
         self._parse()
+        self._set_reading()
+        self._account()
 
     def _is_last(self) -> bool:
         """Return whether no request is served after those that have been read."""
@@ -512,7 +533,7 @@
         return now - self._taken_at > longest
 
 
-def _is_blank(part: memoryview) -> bool:
+def _is_blank(part: bytes | memoryview) -> bool:
     return part[0] in _LINE_ENDS and not bytes(part).strip(_LINE_ENDS)
 
 
