Order under load: backlog limits by priority; a better answer has to end in time

In the instances' logs 3,510 of 3,672 repeated arrivals at the engines are questions to the largest model after a weak answer.

The limit of the work queued at an engine followed from the request's own latency target, so a burst of the least urgent kind, whose target is the longest, kept all engines above the limit of the most urgent one, which waited at the instances. The pressure that lowers the threshold for a second answer was measured at the emptiest endpoint, which is a cold one that may get nothing. A second answer was asked for, and waited for until the deadline, whether or not it could end before it.

Now no request may join a longer queue than any more urgent kind of its service (contention/); cold, full and paused endpoints do not show room; a second answer is asked for only if its start and its stream, learned for each route and model per token that the caller expects, fit the time left, waits for an endpoint only while it would be in time, and leaves 0.3 of the time for the weak one.

--- a/fuchsiaroute/catalog/_catalog.py
+++ b/fuchsiaroute/catalog/_catalog.py
@@ -7,6 +7,7 @@
 from fuchsiaroute.catalog._removals import PendingRemovals
 from fuchsiaroute.catalog._restore_memory import RemovedEndpoints, UnconfirmedOrders
 from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.contention import backlog_limits
 from fuchsiaroute.deployment import Deployment, Endpoint, RolloutOrder
 from fuchsiaroute.ids import EndpointId, FailureDomainId, ServiceId
 from fuchsiaroute.linelog import LineLog
@@ -71,6 +72,8 @@
         self.on_order_begun: Callable[[RolloutOrder], None] = lambda order: None
         #: The declaration in force; None before the first one is read.
         self.deployment: Deployment | None = None
+        #: Backlog limits that follow from the deployment.
+        self.backlog_limits = backlog_limits(())
         #: Instant at which this instance applied the declaration.
         self.deployed_at = Milliseconds(0)
         #: The latest roll-out order of each service.
@@ -284,6 +287,7 @@
         if known is not None and known.version >= deployment.version:
             return
         self.deployment = deployment
+        self.backlog_limits = backlog_limits(deployment.routes)
         self.deployed_at = self._clock.now()
         self._pool.update_services(deployment.services)
         self._log.write(
--- a/fuchsiaroute/forwarding/_attempt_estimates.py
+++ b/fuchsiaroute/forwarding/_attempt_estimates.py
@@ -1,12 +1,14 @@
 """What an attempt requires of an endpoint, and how long it may wait and take."""
 
-import math
+from collections.abc import Callable
 
 from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.contention import BACKLOG_SHARE, BacklogLimits
 from fuchsiaroute.deployment import RequestKind
 from fuchsiaroute.forwarding._call import Call
 from fuchsiaroute.forwarding._latency_estimator import FIXED_TOKENS, LatencyEstimator
 from fuchsiaroute.forwarding._model_choice import CascadeTimes
+from fuchsiaroute.forwarding._stream_durations import StreamDurations
 from fuchsiaroute.ids import ModelId, VersionId
 from fuchsiaroute.platform import PromptPart
 from fuchsiaroute.pool import Demand, EndpointPool
@@ -27,18 +29,21 @@
 #: answer still has value, and a caller that is refused can still ask elsewhere.
 MAX_WAIT_SHARE = 0.3
 MAX_WAIT = Milliseconds(3_000)
-#: Maximum backlog of an engine as a share of the latency target. Engines process
-#: prompts in order of arrival; requests in the queue here can still be reordered.
-MAX_BACKLOG_SHARE = 0.35
 #: Factor on the backlog in an attempt timeout: the load from other instances becomes
 #: known with a delay.
 BACKLOG_TIMEOUT_FACTOR = 2.0
 #: Relative backlog above which an attempt has no timeout of its own: a retry would wait
 #: in another backlog, and the prompt processing done so far would be lost.
 MAX_RELATIVE_BACKLOG_TO_RETRY = 0.2
+#: Share of the remaining time after which a better answer is no longer waited for, so
+#: that the caller gets the weak one in time.
+MAX_ESCALATION_SHARE = 0.7
+#: Share of the remaining time within which an answer is expected to end.
+USABLE_TIME_SHARE = 0.9
 #: Prompt tokens processed per millisecond, assumed until latencies have been observed;
 #: engines process tens of them.
 INITIAL_TOKENS_PER_MS = 40.0
+NO_WAIT = Milliseconds(0)
 #: Prompt tokens that every working engine processes in a millisecond with any model.
 MIN_TOKENS_PER_MS = 15.0
 
@@ -65,8 +70,12 @@
         pool: EndpointPool,
         tracker: RolloutTracker,
         latencies: LatencyEstimator,
+        streams: StreamDurations,
+        limits: Callable[[], BacklogLimits],
         clock: Clock,
     ) -> None:
+        self._streams = streams
+        self._limits = limits
         self._pool = pool
         self._tracker = tracker
         self._latencies = latencies
@@ -99,7 +108,7 @@
             affinity=affinity,
             work=self._expected_latency(call, model),
             uncached_factor=uncached_factor(call.fields.prompt),
-            max_backlog=call.route.latency_target * MAX_BACKLOG_SHARE or math.inf,
+            max_backlog=self._backlog_limit(call),
             excluded=frozenset(call.excluded) if excludes_failed else frozenset(),
             max_silence=max_silence,
             is_repeatable=call.route.is_repeatable,
@@ -111,6 +120,10 @@
         wait = min(remaining * MAX_WAIT_SHARE, MAX_WAIT)
         return Milliseconds(round(max(wait, 0)))
 
+    def max_escalation_wait(self, call: Call, work: float) -> Milliseconds:
+        """Return how long a request with a weak answer may wait for an endpoint."""
+        return min(self.max_wait(call), max(self.max_wait_in_time(call, work), NO_WAIT))
+
     def max_wait_in_time(self, call: Call, work: float) -> Milliseconds:
         """Return how long the request can wait and still meet its latency target."""
         waited = self._clock.now() - call.inbound.arrived_at
@@ -125,9 +138,35 @@
         return mean if mean is not None else tokens / INITIAL_TOKENS_PER_MS
 
     def relative_backlog(self, call: Call) -> float:
-        """Return the smallest backlog of an endpoint divided by the latency target."""
-        target = max(call.route.latency_target, 1)
-        return self._pool.min_backlog(call.service, self.versions(call)) / target
+        """
+        Return the smallest backlog of an endpoint divided by a latency target.
+
+        That is the shortest target of all requests that are as urgent or more, so that
+        less urgent ones do not count an engine as free for longer.
+        """
+        target = self._backlog_limit(call) / BACKLOG_SHARE
+        return self._min_backlog(call) / max(target, 1.0)
+
+    def can_finish(self, call: Call, model: ModelId) -> bool:
+        """
+        Return whether a whole answer of ``model`` is expected before the deadline.
+
+        It is also if too little is known of the model's answers.
+        """
+        start = self._learned_latency(call, model)
+        tokens = call.fields.expected_output_tokens or call.fields.max_output_tokens
+        rest = self._streams.expected(call.route.name, model, tokens)
+        if start is None or rest is None:
+            return True
+        needed = self._min_backlog(call) + start + rest
+        return needed <= call.remaining(self._clock) * USABLE_TIME_SHARE
+
+    def _min_backlog(self, call: Call) -> float:
+        return self._pool.min_backlog(call.service, self.versions(call))
+
+    def _backlog_limit(self, call: Call) -> float:
+        target = call.route.latency_target
+        return self._limits().limit(call.service, call.priority, target)
 
     def cascade_times(self, call: Call) -> CascadeTimes:
         """Return the times that decide which model of the route is asked first."""
@@ -166,6 +205,9 @@
     ) -> Milliseconds:
         """Return how long to wait for the response head before a retry."""
         remaining = call.remaining(self._clock)
+        if is_escalation:
+            # The weak answer is relayed while there is time to do so.
+            remaining = Milliseconds(round(remaining * MAX_ESCALATION_SHARE))
         can_retry = (
             call.route.is_repeatable
             and call.possible_runs + 1 < call.route.max_attempts
--- a/fuchsiaroute/forwarding/_attempt_runner.py
+++ b/fuchsiaroute/forwarding/_attempt_runner.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.contention import BacklogLimits
 from fuchsiaroute.deployment import Endpoint
 from fuchsiaroute.forwarding._attempt_estimates import AttemptEstimates
 from fuchsiaroute.forwarding._attempt_records import AttemptRecords
@@ -24,6 +25,7 @@
 from fuchsiaroute.forwarding._speed_comparison import SpeedComparison
 from fuchsiaroute.forwarding._standby import StandbyRunner
 from fuchsiaroute.forwarding._stop_admission import STOPPING_REFUSAL, StopAdmission
+from fuchsiaroute.forwarding._stream_durations import StreamDurations
 from fuchsiaroute.ids import ModelId
 from fuchsiaroute.lifecycle import Outcome
 from fuchsiaroute.linelog import LineLog
@@ -74,6 +76,7 @@
         admission: StopAdmission,
         quarantine: Quarantine,
         is_refused: Callable[[Endpoint], Awaitable[bool]],
+        limits: Callable[[], BacklogLimits],
         is_brittle: Callable[[Endpoint], bool] = lambda endpoint: False,
     ) -> None:
         self._pool = pool
@@ -85,8 +88,14 @@
         self._log = log
         self._on_session = on_session
         self._admission = admission
+        self._streams = StreamDurations()
         self._estimates = AttemptEstimates(
-            pool=pool, tracker=tracker, latencies=latencies, clock=clock
+            pool=pool,
+            tracker=tracker,
+            latencies=latencies,
+            streams=self._streams,
+            limits=limits,
+            clock=clock,
         )
         self._records = AttemptRecords(
             tracker=tracker,
@@ -147,7 +156,11 @@
         ``is_alone`` returns that it is the only one that works on the request.
         """
         reservation = await self._reserve(
-            call, model, is_resumption=is_resumption, max_silence=max_silence
+            call,
+            model,
+            is_escalation=is_escalation,
+            is_resumption=is_resumption,
+            max_silence=max_silence,
         )
         if isinstance(reservation, QueueRefusal):
             return NoReservation(refusal=reservation)
@@ -316,6 +329,24 @@
         """Return the smallest backlog of an endpoint divided by the latency target."""
         return self._estimates.relative_backlog(call)
 
+    def can_finish(self, call: Call, model: ModelId) -> bool:
+        """Return whether a whole answer of ``model`` is expected in time."""
+        return self._estimates.can_finish(call, model)
+
+    def record_stream_duration(
+        self,
+        call: Call,
+        model: ModelId | None,
+        duration: Milliseconds,
+        *,
+        is_whole: bool,
+    ) -> None:
+        """Record the time from the first event of a stream to its end."""
+        fields = call.fields
+        tokens = fields.expected_output_tokens or fields.max_output_tokens
+        add = self._streams.add if is_whole else self._streams.add_unfinished
+        add(call.route.name, model or "", tokens, duration)
+
     def cascade_times(self, call: Call) -> CascadeTimes:
         """Return the times that decide which model of the route is asked first."""
         return self._estimates.cascade_times(call)
@@ -325,6 +356,7 @@
         call: Call,
         model: ModelId | None,
         *,
+        is_escalation: bool,
         is_resumption: bool,
         max_silence: Milliseconds | None,
     ) -> Reservation | QueueRefusal:
@@ -338,6 +370,8 @@
         max_wait = (
             self._estimates.max_wait(call) if waits_for_place else Milliseconds(0)
         )
+        if is_escalation:
+            max_wait = self._estimates.max_escalation_wait(call, demand.work)
         reservation = await self._queue.reserve(
             call.as_request(),
             demand,
--- a/fuchsiaroute/forwarding/_relay_state.py
+++ b/fuchsiaroute/forwarding/_relay_state.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from fuchsiaroute.clock import Milliseconds
 from fuchsiaroute.forwarding._endpoint_client import OpenResponse
 from fuchsiaroute.forwarding._event_pace import EventPace
 from fuchsiaroute.forwarding._events import EventSplitter
@@ -26,6 +27,8 @@
     pace: EventPace = field(default_factory=EventPace)
     #: Whether ``response`` has delivered an event.
     has_event: bool = False
+    #: When ``response`` delivered its first event, if it has.
+    first_event_at: Milliseconds = Milliseconds(0)
     #: Whether a former response broke off inside the next event.
     is_event_missing: bool = False
     resumptions: int = 0
--- a/fuchsiaroute/forwarding/_stream_relay.py
+++ b/fuchsiaroute/forwarding/_stream_relay.py
@@ -142,13 +142,15 @@
         )
         if not is_weak(answer, threshold=threshold):
             return False
-        is_allowed = self._runner.may_escalate(call)
+        can_finish = self._runner.can_finish(call, models[-1])
+        is_allowed = can_finish and self._runner.may_escalate(call)
         self._log.write(
             "request:weak-answer",
             request=call.request_id,
             model=response.model,
             confidence=confidence,
             threshold=round(threshold, 3),
+            can_finish=can_finish,
             is_escalated=is_allowed,
         )
         return is_allowed
@@ -195,6 +197,7 @@
                 ending, outcome = Ending.ANSWERED, Outcome.ANSWERED
         finally:
             self._record_pace(call, state)
+            self._record_duration(call, state, is_whole=ending is Ending.ANSWERED)
             state.response.close(outcome)
         if ending is Ending.ANSWERED:
             self._runner.record_complete_response(call, state.response)
@@ -268,6 +271,7 @@
     def _record_events(self, call: Call, state: RelayState, count: int) -> None:
         if not state.has_event:
             state.has_event = True
+            state.first_event_at = self._clock.now()
             state.is_event_missing = False
             self._runner.record_answer_begun(call)
         state.pace.record(self._clock.now(), count)
@@ -280,6 +284,17 @@
         if pace is not None:
             self._runner.record_pace(call, state.response, pace)
 
+    def _record_duration(
+        self, call: Call, state: RelayState, *, is_whole: bool
+    ) -> None:
+        """Record the duration of a stream that one endpoint has written."""
+        is_cut = call.remaining(self._clock) <= 0
+        if state.has_event and not state.resumptions and (is_whole or is_cut):
+            duration = Milliseconds(self._clock.now() - state.first_event_at)
+            self._runner.record_stream_duration(
+                call, state.response.model, duration, is_whole=is_whole
+            )
+
     def _give_up(
         self, call: Call, state: RelayState, outcome: Outcome, reason: str
     ) -> None:
@@ -304,6 +319,9 @@
         """
         if state.fallback is not None:
             self._give_up(call, state, Outcome.SILENT, _SILENCE)
+            model = state.response.model
+            if model is not None and not self._runner.can_finish(call, model):
+                return False
             return await self._resume(call, state, _SILENCE)
         result = await self._runner.replace_silent(
             call,
--- a/fuchsiaroute/forwarding/tests/test_escalation.py
+++ b/fuchsiaroute/forwarding/tests/test_escalation.py
@@ -26,6 +26,7 @@
             "admission",
             "quarantine",
             "is_refused",
+            "limits",
         )
     )
     return AttemptRunner(
--- a/fuchsiaroute/forwarding/tests/test_slow_version.py
+++ b/fuchsiaroute/forwarding/tests/test_slow_version.py
@@ -8,6 +8,7 @@
 import pytest
 
 from fuchsiaroute.clock import ManualClock, Milliseconds
+from fuchsiaroute.contention import backlog_limits
 from fuchsiaroute.deployment import RequestKind, RolloutOrder
 from fuchsiaroute.draining import Drain
 from fuchsiaroute.forwarding import (
@@ -77,6 +78,7 @@
             log=log,
             is_stopping=lambda: False,
             quarantine=Quarantine(clock=self.clock, random=Random(1), log=log),
+            limits=lambda: backlog_limits(()),
             is_refused=_never_refused,
             admission=StopAdmission(
                 Drain(clock=self.clock, longest=lambda route: None), clock=self.clock
--- a/fuchsiaroute/forwarding/tests/test_stream_relay.py
+++ b/fuchsiaroute/forwarding/tests/test_stream_relay.py
@@ -26,6 +26,8 @@
 SILENT = AttemptFailure(outcome=Outcome.SILENT, reason="no response")
 #: A part of a stream that is received before its connection breaks.
 BREAK = object()
+#: A part that does not arrive within the longest pause.
+STALL = object()
 
 
 def event(number: int) -> bytes:
@@ -55,6 +57,8 @@
         part = self._parts.pop(0) if self._parts else b""
         if part is BREAK:
             raise ExchangeError("connection lost")
+        if part is STALL:
+            raise TimeoutError
         return part
 
     def close(self, outcome: Outcome) -> None:
@@ -67,6 +71,9 @@
 
     results: list[Any]
     may_escalate_to: bool = True
+    #: Answers of ``can_finish``, in order; True after them.
+    can_finish_in_time: list[bool] = field(default_factory=list)
+    durations: list[tuple[Any, int, bool]] = field(default_factory=list)
     attempts: list[dict[str, Any]] = field(default_factory=list)
     paces: list[tuple[str, float]] = field(default_factory=list)
 
@@ -83,6 +90,14 @@
     def relative_backlog(self, call: Any) -> float:
         return 0.0
 
+    def can_finish(self, call: Any, model: Any) -> bool:
+        return self.can_finish_in_time.pop(0) if self.can_finish_in_time else True
+
+    def record_stream_duration(
+        self, call: Any, model: Any, duration: int, *, is_whole: bool
+    ) -> None:
+        self.durations.append((model, duration, is_whole))
+
     def cascade_times(self, call: Any) -> CascadeTimes:
         return CascadeTimes(
             smallest=None, largest=None, left=2_000, relative_backlog=0.0
@@ -163,6 +178,7 @@
         request_id="q",
         possible_runs=1,
         answer_started_at=None,
+        remaining=lambda clock: Milliseconds(1_000),
     )
     relay = StreamRelay(
         runner,  # type: ignore[arg-type]
@@ -240,6 +256,30 @@
     assert not result.is_escalated
 
 
+def test_weak_answer_is_sent_if_a_better_one_cannot_end_in_time() -> None:
+    """Guards against a stream that begins too late to be whole at the deadline."""
+    runner = Runner([weak()], can_finish_in_time=[False])
+    result, responder, _ = serve(runner)
+    assert responder.data == event(1) + event(2)
+    assert not result.is_escalated
+
+
+def test_weak_answer_is_sent_if_the_better_one_is_silent_for_too_long() -> None:
+    """Guards against a better answer that is awaited until nothing can be sent."""
+    runner = Runner([weak(), Response(LARGE, STALL)], can_finish_in_time=[True, False])
+    _, responder, _ = serve(runner)
+    assert responder.data == event(1) + event(2)
+    assert len(runner.attempts) == 2
+
+
+def test_durations_are_recorded_of_whole_streams_of_one_endpoint() -> None:
+    runner = Runner([Response(SMALL, event(1), event(2), confidence=0.9)])
+    serve(runner)
+    assert [(model, is_whole) for model, _, is_whole in runner.durations] == [
+        (SMALL, True)
+    ]
+
+
 @pytest.mark.parametrize("is_resumable", [True, False])
 def test_stream_that_breaks_before_its_first_event_can_still_be_answered(
     is_resumable: bool,
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -497,6 +497,7 @@
             admission=admission,
             quarantine=self.quarantine,
             is_refused=self.connections.is_refused,
+            limits=lambda: self.catalog.backlog_limits,
             is_brittle=lambda item: self._brittle.tolerance(item) is not None,
         )
         return Forwarder(
--- a/fuchsiaroute/pool/_pool.py
+++ b/fuchsiaroute/pool/_pool.py
@@ -79,17 +79,22 @@
         """
         Return the smallest backlog of the usable endpoints, in milliseconds of work.
 
-        Only endpoints of ``versions`` count, unless it is None.
+        Only endpoints of ``versions`` count, unless it is None. Those that are cold or
+        that take no requests now count only if all others do neither: they have no
+        backlog because they may not get one.
         """
-        return min(
-            (
-                item.backlog
-                for item in self.members(service)
-                if item.is_usable
-                and (versions is None or item.endpoint.version in versions)
-            ),
-            default=0.0,
-        )
+        usable = [
+            item
+            for item in self.members(service)
+            if item.is_usable
+            and (versions is None or item.endpoint.version in versions)
+        ]
+        open_now = [
+            item
+            for item in usable
+            if not (item.is_cold or item.is_full or item.is_paused)
+        ]
+        return min((item.backlog for item in open_now or usable), default=0.0)
 
     def member(self, endpoint: EndpointId) -> PoolMember | None:
         """Return an announced endpoint; None if there is none with this id."""
