Streams: bytes that make no event do not show that an endpoint goes on

What callers saw: a stream whose endpoint has stalled, but sends a byte or a comment now and then, gave nothing more until the deadline, though another endpoint could go on with it.

Cause: the time after which a stream counts as silent began anew with any bytes, and the standby took any of them as a sign of life. It now runs from the latest complete event that is no comment.

--- a/fuchsiaroute/forwarding/_events.py
+++ b/fuchsiaroute/forwarding/_events.py
@@ -41,8 +41,9 @@
         self._floor: int | None = None
         #: Id of the last complete event, as received; None before the first.
         self.last_id: bytes | None = None
-        #: Number of complete events.
+        #: Number of complete events, and of those that are not comments.
         self.count = 0
+        self.progress = 0
 
     @property
     def has_incomplete(self) -> bool:
@@ -69,10 +70,17 @@
             self._check_order(complete, self._floor)
         ids = _ID.findall(complete)
         self.count += len(_END.findall(complete))
+        self.progress += _count_events(complete)
         if ids:
             self.last_id = ids[-1]
         return complete
 
+    def completes(self, data: bytes) -> bool:
+        """Return whether ``data`` would complete an event that is not a comment."""
+        whole = self._pending + data
+        end = max((found.end() for found in _END.finditer(whole)), default=0)
+        return _count_events(whole[:end]) > 0
+
     def begin_rest(self) -> None:
         """
         Prepare for the rest of the stream from another response.
@@ -95,3 +103,11 @@
                 raise EventOutOfOrderError(f"the event after {floor} has id {number}")
             floor = number
         self._floor = floor
+
+
+def _count_events(complete: bytes) -> int:
+    """Return the number of complete events that have a line other than a comment."""
+    return sum(
+        any(line and not line.startswith(_COMMENT) for line in event.splitlines())
+        for event in _END.split(complete)
+    )
--- a/fuchsiaroute/forwarding/_relay_state.py
+++ b/fuchsiaroute/forwarding/_relay_state.py
@@ -7,6 +7,7 @@
 from fuchsiaroute.forwarding._event_pace import EventPace
 from fuchsiaroute.forwarding._events import EventSplitter
 from fuchsiaroute.forwarding._held_answer import HeldAnswer
+from fuchsiaroute.http1 import ExchangeError
 from fuchsiaroute.platform import EventId
 
 #: Reasons in the log for streams whose end, however it is marked, is not one.
@@ -32,6 +33,35 @@
     #: Whether a former response broke off inside the next event.
     is_event_missing: bool = False
     resumptions: int = 0
+    #: When the latest event was complete, or ``response`` was taken.
+    progress_at: Milliseconds = Milliseconds(0)
+    #: Bytes of ``response`` that were read while another endpoint was looked for.
+    ahead: bytes = b""
+    #: Whether the end of ``response`` was read meanwhile.
+    has_ended: bool = False
+
+    async def read(self) -> bytes:
+        """Return the next bytes of the response; empty at its end."""
+        if self.ahead:
+            data, self.ahead = self.ahead, b""
+            return data
+        return b"" if self.has_ended else await self.response.read()
+
+    async def wait_for_event(self) -> bool:
+        """
+        Wait until a further event is complete, or the response has ended.
+
+        Return False if the response breaks off. Single bytes and comments are no sign
+        that an endpoint goes on: a stalled one may send them for ever.
+        """
+        while not (self.has_ended or self.splitter.completes(self.ahead)):
+            try:
+                data = await self.response.read()
+            except ExchangeError:
+                return False
+            self.ahead += data
+            self.has_ended = not data
+        return True
 
 
 def early_end(state: RelayState) -> str | None:
--- a/fuchsiaroute/forwarding/_stream_relay.py
+++ b/fuchsiaroute/forwarding/_stream_relay.py
@@ -224,15 +224,18 @@
     async def _relay_events(self, call: Call, state: RelayState) -> bool:
         """Relay the stream; return whether it reached its end."""
         responder = call.responder
+        state.progress_at = self._clock.now()
         while True:
+            progress = state.splitter.progress
             try:
-                async with asyncio.timeout(self._idle_timeout(call)):
-                    data = await state.response.read()
+                async with asyncio.timeout(self._idle_timeout(call, state)):
+                    data = await state.read()
                 count = state.splitter.count
                 complete = state.splitter.feed(data) if data else b""
             except TimeoutError:
                 silent = state.response
                 is_going_on = await self._replace_silent(call, state)
+                state.progress_at = self._clock.now()
                 self._runner.record_silent_stream(
                     call, silent, is_moved=silent is not state.response
                 )
@@ -243,6 +246,8 @@
                 if not await self._replace_broken(call, state, str(error)):
                     return False
                 continue
+            if state.splitter.progress > progress:
+                state.progress_at = self._clock.now()
             if not data:
                 is_whole = await self._end(call, state)
                 if is_whole is not None:
@@ -326,7 +331,7 @@
         result = await self._runner.replace_silent(
             call,
             state.response.reservation,
-            goes_on=state.response.wait_readable(),
+            goes_on=state.wait_for_event(),
             model=state.response.model,
             resume_after=last_event_id(state),
             is_resumption=True,
@@ -370,6 +375,8 @@
         state.response = response
         state.pace = EventPace()
         state.has_event = False
+        state.ahead, state.has_ended = b"", False
+        state.progress_at = self._clock.now()
         state.is_event_missing |= state.splitter.has_incomplete
         state.splitter.begin_rest()
         state.resumptions += 1
@@ -381,15 +388,16 @@
             reason=reason,
         )
 
-    def _idle_timeout(self, call: Call) -> float | None:
-        """Return the seconds without data after which to resume; None for no limit."""
+    def _idle_timeout(self, call: Call, state: RelayState) -> float | None:
+        """Return the seconds until the stream counts as silent; None for no limit."""
         route = call.route
         if not route.is_resumable or call.possible_runs >= route.max_attempts:
             return None
-        return self._idle_limit(call) / MILLISECONDS_PER_SECOND
+        left = self._idle_limit(call) - (self._clock.now() - state.progress_at)
+        return max(left, 0.0) / MILLISECONDS_PER_SECOND
 
     def _idle_limit(self, call: Call) -> float:
-        """Return the milliseconds without data until a stream counts as silent."""
+        """Return the milliseconds without an event until a stream counts as silent."""
         return call.route.max_event_gap * IDLE_TIMEOUT_SHARE
 
     def _result(
--- a/fuchsiaroute/platform/tests/test_silent_endpoints.py
+++ b/fuchsiaroute/platform/tests/test_silent_endpoints.py
@@ -389,3 +389,36 @@
             len(budget._retries) for budget in runner._permission._budgets.values()
         )
         assert charged == sends - STREAMS
+
+
+class TricklingEndpoint(Endpoint):
+    """Sends one event, then a few bytes now and then that never make an event."""
+
+    def __init__(self, bytes_of_nothing: bytes) -> None:
+        super().__init__(self._run)
+        self._bytes = bytes_of_nothing
+
+    async def _run(
+        self, endpoint: Endpoint, request: InboundRequest, responder: Responder
+    ) -> None:
+        headers = [*self.headers(request), (b"Content-Type", b"text/event-stream")]
+        responder.start(200, headers)
+        responder.write(b"id: 1\ndata: x\n\n")
+        while True:
+            responder.write(self._bytes)
+            await asyncio.sleep(EVENT_INTERVAL_S)
+
+
+@pytest.mark.parametrize("trickle", [b":", b": still here\n\n", b"d"])
+async def test_stalled_stream_that_sends_a_byte_now_and_then_is_left(
+    trickle: bytes,
+) -> None:
+    """Guards against a stream that never ends because its endpoint is never silent."""
+    stalled = TricklingEndpoint(trickle)
+    sound = PausingEndpoint()
+    async with NodeHarness(stalled, sound, configuration=configuration()) as harness:
+        replies = await ask_all([harness], "/stream/")
+    assert stalled.requests
+    assert all(reply.is_whole for reply in replies)
+    for reply in replies:
+        assert event_numbers(reply) == list(range(1, EVENTS + 1))
