Demand and outcomes of all instances

- contention/: what runs and waits of each priority and organisation at other instances; a request uses half of its room only if more urgent ones wait there, or if its organisation has more than its max-min fair share.
- pool/: organisations are ordered by what they have running at all instances; the wait is forecast from the work that is queued, before any has started; Retry-After is spread; the refusal's line states the forecast.
- pool/_outcomes.py: an endpoint at which requests of several instances fail gets some only if no other has room.
- aggregation/, node/_fleet_exchange.py: in fleets larger than a round of the gossip, collectors sum both each 100 ms.
Nothing is sent in calm.
- gossip: one field at the end, two messages that are sent only once all members know them; tests with the messages of both ways.

--- a/fuchsiaroute/forwarding/_forwarder.py
+++ b/fuchsiaroute/forwarding/_forwarder.py
@@ -217,6 +217,8 @@
                 "ending": result.ending.value,
                 "no_place": result.no_place.value if result.no_place else None,
                 "retry_after_ms": result.retry_after,
+                "expected_wait_ms": result.expected_wait,
+                "ahead": result.ahead,
             }
         self._log.write(
             event,
--- a/fuchsiaroute/forwarding/_result.py
+++ b/fuchsiaroute/forwarding/_result.py
@@ -54,6 +54,9 @@
     #: Why no endpoint was reserved, if the queue refused.
     no_place: NoChoice | None = None
     retry_after: Milliseconds = Milliseconds(0)
+    #: Expected wait when the queue refused, and the requests that were before this one.
+    expected_wait: Milliseconds = Milliseconds(0)
+    ahead: int = 0
 
 
 def refused_result(refusal: QueueRefusal) -> CallResult:
@@ -62,4 +65,6 @@
         ending=Ending.NO_PLACE,
         no_place=refusal.reason,
         retry_after=refusal.retry_after,
+        expected_wait=refusal.expected_wait,
+        ahead=refusal.ahead,
     )
--- a/fuchsiaroute/gossip/__init__.py
+++ b/fuchsiaroute/gossip/__init__.py
@@ -2,10 +2,14 @@
 
 from fuchsiaroute.gossip._liveness import Liveness, MemberInfo
 from fuchsiaroute.gossip._messages import (
+    AGGREGATION,
     FORMAT,
     LATEST_ADDITION,
     ROLLOUT_ATTEMPTS,
     BrittleUpdate,
+    FleetReport,
+    FleetSum,
+    FlowUpdate,
     GossipMessage,
     Heartbeat,
     LatencyUpdate,
@@ -20,24 +24,31 @@
     RolloutEvidence,
     RolloutUpdate,
     SessionUpdate,
+    SumScope,
     TableRequest,
     TableUpdate,
     VersionOutcome,
     decode_message,
     encode_message,
 )
-from fuchsiaroute.gossip._node import GossipNode
+from fuchsiaroute.gossip._node import FANOUT, GossipNode
 
 __all__ = [
+    "AGGREGATION",
+    "FANOUT",
     "FORMAT",
     "LATEST_ADDITION",
     "ROLLOUT_ATTEMPTS",
     "BrittleUpdate",
+    "FlowUpdate",
     "GossipMessage",
     "GossipNode",
     "Heartbeat",
     "LatencyUpdate",
     "Liveness",
+    "FleetReport",
+    "SumScope",
+    "FleetSum",
     "MemberInfo",
     "PermitReply",
     "PermitRequest",
--- a/fuchsiaroute/gossip/_messages.py
+++ b/fuchsiaroute/gossip/_messages.py
@@ -6,6 +6,7 @@
 """
 
 import zlib
+from enum import Enum
 
 import msgspec
 
@@ -15,7 +16,9 @@
 FORMAT = 2
 #: Additions to the format: fields at the end of a message, which former builds skip.
 ROLLOUT_ATTEMPTS = 1
-LATEST_ADDITION = ROLLOUT_ATTEMPTS
+#: ``FleetReport`` and ``FleetSum``, which former builds cannot read.
+AGGREGATION = 2
+LATEST_ADDITION = AGGREGATION
 #: Level 1 halved a message of 1,585 bytes; level 6 saved another 3% only.
 _COMPRESSION_LEVEL = 1
 #: Limit of decompression; a longer message is cut off and fails to decode. The store
@@ -261,6 +264,52 @@
     is_contended: bool
 
 
+class FlowUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """The sender's requests of an organisation with a priority to a service."""
+
+    service: str
+    priority: int
+    organisation: str
+    #: Requests at endpoints.
+    running: int
+    #: Requests that wait for an endpoint.
+    waiting: int
+
+
+class SumScope(Enum):
+    """Over which instances a sum is taken."""
+
+    #: Those of the sender's failure domain.
+    DOMAIN = 0
+    FLEET = 1
+
+
+class FleetReport(
+    msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag="fleet-report"
+):
+    """What the sender has, for the collector of its failure domain."""
+
+    format: int
+    instance: str
+    flows: list[FlowUpdate]
+    #: Tenths of recent failures and answers, at endpoints where requests failed.
+    outcomes: dict[str, tuple[int, int]]
+
+
+class FleetSum(
+    msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag="fleet-sum"
+):
+    """What several instances have together, from a collector."""
+
+    format: int
+    instance: str
+    failure_domain: str
+    scope: SumScope
+    flows: list[FlowUpdate]
+    #: Tenths of recent failures and answers, at endpoints where requests failed.
+    outcomes: dict[str, tuple[int, int]]
+
+
 class GossipMessage(
     msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag="news"
 ):
@@ -311,6 +360,8 @@
     outcomes: list[VersionOutcome] = []
     #: Latest addition to the format that the sender knows.
     addition: int = 0
+    #: Empty while nothing waits at any instance that the sender knows of.
+    flows: list[FlowUpdate] = []
 
 
 AnyMessage = (
@@ -321,6 +372,8 @@
     | PermitReply
     | PlaceReport
     | PlaceReply
+    | FleetReport
+    | FleetSum
 )
 _DECODER = msgspec.msgpack.Decoder(AnyMessage)
 _ENCODER = msgspec.msgpack.Encoder()
--- a/fuchsiaroute/gossip/_node.py
+++ b/fuchsiaroute/gossip/_node.py
@@ -1,7 +1,7 @@
 """Exchanges gossip messages with other instances over UDP."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from random import Random
 from typing import Any, cast
 
@@ -9,6 +9,8 @@
 from fuchsiaroute.gossip._liveness import Liveness, MemberInfo
 from fuchsiaroute.gossip._messages import (
     AnyMessage,
+    FleetReport,
+    FleetSum,
     GossipDecodeError,
     GossipMessage,
     Heartbeat,
@@ -59,7 +61,8 @@
     ``on_table_update`` receives changes of the store and returns whether any was new;
     if so, the update is relayed. ``on_table_request`` returns the changes that another
     instance lacks, if any. ``on_permit_message`` receives requests for permits and
-    replies, ``on_place_message`` reports of places and replies.
+    replies, ``on_place_message`` reports of places and replies, ``on_fleet_message``
+    reports and sums of demand and outcomes.
     """
 
     def __init__(
@@ -80,7 +83,11 @@
         on_place_message: Callable[[PlaceReport | PlaceReply], None] = (
             lambda message: None
         ),
+        on_fleet_message: Callable[[FleetReport | FleetSum], None] = lambda message: (
+            None
+        ),
     ) -> None:
+        self._on_fleet_message = on_fleet_message
         self._liveness = liveness
         self._failure_domain = failure_domain
         self._clock = clock
@@ -160,6 +167,14 @@
             if member.instance == instance:
                 self._send_to(encode_message(message), 1, members=(member,))
 
+    def send_to_each(
+        self, instances: Collection[InstanceId], message: FleetReport | FleetSum
+    ) -> None:
+        """Send one message to some members; those without an address get none."""
+        names = frozenset(instances)
+        found = tuple(item for item in self._liveness.members if item.instance in names)
+        self._send_to(encode_message(message), len(found), members=found)
+
     def request(self, request: TableRequest) -> None:
         """Ask some members that are alive for changes that the store withholds."""
         self._send_to(
@@ -205,6 +220,9 @@
         if isinstance(message, PlaceReport | PlaceReply):
             self._on_place_message(message)
             return
+        if isinstance(message, FleetReport | FleetSum):
+            self._on_fleet_message(message)
+            return
         is_new = self._liveness.update_member(
             MemberInfo(
                 instance=InstanceId(message.instance),
--- a/fuchsiaroute/gossip/tests/test_former_build.py
+++ b/fuchsiaroute/gossip/tests/test_former_build.py
@@ -1,10 +1,15 @@
-"""Messages between this build and 877afde, which run side by side in an upgrade."""
+"""Messages between this build and former ones, side by side in an upgrade."""
+
+from typing import Any
 
 import msgspec
 import pytest
 
 from fuchsiaroute.gossip import _messages as present
-from fuchsiaroute.gossip.tests import former_messages as former
+from fuchsiaroute.gossip.tests import (
+    former_messages as former,
+    former_messages_602d5d1 as latest,
+)
 
 ROLLOUT = ("app", "v2", 9, 1, 500)
 FIELDS: dict = {
@@ -51,6 +56,31 @@
     assert found.addition < present.ROLLOUT_ATTEMPTS
 
 
+def test_demand_of_this_build_is_skipped_by_the_latest_one() -> None:
+    """Guards against an upgrade in which waiting requests cut instances apart."""
+    rollouts = [(*ROLLOUT, 2)]
+    message = present.GossipMessage(
+        **FIELDS,
+        rollouts=[present.RolloutUpdate(*item) for item in rollouts],
+        addition=present.LATEST_ADDITION,
+        flows=[present.FlowUpdate("app", 0, "org", 3, 4)],
+    )
+    found = latest.decode_message(present.encode_message(message))
+    assert found == latest.GossipMessage(
+        **FIELDS,
+        rollouts=[latest.RolloutUpdate(*item) for item in rollouts],
+        addition=present.LATEST_ADDITION,
+    )
+
+
+def test_latest_build_has_no_demand() -> None:
+    message = latest.GossipMessage(**FIELDS, rollouts=[])
+    found = present.decode_message(latest.encode_message(message))
+    assert found == present.GossipMessage(**FIELDS, rollouts=[])
+    assert found.flows == []
+
+
+@pytest.mark.parametrize("build", [former, latest])
 @pytest.mark.parametrize(
     "name",
     [
@@ -73,9 +103,9 @@
         "RolloutUpdate",
     ],
 )
-def test_fields_of_the_former_build_keep_their_places(name: str) -> None:
+def test_fields_of_former_builds_keep_their_places(name: str, build: Any) -> None:
     """Guards against a field that is read as another one."""
-    kept = msgspec.structs.fields(getattr(former, name))
+    kept = msgspec.structs.fields(getattr(build, name))
     found = msgspec.structs.fields(getattr(present, name))
     assert [item.name for item in found[: len(kept)]] == [item.name for item in kept]
     assert all(not item.required for item in found[len(kept) :])
--- a/fuchsiaroute/node/_gossip_exchange.py
+++ b/fuchsiaroute/node/_gossip_exchange.py
@@ -6,10 +6,12 @@
 
 from fuchsiaroute.catalog import Catalog, TableFeed
 from fuchsiaroute.clock import Clock, Milliseconds
-from fuchsiaroute.forwarding import LatencyEstimator, SharedEstimate
+from fuchsiaroute.contention import FleetDemand, Flow, FlowDemand
+from fuchsiaroute.forwarding import Counters, LatencyEstimator, SharedEstimate
 from fuchsiaroute.gossip import (
     FORMAT,
     LATEST_ADDITION,
+    FlowUpdate,
     GossipMessage,
     LatencyUpdate,
     Liveness,
@@ -23,6 +25,8 @@
 from fuchsiaroute.ids import (
     EndpointId,
     InstanceId,
+    OrganisationId,
+    ServiceId,
 )
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.node._peer_tunnels import tunnel_port
@@ -30,7 +34,7 @@
 from fuchsiaroute.node._place_exchange import PlaceExchange
 from fuchsiaroute.node._rollout_exchange import RolloutExchange
 from fuchsiaroute.platform import NodeSettings, Row, Rows
-from fuchsiaroute.pool import EndpointPool, Load
+from fuchsiaroute.pool import EndpointPool, Load, RequestQueue
 from fuchsiaroute.quarantine import (
     CrashId,
     CrashReport,
@@ -45,6 +49,8 @@
 
 #: Maximum number of heartbeats in a message, which must fit into a datagram.
 MAX_HEARTBEATS = 40
+#: Flows of one message that are read; a sender of this build writes fewer.
+MAX_FLOWS = 64
 #: Rounds after which learned latencies are sent again; they change slowly.
 LATENCY_ROUNDS = 8
 NANOSECONDS_PER_MS = 1_000_000
@@ -70,9 +76,15 @@
         permits: PermitExchange,
         is_cut: Callable[[], bool],
         places: PlaceExchange,
+        queue: RequestQueue,
+        fleet: FleetDemand,
+        counters: Counters,
         clock: Clock,
         log: LineLog,
     ) -> None:
+        self._queue = queue
+        self._fleet = fleet
+        self._counters = counters
         self._settings = settings
         self._catalog = catalog
         self._pool = pool
@@ -148,6 +160,10 @@
             brittle=self._places.notice_updates(),
             outcomes=self._rollouts.outcomes(),
             addition=LATEST_ADDITION,
+            flows=[
+                FlowUpdate(*row.flow, row.running, row.waiting)
+                for row in self._queue.summary()
+            ],
         )
 
     def apply(self, message: GossipMessage) -> None:
@@ -158,6 +174,7 @@
             instance,
             {EndpointId(name): Load(*load) for name, load in message.loads.items()},
         )
+        self._apply_flows(instance, message)
         for name, revision in message.revisions.items():
             feed = self._feeds.get(name)
             if feed is not None:
@@ -236,6 +253,31 @@
             for item in self._latencies.learned()
         ]
 
+    def _apply_flows(self, instance: InstanceId, message: GossipMessage) -> None:
+        """Apply what another instance has running and waiting."""
+        left_out = self._fleet.update(
+            instance,
+            (
+                FlowDemand(
+                    Flow(
+                        ServiceId(item.service),
+                        item.priority,
+                        OrganisationId(item.organisation),
+                    ),
+                    item.running,
+                    item.waiting,
+                )
+                for item in message.flows[:MAX_FLOWS]
+                if self._is_declared(item)
+            ),
+        )
+        if left_out:
+            self._counters.add("gossip_faults", "flows")
+
+    def _is_declared(self, item: FlowUpdate) -> bool:
+        deployment = self._catalog.deployment
+        return deployment is not None and item.service in deployment.services
+
     def _apply_leaving(self, message: GossipMessage) -> None:
         for name, started_at in message.leaving:
             if self._pool.mark_leaving(EndpointId(name), started_at):
@@ -329,3 +371,8 @@
         if alive is not self._alive:
             self._alive = alive
             self._pool.keep_peers(item.instance for item in alive)
+            deployment = self._catalog.deployment
+            self._fleet.keep(
+                (item.instance for item in alive),
+                services=deployment.services if deployment is not None else (),
+            )
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -6,6 +6,7 @@
 
 from fuchsiaroute.catalog import Catalog, TableFeed
 from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.contention import FleetDemand, Reason
 from fuchsiaroute.deployment import Endpoint, RolloutOrder
 from fuchsiaroute.draining import Drain
 from fuchsiaroute.forwarding import (
@@ -40,6 +41,7 @@
 from fuchsiaroute.ids import EndpointId, InstanceId
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.node._control import ControlHandler
+from fuchsiaroute.node._fleet_exchange import FleetExchange
 from fuchsiaroute.node._gossip_exchange import GossipExchange
 from fuchsiaroute.node._instance_registry import InstanceRegistry
 from fuchsiaroute.node._issuer_choice import IssuerChoice
@@ -131,7 +133,10 @@
                 clock=clock, permits=self._permit_holder, places=self._place_holder
             ),
         )
-        self.queue = RequestQueue(self.pool, clock=clock, random=random)
+        self.fleet = FleetDemand()
+        self.queue = RequestQueue(
+            self.pool, clock=clock, random=random, fleet=self.fleet
+        )
         self.catalog = Catalog(pool=self.pool, clock=clock, log=log, drain=bounds.drain)
         self.quarantine = Quarantine(
             clock=clock,
@@ -185,6 +190,7 @@
             on_table_request=lambda request: self.exchange.rows_for(request),
             on_permit_message=lambda message: self.permits.apply(message),
             on_place_message=lambda message: self.places.apply(message),
+            on_fleet_message=lambda message: self.sums.apply(message),
         )
         issuers = IssuerChoice(
             instance=settings.instance, liveness=self.liveness, is_ready=self.is_ready
@@ -227,9 +233,23 @@
             permits=self.permits,
             is_cut=lambda: self.connections.paths.cut_count > 0,
             places=self.places,
+            queue=self.queue,
+            fleet=self.fleet,
+            counters=self.counters,
             clock=clock,
             log=log,
         )
+        self.sums = FleetExchange(
+            instance=settings.instance,
+            failure_domain=settings.failure_domain,
+            liveness=self.liveness,
+            gossip=self.gossip,
+            pool=self.pool,
+            queue=self.queue,
+            fleet=self.fleet,
+            peers_know=self.exchange.peers_know,
+            clock=clock,
+        )
         self.registry = InstanceRegistry(
             settings=settings,
             store=self.store,
@@ -407,6 +427,7 @@
         self.endpoints_feed.check_hint()
         self.pool.update_instances(self.instances())
         self.exchange.refresh()
+        self.sums.refresh()
         self.permits.refresh()
         self.places.refresh()
         self.quarantine.refresh()
@@ -563,6 +584,10 @@
             "instances_alive": len(self.liveness.alive()) + 1,
             "requests_active": self.forwarder.active,
             "requests_waiting": self.queue.waiting,
+            "fleet_summed": self.sums.is_used,
+            "requests_waiting_elsewhere": self.fleet.waiting,
+            "room_left_to_more_urgent": self.queue.yields[Reason.MORE_URGENT],
+            "room_left_to_other_organisations": self.queue.yields[Reason.OVER_SHARE],
             "connections_opened": self.connections.opened,
             "client_memory_bytes": self.clients.used,
             "event_loop_tasks": len(asyncio.all_tasks()),
--- a/fuchsiaroute/pool/__init__.py
+++ b/fuchsiaroute/pool/__init__.py
@@ -3,6 +3,7 @@
 from fuchsiaroute.pool._cold_rate_limiter import ColdRateLimiter
 from fuchsiaroute.pool._demand import Demand, NoChoice
 from fuchsiaroute.pool._member import Load, PoolMember
+from fuchsiaroute.pool._outcomes import Outcomes
 from fuchsiaroute.pool._pool import EndpointPool
 from fuchsiaroute.pool._request_queue import QueueRefusal, RequestQueue
 from fuchsiaroute.pool._reservation import Reservation
@@ -14,6 +15,7 @@
     "EndpointPool",
     "Load",
     "NoChoice",
+    "Outcomes",
     "PoolMember",
     "QueueRefusal",
     "RequestQueue",
--- a/fuchsiaroute/pool/_member.py
+++ b/fuchsiaroute/pool/_member.py
@@ -8,6 +8,12 @@
 from fuchsiaroute.deployment import Endpoint
 from fuchsiaroute.lifecycle import EndpointEvent, EndpointState, Outcome, next_state
 from fuchsiaroute.pool._cold_rate_limiter import ColdRateLimiter
+from fuchsiaroute.pool._outcomes import (
+    MIN_TOLD,
+    Outcomes,
+    RecentOutcomes,
+    is_failing,
+)
 
 #: Consecutive failures after which an endpoint is suspect and gets single trials only.
 FAILURES_UNTIL_SUSPECT = 2
@@ -37,6 +43,9 @@
         Outcome.TRUNCATED,
     }
 )
+#: Failures that tell of the endpoint itself. Refused connections are known sooner from
+#: crashes, and silence may be load.
+_BREAKS = frozenset({Outcome.FAILED_AFTER_SENT, Outcome.TRUNCATED})
 _REJECTIONS = frozenset({Outcome.REFUSED_FULL, Outcome.REFUSED_UNNAMED})
 _USABLE = frozenset({EndpointState.COLD, EndpointState.WARMING, EndpointState.WARM})
 
@@ -100,6 +109,22 @@
     #: Time of the latest success or failure.
     success_rate_updated_at: Milliseconds = Milliseconds(0)
 
+    #: Recent outcomes of the other instances' requests.
+    peer_outcomes: Outcomes = Outcomes()
+    recent_outcomes: RecentOutcomes = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.recent_outcomes = RecentOutcomes(self.clock)
+
+    @property
+    def is_failing(self) -> bool:
+        """Return whether the endpoint fails requests of several instances."""
+        others = self.peer_outcomes
+        # The usual case, without the weights of the own outcomes.
+        if others.failed < MIN_TOLD:
+            return False
+        return is_failing(self.recent_outcomes.current, others)
+
     @property
     def load(self) -> int:
         """Return the requests in flight, including those of other instances."""
@@ -222,6 +247,8 @@
         """Remove a request and update state and statistics from its outcome."""
         self.own_load = max(self.own_load - 1, 0)
         self.is_on_trial = False
+        if outcome in _BREAKS or outcome is Outcome.ANSWERED:
+            self.recent_outcomes.record(is_failed=outcome in _BREAKS)
         if outcome in _REJECTIONS:
             self.full_until = Milliseconds(self.clock.now() + FULL_BACKOFF)
         elif outcome is Outcome.ANSWERED:
--- a/fuchsiaroute/pool/_pool.py
+++ b/fuchsiaroute/pool/_pool.py
@@ -17,12 +17,15 @@
 from fuchsiaroute.pool._cold_rate_limiter import ColdRateLimiter
 from fuchsiaroute.pool._demand import Demand, NoChoice
 from fuchsiaroute.pool._member import Load, PoolMember
+from fuchsiaroute.pool._outcomes import MIN_TOLD, Outcomes
 from fuchsiaroute.pool._peer_loads import PeerLoads
 from fuchsiaroute.pool._process_notices import ProcessNotices
 from fuchsiaroute.pool._reservation import Reservation
 from fuchsiaroute.pool._selection import Selection
 from fuchsiaroute.pool._send_gate import SendGate
 
+_NO_OUTCOMES = Outcomes()
+
 
 class EndpointPool:
     """
@@ -112,6 +115,20 @@
             if member.own_load
         }
 
+    def own_outcomes(self) -> dict[EndpointId, Outcomes]:
+        """Return recent outcomes at endpoints where requests of any instance failed."""
+        found = {}
+        for name, member in self._members.items():
+            own = member.recent_outcomes.current
+            if max(own.failed, member.peer_outcomes.failed) >= MIN_TOLD:
+                found[name] = own
+        return found
+
+    def use_peer_outcomes(self, outcomes: Mapping[EndpointId, Outcomes]) -> None:
+        """Replace the sums of the other instances' recent outcomes."""
+        for name, member in self._members.items():
+            member.peer_outcomes = outcomes.get(name, _NO_OUTCOMES)
+
     def load_of_versions(self, service: ServiceId, target: VersionId) -> int:
         """Return the requests in flight at endpoints of versions except ``target``."""
         return sum(
@@ -312,10 +329,31 @@
             return NoChoice.PAUSED
         if not available:
             return NoChoice.FULL
+        # Several instances know more of a failing endpoint than this one alone.
+        available = [item for item in available if not item.is_failing] or available
         if not self._gate.is_needed:
             return self._reserve(self._selection.select(available, demand), demand)
         return self._choose_permitted(available, demand)
 
+    def room_wait(self, demand: Demand) -> float:
+        """
+        Return the milliseconds until an endpoint's backlog is short enough.
+
+        It is 0 unless all usable endpoints have more work queued than the request may
+        join, as engines work it off at one millisecond a millisecond.
+        """
+        return max(
+            min(
+                (
+                    member.backlog - demand.max_backlog
+                    for member in self._candidates(demand)
+                    if member.is_usable
+                ),
+                default=0.0,
+            ),
+            0.0,
+        )
+
     def permit_wait(self, demand: Demand, ahead: float) -> Milliseconds | None:
         """
         Return the expected time until a permit if only permits are missing.
--- a/fuchsiaroute/pool/_request_queue.py
+++ b/fuchsiaroute/pool/_request_queue.py
@@ -7,6 +7,15 @@
 from random import Random
 
 from fuchsiaroute.clock import Clock, Milliseconds
+from fuchsiaroute.contention import (
+    LEAST_URGENT_PRIORITY,
+    FleetDemand,
+    Flow,
+    FlowDemand,
+    Reason,
+    combined,
+    room_share,
+)
 from fuchsiaroute.fairness import FairQueue, Ticket
 from fuchsiaroute.ids import EndpointId, OrganisationId, ServiceId, VersionId
 from fuchsiaroute.pool._demand import Demand, NoChoice
@@ -18,8 +27,6 @@
 MAX_WAITING_REQUESTS = 500
 #: Highest priority of the fair queue, which starts higher numbers first.
 _MAX_QUEUE_PRIORITY = 10
-#: Request priorities are clamped to 0 (most urgent) to 9.
-_LEAST_URGENT_PRIORITY = 9
 #: Queue priority of requests that can no longer be answered in time.
 _DEMOTED_QUEUE_PRIORITY = 0
 #: Weight of the newest interval between two starts in their moving average.
@@ -27,9 +34,11 @@
 #: Bounds of the retry-after time of refused requests.
 MIN_RETRY_AFTER = Milliseconds(100)
 MAX_RETRY_AFTER = Milliseconds(2_000)
-#: Maximum random increase of the retry-after time if the time is known at which an
-#: endpoint takes requests again, so that the callers do not all return then.
+#: Maximum random increase of the retry-after time, so that callers who were refused
+#: together do not all return at once.
 RETRY_SPREAD = 0.5
+#: Flows in the summary for the other instances; those with most waiting come first.
+MAX_SUMMARY_FLOWS = 32
 #: Reasons that end while a request waits.
 _TEMPORARY = frozenset({NoChoice.FULL, NoChoice.PAUSED, NoChoice.RATE_LIMITED})
 
@@ -41,6 +50,9 @@
     reason: NoChoice
     #: Time until an endpoint is expected to have capacity.
     retry_after: Milliseconds
+    #: Expected wait when the request was refused, and requests that were before it.
+    expected_wait: Milliseconds = Milliseconds(0)
+    ahead: int = 0
 
 
 #: Service, allowed versions and excluded endpoints. Requests that differ in these wait
@@ -52,7 +64,10 @@
 class _ServiceStatistics:
     """Running requests and start rate of one service."""
 
+    service: ServiceId
     running: Counter[OrganisationId] = field(default_factory=Counter)
+    #: The running requests by priority, too.
+    flows: Counter[Flow] = field(default_factory=Counter)
     #: Moving average of the milliseconds between two starts of waiting requests.
     interval: float = 0.0
     started_at: Milliseconds = Milliseconds(0)
@@ -65,6 +80,8 @@
     #: Time after which the request can no longer be answered in time.
     demote_at: Milliseconds
     ticket: Ticket
+    #: Priority of the request, 0 for the most urgent.
+    priority: int
 
 
 class RequestQueue:
@@ -72,10 +89,22 @@
     Starts waiting requests by priority and, within it, by organisations' fair shares.
 
     A request is refused as soon as its expected wait exceeds its maximum. A reservation
-    that ends starts the next waiting request at once.
+    that ends starts the next waiting request at once. What runs and waits at other
+    instances, as ``fleet`` has it, counts for the shares, and for the room that is left
+    to requests that wait there (``room_share``).
     """
 
-    def __init__(self, pool: EndpointPool, *, clock: Clock, random: Random) -> None:
+    def __init__(
+        self,
+        pool: EndpointPool,
+        *,
+        clock: Clock,
+        random: Random,
+        fleet: FleetDemand | None = None,
+    ) -> None:
+        self._fleet = fleet or FleetDemand()
+        #: Number of choices that left room to others, by reason.
+        self.yields: Counter[Reason] = Counter()
         self._pool = pool
         self._clock = clock
         self._random = random
@@ -89,6 +118,29 @@
         """Return the number of requests that wait."""
         return len(self._waiters)
 
+    def summary(self) -> list[FlowDemand]:
+        """
+        Return what runs and waits here, for the other instances.
+
+        It is empty while nothing waits at any instance, as it makes no difference then.
+        """
+        waiting = Counter(_flow(waiter) for waiter in self._waiters.values())
+        services = {
+            name
+            for name in self._statistics
+            if self._fleet.service(name).waiting
+            or any(flow.service == name for flow in waiting)
+        }
+        running: Counter[Flow] = Counter()
+        for name in services:
+            running.update(self._statistics[name].flows)
+        rows = [
+            FlowDemand(flow, running[flow], waiting[flow])
+            for flow in running.keys() | waiting.keys()
+        ]
+        rows.sort(key=lambda row: (-row.waiting, -row.running, row.flow))
+        return rows[:MAX_SUMMARY_FLOWS]
+
     async def reserve(
         self,
         request: Request,
@@ -104,7 +156,11 @@
         ``priority`` 0 is the most urgent. A request that has waited for
         ``deprioritise_after`` starts after those that can still be answered in time.
         """
-        statistics = self._statistics.setdefault(demand.service, _ServiceStatistics())
+        priority = min(max(priority, 0), LEAST_URGENT_PRIORITY)
+        statistics = self._statistics.get(demand.service)
+        if statistics is None:
+            statistics = _ServiceStatistics(demand.service)
+            self._statistics[demand.service] = statistics
         soonest = self._pool.soonest_return(demand)
         max_known_wait = min(max_wait, max(deprioritise_after, 0))
         if soonest > max_known_wait:
@@ -112,17 +168,17 @@
         key = (demand.service, demand.versions, demand.excluded)
         queue = self._queues.get(key)
         if queue is None:
-            chosen = self._pool.choose(demand)
+            chosen = self._choose(demand, request.organisation, priority)
             if isinstance(chosen, Reservation):
-                return self._count_running(statistics, request.organisation, chosen)
+                flow = Flow(demand.service, priority, request.organisation)
+                return self._count_running(statistics, flow, chosen)
             if chosen is NoChoice.NONE:
                 return QueueRefusal(reason=chosen, retry_after=MAX_RETRY_AFTER)
         now = self._clock.now()
         ticket = Ticket(
             number=next(self._numbers),
             request=request,
-            priority=_MAX_QUEUE_PRIORITY
-            - min(max(priority, 0), _LEAST_URGENT_PRIORITY),
+            priority=_MAX_QUEUE_PRIORITY - priority,
             weight=1,
             admitted_at=now,
             latest_start=Milliseconds(now + max_wait),
@@ -131,11 +187,11 @@
         permit_wait = self._pool.permit_wait(demand, ahead)
         if permit_wait is not None and permit_wait > max_known_wait:
             return self._refusal_until(NoChoice.RATE_LIMITED, permit_wait)
-        wait = ahead * statistics.interval
+        wait = max(ahead * statistics.interval, self._pool.room_wait(demand))
         if wait > max_wait or len(self._waiters) >= MAX_WAITING_REQUESTS:
-            return RequestQueue._refusal(wait)
+            return self._refusal(wait, ahead=ahead)
         demote_at = Milliseconds(now + deprioritise_after)
-        return await self._wait(key, ticket, demand, demote_at)
+        return await self._wait(key, ticket, demand, demote_at, priority)
 
     def wake(self) -> None:
         """Start the requests that can start and refuse those that waited too long."""
@@ -151,10 +207,14 @@
             self._statistics[service].started_at = Milliseconds(0)
 
     def _start_all(self, queue: FairQueue, statistics: _ServiceStatistics) -> None:
-        while (ticket := queue.head(statistics.running)) is not None:
+        service = statistics.service
+        while len(queue):
+            ticket = self._head(queue, service)
+            assert ticket is not None
             waiter = self._waiters[ticket.number]
             if not waiter.future.done():
-                chosen = self._pool.choose(waiter.demand)
+                organisation = ticket.request.organisation
+                chosen = self._choose(waiter.demand, organisation, waiter.priority)
                 if chosen is NoChoice.PAUSED:
                     self._refuse_paused(queue)
                 if chosen is NoChoice.RATE_LIMITED:
@@ -163,7 +223,7 @@
                     return
                 self._record_start(statistics)
                 if isinstance(chosen, Reservation):
-                    self._count_running(statistics, ticket.request.organisation, chosen)
+                    self._count_running(statistics, _flow(waiter), chosen)
                     waiter.future.set_result(chosen)
                 else:
                     waiter.future.set_result(
@@ -177,13 +237,17 @@
         ticket: Ticket,
         demand: Demand,
         demote_at: Milliseconds,
+        priority: int,
     ) -> Reservation | QueueRefusal:
         future: asyncio.Future[Reservation | QueueRefusal]
         future = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(demand, future, demote_at, ticket)
+        waiter = _Waiter(demand, future, demote_at, ticket, priority)
         self._waiters[ticket.number] = waiter
         queue = self._queues.setdefault(key, FairQueue())
         queue.push(ticket)
+        if len(queue) > 1 and self._head(queue, demand.service) is ticket:
+            # It may start although the one that was first may not.
+            asyncio.get_running_loop().call_soon(self.wake)
         try:
             return await future
         except asyncio.CancelledError:
@@ -198,6 +262,30 @@
                 del self._queues[key]
             del self._waiters[ticket.number]
 
+    def _choose(
+        self, demand: Demand, organisation: OrganisationId, priority: int
+    ) -> Reservation | NoChoice:
+        """Select an endpoint, with room left for what goes first at other instances."""
+        share = room_share(
+            priority=priority,
+            organisation=organisation,
+            own_running=self._statistics[demand.service].running,
+            others=self._fleet.service(demand.service),
+        )
+        if share.reason is Reason.NONE:
+            return self._pool.choose(demand)
+        chosen = self._pool.choose(
+            replace(demand, max_backlog=demand.max_backlog * share.share)
+        )
+        if chosen is NoChoice.FULL:
+            self.yields[share.reason] += 1
+        return chosen
+
+    def _head(self, queue: FairQueue, service: ServiceId) -> Ticket | None:
+        """Return the ticket that starts next, by what runs at all instances."""
+        running = self._statistics[service].running
+        return queue.head(combined(running, self._fleet.service(service).running))
+
     def _demote(self, queue: FairQueue) -> None:
         """Move requests that can no longer be answered in time behind all others."""
         now = self._clock.now()
@@ -211,17 +299,21 @@
     def _count_running(
         self,
         statistics: _ServiceStatistics,
-        organisation: OrganisationId,
+        flow: Flow,
         reservation: Reservation,
     ) -> Reservation:
-        """Count an organisation's request as running until its reservation ends."""
-        running = statistics.running
-        running[organisation] += 1
+        """Count a request of a flow as running until its reservation ends."""
+        running, flows = statistics.running, statistics.flows
+        running[flow.organisation] += 1
+        flows[flow] += 1
 
         def uncount() -> None:
-            running[organisation] -= 1
-            if running[organisation] <= 0:
-                del running[organisation]
+            running[flow.organisation] -= 1
+            if running[flow.organisation] <= 0:
+                del running[flow.organisation]
+            flows[flow] -= 1
+            if flows[flow] <= 0:
+                del flows[flow]
             wake()
 
         def wake() -> None:
@@ -236,7 +328,7 @@
             waiter = self._waiters[ticket.number]
             queue.remove(ticket)
             if not waiter.future.done():
-                waiter.future.set_result(RequestQueue._refusal(statistics.interval))
+                waiter.future.set_result(self._refusal(statistics.interval))
 
     def _record_start(self, statistics: _ServiceStatistics) -> None:
         now = self._clock.now()
@@ -285,7 +377,18 @@
             retry_after=Milliseconds(max(round(soonest * spread), MIN_RETRY_AFTER)),
         )
 
-    @staticmethod
-    def _refusal(wait: float) -> QueueRefusal:
+    def _refusal(self, wait: float, *, ahead: float = 0.0) -> QueueRefusal:
+        """Return a refusal for want of room, with callers spread over time."""
         bounded = min(max(round(wait), MIN_RETRY_AFTER), MAX_RETRY_AFTER)
-        return QueueRefusal(reason=NoChoice.FULL, retry_after=Milliseconds(bounded))
+        spread = 1.0 + RETRY_SPREAD * self._random.random()
+        return QueueRefusal(
+            reason=NoChoice.FULL,
+            retry_after=Milliseconds(round(bounded * spread)),
+            expected_wait=Milliseconds(round(wait)),
+            ahead=round(ahead),
+        )
+
+
+def _flow(waiter: _Waiter) -> Flow:
+    organisation = waiter.ticket.request.organisation
+    return Flow(waiter.demand.service, waiter.priority, organisation)
