Endpoints that refuse connections: told to all instances of a large fleet

Refused connections now count among the outcomes that all instances share: from three of them, an endpoint gets requests only if no other has room. Connections that time out do not, as they may fail for the instance's own path.

--- a/fuchsiaroute/pool/_member.py
+++ b/fuchsiaroute/pool/_member.py
@@ -43,8 +43,8 @@
         Outcome.TRUNCATED,
     }
 )
-#: Failures that tell of the endpoint itself. Refused connections are known sooner from
-#: crashes, and silence may be load.
+#: Failures that tell of the endpoint itself, beside refused connections; silence may be
+#: load.
 _BREAKS = frozenset({Outcome.FAILED_AFTER_SENT, Outcome.TRUNCATED})
 _REJECTIONS = frozenset({Outcome.REFUSED_FULL, Outcome.REFUSED_UNNAMED})
 _USABLE = frozenset({EndpointState.COLD, EndpointState.WARMING, EndpointState.WARM})
@@ -247,8 +247,9 @@
         """Remove a request and update state and statistics from its outcome."""
         self.own_load = max(self.own_load - 1, 0)
         self.is_on_trial = False
-        if outcome in _BREAKS or outcome is Outcome.ANSWERED:
-            self.recent_outcomes.record(is_failed=outcome in _BREAKS)
+        is_break = outcome in _BREAKS or self.is_connection_refused
+        if is_break or outcome is Outcome.ANSWERED:
+            self.recent_outcomes.record(is_failed=is_break)
         if outcome in _REJECTIONS:
             self.full_until = Milliseconds(self.clock.now() + FULL_BACKOFF)
         elif outcome is Outcome.ANSWERED:
--- a/fuchsiaroute/pool/tests/test_outcomes.py
+++ b/fuchsiaroute/pool/tests/test_outcomes.py
@@ -102,6 +102,22 @@
     assert (name in found.own_outcomes()) is is_told
 
 
+@pytest.mark.parametrize("is_refused", [True, False])
+def test_refused_connections_are_told(is_refused: bool) -> None:
+    """
+    Guards against a crash of many endpoints that each instance finds out alone.
+
+    A connection that times out may fail for this instance's own path.
+    """
+    found = pool()
+    reservation = found.choose(WRITE)
+    assert isinstance(reservation, Reservation)
+    if is_refused:
+        reservation.record_connection_refused()
+    reservation.finish(Outcome.FAILED_BEFORE_SENT)
+    assert (reservation.endpoint.id in found.own_outcomes()) is is_refused
+
+
 def test_outcomes_are_forgotten() -> None:
     """Guards against an endpoint that is avoided for ever, as it gets no requests."""
     clock = ManualClock()
