--- a/fuchsiaroute/cli/_apply.py
+++ b/fuchsiaroute/cli/_apply.py
@@ -12,14 +12,13 @@
 from fuchsiaroute.cli._editing import new_change_id, report_change
 from fuchsiaroute.cli._exit import ExitCode
 from fuchsiaroute.cli._files import read_declaration
-from fuchsiaroute.cli._output import print_errors, print_json, print_table
+from fuchsiaroute.cli._output import print_errors
+from fuchsiaroute.cli._plan import print_differences
 from fuchsiaroute.configuration import Configuration
-from fuchsiaroute.declaration import Difference, difference, validate
+from fuchsiaroute.declaration import difference, validate
 from fuchsiaroute.ids import ChangeId, Revision
 from fuchsiaroute.operators import ConfigurationReply, OperatorClient, SubmittedChange
 
-MAX_VALUE_CHARACTERS = 60
-
 
 def plan(declaration: Path, *, options: EntryOptions, json: bool = False) -> ExitCode:
     """
@@ -112,19 +111,6 @@
     current: ConfigurationReply, declared: Configuration, *, json: bool
 ) -> None:
     differences = difference(current.configuration, declared)
-    if json:
-        print_json(differences)
-        return
-    print(f"revision {current.revision} is in force; {len(differences)} differences")
-    if differences:
-        print_table(("kind", "place", "before", "after"), map(_row, differences))
-
-
-def _row(item: Difference) -> tuple[str, str, str, str]:
-    return (item.kind.value, item.place, _shorten(item.before), _shorten(item.after))
-
-
-def _shorten(text: str) -> str:
-    if len(text) <= MAX_VALUE_CHARACTERS:
-        return text
-    return text[: MAX_VALUE_CHARACTERS - 3] + "..."
+    print_differences(
+        differences, f"revision {current.revision} is in force", json=json
+    )
--- a/fuchsiaroute/cli/tests/test_commands.py
+++ b/fuchsiaroute/cli/tests/test_commands.py
@@ -23,8 +23,17 @@
     raw = json.loads(declaration)
     raw["organisations"][3]["product"] = "x"
     raw["endpoints"][1]["capacity"] = 0
+    changed = json.loads(declaration)
+    changed["endpoints"][1]["capacity"] = 7
+    unused = json.loads(declaration)
+    version = {"id": "lone-1", "cost_per_1000_tokens": 1, "prior_quality": 0.9}
+    unused["models"].append({"id": "lone", "versions": [version]})
+    unused["endpoints"][0]["versions"].append("lone-1")
     contents = {
         "good.json": declaration,
+        "changed.json": json.dumps(changed).encode(),
+        "unused.json": json.dumps(unused).encode(),
+        "cut.json": declaration[: len(declaration) // 2],
         "broken.json": json.dumps(raw).encode(),
         "good.ini": SETTINGS.encode(),
         "broken.ini": SETTINGS.encode() + b"colour = red\n[callers]\nport = x\n",
@@ -54,6 +63,13 @@
         ("--help", 0, "Exit codes: 0 done", ""),
         ("check good.ini", 0, "no errors", ""),
         ("check good.json", 0, "no errors", ""),
+        ("check good.json --against good.json", 0, "0 differences", ""),
+        ("check changed.json --against good.json", 0, "1 differences", ""),
+        ("check changed.json --against good.json", 0, "capacity", ""),
+        ("check unused.json", 0, "no errors", "models[3]: warning: no organisation"),
+        ("check good.json --against broken.json", 2, "", "broken.json: "),
+        ("check good.json --against cut.json", 2, "", "cut.json: "),
+        ("check cut.json", 2, "", "cut.json: "),
         ("check broken.ini", 2, "", "[platform] colour: unknown key"),
         ("check broken.ini", 2, "", "[callers] port: 'x' is not a port"),
         ("check broken.json", 2, "", "organisations[3].product: error: unknown"),
--- a/fuchsiaroute/declaration/__init__.py
+++ b/fuchsiaroute/declaration/__init__.py
@@ -21,10 +21,12 @@
 from fuchsiaroute.declaration._exceptions import DeclarationError
 from fuchsiaroute.declaration._faults import Fault, Severity, has_errors
 from fuchsiaroute.declaration._keys import key_digest
+from fuchsiaroute.declaration._reach_rules import find_ineffective
 from fuchsiaroute.declaration._structure import parse
 from fuchsiaroute.declaration._validate import validate
 
 __all__ = [
+    "find_ineffective",
     "DeclarationError",
     "Deployment",
     "Difference",
