--- a/fuchsiaroute/aggregation/_aggregator.py
+++ b/fuchsiaroute/aggregation/_aggregator.py
@@ -119,19 +119,18 @@
         """Return the sum over the own failure domain, which this instance collects."""
         return total([self._reported, *self._fresh(self._reports.values())])
 
-    def fleet_sum(self) -> Figures:
-        """Return the sum over all failure domains, as their collectors sent it."""
-        return total([self.domain_sum(), *self._fresh(self._domains.values())])
+    def fleet_sum(self, domain_sum: Figures) -> Figures:
+        """
+        Return the sum over all failure domains, as their collectors sent it.
+
+        ``domain_sum`` is that of the own one. A collector uses the sum itself, too.
+        """
+        found = total([domain_sum, *self._fresh(self._domains.values())])
+        self._total = _Received(found, self._clock.now())
+        return found
 
     def others(self) -> Figures | None:
         """Return the sum over all other instances; None if it is too old."""
-        if self.is_collector:
-            return total(
-                [
-                    *self._fresh(self._reports.values()),
-                    *self._fresh(self._domains.values()),
-                ]
-            )
         if self._total is None or not self._is_fresh(self._total):
             return None
         return self._total.figures.without(self._reported)
--- a/fuchsiaroute/aggregation/_figures.py
+++ b/fuchsiaroute/aggregation/_figures.py
@@ -59,17 +59,19 @@
 
 def total(parts: Iterable[Figures]) -> Figures:
     """Return the sum of figures."""
-    flows: dict[Flow, FlowDemand] = {}
-    outcomes: dict[EndpointId, Outcomes] = {}
+    # Plain lists, as a collector adds up some thousand rows ten times a second.
+    flows: dict[Flow, list[int]] = {}
+    outcomes: dict[EndpointId, list[float]] = {}
     for part in parts:
         for flow, demand in part.flows.items():
-            row = flows.get(flow, FlowDemand(flow, 0, 0))
-            flows[flow] = FlowDemand(
-                flow, row.running + demand.running, row.waiting + demand.waiting
-            )
-        for name, item in part.outcomes.items():
-            seen = outcomes.get(name, Outcomes())
-            outcomes[name] = Outcomes(
-                seen.failed + item.failed, seen.answered + item.answered
-            )
-    return Figures(flows=flows, outcomes=outcomes)
+            row = flows.setdefault(flow, [0, 0])
+            row[0] += demand.running
+            row[1] += demand.waiting
+        for name, (failed, answered) in part.outcomes.items():
+            seen = outcomes.setdefault(name, [0.0, 0.0])
+            seen[0] += failed
+            seen[1] += answered
+    return Figures(
+        flows={flow: FlowDemand(flow, *row) for flow, row in flows.items()},
+        outcomes={name: Outcomes(*seen) for name, seen in outcomes.items()},
+    )
--- a/fuchsiaroute/node/_fleet_exchange.py
+++ b/fuchsiaroute/node/_fleet_exchange.py
@@ -128,7 +128,7 @@
         if self._is_due("domain", domain_sum):
             message = self._sum(SumScope.DOMAIN, domain_sum)
             self._gossip.send_to_each(self._aggregator.other_collectors(), message)
-        fleet_sum = self._aggregator.fleet_sum()
+        fleet_sum = self._aggregator.fleet_sum(domain_sum)
         if self._is_due("fleet", fleet_sum):
             message = self._sum(SumScope.FLEET, fleet_sum)
             self._gossip.send_to_each(self._aggregator.members(), message)
--- a/fuchsiaroute/pool/_request_queue.py
+++ b/fuchsiaroute/pool/_request_queue.py
@@ -38,7 +38,7 @@
 #: together do not all return at once.
 RETRY_SPREAD = 0.5
 #: Flows in the summary for the other instances; those with most waiting come first.
-MAX_SUMMARY_FLOWS = 32
+MAX_SUMMARY_FLOWS = 16
 #: Reasons that end while a request waits.
 _TEMPORARY = frozenset({NoChoice.FULL, NoChoice.PAUSED, NoChoice.RATE_LIMITED})
 
