Sums of the fleet: additions are known from forwarded heartbeats

The sums are used once all members know their messages. Heartbeats now carry the addition and are forwarded with it; one that a former build forwards counts as not knowing.

--- a/fuchsiaroute/gossip/_liveness.py
+++ b/fuchsiaroute/gossip/_liveness.py
@@ -27,6 +27,8 @@
     count: int = 0
     #: Whether callers may be sent there.
     is_ready: bool = False
+    #: Latest addition to the format of messages that it knows, by its latest heartbeat.
+    addition: int = 0
     #: Instant at which the counter last increased; None before the first heartbeat.
     last_heartbeat_at: Milliseconds | None = None
     #: What the member itself has told last: its region, the port on which it carries
@@ -137,6 +139,15 @@
         """Restart the age of every unknown member, after the store has been read."""
         self._unknown_members.clear()
 
+    def all_know(self, addition: int) -> bool:
+        """
+        Return whether all instances that are alive know an addition to the messages.
+
+        Their heartbeats tell, which are forwarded: in a large fleet, it takes long to
+        hear from each member itself.
+        """
+        return all(item.addition >= addition for item in self.alive())
+
     def is_alive(self, member: MemberInfo) -> bool:
         """Return whether the member's counter increased within ``dead_after``."""
         if member.last_heartbeat_at is None:
@@ -186,6 +197,7 @@
                 self._invalidate()
             member.count = heartbeat.count
             member.is_ready = heartbeat.is_ready
+            member.addition = heartbeat.addition
             member.last_heartbeat_at = self._clock.now()
 
     def heartbeats(self, *, limit: int | None = None) -> list[Heartbeat]:
@@ -198,7 +210,10 @@
         if limit is not None and len(alive) > limit:
             start = self.count * limit % len(alive)
             alive = (alive + alive[:limit])[start : start + limit]
-        return [Heartbeat(item.instance, item.count, item.is_ready) for item in alive]
+        return [
+            Heartbeat(item.instance, item.count, item.is_ready, item.addition)
+            for item in alive
+        ]
 
 
 def _last_sign(member: MemberInfo) -> Milliseconds:
--- a/fuchsiaroute/gossip/_messages.py
+++ b/fuchsiaroute/gossip/_messages.py
@@ -38,6 +38,9 @@
     count: int
     #: Whether callers may be sent there.
     is_ready: bool
+    #: Latest addition to the format that the instance knows; 0 if a former build has
+    #: forwarded the heartbeat.
+    addition: int = 0
 
 
 class RolloutUpdate(msgspec.Struct, array_like=True, frozen=True):
--- a/fuchsiaroute/gossip/_node.py
+++ b/fuchsiaroute/gossip/_node.py
@@ -239,7 +239,9 @@
             is_cut=message.is_cut,
         )
         self._liveness.merge(
-            Heartbeat(message.instance, message.count, message.is_ready)
+            Heartbeat(
+                message.instance, message.count, message.is_ready, message.addition
+            )
         )
         for heartbeat in message.heartbeats:
             self._liveness.merge(heartbeat)
--- a/fuchsiaroute/gossip/tests/test_gossip.py
+++ b/fuchsiaroute/gossip/tests/test_gossip.py
@@ -361,3 +361,29 @@
     assert due[1] - due[0] >= (MIN_SEND_INTERVAL - 2) / 1_000
     for node in (sender, receiver):
         node.node.close()
+
+
+def test_additions_are_known_from_forwarded_heartbeats() -> None:
+    """Guards against a large fleet that waits to hear from each member itself."""
+    clock = ManualClock()
+    near, far = (
+        Liveness(instance=InstanceId(name), clock=clock, dead_after=Milliseconds(2_000))
+        for name in ("near", "far")
+    )
+    for liveness, other in ((near, "m"), (far, "m")):
+        liveness.update_member(
+            MemberInfo(
+                instance=InstanceId(other),
+                host="127.0.0.1",
+                port=1,
+                frontend="127.0.0.1:2",
+                failure_domain=FailureDomainId("z"),
+            )
+        )
+    near.merge(Heartbeat("m", 5, True, 2))
+    for heartbeat in near.heartbeats():
+        far.merge(heartbeat)
+    assert (far.all_know(2), far.all_know(3)) == (True, False)
+    # A former build takes over under the name, or forwards the heartbeat.
+    far.merge(Heartbeat("m", 6, True))
+    assert not far.all_know(2)
--- a/fuchsiaroute/node/_fleet_exchange.py
+++ b/fuchsiaroute/node/_fleet_exchange.py
@@ -1,7 +1,5 @@
 """Reports and sums of demand and outcomes, sent beside the gossip in large fleets."""
 
-from collections.abc import Callable
-
 from fuchsiaroute.aggregation import Aggregator, Figures, Peer
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.contention import FleetDemand, Flow, FlowDemand
@@ -53,7 +51,6 @@
         pool: EndpointPool,
         queue: RequestQueue,
         fleet: FleetDemand,
-        peers_know: Callable[[int], bool],
         clock: Clock,
     ) -> None:
         self._instance = instance
@@ -63,7 +60,6 @@
         self._pool = pool
         self._queue = queue
         self._fleet = fleet
-        self._peers_know = peers_know
         self._aggregator = Aggregator(
             instance=instance, failure_domain=failure_domain, clock=clock
         )
@@ -85,7 +81,7 @@
             self._aggregator.update_peers(
                 [Peer(item.instance, item.failure_domain) for item in alive]
             )
-        if len(alive) <= FANOUT or not self._peers_know(AGGREGATION):
+        if len(alive) <= FANOUT or not self._liveness.all_know(AGGREGATION):
             self._use(None)
             return
         own = Figures(
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -247,7 +247,6 @@
             pool=self.pool,
             queue=self.queue,
             fleet=self.fleet,
-            peers_know=self.exchange.peers_know,
             clock=clock,
         )
         self.registry = InstanceRegistry(
--- a/fuchsiaroute/platform/tests/test_fleet_sums.py
+++ b/fuchsiaroute/platform/tests/test_fleet_sums.py
@@ -5,6 +5,7 @@
 import pytest
 
 from fuchsiaroute.contention import Flow, FlowDemand
+from fuchsiaroute.gossip import LATEST_ADDITION
 from fuchsiaroute.ids import EndpointId, OrganisationId, ServiceId
 from fuchsiaroute.node import _fleet_exchange
 from fuchsiaroute.platform.tests.node_harness import NodeHarness, cluster
@@ -75,13 +76,13 @@
         assert sent == []
 
 
-async def test_former_build_in_the_fleet_leaves_the_gossip_alone() -> None:
+async def test_former_build_in_the_fleet_leaves_the_gossip_alone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Guards against messages that an instance of a former build cannot read."""
     bad = Endpoint(reset)
     async with cluster(INSTANCES, bad, Endpoint(complete)) as harnesses:
-        for harness in harnesses:
-            exchange = harness.node._parts.exchange
-            exchange._additions = _Former(exchange._additions)
+        monkeypatch.setattr(_fleet_exchange, "AGGREGATION", LATEST_ADDITION + 1)
         for number in range(WRITES):
             caller = harnesses[number % INSTANCES].caller()
             await caller.ask(f"/write/{number}", request_id=f"w{number}")
@@ -89,10 +90,3 @@
         assert not any(harness.node._parts.sums.is_used for harness in harnesses)
         logs = b"".join(b"".join(harness.lines) for harness in harnesses)
         assert b"news:unreadable" not in logs
-
-
-class _Former(dict):  # type: ignore[type-arg]
-    """Additions that instances know, without the latest one."""
-
-    def get(self, key: object, default: object = None) -> int:
-        return 1
