--- a/fuchsiaroute/pool/_member.py
+++ b/fuchsiaroute/pool/_member.py
@@ -9,6 +9,7 @@
 from fuchsiaroute.lifecycle import EndpointEvent, EndpointState, Outcome, next_state
 from fuchsiaroute.pool._cold_rate_limiter import ColdRateLimiter
 from fuchsiaroute.pool._outcomes import (
+    AVOIDANCE_TIME,
     MIN_TOLD,
     Outcomes,
     RecentOutcomes,
@@ -111,6 +112,8 @@
 
     #: Recent outcomes of the other instances' requests.
     peer_outcomes: Outcomes = Outcomes()
+    #: End of the time for which it is avoided, as it fails several instances' requests.
+    avoided_until: Milliseconds = Milliseconds(0)
     recent_outcomes: RecentOutcomes = field(init=False)
 
     def __post_init__(self) -> None:
@@ -119,11 +122,17 @@
     @property
     def is_failing(self) -> bool:
         """Return whether the endpoint fails requests of several instances."""
+        now = self.clock.now()
+        if now < self.avoided_until:
+            return True
         others = self.peer_outcomes
         # The usual case, without the weights of the own outcomes.
         if others.failed < MIN_TOLD:
             return False
-        return is_failing(self.recent_outcomes.current, others)
+        if not is_failing(self.recent_outcomes.current, others):
+            return False
+        self.avoided_until = Milliseconds(now + AVOIDANCE_TIME)
+        return True
 
     @property
     def load(self) -> int:
--- a/fuchsiaroute/pool/_outcomes.py
+++ b/fuchsiaroute/pool/_outcomes.py
@@ -6,8 +6,11 @@
 
 from fuchsiaroute.clock import Clock, Milliseconds
 
-#: Time in which the weight of an outcome halves.
-HALF_LIFE = Milliseconds(3_000)
+#: Time in which the weight of an outcome halves. With a longer one, the answers before
+#: an endpoint began to fail would hide its failures for seconds.
+HALF_LIFE = Milliseconds(700)
+#: Time for which a failing endpoint is avoided until it is tried again.
+AVOIDANCE_TIME = Milliseconds(2_000)
 #: Failures, of two instances at least, from which an endpoint may be failing.
 MIN_FAILURES = 3.0
 #: Share of failures from which it is.
--- a/fuchsiaroute/pool/tests/test_outcomes.py
+++ b/fuchsiaroute/pool/tests/test_outcomes.py
@@ -14,7 +14,13 @@
 from fuchsiaroute.ids import EndpointId, InstanceId
 from fuchsiaroute.lifecycle import Outcome
 from fuchsiaroute.pool import EndpointPool, Outcomes, Reservation
-from fuchsiaroute.pool._outcomes import HALF_LIFE, RecentOutcomes, is_failing
+from fuchsiaroute.pool._outcomes import (
+    AVOIDANCE_TIME,
+    HALF_LIFE,
+    MIN_FAILURE_SHARE,
+    RecentOutcomes,
+    is_failing,
+)
 from fuchsiaroute.pool.tests.test_pool import DEMAND, SERVICE, endpoint, service
 
 WRITE = replace(DEMAND, is_repeatable=False)
@@ -61,7 +67,10 @@
     assert {send(found, Outcome.ANSWERED) for _ in range(40)} == {BAD, GOOD}
     found.use_peer_outcomes({BAD: Outcomes(40.0, 0.0)})
     assert {send(found, Outcome.ANSWERED) for _ in range(40)} == {GOOD}
+    # Nobody sends it requests now, so the evidence goes before it is tried again.
     found.use_peer_outcomes({})
+    assert {send(found, Outcome.ANSWERED) for _ in range(40)} == {GOOD}
+    found._clock.tick(AVOIDANCE_TIME)
     assert {send(found, Outcome.ANSWERED) for _ in range(40)} == {BAD, GOOD}
 
 
@@ -118,6 +127,19 @@
     assert (reservation.endpoint.id in found.own_outcomes()) is is_refused
 
 
+def test_answers_before_an_endpoint_failed_do_not_hide_its_failures() -> None:
+    """Guards against an endpoint that is used for seconds after it began to fail."""
+    clock = ManualClock()
+    recent = RecentOutcomes(clock)
+    for is_failed, count in ((False, 100), (True, 15)):
+        for _ in range(count):
+            recent.record(is_failed=is_failed)
+            # 15 requests a second at all instances together.
+            clock.tick(Milliseconds(67))
+    failed, answered = recent.current
+    assert failed / (failed + answered) >= MIN_FAILURE_SHARE
+
+
 def test_outcomes_are_forgotten() -> None:
     """Guards against an endpoint that is avoided for ever, as it gets no requests."""
     clock = ManualClock()
