Outcomes of all instances: evaluated as sums arrive

A property that set the end of the avoidance was evaluated for each endpoint at each choice. It is set where the sums are applied now, ten times a second.

--- a/fuchsiaroute/pool/_member.py
+++ b/fuchsiaroute/pool/_member.py
@@ -121,18 +121,8 @@
 
     @property
     def is_failing(self) -> bool:
-        """Return whether the endpoint fails requests of several instances."""
-        now = self.clock.now()
-        if now < self.avoided_until:
-            return True
-        others = self.peer_outcomes
-        # The usual case, without the weights of the own outcomes.
-        if others.failed < MIN_TOLD:
-            return False
-        if not is_failing(self.recent_outcomes.current, others):
-            return False
-        self.avoided_until = Milliseconds(now + AVOIDANCE_TIME)
-        return True
+        """Return whether the endpoint has failed requests of several instances."""
+        return self.clock.now() < self.avoided_until
 
     @property
     def load(self) -> int:
@@ -218,6 +208,15 @@
             endpoint.service,
         )
 
+    def update_peer_outcomes(self, outcomes: Outcomes) -> None:
+        """Replace the other instances' outcomes, and see whether the endpoint fails."""
+        self.peer_outcomes = outcomes
+        # The first comparison is false for almost all endpoints, and costs least.
+        if outcomes.failed >= MIN_TOLD and is_failing(
+            self.recent_outcomes.current, outcomes
+        ):
+            self.avoided_until = Milliseconds(self.clock.now() + AVOIDANCE_TIME)
+
     def apply(self, event: EndpointEvent) -> None:
         """Change the state according to the endpoint life cycle."""
         self.state = next_state(self.state, event)
--- a/fuchsiaroute/pool/_pool.py
+++ b/fuchsiaroute/pool/_pool.py
@@ -127,7 +127,7 @@
     def use_peer_outcomes(self, outcomes: Mapping[EndpointId, Outcomes]) -> None:
         """Replace the sums of the other instances' recent outcomes."""
         for name, member in self._members.items():
-            member.peer_outcomes = outcomes.get(name, _NO_OUTCOMES)
+            member.update_peer_outcomes(outcomes.get(name, _NO_OUTCOMES))
 
     def load_of_versions(self, service: ServiceId, target: VersionId) -> int:
         """Return the requests in flight at endpoints of versions except ``target``."""
