--- a/fuchsiaroute/pool/_request_queue.py
+++ b/fuchsiaroute/pool/_request_queue.py
@@ -37,6 +37,10 @@
 #: Maximum random increase of the retry-after time, so that callers who were refused
 #: together do not all return at once.
 RETRY_SPREAD = 0.5
+#: Share of its maximum wait for which a request leaves room to those that go first at
+#: other instances. After that it uses all of its room, so that none waits until it is
+#: refused while engines take others.
+YIELDING_WAIT_SHARE = 0.5
 #: Flows in the summary for the other instances; those with most waiting come first.
 MAX_SUMMARY_FLOWS = 16
 #: Reasons that end while a request waits.
@@ -82,6 +86,8 @@
     ticket: Ticket
     #: Priority of the request, 0 for the most urgent.
     priority: int
+    #: Time until which the request leaves room to those that go first elsewhere.
+    yields_until: Milliseconds
 
 
 class RequestQueue:
@@ -214,7 +220,11 @@
             waiter = self._waiters[ticket.number]
             if not waiter.future.done():
                 organisation = ticket.request.organisation
-                chosen = self._choose(waiter.demand, organisation, waiter.priority)
+                chosen = (
+                    self._choose(waiter.demand, organisation, waiter.priority)
+                    if self._clock.now() < waiter.yields_until
+                    else self._pool.choose(waiter.demand)
+                )
                 if chosen is NoChoice.PAUSED:
                     self._refuse_paused(queue)
                 if chosen is NoChoice.RATE_LIMITED:
@@ -241,7 +251,11 @@
     ) -> Reservation | QueueRefusal:
         future: asyncio.Future[Reservation | QueueRefusal]
         future = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(demand, future, demote_at, ticket, priority)
+        max_wait = ticket.latest_start - ticket.admitted_at
+        yields_until = Milliseconds(
+            round(ticket.admitted_at + max_wait * YIELDING_WAIT_SHARE)
+        )
+        waiter = _Waiter(demand, future, demote_at, ticket, priority, yields_until)
         self._waiters[ticket.number] = waiter
         queue = self._queues.setdefault(key, FairQueue())
         queue.push(ticket)
--- a/fuchsiaroute/pool/tests/test_contention.py
+++ b/fuchsiaroute/pool/tests/test_contention.py
@@ -17,6 +17,7 @@
     RequestQueue,
     Reservation,
 )
+from fuchsiaroute.pool._request_queue import YIELDING_WAIT_SHARE
 from fuchsiaroute.pool.tests.test_pool import DEMAND, SERVICE, endpoint, service
 from fuchsiaroute.pool.tests.test_request_queue import request, run_pending_tasks
 
@@ -95,6 +96,22 @@
     assert isinstance(await task, Reservation)
 
 
+async def test_less_urgent_requests_leave_room_for_a_part_of_their_wait_only() -> None:
+    """Guards against less urgent requests that are refused while others start."""
+    harness = Harness()
+    await harness.enter(work=60.0)
+    harness.waits_elsewhere(0, SECOND)
+    task = harness.enter(work=1.0)
+    await run_pending_tasks()
+    harness.clock.tick(Milliseconds(round(MAX_WAIT * YIELDING_WAIT_SHARE) - 1))
+    harness.queue.wake()
+    await run_pending_tasks()
+    assert not task.done()
+    harness.clock.tick(Milliseconds(1))
+    harness.queue.wake()
+    assert isinstance(await task, Reservation)
+
+
 async def test_organisation_over_its_share_leaves_room_to_one_elsewhere() -> None:
     harness = Harness()
     for _ in range(6):
