Callers' connections: the time before a large request does not count for it

When the memory for clients is used up, the connection with the largest product of memory and time is closed. The time began with the last change of what was counted, so an upload on a kept connection counted with the time for which that had been idle. The test failed before.

--- a/fuchsiaroute/http1/_server.py
+++ b/fuchsiaroute/http1/_server.py
@@ -385,9 +385,10 @@
             self._budget.remove(self)
             return
         held = CONNECTION_MEMORY_BYTES
-        if self._is_small:
+        if self.held == held:
+            # Nothing more than for a small request was held until now.
             self._held_since = self._clock.now()
-        else:
+        if not self._is_small:
             held += (
                 (len(cast(bytes, self._input.obj)) if self._input else 0)
                 + self._incoming.held
--- a/fuchsiaroute/http1/tests/test_server_fuzzing.py
+++ b/fuchsiaroute/http1/tests/test_server_fuzzing.py
@@ -1,11 +1,12 @@
 """Sequences of requests that are cut and split at any byte."""
 
 import asyncio
+from dataclasses import replace
 from typing import Any
 
 from hypothesis import given, settings, strategies as st
 
-from fuchsiaroute.clock import Milliseconds, SystemClock
+from fuchsiaroute.clock import ManualClock, Milliseconds, SystemClock
 from fuchsiaroute.http1 import (
     ClientBudget,
     InboundRequest,
@@ -67,6 +68,26 @@
     return b"\r\n\r\n" + by_length(number, body)
 
 
+async def test_time_before_a_large_request_does_not_count_for_it() -> None:
+    """Guards against a sound upload on a kept connection that goes before others."""
+    clock = ManualClock()
+    connection = ServerConnection(
+        clock=clock,
+        handler=lambda request, responder: asyncio.sleep(0),
+        limits=lambda: replace(LIMITS, body_bytes=1_000_000),
+        budget=ClientBudget(limit=1_000_000, clock=clock),
+        open_connections=set(),
+    )
+    connection.connection_made(Transport())
+    clock.tick(Milliseconds(5_000))
+    started_at = clock.now()
+    connection.data_received(by_length(1, b"a" * 100_000)[:50_000])
+    clock.tick(Milliseconds(100))
+    connection.data_received(b"a" * 10)
+    assert connection.held_since == started_at
+    connection.connection_lost(None)
+
+
 REQUESTS = st.lists(
     st.tuples(
         st.sampled_from([by_length, in_chunks, after_empty_lines]),
