--- a/fuchsiaroute/http1/__init__.py
+++ b/fuchsiaroute/http1/__init__.py
@@ -8,6 +8,7 @@
 )
 from fuchsiaroute.http1._client_budget import ClientBudget
 from fuchsiaroute.http1._connecting import connect_protocol
+from fuchsiaroute.http1._connection_state import CloseReason, ConnectionState
 from fuchsiaroute.http1._exceptions import (
     BrokenResponseError,
     ConnectError,
@@ -26,12 +27,7 @@
     find_header,
 )
 from fuchsiaroute.http1._responder import Responder
-from fuchsiaroute.http1._server import (
-    CloseReason,
-    ConnectionState,
-    Handler,
-    ServerConnection,
-)
+from fuchsiaroute.http1._server import Handler, ServerConnection
 from fuchsiaroute.http1._socket_options import DeadPathDetection
 
 __all__ = [
--- a/fuchsiaroute/http1/_server.py
+++ b/fuchsiaroute/http1/_server.py
@@ -3,14 +3,15 @@
 import asyncio
 import math
 from collections import deque
-from collections.abc import Awaitable, Callable, Collection
-from enum import Enum
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple, cast
 
 import httptools
 
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.http1._client_budget import ClientBudget
+from fuchsiaroute.http1._connection_limit import connection_to_close
+from fuchsiaroute.http1._connection_state import CloseReason, ConnectionState
 from fuchsiaroute.http1._incoming_request import (
     REQUEST_MEMORY_BYTES,
     IncomingRequest,
@@ -42,36 +43,6 @@
 Handler = Callable[[InboundRequest, Responder], Awaitable[None]]
 
 
-class ConnectionState(Enum):
-    """What a caller's connection is owed, from nothing to a whole response."""
-
-    #: Nothing: no request has arrived since the last response was sent.
-    IDLE = "idle"
-    #: Bytes of a response whose handler has ended are still unsent.
-    SENDING = "sending"
-    #: A request has arrived in part.
-    RECEIVING = "receiving"
-    #: A request has been read, and its handler runs or has not started yet.
-    ANSWERING = "answering"
-
-
-class CloseReason(Enum):
-    """Why the server closed a caller's connection that the caller had kept open."""
-
-    #: No request for longer than the idle timeout.
-    IDLE = "idle"
-    #: A request was rejected before it had arrived as a whole.
-    REJECTED = "rejected"
-    #: A response that had begun could not be completed.
-    RESPONSE_ABORTED = "response-aborted"
-    #: The memory for all clients was used up, and this one held most for longest.
-    MEMORY = "memory"
-    #: The number of connections had reached its limit.
-    CONNECTIONS = "connections"
-    #: The caller had not read any of its response for too long.
-    UNREAD = "unread"
-
-
 class _Waiting(NamedTuple):
     """A request that has been read and whose handler has not started."""
 
@@ -169,11 +140,6 @@
             return True
         return not self._is_writable or len(self._waiting) >= MAX_PIPELINED_REQUESTS
 
-    @property
-    def siblings(self) -> Collection["ServerConnection"]:
-        """Return all open connections of the listener."""
-        return self._open
-
     @property
     def last_activity(self) -> Milliseconds:
         """Return when bytes last arrived or a response last ended."""
@@ -205,7 +171,7 @@
         self._schedule_timeout_check()
         self._account()
         if len(self._open) > self._max_connections():
-            _to_close_for(self).close_for_others()
+            connection_to_close(self, self._open).close_for_others()
 
     def close_for_others(self) -> None:
         """Close the connection in favour of others; a partial request is rejected."""
@@ -536,26 +502,3 @@
 
 def _is_blank(part: bytes | memoryview) -> bool:
     return part[0] in _LINE_ENDS and not bytes(part).strip(_LINE_ENDS)
-
-
-def _to_close_for(newest: ServerConnection) -> ServerConnection:
-    """
-    Return the connection to close as there are too many.
-
-    That is the one which has been idle for longest, or has received nothing for
-    longest, and ``newest`` itself only if all others have a request in progress.
-    """
-    others = [
-        item
-        for item in newest.siblings
-        if item is not newest and item.state in _CLOSED_FOR_OTHERS
-    ]
-    return min(
-        others,
-        key=lambda item: (_CLOSED_FOR_OTHERS[item.state], item.last_activity),
-        default=newest,
-    )
-
-
-#: States of connections that are closed in favour of others, in that order.
-_CLOSED_FOR_OTHERS = {ConnectionState.IDLE: 0, ConnectionState.RECEIVING: 1}
