--- a/fuchsiaroute/pool/__init__.py
+++ b/fuchsiaroute/pool/__init__.py
@@ -5,7 +5,8 @@
 from fuchsiaroute.pool._member import Load, PoolMember
 from fuchsiaroute.pool._outcomes import Outcomes
 from fuchsiaroute.pool._pool import EndpointPool
-from fuchsiaroute.pool._request_queue import QueueRefusal, RequestQueue
+from fuchsiaroute.pool._refusals import QueueRefusal
+from fuchsiaroute.pool._request_queue import RequestQueue
 from fuchsiaroute.pool._reservation import Reservation
 from fuchsiaroute.pool._send_gate import SendGate
 
--- a/fuchsiaroute/pool/_request_queue.py
+++ b/fuchsiaroute/pool/_request_queue.py
@@ -20,6 +20,7 @@
 from fuchsiaroute.ids import EndpointId, OrganisationId, ServiceId, VersionId
 from fuchsiaroute.pool._demand import Demand, NoChoice
 from fuchsiaroute.pool._pool import EndpointPool
+from fuchsiaroute.pool._refusals import MAX_RETRY_AFTER, QueueRefusal, Refusals
 from fuchsiaroute.pool._reservation import Reservation
 from fuchsiaroute.request import Request
 
@@ -31,12 +32,6 @@
 _DEMOTED_QUEUE_PRIORITY = 0
 #: Weight of the newest interval between two starts in their moving average.
 INTERVAL_EWMA_WEIGHT = 0.1
-#: Bounds of the retry-after time of refused requests.
-MIN_RETRY_AFTER = Milliseconds(100)
-MAX_RETRY_AFTER = Milliseconds(2_000)
-#: Maximum random increase of the retry-after time, so that callers who were refused
-#: together do not all return at once.
-RETRY_SPREAD = 0.5
 #: Share of its maximum wait for which a request leaves room to those that go first at
 #: other instances. After that it uses all of its room, so that none waits until it is
 #: refused while engines take others.
@@ -47,18 +42,6 @@
 _TEMPORARY = frozenset({NoChoice.FULL, NoChoice.PAUSED, NoChoice.RATE_LIMITED})
 
 
-@dataclass(frozen=True, kw_only=True)
-class QueueRefusal:
-    """Why a request got no endpoint; it has not been sent anywhere."""
-
-    reason: NoChoice
-    #: Time until an endpoint is expected to have capacity.
-    retry_after: Milliseconds
-    #: Expected wait when the request was refused, and requests that were before it.
-    expected_wait: Milliseconds = Milliseconds(0)
-    ahead: int = 0
-
-
 #: Service, allowed versions and excluded endpoints. Requests that differ in these wait
 #: in separate queues, so that one that cannot start does not block another that can.
 _QueueKey = tuple[ServiceId, frozenset[VersionId] | None, frozenset[EndpointId]]
@@ -113,7 +96,7 @@
         self.yields: Counter[Reason] = Counter()
         self._pool = pool
         self._clock = clock
-        self._random = random
+        self._refusals = Refusals(random)
         self._numbers = itertools.count(1)
         self._queues: dict[_QueueKey, FairQueue] = {}
         self._statistics: dict[ServiceId, _ServiceStatistics] = {}
@@ -170,7 +153,7 @@
         soonest = self._pool.soonest_return(demand)
         max_known_wait = min(max_wait, max(deprioritise_after, 0))
         if soonest > max_known_wait:
-            return self._refusal_until(NoChoice.PAUSED, soonest)
+            return self._refusals.until(NoChoice.PAUSED, soonest)
         key = (demand.service, demand.versions, demand.excluded)
         queue = self._queues.get(key)
         if queue is None:
@@ -192,10 +175,10 @@
         ahead = queue.ahead_of(ticket) if queue is not None else 0.0
         permit_wait = self._pool.permit_wait(demand, ahead)
         if permit_wait is not None and permit_wait > max_known_wait:
-            return self._refusal_until(NoChoice.RATE_LIMITED, permit_wait)
+            return self._refusals.until(NoChoice.RATE_LIMITED, permit_wait)
         wait = max(ahead * statistics.interval, self._pool.room_wait(demand))
         if wait > max_wait or len(self._waiters) >= MAX_WAITING_REQUESTS:
-            return self._refusal(wait, ahead=ahead)
+            return self._refusals.for_room(wait, ahead=ahead)
         demote_at = Milliseconds(now + deprioritise_after)
         return await self._wait(key, ticket, demand, demote_at, priority)
 
@@ -342,7 +325,7 @@
             waiter = self._waiters[ticket.number]
             queue.remove(ticket)
             if not waiter.future.done():
-                waiter.future.set_result(self._refusal(statistics.interval))
+                waiter.future.set_result(self._refusals.for_room(statistics.interval))
 
     def _record_start(self, statistics: _ServiceStatistics) -> None:
         now = self._clock.now()
@@ -363,7 +346,7 @@
                 queue.remove(ticket)
                 if not waiter.future.done():
                     waiter.future.set_result(
-                        self._refusal_until(NoChoice.PAUSED, soonest)
+                        self._refusals.until(NoChoice.PAUSED, soonest)
                     )
 
     def _refuse_beyond_rate(self, queue: FairQueue) -> None:
@@ -380,28 +363,9 @@
             queue.remove(ticket)
             if not waiter.future.done():
                 waiter.future.set_result(
-                    self._refusal_until(NoChoice.RATE_LIMITED, wait)
+                    self._refusals.until(NoChoice.RATE_LIMITED, wait)
                 )
 
-    def _refusal_until(self, reason: NoChoice, soonest: Milliseconds) -> QueueRefusal:
-        """Return a refusal until a known time, with callers spread over time."""
-        spread = 1.0 + RETRY_SPREAD * self._random.random()
-        return QueueRefusal(
-            reason=reason,
-            retry_after=Milliseconds(max(round(soonest * spread), MIN_RETRY_AFTER)),
-        )
-
-    def _refusal(self, wait: float, *, ahead: float = 0.0) -> QueueRefusal:
-        """Return a refusal for want of room, with callers spread over time."""
-        bounded = min(max(round(wait), MIN_RETRY_AFTER), MAX_RETRY_AFTER)
-        spread = 1.0 + RETRY_SPREAD * self._random.random()
-        return QueueRefusal(
-            reason=NoChoice.FULL,
-            retry_after=Milliseconds(round(bounded * spread)),
-            expected_wait=Milliseconds(round(wait)),
-            ahead=round(ahead),
-        )
-
 
 def _flow(waiter: _Waiter) -> Flow:
     organisation = waiter.ticket.request.organisation
