--- a/fuchsiaroute/http1/_server.py
+++ b/fuchsiaroute/http1/_server.py
@@ -19,6 +19,7 @@
 )
 from fuchsiaroute.http1._messages import Headers, InboundRequest
 from fuchsiaroute.http1._responder import Responder
+from fuchsiaroute.http1._unread_watch import UnreadWatch
 
 #: Number of waiting pipelined requests at which no further input is parsed until the
 #: next response is complete.
@@ -33,9 +34,6 @@
 CONNECTION_MEMORY_BYTES = 6 * 1024 + SMALL_REQUEST_BYTES
 #: Interval at which a connection's timeouts, which are seconds long, are checked.
 TIMEOUT_CHECK_INTERVAL_SECONDS = 0.5
-#: Time without any progress after which an unread response is given up, unless the idle
-#: timeout is longer. Callers that read slowly take some bytes of it.
-MIN_UNREAD_TIMEOUT = Milliseconds(30_000)
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _LINE_ENDS = b"\r\n"
 MILLISECONDS_PER_SECOND = 1_000
@@ -100,9 +98,7 @@
         self._is_writable = True
         #: Bytes of the responses that have ended.
         self._written = 0
-        #: Bytes that the operating system had taken when they last grew, and when.
-        self._taken = 0
-        self._taken_at = self._last_activity
+        self._unread = UnreadWatch(clock=clock)
         self._held_since = self._last_activity
         #: See ``MemoryHolder``.
         self.held = 0
@@ -470,7 +466,12 @@
     def _check_timeouts(self) -> None:
         now = self._clock.now()
         limits = self._limits()
-        if self._is_unread(now, limits):
+        active = 0 if self._active is None else self._active.written
+        if self._unread.is_stalled(
+            written=self._written + active,
+            unsent=self.unsent_bytes,
+            idle_timeout=limits.idle_timeout,
+        ):
             self._abort(CloseReason.UNREAD)
             return
         if self._transport.is_closing() and not self.unsent_bytes:
@@ -490,15 +491,6 @@
             self._on_close(CloseReason.IDLE)
             self._transport.close()
 
-    def _is_unread(self, now: Milliseconds, limits: ServerLimits) -> bool:
-        """Return whether the caller has long read nothing of what is sent to it."""
-        active = 0 if self._active is None else self._active.written
-        taken = self._written + active - self.unsent_bytes
-        if not self.unsent_bytes or taken != self._taken:
-            self._taken, self._taken_at = taken, now
-        longest = max(limits.idle_timeout, MIN_UNREAD_TIMEOUT)
-        return now - self._taken_at > longest
-
 
 def _is_blank(part: bytes | memoryview) -> bool:
     return part[0] in _LINE_ENDS and not bytes(part).strip(_LINE_ENDS)
