--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -33,13 +33,13 @@
     MemberInfo,
 )
 from fuchsiaroute.http1 import (
-    ClientBudget,
     ConnectError,
     ServerLimits,
     connect_protocol,
 )
 from fuchsiaroute.ids import EndpointId, InstanceId
 from fuchsiaroute.linelog import LineLog
+from fuchsiaroute.node._client_limits import ClientLimits
 from fuchsiaroute.node._control import ControlHandler
 from fuchsiaroute.node._fleet_exchange import FleetExchange
 from fuchsiaroute.node._gossip_exchange import GossipExchange
@@ -82,17 +82,8 @@
 RETRY_SLACK_SHARE = 0.6
 #: Mean deviations above the mean duration of a route's responses that count as usual.
 DURATION_DEVIATIONS = 6.0
-#: Share of the memory limit that all clients' connections may use. Requests that are
-#: forwarded are held a second time, and the program itself takes some 25 MB.
-CLIENT_MEMORY_SHARE = 0.2
-#: Connections for each file descriptor of this process: of callers, and to each of the
-#: addresses for the directory, readiness and metrics. The rest is for endpoints, peers
-#: and the store.
-CALLER_CONNECTION_SHARE = 0.4
-CONTROL_CONNECTION_SHARE = 0.05
 #: Tunnels of peers for each file descriptor of this process; a tunnel needs two.
 TUNNEL_SHARE = 0.15
-_BYTES_PER_MB = 1_000_000
 
 
 class NodeParts:
@@ -321,7 +312,7 @@
             log=log,
         )
         self.metrics = MetricsHandler(self.counters, gauges=self._gauges)
-        self.clients = ClientBudget(limit=_client_memory(settings), clock=clock)
+        self.clients = ClientLimits(settings, clock=clock)
 
     def is_ready(self) -> bool:
         """Return whether callers may send requests to this instance."""
@@ -400,20 +391,12 @@
             idle_timeout=deployment.limits.idle_timeout,
         )
 
-    def max_caller_connections(self) -> float:
-        """Return how many connections callers may have."""
-        return self._settings.max_descriptors * CALLER_CONNECTION_SHARE
-
-    def max_control_connections(self) -> float:
-        """Return how many connections each other address may have."""
-        return self._settings.max_descriptors * CONTROL_CONNECTION_SHARE
-
     def reload(self, settings: NodeSettings) -> None:
         """Apply changed settings."""
         is_store_moved = settings.store != self._settings.store
         self._settings = settings
         self.store.set_address(settings.store)
-        self.clients.limit = _client_memory(settings)
+        self.clients.apply(settings)
         if is_store_moved:
             # The former address may never answer the watches that it holds.
             self.orders_feed.restart_watch("the store has another address")
@@ -588,15 +571,11 @@
             "room_left_to_more_urgent": self.queue.yields[Reason.MORE_URGENT],
             "room_left_to_other_organisations": self.queue.yields[Reason.OVER_SHARE],
             "connections_opened": self.connections.opened,
-            "client_memory_bytes": self.clients.used,
+            "client_memory_bytes": self.clients.budget.used,
             "event_loop_tasks": len(asyncio.all_tasks()),
         }
 
 
-def _client_memory(settings: NodeSettings) -> int:
-    return round(settings.memory_mb * _BYTES_PER_MB * CLIENT_MEMORY_SHARE)
-
-
 #: Limits before the first declaration; all requests are rejected until then.
 _UNDECLARED_LIMITS = ServerLimits(
     header_bytes=16_384,
--- a/fuchsiaroute/node/_run.py
+++ b/fuchsiaroute/node/_run.py
@@ -73,7 +73,7 @@
         self._log = log
         self._parts = NodeParts(settings, clock=clock, log=log, random=random)
         self._client_closes = ClientCloses(
-            clock=clock, log=log, memory=lambda: self._parts.clients.used
+            clock=clock, log=log, memory=lambda: self._parts.clients.budget.used
         )
         self._caller_connections: set[ServerConnection] = set()
         self._control_connections: set[ServerConnection] = set()
@@ -126,7 +126,7 @@
             settings.frontend,
             parts.forwarder.handle,
             self._caller_connections,
-            max_connections=parts.max_caller_connections,
+            max_connections=parts.clients.max_caller_connections,
             closes="caller_closes",
         )
         control = {settings.readiness, settings.directory} - {None}
@@ -166,7 +166,7 @@
     ) -> None:
         """Listen; ``closes`` is the counter of the connections that are closed."""
         if max_connections is None:
-            max_connections = self._parts.max_control_connections
+            max_connections = self._parts.clients.max_control_connections
 
         def on_close(reason: CloseReason) -> None:
             self._parts.counters.add(closes, reason.value)
@@ -177,7 +177,7 @@
                 clock=self._clock,
                 handler=handler,
                 limits=self._parts.limits,
-                budget=self._parts.clients,
+                budget=self._parts.clients.budget,
                 open_connections=connections,
                 max_connections=max_connections,
                 is_draining=lambda: self._parts.drain.is_draining,
