Feeds: say where a late change came from, and which ones peers do not send

The logs of late declarations did not tell a silent store from a response that was cut off at its time-out, an update too large for peers left no line, and nothing said for how long an instance had known that it was behind.

--- a/fuchsiaroute/catalog/_feed.py
+++ b/fuchsiaroute/catalog/_feed.py
@@ -61,6 +61,16 @@
     LOST = "lost"
 
 
+class RowSource(Enum):
+    """Where rows that were applied come from."""
+
+    STORE = "store"
+    #: An update that peers forward to each other.
+    RELAY = "relay"
+    #: A peer's reply to a request of this instance.
+    PEER_REPLY = "peer-reply"
+
+
 class _Step(Enum):
     """What follows a call."""
 
@@ -265,14 +275,26 @@
             return None
         return Milliseconds(self._clock.now() - self._answered_at)
 
-    def apply_relayed(self, rows: Rows, *, after: StorePosition | None) -> bool:
+    def behind_for(self) -> Milliseconds:
+        """Return for how long a change is missing that a peer has reported."""
+        if self._behind_since is None:
+            return Milliseconds(0)
+        return Milliseconds(self._clock.now() - self._behind_since)
+
+    def apply_relayed(
+        self,
+        rows: Rows,
+        *,
+        after: StorePosition | None,
+        source: RowSource = RowSource.RELAY,
+    ) -> bool:
         """
         Apply changes that another instance has read; return whether any is new.
 
         ``after`` is None for a whole table, which a restored store has sent.
         """
         if after is None:
-            return self._apply_relayed_table(rows)
+            return self._apply_relayed_table(rows, source)
         if self.revision is None or after > self.revision:
             # Earlier changes are missing. A hint leads to a read from the store.
             return False
@@ -280,14 +302,14 @@
             return False
         if era_of(rows.revision) != era_of(after):
             return False
-        self._apply(rows, is_whole=False)
+        self._apply(rows, is_whole=False, source=source)
         return True
 
-    def _apply_relayed_table(self, rows: Rows) -> bool:
+    def _apply_relayed_table(self, rows: Rows, source: RowSource) -> bool:
         if self._era is not None and era_of(rows.revision) <= self._era:
             return False
         # The store is read all the same once it answers.
-        self._apply(rows, is_whole=True)
+        self._apply(rows, is_whole=True, source=source)
         return True
 
     async def run(self) -> None:
@@ -339,7 +361,7 @@
         after = self._relayed_until
         era = self._era
         self._must_read_whole = False
-        self._apply(found, is_whole=is_whole)
+        self._apply(found, is_whole=is_whole, source=RowSource.STORE)
         if is_whole and era is not None and era != self._era:
             self._on_change(found, None)
         elif after is not None and found.rows:
@@ -357,7 +379,7 @@
             self._idle_until = Milliseconds(now + INITIAL_IDLE_TIME)
         return now < self._idle_until
 
-    def _apply(self, rows: Rows, *, is_whole: bool) -> None:
+    def _apply(self, rows: Rows, *, is_whole: bool, source: RowSource) -> None:
         is_older = self.revision is not None and rows.revision < self.revision
         if is_older and not (is_whole and self.revision == self._gone_revision):
             # Relayed changes are newer than this answer. Without such changes, the
@@ -384,8 +406,17 @@
             self._held.apply(rows, is_whole=is_whole)
             self._on_rows(rows, is_whole)
         self.revision = rows.revision
-        if not self.is_behind:
-            self._behind_since = None
+        if self.is_behind:
+            return
+        if self.behind_for() >= HINT_TIMEOUT:
+            self._log.write(
+                "feed:caught-up",
+                table=self._table.value,
+                revision=self.revision,
+                behind_ms=self.behind_for(),
+                source=source.value,
+            )
+        self._behind_since = None
 
     async def _read_whole(self) -> Result[Rows | HistoryGone, StoreError] | None:
         """Return the whole table; None if a request for a new call ended the read."""
--- a/fuchsiaroute/catalog/tests/test_feed.py
+++ b/fuchsiaroute/catalog/tests/test_feed.py
@@ -6,7 +6,7 @@
 import pytest
 from returns.result import Failure, Result, Success
 
-from fuchsiaroute.catalog import TableFeed
+from fuchsiaroute.catalog import RowSource, TableFeed
 from fuchsiaroute.catalog._feed import INITIAL_IDLE_TIME
 from fuchsiaroute.clock import ManualClock, Milliseconds
 from fuchsiaroute.linelog import LineLog
@@ -91,11 +91,12 @@
         self.changes: list[tuple[int, int]] = []
         self.is_relayed = False
         self.max_retry_delay = Milliseconds(1_000)
+        self.log_lines = b""
         self.feed = TableFeed(
             Table.ENDPOINTS,
             store=self.store,  # type: ignore[arg-type]
             clock=self.clock,
-            log=LineLog(clock=self.clock, instance="i", write=len),
+            log=LineLog(clock=self.clock, instance="i", write=self._write),
             random=Random(1),
             on_rows=self._on_rows,
             on_recovered=self._on_recovered,
@@ -121,6 +122,10 @@
             self.feed.check_hint()
             await self.clock.advance(Milliseconds(50))
 
+    def _write(self, data: bytes) -> int:
+        self.log_lines += data
+        return len(data)
+
     def _on_rows(self, rows: Rows, is_whole: bool) -> None:
         self.whole_reads += is_whole
         self.seen += [row.key for row in rows.rows]
@@ -144,6 +149,39 @@
         assert harness.seen == ["a"]
 
 
+@pytest.mark.parametrize(
+    ("source", "expected"),
+    [
+        (None, b'"source":"store"'),
+        (RowSource.RELAY, b'"source":"relay"'),
+        (RowSource.PEER_REPLY, b'"source":"peer-reply"'),
+    ],
+)
+async def test_late_change_is_logged_with_its_source(
+    source: RowSource | None, expected: bytes
+) -> None:
+    async with FeedHarness(has_just_started=True) as harness:
+        harness.is_relayed = True
+        harness.feed.hint(1)
+        await harness.pass_time(250)
+        assert harness.feed.behind_for() == 250
+        if source is not None:
+            harness.store.is_down = True
+            await harness.pass_time(400)
+            row = Row(key="a", value=b"", revision=1)
+            harness.feed.apply_relayed(
+                Rows(rows=(row,), revision=1), after=StorePosition(0), source=source
+            )
+        else:
+            harness.store.put("a")
+            await harness.pass_time(400)
+        [line] = [
+            line for line in harness.log_lines.splitlines() if b"caught-up" in line
+        ]
+        assert expected in line
+        assert harness.feed.behind_for() == 0
+
+
 async def test_new_process_reads_a_change_that_a_peer_reports() -> None:
     async with FeedHarness(has_just_started=True) as harness:
         harness.store.put("a")
--- a/fuchsiaroute/gossip/_node.py
+++ b/fuchsiaroute/gossip/_node.py
@@ -156,6 +156,10 @@
         data = encode_message(update)
         if len(data) <= MAX_RELAY_BYTES:
             self._send_to(data, RELAY_FANOUT)
+        else:
+            self._log.write(
+                "table:update-too-large", table=update.table, size_bytes=len(data)
+            )
 
     def send_to(
         self,
--- a/fuchsiaroute/http1/_client.py
+++ b/fuchsiaroute/http1/_client.py
@@ -173,6 +173,11 @@
         """Return whether the body of the response ends with the connection."""
         return self._ends_with_connection
 
+    @property
+    def received_bytes(self) -> int:
+        """Return the number of bytes of the present response that have arrived."""
+        return self._received
+
     @property
     def has_body_bytes(self) -> bool:
         """Return whether a part of the body has arrived."""
--- a/fuchsiaroute/node/_gossip_exchange.py
+++ b/fuchsiaroute/node/_gossip_exchange.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from fuchsiaroute.catalog import Catalog, TableFeed
+from fuchsiaroute.catalog import Catalog, RowSource, TableFeed
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.contention import FleetDemand, Flow, FlowDemand
 from fuchsiaroute.forwarding import Counters, LatencyEstimator, SharedEstimate
@@ -303,6 +303,7 @@
         return feed.apply_relayed(
             Rows(rows=rows, revision=StorePosition(update.until)),
             after=None if update.is_whole else StorePosition(update.after),
+            source=RowSource.PEER_REPLY if update.is_reply else RowSource.RELAY,
         )
 
     def peers_know(self, addition: int) -> bool:
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -559,6 +559,7 @@
             "deployment_version": deployment.version if deployment else 0,
             "store_era": self._store_era() or 0,
             "store_silent_seconds": self.orders_feed.unreachable_for() / 1_000,
+            "orders_behind_seconds": self.orders_feed.behind_for() / 1_000,
             "endpoints": len(self.pool),
             "endpoints_unreached": self.connect_records.unreached,
             "endpoints_cut": self.connections.paths.cut_count,
--- a/fuchsiaroute/platform/_store.py
+++ b/fuchsiaroute/platform/_store.py
@@ -355,8 +355,9 @@
         except ConnectError as error:
             return Failure(_refused(str(error)))
         except TimeoutError:
+            received = 0 if connection is None else connection.received_bytes
             _abort(connection)
-            return Failure(_unknown(f"no response within {within} ms"))
+            return Failure(_unknown(_late(within, received)))
         except ExchangeError as error:
             _abort(connection)
             return Failure(_unknown(str(error)))
@@ -416,6 +417,13 @@
     return {**_row_address(put.key), "Value": base64.b64encode(put.value).decode()}
 
 
+def _late(within: Milliseconds, received: int) -> str:
+    """Return the reason of a time-out: an incomplete response is not a silent store."""
+    if not received:
+        return f"no response within {within} ms"
+    return f"incomplete response after {within} ms, {received} bytes received"
+
+
 def _rows(wire_rows: Iterable[_Row], era: int) -> list[Row]:
     rows = []
     for row in wire_rows:
--- a/fuchsiaroute/platform/tests/test_partial_outage.py
+++ b/fuchsiaroute/platform/tests/test_partial_outage.py
@@ -134,7 +134,7 @@
     async with pair(leaving, staying) as instances:
         parts = instances.refused.node._parts
         for feed in (parts.endpoints_feed, parts.orders_feed):
-            monkeypatch.setattr(feed, "apply_relayed", lambda rows, *, after: False)
+            monkeypatch.setattr(feed, "apply_relayed", lambda rows, **details: False)
         instances.turn_away("silent")
         await asyncio.sleep(OUTAGE_START_S)
         if table == "endpoints":
