--- /dev/null
+++ b/fuchsiaroute/platform/tests/test_large_declarations.py
@@ -0,0 +1,176 @@
+"""
+Declarations of thousands of routes, on narrow links and beside a store that is away.
+
+Guards against an instance that goes on using a dropped key or route because a large
+declaration reaches it late or never.
+"""
+
+import asyncio
+import random
+import string
+from typing import Any
+
+import pytest
+from returns.result import Failure, Success
+
+from fuchsiaroute.clock import Milliseconds, SystemClock
+from fuchsiaroute.node import _table_readers
+from fuchsiaroute.platform import Address, PlatformStore, Rows, Table
+from fuchsiaroute.platform.tests.narrow_link import narrow_link
+from fuchsiaroute.platform.tests.node_harness import CONFIGURATION, ROUTES, NodeHarness
+from fuchsiaroute.platform.tests.standin import Endpoint, Store, StoreView
+from fuchsiaroute.store import StorePosition
+
+#: ``Bounds.ConfigApplyMs`` of the harness's settings, which state none.
+BOUND = Milliseconds(2_000)
+#: Routes whose compressed declaration does not fit into a datagram.
+ROUTE_COUNT = 4_000
+
+
+def declaration(version: int, **changes: Any) -> dict[str, Any]:
+    """Return a large declaration; its routes are the same in all versions."""
+    letters = random.Random(1)
+    routes = [
+        {**ROUTES[0], "Name": f"extra-{name}", "Prefix": f"/{name}/"}
+        for name in (
+            "".join(letters.choices(string.ascii_lowercase + string.digits, k=12))
+            for _ in range(ROUTE_COUNT)
+        )
+    ]
+    return {
+        **CONFIGURATION,
+        "Version": version,
+        "Routes": [*ROUTES, *routes],
+        **changes,
+    }
+
+
+NEW_KEY = {"Tenants": [{"Name": "org", "ApiKeys": ["new"]}]}
+
+
+async def test_response_that_keeps_arriving_is_not_cut_off() -> None:
+    """Guards against a table that is read again and again, and never whole."""
+    store = Store()
+    await store.listen()
+    store.put("op", "config", declaration(1))
+    async with narrow_link(store.port, bytes_per_second=1_000_000) as link:
+        client = PlatformStore(
+            Address(host="127.0.0.1", port=link.port), clock=SystemClock()
+        )
+        found = await client.watch(
+            Table.ORDERS,
+            after=StorePosition(0),
+            wait=Milliseconds(0),
+            within=Milliseconds(300),
+        )
+        client.close()
+    store.close()
+    match found:
+        case Success(Rows(rows=(row,))):
+            assert row.key == "config"
+        case _:
+            pytest.fail(str(found))
+
+
+async def test_response_that_stops_arriving_is_given_up() -> None:
+    """Guards against a feed that waits for a dead connection for ever."""
+    store = Store()
+    await store.listen()
+    store.put("op", "config", declaration(1))
+    async with narrow_link(store.port, bytes_per_second=1_000_000) as link:
+        client = PlatformStore(
+            Address(host="127.0.0.1", port=link.port), clock=SystemClock()
+        )
+        reading = asyncio.create_task(
+            client.watch(
+                Table.ORDERS,
+                after=StorePosition(0),
+                wait=Milliseconds(0),
+                within=Milliseconds(300),
+            )
+        )
+        await asyncio.sleep(0.2)
+        link.is_stuck = True
+        async with asyncio.timeout(3):
+            found = await reading
+        client.close()
+    store.close()
+    assert isinstance(found, Failure)
+    assert "incomplete response" in found.failure().message
+
+
+async def test_hint_does_not_end_a_read_whose_response_is_arriving() -> None:
+    """Guards against changes in quick succession that keep each other from arriving."""
+    store = Store()
+    async with NodeHarness(Endpoint(), store=store) as near:
+        async with narrow_link(store.port, bytes_per_second=1_000_000) as link:
+            far_store = StoreView(store)
+            async with NodeHarness(name="far", store=far_store) as far:
+                parts = far.node._parts
+                parts.store.set_address(Address(host="127.0.0.1", port=link.port))
+                parts.orders_feed.restart_watch("the store has another address")
+                await asyncio.sleep(0.2)
+                store.put("op", "config", declaration(2))
+                await asyncio.sleep(0.6)
+                store.put("op", "config", declaration(3, **NEW_KEY))
+                async with asyncio.timeout(3):
+                    await far.until(lambda: parts.catalog.deployment.version == 3)
+                assert near.node._parts.catalog.deployment.version == 3
+
+
+@pytest.mark.parametrize("is_started_away", [False, True])
+async def test_large_declaration_reaches_an_instance_that_is_turned_away(
+    is_started_away: bool,
+) -> None:
+    """One that starts while it is turned away has no former declaration."""
+    async with NodeHarness(Endpoint(), configuration=declaration(1)) as served:
+        view = StoreView(served.store)
+        view.is_down = is_started_away
+        async with NodeHarness(
+            name="refused", store=view, configuration=None
+        ) as refused:
+            catalog = refused.node._parts.catalog
+            if not is_started_away:
+                await refused.until(lambda: catalog.deployment is not None)
+            view.is_down = True
+            for connection in list(view.connections):
+                connection.close()
+            await asyncio.sleep(0.5)
+            served.store.put("op", "config", declaration(2, **NEW_KEY))
+            async with asyncio.timeout(BOUND / 1_000):
+                await refused.until(
+                    lambda: catalog.deployment and catalog.deployment.version == 2
+                )
+
+
+async def test_change_of_a_large_declaration_is_relayed_in_few_bytes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against changes in quick succession that use up narrow links."""
+    monkeypatch.setattr(_table_readers, "MIN_FOR_RELAY", 2)
+    async with NodeHarness(Endpoint(), configuration=declaration(1)) as one:
+        async with NodeHarness(
+            name="other", store=StoreView(one.store), configuration=None
+        ) as other:
+            nodes = [one.node._parts, other.node._parts]
+            await one.until(lambda: all(len(item.instances()) == 2 for item in nodes))
+            await one.until(lambda: all(item.catalog.deployment for item in nodes))
+            sent: list[int] = []
+            for item in nodes:
+                send = item.gossip._send_to
+
+                def record(
+                    data: bytes, *rest: Any, send: Any = send, **kw: Any
+                ) -> None:
+                    sent.append(len(data))
+                    send(data, *rest, **kw)
+
+                monkeypatch.setattr(item.gossip, "_send_to", record)
+            one.store.put("op", "config", declaration(2, **NEW_KEY))
+            async with asyncio.timeout(BOUND / 1_000):
+                await one.until(
+                    lambda: all(item.catalog.deployment.version == 2 for item in nodes)
+                )
+            await asyncio.sleep(0.3)
+            assert max(sent) < 4_000
+            assert b"update-too-large" not in b"".join([*one.lines, *other.lines])
