Gossip: changes of large rows as patches, large messages in parts

Callers saw requests handled by an older declaration at instances that the store turned away, or whose link was busy, once a declaration had some thousand routes.

Each change was relayed as the whole row: for one route of 1,450, 25 kB to each of six members, so that each instance sent and received 0.15 MB for it, a quarter of a second of a link of 5 Mbit/s; many datagrams were lost there. Above 48,000 bytes after compression (about 2,900 routes) nothing was sent at all, neither as a relay nor as an answer to an instance that the store turns away.

Instances now keep and send what turned the former value into the present one: a few hundred bytes for one route. What is larger than 8,000 bytes goes in parts. Both only while all living members can read them; messages to and from are as before.

--- a/fuchsiaroute/catalog/_feed.py
+++ b/fuchsiaroute/catalog/_feed.py
@@ -1,7 +1,7 @@
 """Reads a table of the store and watches it for changes."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from enum import Enum
 from random import Random
 from typing import Any, TypeVar
@@ -12,6 +12,7 @@
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.platform import HistoryGone, PlatformStore, Rows, Table
+from fuchsiaroute.rowpatch import PatchError, RowPatch
 from fuchsiaroute.store import (
     StoreError,
     StorePosition,
@@ -258,6 +259,12 @@
             return None
         return Rows(rows=rows, revision=self.revision), is_whole
 
+    def patches_after(
+        self, key: str, position: StorePosition
+    ) -> Sequence[RowPatch] | None:
+        """Return what leads a peer at ``position`` to the present value of a row."""
+        return self._held.patches_after(key, position)
+
     def retry_now(self) -> None:
         """Call the store at once if it is lost, as it answers other calls again."""
         if self._state is FeedState.LOST and not self._is_arriving:
@@ -292,12 +299,14 @@
         rows: Rows,
         *,
         after: StorePosition | None,
+        patches: Sequence[RowPatch] = (),
         source: RowSource = RowSource.RELAY,
     ) -> bool:
         """
         Apply changes that another instance has read; return whether any is new.
 
-        ``after`` is None for a whole table, which a restored store has sent.
+        ``after`` is None for a whole table, which a restored store has sent. Some
+        changes may be ``patches`` of rows that are held.
         """
         if after is None:
             return self._apply_relayed_table(rows, source)
@@ -308,7 +317,19 @@
             return False
         if era_of(rows.revision) != era_of(after):
             return False
-        self._apply(rows, is_whole=False, source=source)
+        try:
+            patched = self._held.patched(patches)
+        except PatchError as error:
+            # Like lost changes, these are asked for again or read from the store.
+            self._log.write(
+                "feed:patch-failed",
+                table=self._table.value,
+                revision=self.revision,
+                reason=str(error),
+            )
+            return False
+        rows = Rows(rows=rows.rows + patched, revision=rows.revision)
+        self._apply(rows, is_whole=False, source=source, patches=patches)
         return True
 
     def _apply_relayed_table(self, rows: Rows, source: RowSource) -> bool:
@@ -385,7 +406,14 @@
             self._idle_until = Milliseconds(now + INITIAL_IDLE_TIME)
         return now < self._idle_until
 
-    def _apply(self, rows: Rows, *, is_whole: bool, source: RowSource) -> None:
+    def _apply(
+        self,
+        rows: Rows,
+        *,
+        is_whole: bool,
+        source: RowSource,
+        patches: Sequence[RowPatch] = (),
+    ) -> None:
         is_older = self.revision is not None and rows.revision < self.revision
         if is_older and not (is_whole and self.revision == self._gone_revision):
             # Relayed changes are newer than this answer. Without such changes, the
@@ -409,7 +437,7 @@
                 # The hint tells peers of the new era, even if no row has changed.
                 newest = rows.revision
             self.changed_revision = max(self.changed_revision, newest)
-            self._held.apply(rows, is_whole=is_whole)
+            self._held.apply(rows, is_whole=is_whole, patches=patches)
             self._on_rows(rows, is_whole)
         self.revision = rows.revision
         if self.is_behind:
--- a/fuchsiaroute/gossip/_messages.py
+++ b/fuchsiaroute/gossip/_messages.py
@@ -18,7 +18,9 @@
 ROLLOUT_ATTEMPTS = 1
 #: ``FleetReport`` and ``FleetSum``, which former builds cannot read.
 AGGREGATION = 2
-LATEST_ADDITION = AGGREGATION
+#: ``TablePatch`` and ``MessagePart``, which former builds cannot read.
+PATCHES = 3
+LATEST_ADDITION = PATCHES
 #: Level 1 halved a message of 1,585 bytes; level 6 saved another 3% only.
 _COMPRESSION_LEVEL = 1
 #: Limit of decompression; a longer message is cut off and fails to decode. The store
@@ -169,6 +171,49 @@
     recovery_age: int | None = None
 
 
+class PatchedRow(msgspec.Struct, array_like=True, frozen=True):
+    """A change of a large row; see ``fuchsiaroute.rowpatch.RowPatch``."""
+
+    key: str
+    base: int
+    revision: int
+    checksum: int
+    pieces: list[tuple[int, int] | bytes]
+
+
+class TablePatch(
+    msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag="patches"
+):
+    """
+    A ``TableUpdate`` whose large rows are stated as changes of their former values.
+
+    It is not the whole table, and is sent only while all living members can read it.
+    """
+
+    format: int
+    table: str
+    after: int
+    until: int
+    rows: list[RelayedRow]
+    #: Those of one row follow each other, in the order of their revisions.
+    patches: list[PatchedRow]
+    is_reply: bool = False
+    recovery_age: int | None = None
+
+
+class MessagePart(
+    msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag="part"
+):
+    """Part of an encoded message that is too large for a datagram."""
+
+    format: int
+    #: Number that all parts of the message have in common.
+    message: int
+    index: int
+    count: int
+    data: bytes
+
+
 class TableRequest(
     msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag="rows-wanted"
 ):
@@ -370,6 +415,8 @@
 AnyMessage = (
     GossipMessage
     | TableUpdate
+    | TablePatch
+    | MessagePart
     | TableRequest
     | PermitRequest
     | PermitReply
--- a/fuchsiaroute/gossip/_node.py
+++ b/fuchsiaroute/gossip/_node.py
@@ -2,27 +2,32 @@
 
 import asyncio
 from collections.abc import Callable, Collection
+from functools import singledispatchmethod
 from random import Random
 from typing import Any, cast
 
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.gossip._liveness import Liveness, MemberInfo
 from fuchsiaroute.gossip._messages import (
+    PATCHES,
     AnyMessage,
     FleetReport,
     FleetSum,
     GossipDecodeError,
     GossipMessage,
     Heartbeat,
+    MessagePart,
     PermitReply,
     PermitRequest,
     PlaceReply,
     PlaceReport,
+    TablePatch,
     TableRequest,
     TableUpdate,
     decode_message,
     encode_message,
 )
+from fuchsiaroute.gossip._parts import MAX_PARTS, PART_BYTES, PartAssembler, divide
 from fuchsiaroute.ids import FailureDomainId, InstanceId, RegionId
 from fuchsiaroute.linelog import LineLog
 
@@ -40,9 +45,21 @@
 #: Members that are asked for changes that the store does not deliver. One of them may
 #: be turned away by the store as well.
 REQUEST_FANOUT = 2
-#: Maximum size of a table update that is sent. Each instance reads larger updates
-#: from the store.
+#: Members to which it relays an update that needs several datagrams: copies for most
+#: members, at a third of a narrow link's load. The others ask for it after a hint.
+LARGE_RELAY_FANOUT = 3
+#: Maximum size of a table update in a single datagram, while some members cannot read
+#: parts.
 MAX_RELAY_BYTES = 48_000
+#: Maximum size of a table update that is sent in parts.
+MAX_DIVIDED_BYTES = MAX_PARTS * PART_BYTES
+#: Time between two parts of a message to the same members. At 5 Mbit/s, three copies of
+#: a part take 38 ms.
+PART_INTERVAL = Milliseconds(20)
+#: Highest number of a divided message.
+MAX_MESSAGE_NUMBER = 2**48
+#: Host and port.
+_Sender = tuple[str | Any, int]
 #: Share of the receivers that are in the sender's failure domain. Traffic between
 #: domains is costly, and a few receivers in other domains are enough to spread a
 #: change.
@@ -75,8 +92,8 @@
         log: LineLog,
         compose: Callable[[], GossipMessage],
         on_message: Callable[[GossipMessage], None],
-        on_table_update: Callable[[TableUpdate], bool],
-        on_table_request: Callable[[TableRequest], TableUpdate | None],
+        on_table_update: Callable[[TableUpdate | TablePatch], bool],
+        on_table_request: Callable[[TableRequest], TableUpdate | TablePatch | None],
         on_permit_message: Callable[[PermitRequest | PermitReply], None] = (
             lambda message: None
         ),
@@ -99,6 +116,9 @@
         self._on_table_request = on_table_request
         self._on_permit_message = on_permit_message
         self._on_place_message = on_place_message
+        self._parts = PartAssembler(clock=clock)
+        #: Tasks that send the parts of large messages.
+        self._sending: set[asyncio.Task[None]] = set()
         self._transport: asyncio.DatagramTransport | None = None
         #: Members that were alive when changes were last logged.
         self._logged_alive: set[InstanceId] = set()
@@ -114,6 +134,8 @@
 
     def close(self) -> None:
         """Close the socket."""
+        for task in self._sending:
+            task.cancel()
         if self._transport is not None:
             self._transport.close()
 
@@ -151,10 +173,14 @@
         if self._liveness.members:
             self._send_to(encode_message(self._compose()), len(self._liveness.members))
 
-    def relay(self, update: TableUpdate) -> None:
-        """Send changes of the store to ``RELAY_FANOUT`` members."""
+    def relay(self, update: TableUpdate | TablePatch) -> None:
+        """Send changes of the store to ``RELAY_FANOUT`` members, fewer if large."""
         data = encode_message(update)
-        if len(data) <= MAX_RELAY_BYTES:
+        if self._must_divide(data):
+            members = self._sample(list(self._liveness.members), LARGE_RELAY_FANOUT)
+            addresses = [(item.host, item.port) for item in members]
+            self._send_in_parts(data, addresses)
+        elif len(data) <= MAX_RELAY_BYTES:
             self._send_to(data, RELAY_FANOUT)
         else:
             self._log.write(
@@ -191,7 +217,7 @@
         """Store the transport."""
         self._transport = cast(asyncio.DatagramTransport, transport)
 
-    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+    def datagram_received(self, data: bytes, addr: _Sender) -> None:
         """Apply a message of another instance; an unreadable one is logged."""
         try:
             message = decode_message(data)
@@ -210,23 +236,43 @@
 
     # Private
 
-    def _apply(self, message: AnyMessage, addr: tuple[str | Any, int]) -> None:
-        if isinstance(message, TableUpdate):
-            if self._on_table_update(message) and not message.is_reply:
-                self.relay(message)
-            return
-        if isinstance(message, TableRequest):
-            self._reply(message, addr)
-            return
-        if isinstance(message, PermitRequest | PermitReply):
-            self._on_permit_message(message)
-            return
-        if isinstance(message, PlaceReport | PlaceReply):
-            self._on_place_message(message)
-            return
-        if isinstance(message, FleetReport | FleetSum):
-            self._on_fleet_message(message)
-            return
+    @singledispatchmethod
+    def _apply(self, message: AnyMessage, addr: _Sender) -> None:
+        raise TypeError(f"unsupported message: {message!r}")
+
+    @_apply.register
+    def _(self, message: MessagePart, addr: _Sender) -> None:
+        whole = self._parts.add(message, sender=addr)
+        if whole is not None:
+            self._apply(decode_message(whole), addr)
+
+    @_apply.register(TableUpdate)
+    @_apply.register(TablePatch)
+    def _(self, message: TableUpdate | TablePatch, addr: _Sender) -> None:
+        if self._on_table_update(message) and not message.is_reply:
+            self.relay(message)
+
+    @_apply.register
+    def _(self, message: TableRequest, addr: _Sender) -> None:
+        self._reply(message, addr)
+
+    @_apply.register(PermitRequest)
+    @_apply.register(PermitReply)
+    def _(self, message: PermitRequest | PermitReply, addr: _Sender) -> None:
+        self._on_permit_message(message)
+
+    @_apply.register(PlaceReport)
+    @_apply.register(PlaceReply)
+    def _(self, message: PlaceReport | PlaceReply, addr: _Sender) -> None:
+        self._on_place_message(message)
+
+    @_apply.register(FleetReport)
+    @_apply.register(FleetSum)
+    def _(self, message: FleetReport | FleetSum, addr: _Sender) -> None:
+        self._on_fleet_message(message)
+
+    @_apply.register
+    def _(self, message: GossipMessage, addr: _Sender) -> None:
         is_new = self._liveness.update_member(
             MemberInfo(
                 instance=InstanceId(message.instance),
@@ -262,18 +308,39 @@
         if self._liveness.members:
             self._send_to(encode_message(self._compose()), FANOUT)
 
-    def _reply(self, request: TableRequest, address: tuple[str | Any, int]) -> None:
+    def _reply(self, request: TableRequest, address: _Sender) -> None:
         update = self._on_table_request(request)
         if update is None or self._transport is None:
             return
         data = encode_message(update)
-        if len(data) <= MAX_RELAY_BYTES:
+        if self._must_divide(data):
+            self._send_in_parts(data, [address])
+        elif len(data) <= MAX_RELAY_BYTES:
             self._transport.sendto(data, address)
         else:
             self._log.write(
                 "table:reply-too-large", table=request.table, size_bytes=len(data)
             )
 
+    def _must_divide(self, data: bytes) -> bool:
+        is_readable = self._liveness.all_know(PATCHES)
+        return PART_BYTES < len(data) <= MAX_DIVIDED_BYTES and is_readable
+
+    def _send_in_parts(self, data: bytes, addresses: list[_Sender]) -> None:
+        number = self._random.randrange(MAX_MESSAGE_NUMBER)
+        parts = [encode_message(part) for part in divide(data, message=number)]
+        task = asyncio.ensure_future(self._send_parts(parts, addresses))
+        self._sending.add(task)
+        task.add_done_callback(self._sending.discard)
+
+    async def _send_parts(self, parts: list[bytes], addresses: list[_Sender]) -> None:
+        for part in parts:
+            if self._transport is None or self._transport.is_closing():
+                return
+            for address in addresses:
+                self._transport.sendto(part, address)
+            await self._clock.sleep(PART_INTERVAL)
+
     def _send_to(
         self,
         data: bytes,
--- a/fuchsiaroute/node/_gossip_exchange.py
+++ b/fuchsiaroute/node/_gossip_exchange.py
@@ -1,6 +1,6 @@
 """Composition and application of the gossip messages of an instance."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -11,14 +11,17 @@
 from fuchsiaroute.gossip import (
     FORMAT,
     LATEST_ADDITION,
+    PATCHES,
     FlowUpdate,
     GossipMessage,
     LatencyUpdate,
     Liveness,
     MemberInfo,
+    PatchedRow,
     PromptCrash,
     PromptPartUpdate,
     RelayedRow,
+    TablePatch,
     TableRequest,
     TableUpdate,
 )
@@ -42,6 +45,7 @@
     SubjectKey,
     SubjectReport,
 )
+from fuchsiaroute.rowpatch import RowPatch
 from fuchsiaroute.staging import (
     RolloutTracker,
 )
@@ -288,7 +292,7 @@
                     source=message.instance,
                 )
 
-    def apply_table_update(self, update: TableUpdate) -> bool:
+    def apply_table_update(self, update: TableUpdate | TablePatch) -> bool:
         """Apply relayed changes of a table; return whether they were new."""
         feed = self._feeds.get(update.table)
         if feed is None or update.format != FORMAT:
@@ -300,9 +304,11 @@
         if update.recovery_age is not None:
             recovered_at = Milliseconds(self._clock.now() - update.recovery_age)
             self._catalog.store_recovered(recovered_at)
+        is_whole = isinstance(update, TableUpdate) and update.is_whole
         return feed.apply_relayed(
             Rows(rows=rows, revision=StorePosition(update.until)),
-            after=None if update.is_whole else StorePosition(update.after),
+            after=None if is_whole else StorePosition(update.after),
+            patches=_row_patches(update),
             source=RowSource.PEER_REPLY if update.is_reply else RowSource.RELAY,
         )
 
@@ -321,7 +327,7 @@
             if (after := feed.missing_after()) is not None
         ]
 
-    def rows_for(self, request: TableRequest) -> TableUpdate | None:
+    def rows_for(self, request: TableRequest) -> TableUpdate | TablePatch | None:
         """Return the changes that another instance lacks, if they are held here."""
         feed = self._feeds.get(request.table)
         after = StorePosition(request.after)
@@ -336,8 +342,45 @@
 
     def table_update(
         self, table: str, rows: Rows, *, after: StorePosition | None
-    ) -> TableUpdate:
-        """Return the message with changes since ``after``; None for a whole table."""
+    ) -> TableUpdate | TablePatch:
+        """
+        Return the message with changes since ``after``; None for a whole table.
+
+        Changes of large rows are stated as patches once all members can read them.
+        """
+        patches: dict[str, Sequence[RowPatch]] = {}
+        if after is not None and self._liveness.all_know(PATCHES):
+            feed = self._feeds[table]
+            patches = {
+                row.key: found
+                for row in rows.rows
+                if (found := feed.patches_after(row.key, after))
+                and found[-1].revision == row.revision
+            }
+        if after is not None and patches:
+            return TablePatch(
+                format=FORMAT,
+                table=table,
+                after=after,
+                until=rows.revision,
+                rows=[
+                    RelayedRow(row.key, row.value, row.revision)
+                    for row in rows.rows
+                    if row.key not in patches
+                ],
+                patches=[
+                    PatchedRow(
+                        patch.key,
+                        patch.base,
+                        patch.revision,
+                        patch.checksum,
+                        list(patch.pieces),
+                    )
+                    for found in patches.values()
+                    for patch in found
+                ],
+                recovery_age=self._catalog.recovery_age(),
+            )
         return TableUpdate(
             format=FORMAT,
             table=table,
@@ -377,3 +420,18 @@
                 (item.instance for item in alive),
                 services=deployment.services if deployment is not None else (),
             )
+
+
+def _row_patches(update: TableUpdate | TablePatch) -> tuple[RowPatch, ...]:
+    if isinstance(update, TableUpdate):
+        return ()
+    return tuple(
+        RowPatch(
+            key=item.key,
+            base=StorePosition(item.base),
+            revision=StorePosition(item.revision),
+            checksum=item.checksum,
+            pieces=tuple(item.pieces),
+        )
+        for item in update.patches
+    )
--- a/fuchsiaroute/platform/tests/test_large_declarations.py
+++ b/fuchsiaroute/platform/tests/test_large_declarations.py
@@ -14,6 +14,8 @@
 from returns.result import Failure, Success
 
 from fuchsiaroute.clock import Milliseconds, SystemClock
+from fuchsiaroute.gossip import MemberInfo
+from fuchsiaroute.ids import FailureDomainId, InstanceId
 from fuchsiaroute.node import _table_readers
 from fuchsiaroute.platform import Address, PlatformStore, Rows, Table
 from fuchsiaroute.platform.tests.narrow_link import narrow_link
@@ -125,7 +127,11 @@
 async def test_large_declaration_reaches_an_instance_that_is_turned_away(
     is_started_away: bool,
 ) -> None:
-    """One that starts while it is turned away has no former declaration."""
+    """
+    One that starts while it is turned away has no former declaration.
+
+    Its peers know its address from its former process.
+    """
     async with NodeHarness(Endpoint(), configuration=declaration(1)) as served:
         view = StoreView(served.store)
         view.is_down = is_started_away
@@ -133,7 +139,17 @@
             name="refused", store=view, configuration=None
         ) as refused:
             catalog = refused.node._parts.catalog
-            if not is_started_away:
+            if is_started_away:
+                served.node._parts.liveness.update_member(
+                    MemberInfo(
+                        instance=InstanceId("refused"),
+                        host="127.0.0.1",
+                        port=refused.node._parts.exchange.compose().port,
+                        frontend="",
+                        failure_domain=FailureDomainId("z1"),
+                    )
+                )
+            else:
                 await refused.until(lambda: catalog.deployment is not None)
             view.is_down = True
             for connection in list(view.connections):
--- /dev/null
+++ b/fuchsiaroute/rowpatch/_exceptions.py
@@ -0,0 +1,5 @@
+"""Exceptions of patches."""
+
+
+class PatchError(Exception):
+    """A patch does not fit the value; the message states the fault."""
