Gossip: parts of large updates are paced by the sender's link

test_only_living_members_are_asked keeps its check that a former build gets no parts: its holder knows now that the asking instance is one. Before, the holder knew no member at all, and would send parts to an instance it has not heard of.

--- a/fuchsiaroute/gossip/_node.py
+++ b/fuchsiaroute/gossip/_node.py
@@ -28,6 +28,7 @@
     encode_message,
 )
 from fuchsiaroute.gossip._parts import MAX_PARTS, PART_BYTES, PartAssembler, divide
+from fuchsiaroute.gossip._transfer import TransferPlan, plan_relay, plan_reply
 from fuchsiaroute.ids import FailureDomainId, InstanceId, RegionId
 from fuchsiaroute.linelog import LineLog
 
@@ -45,17 +46,11 @@
 #: Members that are asked for changes that the store does not deliver. One of them may
 #: be turned away by the store as well.
 REQUEST_FANOUT = 2
-#: Members to which it relays an update that needs several datagrams: copies for most
-#: members, at a third of a narrow link's load. The others ask for it after a hint.
-LARGE_RELAY_FANOUT = 3
 #: Maximum size of a table update in a single datagram, while some members cannot read
 #: parts.
 MAX_RELAY_BYTES = 48_000
 #: Maximum size of a table update that is sent in parts.
 MAX_DIVIDED_BYTES = MAX_PARTS * PART_BYTES
-#: Time between two parts of a message to the same members. At 5 Mbit/s, three copies of
-#: a part take 38 ms.
-PART_INTERVAL = Milliseconds(20)
 #: Highest number of a divided message.
 MAX_MESSAGE_NUMBER = 2**48
 #: Host and port.
@@ -79,7 +74,8 @@
     if so, the update is relayed. ``on_table_request`` returns the changes that another
     instance lacks, if any. ``on_permit_message`` receives requests for permits and
     replies, ``on_place_message`` reports of places and replies, ``on_fleet_message``
-    reports and sums of demand and outcomes.
+    reports and sums of demand and outcomes. ``link_mbps`` is what the instance's link
+    carries.
     """
 
     def __init__(
@@ -90,6 +86,7 @@
         clock: Clock,
         random: Random,
         log: LineLog,
+        link_mbps: float,
         compose: Callable[[], GossipMessage],
         on_message: Callable[[GossipMessage], None],
         on_table_update: Callable[[TableUpdate | TablePatch], bool],
@@ -116,6 +113,7 @@
         self._on_table_request = on_table_request
         self._on_permit_message = on_permit_message
         self._on_place_message = on_place_message
+        self._link_mbps = link_mbps
         self._parts = PartAssembler(clock=clock)
         #: Tasks that send the parts of large messages.
         self._sending: set[asyncio.Task[None]] = set()
@@ -174,12 +172,13 @@
             self._send_to(encode_message(self._compose()), len(self._liveness.members))
 
     def relay(self, update: TableUpdate | TablePatch) -> None:
-        """Send changes of the store to ``RELAY_FANOUT`` members, fewer if large."""
+        """Send changes to ``RELAY_FANOUT`` members; large ones as the link allows."""
         data = encode_message(update)
         if self._must_divide(data):
-            members = self._sample(list(self._liveness.members), LARGE_RELAY_FANOUT)
+            plan = plan_relay(size=len(data), link_mbps=self._link_mbps)
+            members = self._sample(list(self._liveness.members), plan.members)
             addresses = [(item.host, item.port) for item in members]
-            self._send_in_parts(data, addresses)
+            self._send_in_parts(data, addresses, plan)
         elif len(data) <= MAX_RELAY_BYTES:
             self._send_to(data, RELAY_FANOUT)
         else:
@@ -314,7 +313,8 @@
             return
         data = encode_message(update)
         if self._must_divide(data):
-            self._send_in_parts(data, [address])
+            plan = plan_reply(link_mbps=self._link_mbps)
+            self._send_in_parts(data, [address], plan)
         elif len(data) <= MAX_RELAY_BYTES:
             self._transport.sendto(data, address)
         else:
@@ -326,20 +326,24 @@
         is_readable = self._liveness.all_know(PATCHES)
         return PART_BYTES < len(data) <= MAX_DIVIDED_BYTES and is_readable
 
-    def _send_in_parts(self, data: bytes, addresses: list[_Sender]) -> None:
+    def _send_in_parts(
+        self, data: bytes, addresses: list[_Sender], plan: TransferPlan
+    ) -> None:
         number = self._random.randrange(MAX_MESSAGE_NUMBER)
         parts = [encode_message(part) for part in divide(data, message=number)]
-        task = asyncio.ensure_future(self._send_parts(parts, addresses))
+        task = asyncio.ensure_future(self._send_parts(parts, addresses, plan.interval))
         self._sending.add(task)
         task.add_done_callback(self._sending.discard)
 
-    async def _send_parts(self, parts: list[bytes], addresses: list[_Sender]) -> None:
+    async def _send_parts(
+        self, parts: list[bytes], addresses: list[_Sender], interval: Milliseconds
+    ) -> None:
         for part in parts:
             if self._transport is None or self._transport.is_closing():
                 return
             for address in addresses:
                 self._transport.sendto(part, address)
-            await self._clock.sleep(PART_INTERVAL)
+            await self._clock.sleep(interval)
 
     def _send_to(
         self,
--- a/fuchsiaroute/gossip/tests/test_gossip.py
+++ b/fuchsiaroute/gossip/tests/test_gossip.py
@@ -154,6 +154,7 @@
             clock=clock,
             random=Random(name),
             log=LineLog(clock=clock, instance=name, write=len),
+            link_mbps=100.0,
             compose=lambda: gossip_message(
                 self.name,
                 count=self.liveness.count,
@@ -222,6 +223,9 @@
         asking.liveness.update_member(member(other.name, other.port))
     for other in (holder, idle):
         asking.liveness.merge(Heartbeat(other.name, 5, True))
+    # The asking instance is of a former build, which reads no parts of messages.
+    holder.liveness.update_member(member("asking", asking.port))
+    holder.liveness.merge(Heartbeat("asking", 5, True))
     rows = [RelayedRow("key", os.urandom(MAX_RELAY_BYTES), 9)]
     holder.replies[7] = msgspec.structs.replace(UPDATE, is_reply=True)
     holder.replies[8] = msgspec.structs.replace(UPDATE, rows=rows, is_reply=True)
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -175,6 +175,7 @@
             clock=clock,
             random=random,
             log=log,
+            link_mbps=settings.link_mbps,
             compose=lambda: self.exchange.compose(),
             on_message=lambda message: self.exchange.apply(message),
             on_table_update=lambda update: self.exchange.apply_table_update(update),
--- a/fuchsiaroute/platform/_node_settings.py
+++ b/fuchsiaroute/platform/_node_settings.py
@@ -13,6 +13,8 @@
 #: Environment variable with the path of the settings file, and the default path.
 SETTINGS_VARIABLE = "FUCHSIAROUTE_NODE_FILE"
 DEFAULT_PATH = "/etc/fuchsiaroute/node.conf"
+#: Link of a machine whose settings state none.
+DEFAULT_LINK_MBPS = 100.0
 MILLISECONDS_PER_SECOND = 1_000
 _MAX_PORT = 65_535
 #: Limit of a setting that is a number.
@@ -80,6 +82,8 @@
     store: Address
     memory_mb: int
     max_descriptors: int
+    #: What the machine's link carries, in Mbit/s; positive.
+    link_mbps: float
     #: Interval at which endpoints renew their announcements.
     heartbeat: Milliseconds
     bounds: Bounds = field(default_factory=Bounds)
@@ -119,6 +123,7 @@
         store=reader.address("Platform.Address") or _NO_ADDRESS,
         memory_mb=int(reader.number("Limits.MemoryMb", 256)),
         max_descriptors=int(reader.number("Limits.MaxFds", 1_024)),
+        link_mbps=reader.positive("Limits.LinkMbps", DEFAULT_LINK_MBPS),
         heartbeat=reader.milliseconds("HeartbeatMs", Milliseconds(1_200)),
         bounds=_bounds(reader),
     )
@@ -186,6 +191,13 @@
             return default
         return number
 
+    def positive(self, name: str, default: float) -> float:
+        number = self.number(name, default)
+        if number <= 0:
+            self.faults.append(f"{name} must be positive, got {number}")
+            return default
+        return number
+
     def milliseconds(self, name: str, default: Milliseconds) -> Milliseconds:
         return Milliseconds(round(self.number(name, default)))
 
