Table readers: chosen among the instances with the widest links

Callers were served by an older declaration for longer than needed: all instances of a large fleet wait for two readers, which were chosen by hash alone.

Heartbeats state what an instance's link carries. Readers are the first two by hash among those with at least half of the widest link; unknown links count like the own one. Former builds skip the added field and forward heartbeats without it, which changes nothing that is known.

--- a/fuchsiaroute/gossip/_liveness.py
+++ b/fuchsiaroute/gossip/_liveness.py
@@ -29,6 +29,8 @@
     is_ready: bool = False
     #: Latest addition to the format of messages that it knows, by its latest heartbeat.
     addition: int = 0
+    #: What its link carries, in Mbit/s, by its latest heartbeat; 0 if unknown.
+    link: int = 0
     #: Instant at which the counter last increased; None before the first heartbeat.
     last_heartbeat_at: Milliseconds | None = None
     #: What the member itself has told last: its region, the port on which it carries
@@ -76,6 +78,8 @@
         self._unknown_members: dict[InstanceId, Milliseconds] = {}
         self._alive = _Selection()
         self._presumed_alive = _Selection()
+        #: Number of times that the link of a member has become known or has changed.
+        self.link_changes = 0
         #: This instance's own heartbeat counter.
         self.count = 1
 
@@ -198,6 +202,10 @@
             member.count = heartbeat.count
             member.is_ready = heartbeat.is_ready
             member.addition = heartbeat.addition
+            if heartbeat.link not in (0, member.link):
+                # Former builds forward heartbeats without it.
+                member.link = heartbeat.link
+                self.link_changes += 1
             member.last_heartbeat_at = self._clock.now()
 
     def heartbeats(self, *, limit: int | None = None) -> list[Heartbeat]:
@@ -211,7 +219,9 @@
             start = self.count * limit % len(alive)
             alive = (alive + alive[:limit])[start : start + limit]
         return [
-            Heartbeat(item.instance, item.count, item.is_ready, item.addition)
+            Heartbeat(
+                item.instance, item.count, item.is_ready, item.addition, item.link
+            )
             for item in alive
         ]
 
--- a/fuchsiaroute/gossip/_messages.py
+++ b/fuchsiaroute/gossip/_messages.py
@@ -43,6 +43,8 @@
     #: Latest addition to the format that the instance knows; 0 if a former build has
     #: forwarded the heartbeat.
     addition: int = 0
+    #: What the instance's link carries, in Mbit/s; 0 if unknown.
+    link: int = 0
 
 
 class RolloutUpdate(msgspec.Struct, array_like=True, frozen=True):
@@ -410,6 +412,8 @@
     addition: int = 0
     #: Empty while nothing waits at any instance that the sender knows of.
     flows: list[FlowUpdate] = []
+    #: What the sender's link carries, in Mbit/s; 0 if unknown.
+    link: int = 0
 
 
 AnyMessage = (
--- a/fuchsiaroute/gossip/_node.py
+++ b/fuchsiaroute/gossip/_node.py
@@ -289,7 +289,11 @@
         )
         self._liveness.merge(
             Heartbeat(
-                message.instance, message.count, message.is_ready, message.addition
+                message.instance,
+                message.count,
+                message.is_ready,
+                message.addition,
+                message.link,
             )
         )
         for heartbeat in message.heartbeats:
--- a/fuchsiaroute/node/_gossip_exchange.py
+++ b/fuchsiaroute/node/_gossip_exchange.py
@@ -168,6 +168,7 @@
                 FlowUpdate(*row.flow, row.running, row.waiting)
                 for row in self._queue.summary()
             ],
+            link=max(round(settings.link_mbps), 1),
         )
 
     def apply(self, message: GossipMessage) -> None:
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -159,6 +159,8 @@
             instances=self.instances,
             answer_age=lambda table: self.exchange.answer_age(table),
             drain=lambda: self._settings.bounds.drain,
+            liveness=self.liveness,
+            link_mbps=settings.link_mbps,
         )
         self.orders_feed = self._feed(
             Table.ORDERS, self.catalog.apply_orders, MIN_ORDERS_INTERVAL, random
--- a/fuchsiaroute/node/_table_readers.py
+++ b/fuchsiaroute/node/_table_readers.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from fuchsiaroute.clock import Milliseconds
+from fuchsiaroute.gossip import Liveness
 from fuchsiaroute.hashing import rendezvous_order
 from fuchsiaroute.ids import InstanceId
 from fuchsiaroute.platform import Table
@@ -20,6 +21,10 @@
 #: Readers of each table. Changes still arrive while one reader is partitioned; if both
 #: are, the other instances watch the table themselves.
 READER_COUNT = 2
+#: Share of the widest link from which on an instance is preferred as a reader. All
+#: others wait for the readers' copies: a declaration of 3,000 routes takes 2 s at
+#: 5 Mbit/s and 0.1 s at 100 Mbit/s.
+WIDE_LINK_SHARE = 0.5
 #: Watch duration of readers. Other instances watch the table themselves if the readers'
 #: latest response is too old, so this must stay well below the drain bound.
 READER_WATCH = Milliseconds(900)
@@ -38,7 +43,9 @@
     """
     Assigns a few readers to each table in a large fleet.
 
-    Readers watch the store and relay changes to the other instances.
+    Readers watch the store and relay changes to the other instances. They are chosen by
+    hash among the instances with the widest links. A link that is not known yet counts
+    like the own one, so that instances that have just started agree by hash alone.
     """
 
     def __init__(
@@ -48,7 +55,13 @@
         instances: Callable[[], tuple[InstanceId, ...]],
         answer_age: Callable[[str], Milliseconds | None],
         drain: Callable[[], Milliseconds],
+        liveness: Liveness,
+        link_mbps: float,
     ) -> None:
+        self._liveness = liveness
+        self._link = max(round(link_mbps), 1)
+        #: ``link_changes`` for which ``_readers_of`` was computed.
+        self._link_changes = 0
         self._instance = instance
         self._instances = instances
         self._answer_age = answer_age
@@ -83,11 +96,23 @@
 
     def _is_reader(self, table: Table) -> bool:
         names = self._instances()
-        if names is not self._names:
+        changes = self._liveness.link_changes
+        if names is not self._names or changes != self._link_changes:
             self._names = names
+            self._link_changes = changes
             self._readers_of = {}
         readers = self._readers_of.get(table)
         if readers is None:
-            readers = rendezvous_order(table.name, names)[:READER_COUNT]
+            readers = self._choose(table, names)
             self._readers_of[table] = readers
         return self._instance in readers
+
+    def _choose(self, table: Table, names: tuple[InstanceId, ...]) -> list[InstanceId]:
+        links = {item.instance: item.link for item in self._liveness.members}
+        links[self._instance] = self._link
+        known = {name: links.get(name) or self._link for name in names}
+        min_link = WIDE_LINK_SHARE * max(known.values())
+        order = rendezvous_order(table.name, names)
+        # The order by hash is kept within both groups.
+        order.sort(key=lambda name: known[name] < min_link)
+        return order[:READER_COUNT]
