Endpoints' responses: a budget of memory for all of them

What another operator's callers saw: a faulty endpoint sent bytes without end, the instance kept them, ran out of memory, and all other requests on it ended (LOST).

Bytes that are read while another endpoint is looked for had no limit at all.

All unread and kept bytes of responses now share a budget of 0.2 of the memory limit, like those of clients. When it runs out, unended responses are broken off in the order of memory times time, which an endless one leads, so that sound ones go on. Its class is the clients' budget under a common name, MemoryBudget.

--- a/fuchsiaroute/forwarding/_connection_pool.py
+++ b/fuchsiaroute/forwarding/_connection_pool.py
@@ -11,6 +11,7 @@
 from fuchsiaroute.http1 import (
     ClientConnection,
     ConnectError,
+    MemoryBudget,
     NoConnectionLeftError,
     connect,
 )
@@ -43,6 +44,7 @@
     Opens connections to endpoints and keeps them for reuse.
 
     The connection limit of each endpoint is divided evenly over the instances.
+    ``budget`` counts the responses on all connections.
     ``on_path_change`` is called with an endpoint whose direct path was lost or is back.
     """
 
@@ -58,7 +60,9 @@
         endpoints: Callable[[], Sequence[Endpoint]],
         on_path_change: Callable[[EndpointId], None],
         log: LineLog,
+        budget: MemoryBudget | None = None,
     ) -> None:
+        self._budget = budget
         self._clock = clock
         self._max_connections = max_connections
         self._instances = instances
@@ -170,7 +174,11 @@
     ) -> ClientConnection:
         try:
             connection = await connect(
-                endpoint.host, endpoint.port, clock=self._clock, within=within
+                endpoint.host,
+                endpoint.port,
+                clock=self._clock,
+                within=within,
+                budget=self._budget,
             )
         except ConnectError as error:
             self._records.record_failure(endpoint.id, error)
--- a/fuchsiaroute/forwarding/_endpoint_client.py
+++ b/fuchsiaroute/forwarding/_endpoint_client.py
@@ -100,6 +100,10 @@
         self._reservation.record_bytes()
         return data
 
+    def keep(self, size: int) -> None:
+        """Count ``size`` bytes that were read and are needed until the answer ends."""
+        self._connection.keep(size)
+
     async def wait_readable(self) -> bool:
         """Wait until ``read`` does not wait; return whether it will not raise."""
         return await self._connection.wait_readable()
--- a/fuchsiaroute/forwarding/_events.py
+++ b/fuchsiaroute/forwarding/_events.py
@@ -45,6 +45,11 @@
         self.count = 0
         self.progress = 0
 
+    @property
+    def pending_bytes(self) -> int:
+        """Return the size of the event that has begun."""
+        return len(self._pending)
+
     @property
     def has_incomplete(self) -> bool:
         """Return whether an event has begun and not ended."""
--- a/fuchsiaroute/forwarding/_relay_state.py
+++ b/fuchsiaroute/forwarding/_relay_state.py
@@ -5,7 +5,7 @@
 from fuchsiaroute.clock import Milliseconds
 from fuchsiaroute.forwarding._endpoint_client import OpenResponse
 from fuchsiaroute.forwarding._event_pace import EventPace
-from fuchsiaroute.forwarding._events import EventSplitter
+from fuchsiaroute.forwarding._events import MAX_EVENT_BYTES, EventSplitter
 from fuchsiaroute.forwarding._held_answer import HeldAnswer
 from fuchsiaroute.http1 import ExchangeError
 from fuchsiaroute.platform import EventId
@@ -45,16 +45,23 @@
         if self.ahead:
             data, self.ahead = self.ahead, b""
             return data
-        return b"" if self.has_ended else await self.response.read()
+        if self.has_ended:
+            return b""
+        self._keep()
+        return await self.response.read()
 
     async def wait_for_event(self) -> bool:
         """
         Wait until a further event is complete, or the response has ended.
 
-        Return False if the response breaks off. Single bytes and comments are no sign
-        that an endpoint goes on: a stalled one may send them for ever.
+        Return False if the response breaks off, or an event does not end. Single bytes
+        and comments are no sign that an endpoint goes on: a stalled one may send them
+        for ever.
         """
         while not (self.has_ended or self.splitter.completes(self.ahead)):
+            if len(self.ahead) > MAX_EVENT_BYTES:
+                return False
+            self._keep()
             try:
                 data = await self.response.read()
             except ExchangeError:
@@ -63,6 +70,10 @@
             self.has_ended = not data
         return True
 
+    def _keep(self) -> None:
+        # The next bytes are added to a copy of those that are kept.
+        self.response.keep(2 * (self.splitter.pending_bytes + len(self.ahead)))
+
 
 def early_end(state: RelayState) -> str | None:
     """Return why the end of a response is not that of the stream; None if it is."""
--- a/fuchsiaroute/forwarding/tests/test_stream_relay.py
+++ b/fuchsiaroute/forwarding/tests/test_stream_relay.py
@@ -50,8 +50,13 @@
         }
         super().__init__(**options)
         self.closed: Outcome | None = None
+        #: Most bytes that the relay has kept of it at once.
+        self.most_kept = 0
         self._parts = list(parts)
 
+    def keep(self, size: int) -> None:
+        self.most_kept = max(self.most_kept, size)
+
     async def read(self) -> bytes:
         assert self.closed is None
         part = self._parts.pop(0) if self._parts else b""
--- a/fuchsiaroute/http1/__init__.py
+++ b/fuchsiaroute/http1/__init__.py
@@ -6,7 +6,6 @@
     ResponseHead,
     connect,
 )
-from fuchsiaroute.http1._client_budget import ClientBudget
 from fuchsiaroute.http1._connecting import connect_protocol
 from fuchsiaroute.http1._connection_state import CloseReason, ConnectionState
 from fuchsiaroute.http1._exceptions import (
@@ -18,6 +17,7 @@
     NoConnectionLeftError,
 )
 from fuchsiaroute.http1._incoming_request import ServerLimits
+from fuchsiaroute.http1._memory_budget import MemoryBudget
 from fuchsiaroute.http1._messages import (
     Headers,
     InboundRequest,
@@ -31,7 +31,7 @@
 from fuchsiaroute.http1._socket_options import DeadPathDetection
 
 __all__ = [
-    "ClientBudget",
+    "MemoryBudget",
     "BrokenResponseError",
     "ClientConnection",
     "CloseReason",
--- a/fuchsiaroute/http1/_client.py
+++ b/fuchsiaroute/http1/_client.py
@@ -12,6 +12,7 @@
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.http1._connecting import connect_protocol
 from fuchsiaroute.http1._exceptions import BrokenResponseError, ConnectError
+from fuchsiaroute.http1._memory_budget import MemoryBudget
 from fuchsiaroute.http1._messages import Headers, find_header
 from fuchsiaroute.http1._socket_options import DeadPathDetection
 
@@ -25,6 +26,8 @@
 OVERHEAD_PER_BODY_BYTE = 8
 #: Body bytes that are skipped in responses to other requests.
 MAX_SKIPPED_BYTES = 1024 * 1024
+#: Bytes of a response up to which it is not counted in the budget of all responses.
+UNCOUNTED_BYTES = 16 * 1024
 _FIRST_FINAL_STATUS = 200
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,9})")
 
@@ -59,11 +62,18 @@
     Sends one request at a time and reads its response.
 
     A response that does not match the request is skipped. Bytes that arrive while no
-    request is in progress close the connection.
+    request is in progress close the connection. With a ``budget``, a response that
+    takes the room of the others is broken off.
     """
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(self, *, clock: Clock, budget: MemoryBudget | None = None) -> None:
         self._clock = clock
+        self._budget = budget
+        #: Bytes that the budget counts for this connection.
+        self.held = 0
+        #: Bytes of the present response that its reader has taken and still needs.
+        self._kept = 0
+        self._sent_at = clock.now()
         self._parser = httptools.HttpResponseParser(self)
         self._headers: Headers = []
         self._head: asyncio.Future[ResponseHead] | None = None
@@ -98,6 +108,25 @@
             and not self._transport.is_closing()
         )
 
+    @property
+    def held_since(self) -> Milliseconds:
+        """Return when the present request was sent."""
+        return self._sent_at
+
+    @property
+    def may_be_evicted(self) -> bool:
+        """Return whether the present response has not ended."""
+        return not self._is_complete and self._error is None
+
+    def evict(self) -> None:
+        """Break off the present response, as it takes too much memory."""
+        self._fail(f"no memory for {self.held} bytes of a response that has not ended")
+
+    def keep(self, size: int) -> None:
+        """Count ``size`` bytes of the response that its reader needs until it ends."""
+        self._kept = size
+        self._count_held()
+
     def idle_timeout(self, default: Milliseconds) -> Milliseconds:
         """Return ``default``, or the endpoint's keep-alive timeout if it is shorter."""
         announced = self._keep_alive_timeout
@@ -122,7 +151,8 @@
         self._ends_with_connection = False
         self._chunks.clear()
         self._buffered = 0
-        self._received = self._body_bytes = self._skipped_bytes = 0
+        self._received = self._body_bytes = self._skipped_bytes = self._kept = 0
+        self._sent_at = self._clock.now()
         self.request_count += 1
         self._dead_paths.limit_unacknowledged_time(len(data))
         self._transport.write(data)
@@ -201,6 +231,8 @@
             if size > limit:
                 raise BrokenResponseError(f"response body larger than {limit} bytes")
             parts.append(data)
+            # Its end needs a copy in one piece.
+            self.keep(2 * size)
         return ResponseBody(head=head, data=b"".join(parts))
 
     def refuse_further_requests(self) -> None:
@@ -213,6 +245,7 @@
         """Reset the connection, which cancels the request at the endpoint."""
         if self._error is None:
             self._error = "the exchange was aborted"
+        self._release()
         self._transport.abort()
 
     # asyncio.Protocol
@@ -238,6 +271,7 @@
                 self._fail(f"malformed response: {error}")
         else:
             self._check_size()
+            self._count_held()
 
     def eof_received(self) -> bool:
         """Complete a response that ends with the connection; fail a truncated one."""
@@ -343,6 +377,19 @@
         elif self._skipped_bytes > MAX_SKIPPED_BYTES:
             self._fail(f"{self._skipped_bytes} bytes of responses to other requests")
 
+    def _count_held(self) -> None:
+        held = self._buffered + self._kept
+        if self._budget is None or self._error is not None:
+            return
+        if held <= UNCOUNTED_BYTES and not self.held:
+            return
+        if not self._budget.resize(self, held) and self.may_be_evicted:
+            self.evict()
+
+    def _release(self) -> None:
+        if self._budget is not None and self.held:
+            self._budget.remove(self)
+
     def _complete(self) -> None:
         if not self._is_writable:
             # The endpoint responded before it had read the whole request; the rest of
@@ -354,6 +401,8 @@
     def _finish_exchange(self) -> None:
         """Make the connection ready for another request."""
         self._head = None
+        self._kept = 0
+        self._release()
         self.idle_since = self._clock.now()
         if not self._keeps_open and not self._transport.is_closing():
             self._transport.close()
@@ -365,6 +414,7 @@
             self._head.set_exception(BrokenResponseError(reason))
             # Marks the exception as retrieved, as head() may never be called.
             self._head.exception()
+        self._release()
         self._arrived.set()
         if not self._transport.is_closing():
             self._transport.abort()
@@ -379,14 +429,19 @@
 
 
 async def connect(
-    host: str, port: int, *, clock: Clock, within: Milliseconds
+    host: str,
+    port: int,
+    *,
+    clock: Clock,
+    within: Milliseconds,
+    budget: MemoryBudget | None = None,
 ) -> ClientConnection:
     """
-    Open a connection; ``within`` is the timeout.
+    Open a connection; ``within`` is the timeout, ``budget`` counts its responses.
 
     Raises ``ConnectError``, or its subclass ``NobodyListensError`` if the connection
     is refused.
     """
     return await connect_protocol(
-        host, port, lambda: ClientConnection(clock=clock), within
+        host, port, lambda: ClientConnection(clock=clock, budget=budget), within
     )
--- a/fuchsiaroute/http1/_client_budget.py
+++ b/fuchsiaroute/http1/_memory_budget.py
@@ -1,4 +1,4 @@
-"""Limit on the memory that a process holds for all of its clients."""
+"""Limit on the memory that a process holds for all connections of a kind."""
 
 from collections.abc import Iterator
 from typing import Protocol
@@ -7,7 +7,7 @@
 
 
 class MemoryHolder(Protocol):
-    """A connection of a client, with the memory that the budget counts for it."""
+    """A connection, with the memory that the budget counts for it."""
 
     #: Bytes that are counted; changed by the budget only.
     held: int
@@ -27,13 +27,14 @@
         ...
 
 
-class ClientBudget:
+class MemoryBudget:
     """
-    Counts what all server connections of a process hold, as it is in memory.
+    Counts what connections of a process hold, as it is in memory.
 
     When the limit is reached, connections are closed until it is kept, first the one
     with the largest product of memory and time: a client that sends much and never
-    completes a request, or reads no answers, does not take the room of the others.
+    completes a request, or reads no answers, does not take the room of the others, nor
+    does an endpoint whose answer does not end.
     """
 
     def __init__(self, *, limit: int, clock: Clock) -> None:
--- a/fuchsiaroute/http1/_server.py
+++ b/fuchsiaroute/http1/_server.py
@@ -9,7 +9,6 @@
 import httptools
 
 from fuchsiaroute.clock import Clock, Milliseconds
-from fuchsiaroute.http1._client_budget import ClientBudget
 from fuchsiaroute.http1._connection_limit import connection_to_close
 from fuchsiaroute.http1._connection_state import CloseReason, ConnectionState
 from fuchsiaroute.http1._incoming_request import (
@@ -17,6 +16,7 @@
     IncomingRequest,
     ServerLimits,
 )
+from fuchsiaroute.http1._memory_budget import MemoryBudget
 from fuchsiaroute.http1._messages import Headers, InboundRequest
 from fuchsiaroute.http1._responder import Responder
 from fuchsiaroute.http1._unread_watch import UnreadWatch
@@ -65,7 +65,7 @@
         clock: Clock,
         handler: Handler,
         limits: Callable[[], ServerLimits],
-        budget: ClientBudget,
+        budget: MemoryBudget,
         open_connections: set["ServerConnection"],
         max_connections: Callable[[], float] = lambda: math.inf,
         is_draining: Callable[[], bool] = lambda: False,
--- a/fuchsiaroute/http1/tests/test_client.py
+++ b/fuchsiaroute/http1/tests/test_client.py
@@ -13,6 +13,7 @@
     ClientConnection,
     ConnectError,
     Headers,
+    MemoryBudget,
     connect,
     find_header,
 )
@@ -41,9 +42,13 @@
     async def __aexit__(self, *details: object) -> None:
         self._server.close()
 
-    async def connect(self) -> ClientConnection:
+    async def connect(self, budget: MemoryBudget | None = None) -> ClientConnection:
         return await connect(
-            "127.0.0.1", self.port, clock=SystemClock(), within=Milliseconds(2_000)
+            "127.0.0.1",
+            self.port,
+            clock=SystemClock(),
+            within=Milliseconds(2_000),
+            budget=budget,
         )
 
     async def _serve(
@@ -349,3 +354,66 @@
     timeout = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
     assert timeout == DEAD_PATH_TIMEOUT
     server.close()
+
+
+SOUND_BYTES = 200_000
+BUDGET_BYTES = 1_000_000
+
+
+@pytest.mark.parametrize("first", [b"Content-Length: 100000000000\r\n\r\n", b"\r\n"])
+async def test_response_without_end_does_not_take_the_room_of_others(
+    first: bytes,
+) -> None:
+    """Guards against a process that runs out of memory for one faulty endpoint."""
+    budget = MemoryBudget(limit=BUDGET_BYTES, clock=SystemClock())
+    sound = OK + b"Content-Length: %d\r\n\r\n" % SOUND_BYTES + b"a" * SOUND_BYTES
+    async with (
+        EndlessEndpoint(OK + first, b"a" * 65_536) as faulty,
+        Endpoint(sound) as other,
+    ):
+        endless, usual = await faulty.connect(budget), await other.connect(budget)
+        endless.send(b"GET / HTTP/1.1\r\n\r\n", matches)
+        with pytest.raises(BrokenResponseError, match="no memory"):
+            await endless.read_whole(limit=100 * BUDGET_BYTES)
+        endless = await faulty.connect(budget)
+        endless.send(b"GET / HTTP/1.1\r\n\r\n", matches)
+        reading = asyncio.create_task(endless.read_whole(limit=100 * BUDGET_BYTES))
+        await asyncio.sleep(0)
+        usual.send(b"GET / HTTP/1.1\r\n\r\n", matches)
+        found = await usual.read_whole(limit=BUDGET_BYTES)
+        assert len(found.data) == SOUND_BYTES
+        with pytest.raises(BrokenResponseError):
+            await reading
+        assert budget.used == 0
+
+
+async def test_nothing_is_counted_for_responses_that_have_ended() -> None:
+    budget = MemoryBudget(limit=BUDGET_BYTES, clock=SystemClock())
+    sound = OK + b"Content-Length: %d\r\n\r\n" % SOUND_BYTES + b"a" * SOUND_BYTES
+    async with Endpoint(sound, sound, sound) as endpoint:
+        connection = await endpoint.connect(budget)
+        for _ in range(2):
+            connection.send(b"GET / HTTP/1.1\r\n\r\n", matches)
+            await connection.read_whole(limit=BUDGET_BYTES)
+            assert budget.used == 0
+        connection.send(b"GET / HTTP/1.1\r\n\r\n", matches)
+        await connection.read()
+        connection.keep(100_000)
+        assert budget.used >= 100_000
+        connection.abort()
+        assert budget.used == 0
+
+
+async def test_unread_response_counts_with_what_is_buffered() -> None:
+    """Guards against many answers that wait for slow callers or a better answer."""
+    budget = MemoryBudget(limit=BUDGET_BYTES, clock=SystemClock())
+    async with EndlessEndpoint(OK + b"\r\n", b"a" * 65_536) as faulty:
+        connections = [await faulty.connect(budget) for _ in range(8)]
+        for connection in connections:
+            connection.send(b"GET / HTTP/1.1\r\n\r\n", matches)
+        async with asyncio.timeout(20):
+            await asyncio.gather(*(item.wait_whole() for item in connections[:4]))
+        assert budget.used <= BUDGET_BYTES
+        for connection in connections:
+            connection.abort()
+        assert budget.used == 0
--- a/fuchsiaroute/http1/tests/test_client_budget.py
+++ b/fuchsiaroute/http1/tests/test_memory_budget.py
@@ -3,7 +3,7 @@
 import pytest
 
 from fuchsiaroute.clock import ManualClock, Milliseconds
-from fuchsiaroute.http1 import ClientBudget
+from fuchsiaroute.http1 import MemoryBudget
 
 LIMIT = 1_000
 
@@ -12,7 +12,7 @@
     """A connection that holds bytes since a point in time until it is evicted."""
 
     def __init__(
-        self, budget: ClientBudget, *, since: int = 0, may_be_evicted: bool = True
+        self, budget: MemoryBudget, *, since: int = 0, may_be_evicted: bool = True
     ) -> None:
         self.held = 0
         self.held_since = Milliseconds(since)
@@ -32,8 +32,8 @@
 
 
 @pytest.fixture
-def budget(clock: ManualClock) -> ClientBudget:
-    return ClientBudget(limit=LIMIT, clock=clock)
+def budget(clock: ManualClock) -> MemoryBudget:
+    return MemoryBudget(limit=LIMIT, clock=clock)
 
 
 @pytest.mark.parametrize(
@@ -48,7 +48,7 @@
     ],
 )
 def test_costliest_connection_makes_room(
-    budget: ClientBudget,
+    budget: MemoryBudget,
     sizes: tuple[int, ...],
     since: tuple[int, ...],
     evicted: int,
@@ -63,14 +63,14 @@
     assert budget.used <= LIMIT
 
 
-def test_connection_that_is_itself_the_costliest_is_told(budget: ClientBudget) -> None:
+def test_connection_that_is_itself_the_costliest_is_told(budget: MemoryBudget) -> None:
     small, large = Holder(budget), Holder(budget)
     assert budget.resize(small, 100)
     assert not budget.resize(large, 950)
     assert not small.is_evicted
 
 
-def test_requests_in_progress_are_kept(budget: ClientBudget) -> None:
+def test_requests_in_progress_are_kept(budget: MemoryBudget) -> None:
     """Guards against memory that is won by ending a request that may have run."""
     running = Holder(budget, may_be_evicted=False)
     assert budget.resize(running, 900)
@@ -78,7 +78,7 @@
     assert not running.is_evicted
 
 
-def test_all_memory_is_returned(budget: ClientBudget) -> None:
+def test_all_memory_is_returned(budget: MemoryBudget) -> None:
     holder = Holder(budget)
     budget.resize(holder, 700)
     budget.resize(holder, 300)
--- a/fuchsiaroute/http1/tests/test_server.py
+++ b/fuchsiaroute/http1/tests/test_server.py
@@ -7,8 +7,8 @@
 
 from fuchsiaroute.clock import Milliseconds, SystemClock
 from fuchsiaroute.http1 import (
-    ClientBudget,
     InboundRequest,
+    MemoryBudget,
     Responder,
     ServerConnection,
     ServerLimits,
@@ -33,7 +33,7 @@
         self.cancelled = 0
         self._handler = handler or self._echo
         self._open: set[ServerConnection] = set()
-        self.budget = ClientBudget(limit=40_000, clock=SystemClock())
+        self.budget = MemoryBudget(limit=40_000, clock=SystemClock())
 
     async def __aenter__(self) -> "Server":
         loop = asyncio.get_running_loop()
--- a/fuchsiaroute/http1/tests/test_server_fuzzing.py
+++ b/fuchsiaroute/http1/tests/test_server_fuzzing.py
@@ -8,8 +8,8 @@
 
 from fuchsiaroute.clock import ManualClock, Milliseconds, SystemClock
 from fuchsiaroute.http1 import (
-    ClientBudget,
     InboundRequest,
+    MemoryBudget,
     Responder,
     ServerConnection,
     ServerLimits,
@@ -75,7 +75,7 @@
         clock=clock,
         handler=lambda request, responder: asyncio.sleep(0),
         limits=lambda: replace(LIMITS, body_bytes=1_000_000),
-        budget=ClientBudget(limit=1_000_000, clock=clock),
+        budget=MemoryBudget(limit=1_000_000, clock=clock),
         open_connections=set(),
     )
     connection.connection_made(Transport())
@@ -106,7 +106,7 @@
         served.append(request.body)
         responder.send(200, [(b"X-Path", request.target)], request.body)
 
-    budget = ClientBudget(limit=100_000, clock=SystemClock())
+    budget = MemoryBudget(limit=100_000, clock=SystemClock())
     connection = ServerConnection(
         clock=SystemClock(),
         handler=handle,
--- a/fuchsiaroute/node/_client_limits.py
+++ b/fuchsiaroute/node/_client_limits.py
@@ -1,7 +1,7 @@
 """What clients may hold of an instance, from the limits of its machine."""
 
 from fuchsiaroute.clock import Clock
-from fuchsiaroute.http1 import ClientBudget
+from fuchsiaroute.http1 import MemoryBudget
 from fuchsiaroute.platform import NodeSettings
 
 #: Share of the memory limit that all clients' connections may use. Requests that are
@@ -21,7 +21,7 @@
     def __init__(self, settings: NodeSettings, *, clock: Clock) -> None:
         self._max_descriptors = settings.max_descriptors
         #: Memory that all server connections may hold together.
-        self.budget = ClientBudget(limit=_memory(settings), clock=clock)
+        self.budget = MemoryBudget(limit=_memory(settings), clock=clock)
 
     def apply(self, settings: NodeSettings) -> None:
         """Follow changed settings."""
--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from random import Random
 
 from fuchsiaroute.catalog import Catalog, TableFeed
@@ -50,6 +51,7 @@
 from fuchsiaroute.node._permit_exchange import PermitExchange
 from fuchsiaroute.node._place_exchange import PlaceExchange
 from fuchsiaroute.node._quarantine_rows import QuarantineRows
+from fuchsiaroute.node._response_limits import ResponseLimits
 from fuchsiaroute.node._rollout_rows import PlatformRolloutRows, read_outcomes
 from fuchsiaroute.node._table_readers import TableReaders
 from fuchsiaroute.permits import NamedRates, PermitHolder
@@ -65,7 +67,7 @@
 from fuchsiaroute.retry import WindowedRetryBudget
 from fuchsiaroute.staging import RolloutDriver, RolloutTracker
 from fuchsiaroute.store import StorePosition, era_of
-from fuchsiaroute.tunnel import TunnelServer
+from fuchsiaroute.tunnel import TunnelServer, open_tunnel
 
 #: Time without a heartbeat after which an instance counts as dead.
 MEMBER_TIMEOUT = Milliseconds(2_000)
@@ -278,6 +280,7 @@
             log=log,
             is_known=lambda endpoint: endpoint in self.pool,
         )
+        self.responses = ResponseLimits(settings, clock=clock)
         self.connections = ConnectionPool(
             clock=clock,
             max_connections=self._max_connections,
@@ -290,11 +293,13 @@
                 random=random,
                 counters=self.counters,
                 log=log,
+                opener=partial(open_tunnel, budget=self.responses.budget),
             ),
             random=random,
             endpoints=self.pool.endpoints,
             on_path_change=self._path_changed,
             log=log,
+            budget=self.responses.budget,
         )
         self.tunnels = TunnelServer(
             connect=self._connect_for_peer,
@@ -400,6 +405,7 @@
         self._settings = settings
         self.store.set_address(settings.store)
         self.clients.apply(settings)
+        self.responses.apply(settings)
         if is_store_moved:
             # The former address may never answer the watches that it holds.
             self.orders_feed.restart_watch("the store has another address")
@@ -576,6 +582,7 @@
             "room_left_to_other_organisations": self.queue.yields[Reason.OVER_SHARE],
             "connections_opened": self.connections.opened,
             "client_memory_bytes": self.clients.budget.used,
+            "response_memory_bytes": self.responses.budget.used,
             "event_loop_tasks": len(asyncio.all_tasks()),
         }
 
--- a/fuchsiaroute/platform/tests/node_process.py
+++ b/fuchsiaroute/platform/tests/node_process.py
@@ -5,7 +5,9 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Sequence
 from pathlib import Path
+from typing import Any
 
 import psutil
 
@@ -33,20 +35,35 @@
 
 
 class NodeProcess:
-    """Starts the node program with limits that are lower than a machine's."""
-
-    def __init__(self, folder: Path, *, memory_mb: int, max_descriptors: int) -> None:
+    """
+    Starts the node program with limits that are lower than a machine's.
+
+    ``others`` are announced beside the endpoint that serves ordinary callers.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        *,
+        memory_mb: int,
+        max_descriptors: int,
+        others: Sequence[Endpoint] = (),
+        configuration: dict[str, Any] = CONFIGURATION,
+    ) -> None:
         self.store = Store()
         self.endpoint = Endpoint()
+        self._others = others
+        self._configuration = configuration
         self._folder = folder
         self._memory_mb = memory_mb
         self._max_descriptors = max_descriptors
 
     async def __aenter__(self) -> "NodeProcess":
         await self.store.listen()
-        await self.endpoint.listen()
-        self.store.put("servers", self.endpoint.id, self.endpoint.announcement())
-        self.store.put("op", "config", CONFIGURATION)
+        for endpoint in (self.endpoint, *self._others):
+            await endpoint.listen()
+            self.store.put("servers", endpoint.id, endpoint.announcement())
+        self.store.put("op", "config", self._configuration)
         self.frontend, self.control = free_ports(2)
         self.metrics = free_port_pair()
         path = self._folder / "node.conf"
@@ -69,7 +86,8 @@
     async def __aexit__(self, *details: object) -> None:
         self._process.send_signal(signal.SIGKILL)
         self._process.wait()
-        self.endpoint.close()
+        for endpoint in (self.endpoint, *self._others):
+            endpoint.close()
         self.store.close()
 
     @property
--- a/fuchsiaroute/platform/tests/standin.py
+++ b/fuchsiaroute/platform/tests/standin.py
@@ -10,8 +10,8 @@
 
 from fuchsiaroute.clock import Milliseconds, SystemClock
 from fuchsiaroute.http1 import (
-    ClientBudget,
     InboundRequest,
+    MemoryBudget,
     Responder,
     ServerConnection,
     ServerLimits,
@@ -40,7 +40,7 @@
     async def listen(self, port: int = 0) -> None:
         """Listen on ``port``, by default on a free one."""
         loop = asyncio.get_running_loop()
-        budget = ClientBudget(limit=100_000_000, clock=SystemClock())
+        budget = MemoryBudget(limit=100_000_000, clock=SystemClock())
         self._server = await loop.create_server(
             lambda: ServerConnection(
                 clock=SystemClock(),
--- a/fuchsiaroute/tunnel/_client.py
+++ b/fuchsiaroute/tunnel/_client.py
@@ -7,6 +7,7 @@
 from fuchsiaroute.http1 import (
     ClientConnection,
     ConnectError,
+    MemoryBudget,
     NobodyListensError,
     connect_protocol,
 )
@@ -48,18 +49,19 @@
     port: int,
     clock: Clock,
     within: Milliseconds,
+    budget: MemoryBudget | None = None,
 ) -> ClientConnection:
     """
     Open a connection to the endpoint at ``host`` and ``port`` through a peer.
 
-    ``within`` is the timeout of the whole. Raises ``NobodyListensError`` if the peer
-    found that nobody listens at the endpoint's address, ``PathMissingError`` if the
-    peer has no path to the endpoint or does not know it, and ``PeerUnavailableError``
-    if the peer cannot be reached, does not answer in time, is draining, or is at its
-    limit.
+    ``within`` is the timeout of the whole; ``budget`` counts the responses. Raises
+    ``NobodyListensError`` if the peer found that nobody listens at the endpoint's
+    address, ``PathMissingError`` if the peer has no path to the endpoint or does not
+    know it, and ``PeerUnavailableError`` if the peer cannot be reached, does not answer
+    in time, is draining, or is at its limit.
     """
     deadline = clock.now() + within
-    connection = ClientConnection(clock=clock)
+    connection = ClientConnection(clock=clock, budget=budget)
     try:
         tunnel = await connect_protocol(
             peer_host, peer_port, lambda: _ClientTunnel(connection), within
