Endpoints' responses: count what they take in memory, not their bytes alone

Chunks of single bytes were kept as an object each, many times their size; heads with thousands of fields were not counted; an event was copied whole with each part that arrived; what an evicted response had buffered stayed until its reader had its turn.

Unread bytes are one buffer, header fields count 150 bytes each, events grow in place, an evicted response gives up its bytes at once, and the budget is 0.15 of the limit in place of 0.2.

--- a/fuchsiaroute/forwarding/_events.py
+++ b/fuchsiaroute/forwarding/_events.py
@@ -6,6 +6,8 @@
 
 _ID = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
 _END = re.compile(rb"\r?\n\r?\n")
+#: Bytes of an event boundary that has not been received in full.
+_MAX_PARTIAL_END = 3
 _COMMENT = b":"
 #: Maximum size of one event; a longer one is treated as a broken stream.
 MAX_EVENT_BYTES = 1_048_576
@@ -35,7 +37,7 @@
     """
 
     def __init__(self) -> None:
-        self._pending = b""
+        self._pending = bytearray()
         self._size = 0
         #: Id that the events of the rest of a stream must exceed; None if unchecked.
         self._floor: int | None = None
@@ -60,9 +62,11 @@
         self._size += len(data)
         if self._size > MAX_STREAM_BYTES:
             raise EventTooLongError(f"no end of the stream in {self._size} bytes")
+        # What was pending holds no boundary, but the beginning of one.
+        start = max(len(self._pending) - _MAX_PARTIAL_END, 0)
         self._pending += data
         end = 0
-        for found in _END.finditer(self._pending):
+        for found in _END.finditer(self._pending, start):
             end = found.end()
         if not end:
             if len(self._pending) > MAX_EVENT_BYTES:
@@ -70,7 +74,8 @@
                     f"no event boundary in {len(self._pending)} bytes"
                 )
             return b""
-        complete, self._pending = self._pending[:end], self._pending[end:]
+        complete = bytes(self._pending[:end])
+        del self._pending[:end]
         if self._floor is not None:
             self._check_order(complete, self._floor)
         ids = _ID.findall(complete)
@@ -82,7 +87,7 @@
 
     def completes(self, data: bytes) -> bool:
         """Return whether ``data`` would complete an event that is not a comment."""
-        whole = self._pending + data
+        whole = bytes(self._pending) + data
         end = max((found.end() for found in _END.finditer(whole)), default=0)
         return _count_events(whole[:end]) > 0
 
@@ -94,7 +99,7 @@
         the last complete one: a response that starts the stream anew, or that tells of
         an error in an event without an id, does not go on with it.
         """
-        self._pending = b""
+        self._pending.clear()
         self._floor = parse_digits(self.last_id) if self.last_id else None
 
     def _check_order(self, complete: bytes, floor: int) -> None:
@@ -104,7 +109,7 @@
             found = _ID.search(event)
             number = parse_digits(found[1].strip()) if found else None
             if number is None or number <= floor:
-                self._pending = b""
+                self._pending.clear()
                 raise EventOutOfOrderError(f"the event after {floor} has id {number}")
             floor = number
         self._floor = floor
--- a/fuchsiaroute/http1/_client.py
+++ b/fuchsiaroute/http1/_client.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import re
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import cast
@@ -26,6 +25,8 @@
 OVERHEAD_PER_BODY_BYTE = 8
 #: Body bytes that are skipped in responses to other requests.
 MAX_SKIPPED_BYTES = 1024 * 1024
+#: Memory of a header field, in addition to its bytes.
+FIELD_BYTES = 150
 #: Bytes of a response up to which it is not counted in the budget of all responses.
 UNCOUNTED_BYTES = 16 * 1024
 _FIRST_FINAL_STATUS = 200
@@ -80,8 +81,9 @@
         self._matches: ResponseMatcher | None = None
         self._is_head = False
         self._is_skipping = False
-        self._chunks: deque[bytes] = deque()
-        self._buffered = 0
+        #: Unread bytes of the body. Chunks may be of a single byte, and an object for
+        #: each would take many times the memory.
+        self._unread = bytearray()
         #: Bytes of the present response: in all, of its body, and of skipped bodies.
         self._received = 0
         self._body_bytes = 0
@@ -120,7 +122,10 @@
 
     def evict(self) -> None:
         """Break off the present response, as it takes too much memory."""
-        self._fail(f"no memory for {self.held} bytes of a response that has not ended")
+        reason = f"no memory for {self.held} bytes of a response that has not ended"
+        # Its reader may not have its turn for a while.
+        self._unread.clear()
+        self._fail(reason)
 
     def keep(self, size: int) -> None:
         """Count ``size`` bytes of the response that its reader needs until it ends."""
@@ -149,8 +154,7 @@
         self._is_skipping = False
         self._is_complete = False
         self._ends_with_connection = False
-        self._chunks.clear()
-        self._buffered = 0
+        self._unread.clear()
         self._received = self._body_bytes = self._skipped_bytes = self._kept = 0
         self._sent_at = self._clock.now()
         self.request_count += 1
@@ -169,7 +173,7 @@
 
         Raises ``BrokenResponseError``.
         """
-        while not self._chunks:
+        while not self._unread:
             if self._is_complete:
                 self._finish_exchange()
                 return b""
@@ -177,19 +181,18 @@
                 raise BrokenResponseError(self._error)
             self._arrived.clear()
             await self._arrived.wait()
-        data = b"".join(self._chunks)
-        self._chunks.clear()
-        self._buffered = 0
+        data = bytes(self._unread)
+        self._unread.clear()
         if not self._transport.is_closing():
             self._transport.resume_reading()
         return data
 
     async def wait_readable(self) -> bool:
         """Wait until ``read`` does not wait; return whether it will not raise."""
-        while not (self._chunks or self._is_complete or self._error is not None):
+        while not (self._unread or self._is_complete or self._error is not None):
             self._arrived.clear()
             await self._arrived.wait()
-        return bool(self._chunks) or self._is_complete
+        return bool(self._unread) or self._is_complete
 
     async def wait_whole(self) -> bool:
         """Wait until the response has ended; return whether it is whole."""
@@ -349,9 +352,8 @@
         if self._is_complete:
             return
         self._body_bytes += len(body)
-        self._chunks.append(body)
-        self._buffered += len(body)
-        if self._buffered > HIGH_WATER_BYTES:
+        self._unread += body
+        if len(self._unread) > HIGH_WATER_BYTES:
             self._transport.pause_reading()
         self._arrived.set()
 
@@ -378,7 +380,7 @@
             self._fail(f"{self._skipped_bytes} bytes of responses to other requests")
 
     def _count_held(self) -> None:
-        held = self._buffered + self._kept
+        held = len(self._unread) + self._kept + len(self._headers) * FIELD_BYTES
         if self._budget is None or self._error is not None:
             return
         if held <= UNCOUNTED_BYTES and not self.held:
--- a/fuchsiaroute/node/_response_limits.py
+++ b/fuchsiaroute/node/_response_limits.py
@@ -4,9 +4,9 @@
 from fuchsiaroute.http1 import MemoryBudget
 from fuchsiaroute.platform import NodeSettings
 
-#: Share of the memory limit for responses that have not been sent on, as for what
-#: clients hold.
-RESPONSE_MEMORY_SHARE = 0.2
+#: Share of the memory limit for responses that have not been sent on. Further copies
+#: exist while parts are put together, and clients may hold a fifth.
+RESPONSE_MEMORY_SHARE = 0.15
 _BYTES_PER_MB = 1_000_000
 
 
