--- a/fuchsiaroute/platform/tests/test_stop.py
+++ b/fuchsiaroute/platform/tests/test_stop.py
@@ -7,7 +7,7 @@
 import pytest
 
 from fuchsiaroute.clock import BootClock, Milliseconds
-from fuchsiaroute.draining import MIN_DRAIN_TIME
+from fuchsiaroute.draining import MIN_DRAIN_TIME, SIGKILL_MARGIN
 from fuchsiaroute.http1 import ConnectionState, InboundRequest, Responder
 from fuchsiaroute.node._run import IDLE_CHECK_INTERVAL
 from fuchsiaroute.platform.tests.node_harness import HOST, NodeHarness, Reply
@@ -98,6 +98,29 @@
     assert b'"unsent_bytes":0' in harness.lines[-1]
 
 
+# Guards against late requests that are admitted by the usual duration of their route and
+# cut with no answer when they take longer, also if they must not be sent again.
+@pytest.mark.parametrize("path", ["/read/", "/write/", "/stream/", "/once/"])
+@pytest.mark.parametrize("before_end_s", [0.9, 0.6, 0.3, 0.1])
+async def test_late_request_that_takes_unusually_long_is_not_cut(
+    path: str, before_end_s: float
+) -> None:
+    endpoint = Endpoint()
+    async with NodeHarness(endpoint, grace_s=SHORT_GRACE_S) as harness:
+        for number in range(12):
+            assert (await harness.caller().ask(path, request_id=f"u{number}")).is_whole
+        usual = len(endpoint.requests)
+        caller = harness.caller()
+        await caller.connect()
+        endpoint.answer = hang
+        harness.node._stop.set()
+        await asyncio.sleep(SHORT_GRACE_S - SIGKILL_MARGIN / 1_000 - before_end_s)
+        reply = await caller.ask(path)
+        await harness.until(harness.node_task.done)
+    assert is_resolved(reply)
+    assert reply.status != 503 or len(endpoint.requests) == usual
+
+
 class _SteppedClock(BootClock):
     """A clock that shows the time after the process was suspended."""
 
