--- a/fuchsiaroute/platform/tests/test_stop.py
+++ b/fuchsiaroute/platform/tests/test_stop.py
@@ -98,8 +98,8 @@
     assert b'"unsent_bytes":0' in harness.lines[-1]
 
 
-# Guards against late requests that are admitted by the usual duration of their route and
-# cut with no answer when they take longer, also if they must not be sent again.
+# Guards against late requests that are admitted by the usual duration of their route,
+# and cut with no answer when they take longer, also if they must not be sent again.
 @pytest.mark.parametrize("path", ["/read/", "/write/", "/stream/", "/once/"])
 @pytest.mark.parametrize("before_end_s", [0.9, 0.6, 0.3, 0.1])
 async def test_late_request_that_takes_unusually_long_is_not_cut(
