Store client: the head of a response alone does not limit the wait for its body

Only parts of the body move the time-out now. test_head_that_comes_before_the_wait_does_not_end_a_watch failed before.

--- a/fuchsiaroute/http1/_client.py
+++ b/fuchsiaroute/http1/_client.py
@@ -220,12 +220,11 @@
         self, *, limit: int, on_part: Callable[[], None] = lambda: None
     ) -> ResponseBody:
         """
-        Return the complete response; ``on_part`` is called whenever some of it arrives.
+        Return the complete response; ``on_part`` is called for each part of its body.
 
         Raises ``BrokenResponseError``, also for a body of more than ``limit`` bytes.
         """
         head = await self.head()
-        on_part()
         parts: list[bytes] = []
         size = 0
         while data := await self.read():
--- a/fuchsiaroute/platform/_store.py
+++ b/fuchsiaroute/platform/_store.py
@@ -184,7 +184,7 @@
         """
         Return all rows of a table.
 
-        ``on_part`` is called whenever some of a response arrives.
+        ``on_part`` is called for each part of a response's body.
         """
         rows: list[Row] = []
         start = ""
@@ -223,8 +223,8 @@
         """
         Return the changes after a position, or none once ``wait`` has passed.
 
-        ``within`` is the time allowed in addition until the response begins to arrive;
-        ``on_part`` is called whenever some of it does.
+        ``within`` is the time allowed in addition until the body begins to arrive, as a
+        store may send the head before it waits; ``on_part`` is called for each part.
         """
         wait = min(wait, MAX_WATCH_WAIT)
         query = {
--- a/fuchsiaroute/platform/tests/test_large_declarations.py
+++ b/fuchsiaroute/platform/tests/test_large_declarations.py
@@ -19,6 +19,7 @@
 from fuchsiaroute.ids import FailureDomainId, InstanceId
 from fuchsiaroute.node import _table_readers
 from fuchsiaroute.platform import Address, PlatformStore, Rows, Table
+from fuchsiaroute.platform._store import STALL_TIMEOUT
 from fuchsiaroute.platform.tests.narrow_link import narrow_link
 from fuchsiaroute.platform.tests.node_harness import CONFIGURATION, ROUTES, NodeHarness
 from fuchsiaroute.platform.tests.standin import Endpoint, Store, StoreView
@@ -76,6 +77,29 @@
             pytest.fail(str(found))
 
 
+async def test_head_that_comes_before_the_wait_does_not_end_a_watch() -> None:
+    """Guards against watches that end early at a store that answers in two steps."""
+    body = b'{"Rows":[],"SchemaVersion":7}'
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
+        await asyncio.sleep(STALL_TIMEOUT / 1_000 + 0.3)
+        writer.write(body)
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    client = PlatformStore(Address(host="127.0.0.1", port=port), clock=SystemClock())
+    found = await client.watch(
+        Table.ORDERS, after=StorePosition(7), wait=Milliseconds(2_000)
+    )
+    client.close()
+    server.close()
+    assert isinstance(found, Success)
+
+
 async def test_response_that_stops_arriving_is_given_up() -> None:
     """Guards against a feed that waits for a dead connection for ever."""
     store = Store()
