--- a/fuchsiaroute/platform/tests/test_stop.py
+++ b/fuchsiaroute/platform/tests/test_stop.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 
 import pytest
 
@@ -15,6 +16,8 @@
 
 #: Time that is not enough for the responses of slow endpoints below.
 SHORT_GRACE_S = 2
+#: Answers that do not fit into the buffers of a connection.
+_LARGE_BYTES = 6_000_000
 #: Time from the signal to stop after which an idle instance exits.
 _IDLE_EXIT_S = MIN_DRAIN_TIME / 1_000
 _REQUEST = (
@@ -33,7 +36,7 @@
 async def answer_large(
     endpoint: Endpoint, request: InboundRequest, responder: Responder
 ) -> None:
-    responder.send(200, endpoint.headers(request), b"x" * 6_000_000)
+    responder.send(200, endpoint.headers(request), b"x" * _LARGE_BYTES)
 
 
 def is_resolved(reply: Reply) -> bool:
@@ -121,6 +124,43 @@
     assert reply.status != 503 or len(endpoint.requests) == usual
 
 
+async def read_late(port: int, request: bytes, delay_s: float) -> bytes:
+    """Return what a caller receives that reads ``delay_s`` after it has sent."""
+    loop = asyncio.get_running_loop()
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        caller.setblocking(False)
+        await loop.sock_connect(caller, ("127.0.0.1", port))
+        await loop.sock_sendall(caller, request)
+        await asyncio.sleep(delay_s)
+        received = b""
+        with suppress(ConnectionError):
+            while len(received) < _LARGE_BYTES:
+                data = await loop.sock_recv(caller, 1_000_000)
+                if not data or b" 503 " in data[:20]:
+                    return received + data
+                received += data
+        return received
+
+
+# Guards against late requests whose answers are handed to the connection and cut by the
+# exit, on a route whose callers always need longer than that to read them.
+@pytest.mark.parametrize("path", ["/read/", "/write/"])
+async def test_late_request_whose_callers_read_slowly_is_not_cut(path: str) -> None:
+    request = _REQUEST.replace(b"/read/", path.encode())
+    async with NodeHarness(Endpoint(answer_large), grace_s=SHORT_GRACE_S) as harness:
+        for _ in range(6):
+            answer = await read_late(harness.frontend, request, 0.9)
+            assert len(answer) > _LARGE_BYTES
+        harness.node._stop.set()
+        await asyncio.sleep(SHORT_GRACE_S - SIGKILL_MARGIN / 1_000 - 0.3)
+        received = await read_late(harness.frontend, request, 0.9)
+        await harness.until(harness.node_task.done)
+    assert b" 503 " in received[:20] or len(received) > _LARGE_BYTES
+    # The exit of a process discards what it has not sent.
+    assert b'"unsent_bytes":0' in harness.lines[-1]
+
+
 class _SteppedClock(BootClock):
     """A clock that shows the time after the process was suspended."""
 
