Draining: usual durations include the delivery to callers that read slowly

A late request is admitted by the usual duration of its route, which was learned when the answer was handed to the connection: 37 ms, while its caller needed over 0.7 s to read it and the exit discarded 583,128 bytes.

The duration is now learned when the connection has room again, which is when all but 16 kB have left the process; only the route's name and the time are kept until then. A route whose callers need longer than what is left refuses late requests, which have not run.

--- a/fuchsiaroute/forwarding/_forwarder.py
+++ b/fuchsiaroute/forwarding/_forwarder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 from fuchsiaroute.catalog import Catalog
 from fuchsiaroute.clock import Clock, Milliseconds
@@ -244,12 +245,19 @@
         """Add the time of a whole success, or a lower bound of it."""
         is_success = 200 <= call.responder.status < 300
         if event == "request:answered" and is_success:
-            self._durations.add(call.route.name, _ANY_MODEL, _NO_TOKENS, duration)
+            call.responder.when_delivered(
+                partial(self._learn_success, call.route.name, call.inbound.arrived_at)
+            )
         elif event in _UNFINISHED_EVENTS:
             self._durations.add_unanswered(
                 call.route.name, _ANY_MODEL, _NO_TOKENS, duration
             )
 
+    def _learn_success(self, route: str, arrived_at: Milliseconds) -> None:
+        """Add the time until the caller has taken a response, however it reads."""
+        duration = Milliseconds(self._clock.now() - arrived_at)
+        self._durations.add(route, _ANY_MODEL, _NO_TOKENS, duration)
+
 
 def _since(start: Milliseconds, instant: Milliseconds | None) -> Milliseconds | None:
     return None if instant is None else Milliseconds(instant - start)
--- a/fuchsiaroute/http1/_responder.py
+++ b/fuchsiaroute/http1/_responder.py
@@ -39,6 +39,7 @@
         self._is_last = is_last
         self._writable = asyncio.Event()
         self._writable.set()
+        self._on_delivered: Callable[[], None] | None = None
         #: Whether the first byte of the response has been written.
         self.is_started = False
         #: Whether the response has ended, complete or aborted.
@@ -98,6 +99,18 @@
         """Wait until the transport's write buffer has room."""
         await self._writable.wait()
 
+    def when_delivered(self, callback: Callable[[], None]) -> None:
+        """
+        Call ``callback`` once the connection has room again, at once if it has.
+
+        Most of the response has left this process then. It is not called if the
+        connection ends before.
+        """
+        if self._writable.is_set():
+            callback()
+        else:
+            self._on_delivered = callback
+
     def finish(self) -> None:
         """Complete a started response."""
         if self.is_finished or self._transport.is_closing():
@@ -120,6 +133,9 @@
         """Set whether the transport's write buffer has room; ``drain`` waits for it."""
         if is_writable:
             self._writable.set()
+            callback, self._on_delivered = self._on_delivered, None
+            if callback is not None:
+                callback()
         else:
             self._writable.clear()
 
--- a/fuchsiaroute/http1/_server.py
+++ b/fuchsiaroute/http1/_server.py
@@ -88,6 +88,8 @@
         self._is_reading = True
         self._waiting: deque[_Waiting] = deque()
         self._active: Responder | None = None
+        #: The latest response that has ended, until the connection has room again.
+        self._undelivered: Responder | None = None
         self._active_held = 0
         self._task: asyncio.Task[None] | None = None
         self._ignores_input = False
@@ -205,6 +207,9 @@
     def resume_writing(self) -> None:
         """Resume the response, or answer the next request."""
         self._is_writable = True
+        delivered, self._undelivered = self._undelivered, None
+        if delivered is not None:
+            delivered.set_writable(True)
         if self._active is not None:
             self._active.set_writable(True)
         else:
@@ -398,6 +403,8 @@
         self._active = None
         self._active_held = 0
         self._task = None
+        if not self._is_writable:
+            self._undelivered = responder
         if not responder.keeps_connection:
             self._ignores_input = True
             self._discard_input()
