--- a/fuchsiaroute/node/_parts.py
+++ b/fuchsiaroute/node/_parts.py
@@ -53,6 +53,7 @@
 from fuchsiaroute.node._quarantine_rows import QuarantineRows
 from fuchsiaroute.node._response_limits import ResponseLimits
 from fuchsiaroute.node._rollout_rows import PlatformRolloutRows, read_outcomes
+from fuchsiaroute.node._table_exchange import TableExchange
 from fuchsiaroute.node._table_readers import TableReaders
 from fuchsiaroute.permits import NamedRates, PermitHolder
 from fuchsiaroute.places import BrittleNotices, PlaceHolder
@@ -173,6 +174,13 @@
             MIN_ENDPOINTS_INTERVAL,
             random,
         )
+        feeds = {
+            Table.ORDERS.name: self.orders_feed,
+            Table.ENDPOINTS.name: self.endpoints_feed,
+        }
+        self.tables = TableExchange(
+            catalog=self.catalog, feeds=feeds, liveness=self.liveness, clock=clock
+        )
         self.gossip = GossipNode(
             liveness=self.liveness,
             failure_domain=settings.failure_domain,
@@ -182,8 +190,8 @@
             link_mbps=settings.link_mbps,
             compose=lambda: self.exchange.compose(),
             on_message=lambda message: self.exchange.apply(message),
-            on_table_update=lambda update: self.exchange.apply_table_update(update),
-            on_table_request=lambda request: self.exchange.rows_for(request),
+            on_table_update=lambda update: self.tables.apply(update),
+            on_table_request=lambda request: self.tables.rows_for(request),
             on_permit_message=lambda message: self.permits.apply(message),
             on_place_message=lambda message: self.places.apply(message),
             on_fleet_message=lambda message: self.sums.apply(message),
@@ -219,10 +227,7 @@
             pool=self.pool,
             tracker=self.tracker,
             liveness=self.liveness,
-            feeds={
-                Table.ORDERS.name: self.orders_feed,
-                Table.ENDPOINTS.name: self.endpoints_feed,
-            },
+            feeds=feeds,
             is_ready=self.is_ready,
             latencies=self._latencies,
             quarantine=self.quarantine,
@@ -422,7 +427,7 @@
         self.permits.refresh()
         self.places.refresh()
         self.quarantine.refresh()
-        for request in self.exchange.missing_rows():
+        for request in self.tables.missing_rows():
             self.gossip.request(request)
         self.connections.close_idle()
         self.connect_records.remove_unknown()
@@ -478,7 +483,7 @@
     def _relay(self, table: Table, rows: Rows, after: StorePosition | None) -> None:
         if not self._readers.has_relay:
             return
-        self.gossip.relay(self.exchange.table_update(table.name, rows, after=after))
+        self.gossip.relay(self.tables.update(table.name, rows, after=after))
 
     def _forwarder(self) -> Forwarder:
         admission = StopAdmission(self.drain, clock=self._clock)
