Table feeds: reported changes that are missing, in a module of their own

When a reported change is overdue, and when peers are asked for it, are decisions without a network. No change of behaviour; their tests move along.

--- a/fuchsiaroute/catalog/_feed.py
+++ b/fuchsiaroute/catalog/_feed.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result
 
 from fuchsiaroute.catalog._held_rows import HeldRows
+from fuchsiaroute.catalog._reported_changes import HINT_TIMEOUT, ReportedChanges
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.platform import HistoryGone, PlatformStore, Rows, Table
@@ -31,13 +32,6 @@
 INITIAL_IDLE_TIME = Milliseconds(1_500)
 #: Interval at which an idle feed checks whether others still relay the changes.
 IDLE_CHECK_INTERVAL = Milliseconds(100)
-#: Time for which a watch may still deliver a change that a peer has reported.
-HINT_TIMEOUT = Milliseconds(300)
-#: Time for which the store may leave a reported change undelivered before peers are
-#: asked for it: enough for a watch that is ended after ``HINT_TIMEOUT`` and a read.
-PEER_REQUEST_DELAY = Milliseconds(500)
-#: Time between two requests to peers.
-PEER_REQUEST_INTERVAL = Milliseconds(250)
 #: Time without an answer of the store to any peer after which it counts as having been
 #: away for all. At least one instance's watches are shorter than this.
 MAX_PEER_ANSWER_GAP = Milliseconds(3_500)
@@ -145,14 +139,7 @@
         self._era: int | None = None
         self._state = FeedState.STARTING
         self._restart_requested = asyncio.Event()
-        #: Since when a reported change is awaited, and its position. Later hints do not
-        #: begin the wait anew: in a series of changes it would never end.
-        self._hinted_at: Milliseconds | None = None
-        self._awaited = StorePosition(0)
-        self._hint = StorePosition(0)
-        #: Since when a change is missing that a peer has reported.
-        self._behind_since: Milliseconds | None = None
-        self._peers_asked_at: Milliseconds | None = None
+        self._reported = ReportedChanges(clock=clock)
         #: Whether a patch did not fit what is held. Peers may all have missed a value
         #: that this instance has read, so that none of their patches begins with it.
         self._needs_plain_rows = False
@@ -188,7 +175,7 @@
     @property
     def newest_revision(self) -> StorePosition:
         """Return the highest revision of a change, read or received as a hint."""
-        return max(self._hint, self.changed_revision)
+        return max(self._reported.newest, self.changed_revision)
 
     @property
     def needs_plain_rows(self) -> bool:
@@ -198,7 +185,7 @@
     @property
     def is_behind(self) -> bool:
         """Return whether a change is missing that a peer has reported."""
-        return self._hint > (self.revision or 0)
+        return self._reported.is_missing(self.revision)
 
     def unreachable_for(self) -> Milliseconds:
         """Return the time since the store was lost; 0 while it answers."""
@@ -211,29 +198,13 @@
         if era_of(revision) == 0 and self._era:
             # A peer of a version without eras states versions only.
             revision = store_position(self._era, version_of(revision))
-        if revision > self._hint:
-            self._hint = revision
-            if self._hinted_at is None:
-                self._await_hint()
-            if self.is_behind and self._behind_since is None:
-                self._behind_since = self._clock.now()
+        self._reported.add(revision, held=self.revision)
 
     def check_hint(self) -> None:
         """End a watch that has not delivered a change that a peer has reported."""
-        if self._hinted_at is None or not self.is_behind:
-            self._hinted_at = None
-        elif self._awaited <= (self.revision or 0):
-            self._await_hint()
-        elif self._is_arriving:
-            return
-        elif self._clock.now() - self._hinted_at >= HINT_TIMEOUT:
-            self._hinted_at = None
+        if self._reported.must_read(self.revision, is_arriving=self._is_arriving):
             self.restart_watch("a peer has reported a newer change")
 
-    def _await_hint(self) -> None:
-        self._hinted_at = self._clock.now()
-        self._awaited = self._hint
-
     def peer_answered(self, instant: Milliseconds) -> None:
         """Record the time of the store's latest answer to any peer."""
         if self._lost_at is None or instant <= self._lost_at:
@@ -249,16 +220,9 @@
 
         It is None unless the store fails to deliver a change that a peer has reported.
         """
-        if self._behind_since is None or not self.is_behind:
-            return None
-        now = self._clock.now()
         is_lost = self._state is FeedState.LOST
-        if not is_lost and now - self._behind_since < PEER_REQUEST_DELAY:
-            return None
-        asked_at = self._peers_asked_at
-        if asked_at is not None and now - asked_at < PEER_REQUEST_INTERVAL:
+        if not self._reported.must_ask_peers(self.revision, is_lost=is_lost):
             return None
-        self._peers_asked_at = now
         return self.revision or StorePosition(0)
 
     def changes_after(self, position: StorePosition) -> tuple[Rows, bool] | None:
@@ -308,9 +272,7 @@
 
     def behind_for(self) -> Milliseconds:
         """Return for how long a change is missing that a peer has reported."""
-        if self._behind_since is None:
-            return Milliseconds(0)
-        return Milliseconds(self._clock.now() - self._behind_since)
+        return self._reported.missing_for()
 
     def apply_relayed(
         self,
@@ -415,7 +377,7 @@
         return _Step.CONTINUE
 
     def _may_idle(self) -> bool:
-        is_due = self.is_behind and self._hinted_at is None
+        is_due = self.is_behind and not self._reported.is_awaited
         is_needed = self._must_read_whole or self._restart_requested.is_set() or is_due
         return not is_needed and (self._is_initial_idle_time() or self._is_relayed())
 
@@ -470,7 +432,7 @@
                 behind_ms=self.behind_for(),
                 source=source.value,
             )
-        self._behind_since = None
+        self._reported.end()
 
     async def _read_whole(self) -> Result[Rows | HistoryGone, StoreError] | None:
         """Return the whole table; None if a request for a new call ended the read."""
