--- a/fuchsiaroute/catalog/_reported_changes.py
+++ b/fuchsiaroute/catalog/_reported_changes.py
@@ -72,7 +72,7 @@
         return False
 
     def must_ask_peers(self, held: StorePosition | None, *, is_lost: bool) -> bool:
-        """Return whether peers are to be asked now; ``is_lost`` is the store's state."""
+        """Return whether peers are to be asked now; ``is_lost`` if the store is."""
         if self._behind_since is None or not self.is_missing(held):
             return False
         now = self._clock.now()
