--- a/fuchsiaroute/platform/__init__.py
+++ b/fuchsiaroute/platform/__init__.py
@@ -48,14 +48,8 @@
     decode_order,
     status_put,
 )
-from fuchsiaroute.platform._store import (
-    HistoryGone,
-    PlatformStore,
-    Row,
-    Rows,
-    Table,
-    row_key,
-)
+from fuchsiaroute.platform._rows import HistoryGone, Row, Rows, Table, row_key
+from fuchsiaroute.platform._store import PlatformStore
 
 __all__ = [
     "AnswerSubject",
--- a/fuchsiaroute/platform/_orders.py
+++ b/fuchsiaroute/platform/_orders.py
@@ -12,7 +12,7 @@
     decode_deployment,
     decode_rollout_order,
 )
-from fuchsiaroute.platform._store import Row, Table, row_key
+from fuchsiaroute.platform._rows import Row, Table, row_key
 from fuchsiaroute.store import Put
 
 _CONFIGURATION_KEY = "config"
--- a/fuchsiaroute/platform/_store.py
+++ b/fuchsiaroute/platform/_store.py
@@ -1,12 +1,9 @@
 """Client of the platform's store."""
 
 import asyncio
-import base64
 from collections import Counter
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
-from enum import Enum
-from typing import Any, TypeVar
+from collections.abc import Callable
+from typing import Any
 from urllib.parse import urlencode
 
 import msgspec
@@ -24,19 +21,27 @@
     find_header,
 )
 from fuchsiaroute.platform._address import Address
+from fuchsiaroute.platform._rows import (
+    RESPONSE_DECODER,
+    HistoryGone,
+    Row,
+    Rows,
+    StoreResponse,
+    Table,
+    as_record,
+    decode_rows,
+    row_address,
+    wire_put,
+)
 from fuchsiaroute.store import (
     MAX_ERA,
-    MAX_VERSION,
     Committed,
     Conflict,
-    Put,
-    Record,
     StoreError,
     StoreErrorKind,
     StorePosition,
     Transaction,
     era_of,
-    store_position,
     version_of,
 )
 
@@ -68,85 +73,6 @@
 _NO_EFFECT_STATUSES = frozenset({400, 403, 404, 429, 503, 507})
 
 
-class Table(Enum):
-    """Tables of the store."""
-
-    #: Written by operators: the deployment, roll-outs, evacuations.
-    ORDERS = "op"
-    #: Announcements of endpoints.
-    ENDPOINTS = "servers"
-    #: Read by operators: the state of each roll-out.
-    STATUS = "status"
-    #: Instances of the router, by name.
-    INSTANCES = "instances"
-    #: Records of roll-outs, by service.
-    ROLLOUTS = "rollouts"
-    #: What the latest roll-out of each version came to, by service.
-    ROLLOUT_OUTCOMES = "rollout-outcomes"
-    #: Prompt parts that no endpoint gets, by the hash of their id.
-    QUARANTINE = "quarantine"
-
-
-@dataclass(frozen=True, kw_only=True)
-class Row:
-    """A row of a table; ``value`` is None if the row has been removed."""
-
-    key: str
-    value: bytes | None
-    #: Position of the latest write of the row.
-    revision: StorePosition
-
-
-@dataclass(frozen=True, kw_only=True)
-class Rows:
-    """All rows of a table, or those that changed, at one position of the store."""
-
-    rows: tuple[Row, ...]
-    revision: StorePosition
-
-
-@dataclass(frozen=True)
-class HistoryGone:
-    """
-    The store does not have the requested changes; the table must be read again.
-
-    It has discarded them, or it was restored from a copy since the requested position.
-    """
-
-
-class _Row(msgspec.Struct):
-    Key: str
-    Table: str = ""
-    # Base64 of the value; absent in the row of a removed key.
-    Value: str = ""
-    # Revision of the row, not a version of its format.
-    SchemaVersion: int = 0
-    Deleted: bool = False
-
-
-class _StoreResponse(msgspec.Struct):
-    Rows: list[_Row] = []
-    HasMore: bool = False
-    # Latest revision of the store.
-    SchemaVersion: int = 0
-    # The store's monotonic clock.
-    NowMs: float = 0.0
-    # Not part of the body.
-    era: int = 0
-
-    def position(self, version: int) -> StorePosition:
-        return store_position(self.era, version)
-
-    @property
-    def is_in_range(self) -> bool:
-        versions = [self.SchemaVersion, *(row.SchemaVersion for row in self.Rows)]
-        return all(0 <= version <= MAX_VERSION for version in versions)
-
-
-_RESPONSE_DECODER = msgspec.json.Decoder(_StoreResponse)
-_Value = TypeVar("_Value")
-
-
 class PlatformStore:
     """
     Reads, watches and writes rows.
@@ -206,7 +132,7 @@
                 revision = page.position(page.SchemaVersion)
             elif era_of(revision) != page.era:
                 return Failure(_unknown("the store was restored during a table read"))
-            rows += _rows(page.Rows, page.era)
+            rows += decode_rows(page.Rows, page.era)
             if not page.HasMore or not page.Rows:
                 return Success(Rows(rows=tuple(rows), revision=revision))
             start = page.Rows[-1].Key + "\0"
@@ -243,7 +169,7 @@
         if page.era != era_of(after):
             return Success(HistoryGone())
         revision = max(page.position(page.SchemaVersion), after)
-        return Success(Rows(rows=tuple(_rows(page.Rows, page.era)), revision=revision))
+        return Success(Rows(rows=decode_rows(page.Rows, page.era), revision=revision))
 
     async def commit(
         self, transaction: Transaction
@@ -259,12 +185,12 @@
             {
                 "Precondition": [
                     {
-                        **_row_address(check.key),
+                        **row_address(check.key),
                         "SchemaVersion": _checked_version(check.version, era),
                     }
                     for check in transaction.checks
                 ],
-                "Puts": [_put(put) for put in transaction.puts],
+                "Puts": [wire_put(put) for put in transaction.puts],
                 "Remove": [],
             }
         )
@@ -286,12 +212,13 @@
             return Failure(decoded.failure())
         answer = decoded.unwrap()
         by_key = {
-            f"{row.Table}/{row.Key}": _rows([row], answer.era) for row in answer.Rows
+            f"{row.Table}/{row.Key}": decode_rows([row], answer.era)
+            for row in answer.Rows
         }
         records = []
         for check in transaction.checks:
             found = by_key.get(check.key)
-            records.append(_record(check.key, found[0] if found else None))
+            records.append(as_record(check.key, found[0] if found else None))
         return Success(Conflict(records=tuple(records)))
 
     def set_address(self, address: Address) -> None:
@@ -315,7 +242,7 @@
         query: dict[str, str],
         within: Milliseconds,
         on_part: Callable[[], None],
-    ) -> Result[_StoreResponse | HistoryGone, StoreError]:
+    ) -> Result[StoreResponse | HistoryGone, StoreError]:
         target = f"/api/{name}?{urlencode(query)}"
         result = await self._call("GET", target, b"", within, on_part)
         if isinstance(result, Failure):
@@ -328,7 +255,7 @@
             return era.map(lambda _: HistoryGone())
         return self._decode(response).map(self._update_clock_offset)
 
-    def _decode(self, response: ResponseBody) -> Result[_StoreResponse, StoreError]:
+    def _decode(self, response: ResponseBody) -> Result[StoreResponse, StoreError]:
         era = self._read_era(response)
         if isinstance(era, Failure):
             return Failure(era.failure())
@@ -355,7 +282,7 @@
         self._era = era
         return Success(era)
 
-    def _update_clock_offset(self, answer: _StoreResponse) -> _StoreResponse:
+    def _update_clock_offset(self, answer: StoreResponse) -> StoreResponse:
         if answer.NowMs:
             self._clock_offset = answer.NowMs - self._clock.now()
         return answer
@@ -413,11 +340,6 @@
         )
 
 
-def row_key(table: Table, key: str) -> str:
-    """Return the key of a row as used in ``fuchsiaroute.store`` types."""
-    return f"{table.value}/{key}"
-
-
 def _encode(address: Address, method: str, target: str, body: bytes) -> bytes:
     headers = [(b"Host", str(address).encode())]
     if body:
@@ -436,15 +358,6 @@
         connection.abort()
 
 
-def _row_address(key: str) -> dict[str, Any]:
-    table, _, name = key.partition("/")
-    return {"Table": table, "part": "", "Key": name}
-
-
-def _put(put: Put) -> dict[str, Any]:
-    return {**_row_address(put.key), "Value": base64.b64encode(put.value).decode()}
-
-
 def _extender(
     limit: asyncio.Timeout, on_part: Callable[[], None]
 ) -> Callable[[], None]:
@@ -469,34 +382,13 @@
     return f"incomplete response after {took} ms, {received} bytes received"
 
 
-def _rows(wire_rows: Iterable[_Row], era: int) -> list[Row]:
-    rows = []
-    for row in wire_rows:
-        value: bytes | None = None
-        if not row.Deleted:
-            try:
-                value = base64.b64decode(row.Value, validate=True)
-            except ValueError:
-                # The decoder of the row rejects the empty value and logs the key.
-                value = b""
-        position = store_position(era, row.SchemaVersion)
-        rows.append(Row(key=row.Key, value=value, revision=position))
-    return rows
-
-
 def _checked_version(position: int, era: int) -> int:
     return version_of(position) if era_of(position) == era else 0
 
 
-def _record(key: str, row: Row | None) -> Record:
-    if row is None or row.value is None:
-        return Record(key=key, value=b"", version=0)
-    return Record(key=key, value=row.value, version=row.revision)
-
-
-def _decode_response(response: ResponseBody) -> Result[_StoreResponse, StoreError]:
+def _decode_response(response: ResponseBody) -> Result[StoreResponse, StoreError]:
     try:
-        return Success(decode(_RESPONSE_DECODER, response.data))
+        return Success(decode(RESPONSE_DECODER, response.data))
     except MalformedDataError as error:
         return Failure(_unknown(f"malformed response: {error}"))
 
