--- a/fuchsiaroute/catalog/_feed.py
+++ b/fuchsiaroute/catalog/_feed.py
@@ -10,6 +10,7 @@
 
 from fuchsiaroute.catalog._held_rows import HeldRows
 from fuchsiaroute.catalog._reported_changes import HINT_TIMEOUT, ReportedChanges
+from fuchsiaroute.catalog._store_contact import StoreContact
 from fuchsiaroute.clock import Clock, Milliseconds
 from fuchsiaroute.linelog import LineLog
 from fuchsiaroute.platform import HistoryGone, PlatformStore, Rows, Table
@@ -32,9 +33,6 @@
 INITIAL_IDLE_TIME = Milliseconds(1_500)
 #: Interval at which an idle feed checks whether others still relay the changes.
 IDLE_CHECK_INTERVAL = Milliseconds(100)
-#: Time without an answer of the store to any peer after which it counts as having been
-#: away for all. At least one instance's watches are shorter than this.
-MAX_PEER_ANSWER_GAP = Milliseconds(3_500)
 #: Time within which a response begins to arrive in a call that does not wait for a
 #: change; doubles after each failure. An unresponsive kept-alive connection is closed
 #: in time for a second call within 2 s of the change, the shortest time within which a
@@ -49,14 +47,6 @@
 _T = TypeVar("_T")
 
 
-class FeedState(Enum):
-    """Whether the store answers for the table."""
-
-    STARTING = "starting"
-    FOLLOWING = "following"
-    LOST = "lost"
-
-
 class RowSource(Enum):
     """Where rows that were applied come from."""
 
@@ -134,18 +124,16 @@
         self._is_relayed = is_relayed
         self._on_change = on_change
         self._on_restored = on_restored
-        self._peers_answer_age = peers_answer_age
         #: Era of the latest rows that were applied; None before the first.
         self._era: int | None = None
-        self._state = FeedState.STARTING
+        self._contact = StoreContact(
+            table, clock=clock, log=log, peers_answer_age=peers_answer_age
+        )
         self._restart_requested = asyncio.Event()
         self._reported = ReportedChanges(clock=clock)
         #: Whether a patch did not fit what is held. Peers may all have missed a value
         #: that this instance has read, so that none of their patches begins with it.
         self._needs_plain_rows = False
-        #: First and latest answer of the store to a peer since the store was lost here.
-        self._peers_answered_since: Milliseconds | None = None
-        self._peers_answered_at = Milliseconds(0)
         self._retry_requested = asyncio.Event()
         #: Whether the response to the present call has begun to arrive. Such a call is
         #: not ended for another one, which would have to transfer the rows again.
@@ -153,8 +141,6 @@
         self._held = HeldRows()
         self._retry_delay = float(MIN_RETRY_DELAY)
         self._call_timeout = MIN_CALL_TIMEOUT
-        self._answered_at: Milliseconds | None = None
-        self._lost_at: Milliseconds | None = None
         #: Revision up to which all changes have been relayed. Answers without changes
         #: leave it as it is, so that each relayed update continues the one before.
         self._relayed_until: StorePosition | None = None
@@ -189,9 +175,7 @@
 
     def unreachable_for(self) -> Milliseconds:
         """Return the time since the store was lost; 0 while it answers."""
-        if self._lost_at is None:
-            return Milliseconds(0)
-        return Milliseconds(self._clock.now() - self._lost_at)
+        return self._contact.lost_for()
 
     def hint(self, revision: StorePosition) -> None:
         """Record that a peer has reported a change of the table at ``revision``."""
@@ -207,12 +191,7 @@
 
     def peer_answered(self, instant: Milliseconds) -> None:
         """Record the time of the store's latest answer to any peer."""
-        if self._lost_at is None or instant <= self._lost_at:
-            return
-        gap = instant - self._peers_answered_at
-        if self._peers_answered_since is None or gap > MAX_PEER_ANSWER_GAP:
-            self._peers_answered_since = instant
-        self._peers_answered_at = max(self._peers_answered_at, instant)
+        self._contact.record_peer_answer(instant)
 
     def missing_after(self) -> StorePosition | None:
         """
@@ -220,7 +199,7 @@
 
         It is None unless the store fails to deliver a change that a peer has reported.
         """
-        is_lost = self._state is FeedState.LOST
+        is_lost = self._contact.is_lost
         if not self._reported.must_ask_peers(self.revision, is_lost=is_lost):
             return None
         return self.revision or StorePosition(0)
@@ -249,7 +228,7 @@
 
     def retry_now(self) -> None:
         """Call the store at once if it is lost, as it answers other calls again."""
-        if self._state is FeedState.LOST and not self._is_arriving:
+        if self._contact.is_lost and not self._is_arriving:
             self._retry_requested.set()
 
     def restart_watch(self, reason: str) -> None:
@@ -266,9 +245,7 @@
 
     def answer_age(self) -> Milliseconds | None:
         """Return the time since the store's latest answer; None while it is lost."""
-        if self._answered_at is None or self._state is not FeedState.FOLLOWING:
-            return None
-        return Milliseconds(self._clock.now() - self._answered_at)
+        return self._contact.answer_age()
 
     def behind_for(self) -> Milliseconds:
         """Return for how long a change is missing that a peer has reported."""
@@ -353,13 +330,14 @@
         self._retry_requested.clear()
         answer = await (self._read_whole() if is_whole else self._watch())
         if answer is None:
-            is_lost = self._state is FeedState.LOST
-            return _Step.READ_AGAIN if is_lost else _Step.CONTINUE
+            return _Step.READ_AGAIN if self._contact.is_lost else _Step.CONTINUE
         if isinstance(answer, Failure):
-            self._record_failure(answer.failure().message)
+            self._contact.record_failure(answer.failure().message)
             return _Step.RETRY
         found = answer.unwrap()
-        self._record_success()
+        recovered_since = self._contact.record_answer(self.revision)
+        if recovered_since is not None:
+            self._on_recovered(recovered_since)
         if isinstance(found, HistoryGone):
             self._log.write("feed:history-gone", table=self._table.value)
             self._must_read_whole = True
@@ -448,7 +426,7 @@
         assert self.revision is not None
         is_urgent = self._restart_requested.is_set() or self.is_behind
         self._restart_requested.clear()
-        if self._state is FeedState.LOST or is_urgent:
+        if self._contact.is_lost or is_urgent:
             # After an outage or a hint the answer must not wait for a change. Further
             # hints do not restart the call: with an answer slower than the hints, no
             # call would ever finish.
@@ -490,45 +468,7 @@
 
     def _record_part(self) -> None:
         self._is_arriving = True
-        if self._state is FeedState.FOLLOWING:
-            # Peers that rely on this instance must not read the same rows meanwhile.
-            self._answered_at = self._clock.now()
-
-    def _record_failure(self, reason: str) -> None:
-        if self._state is not FeedState.LOST:
-            self._state = FeedState.LOST
-            self._lost_at = self._clock.now()
-            self._peers_answered_since = None
-            age = None
-            if self._answered_at is not None:
-                age = self._clock.now() - self._answered_at
-            self._log.write(
-                "store:lost",
-                table=self._table.value,
-                reason=reason,
-                last_heard_ms=age,
-                peers_heard_ms=self._peers_answer_age(),
-            )
-
-    def _record_success(self) -> None:
-        now = self._clock.now()
-        self._answered_at = now
-        if self._state is FeedState.LOST:
-            self._log.write(
-                "store:regained",
-                table=self._table.value,
-                away_ms=self.unreachable_for(),
-                peers_heard_ms=self._peers_answer_age(),
-                revision=self.revision,
-            )
-            since = self._peers_answered_since
-            if since is None or now - self._peers_answered_at > MAX_PEER_ANSWER_GAP:
-                since = now
-            self._lost_at = None
-            self._state = FeedState.FOLLOWING
-            self._on_recovered(since)
-        self._lost_at = None
-        self._state = FeedState.FOLLOWING
+        self._contact.record_part()
 
     async def _sleep(self, duration: int) -> None:
         if duration > 0:
--- a/fuchsiaroute/catalog/tests/test_reported_changes.py
+++ b/fuchsiaroute/catalog/tests/test_reported_changes.py
@@ -3,7 +3,7 @@
 import pytest
 
 from fuchsiaroute.catalog import RowSource
-from fuchsiaroute.catalog.tests.test_feed import FeedHarness
+from fuchsiaroute.catalog.tests.feed_harness import FeedHarness
 from fuchsiaroute.platform import Row, Rows
 from fuchsiaroute.store import StorePosition
 
