Client connections: what a response holds of the budget, in a module of its own

No change of behaviour, but that bytes which arrive after a response was given up are tested not to count, and a complete response not to be broken off.

--- a/fuchsiaroute/http1/_client.py
+++ b/fuchsiaroute/http1/_client.py
@@ -13,6 +13,7 @@
 from fuchsiaroute.http1._exceptions import BrokenResponseError, ConnectError
 from fuchsiaroute.http1._memory_budget import MemoryBudget
 from fuchsiaroute.http1._messages import Headers, find_header
+from fuchsiaroute.http1._response_memory import ResponseMemory
 from fuchsiaroute.http1._socket_options import DeadPathDetection
 
 #: Buffered bytes of a response above which reading from the socket is paused.
@@ -25,10 +26,6 @@
 OVERHEAD_PER_BODY_BYTE = 8
 #: Body bytes that are skipped in responses to other requests.
 MAX_SKIPPED_BYTES = 1024 * 1024
-#: Memory of a header field, in addition to its bytes.
-FIELD_BYTES = 150
-#: Bytes of a response up to which it is not counted in the budget of all responses.
-UNCOUNTED_BYTES = 16 * 1024
 _FIRST_FINAL_STATUS = 200
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,9})")
 
@@ -69,12 +66,7 @@
 
     def __init__(self, *, clock: Clock, budget: MemoryBudget | None = None) -> None:
         self._clock = clock
-        self._budget = budget
-        #: Bytes that the budget counts for this connection.
-        self.held = 0
-        #: Bytes of the present response that its reader has taken and still needs.
-        self._kept = 0
-        self._sent_at = clock.now()
+        self._memory = ResponseMemory(budget, clock=clock, on_evicted=self._evict)
         self._parser = httptools.HttpResponseParser(self)
         self._headers: Headers = []
         self._head: asyncio.Future[ResponseHead] | None = None
@@ -110,27 +102,9 @@
             and not self._transport.is_closing()
         )
 
-    @property
-    def held_since(self) -> Milliseconds:
-        """Return when the present request was sent."""
-        return self._sent_at
-
-    @property
-    def may_be_evicted(self) -> bool:
-        """Return whether the present response has not ended."""
-        return not self._is_complete and self._error is None
-
-    def evict(self) -> None:
-        """Break off the present response, as it takes too much memory."""
-        reason = f"no memory for {self.held} bytes of a response that has not ended"
-        # Its reader may not have its turn for a while.
-        self._unread.clear()
-        self._fail(reason)
-
     def keep(self, size: int) -> None:
         """Count ``size`` bytes of the response that its reader needs until it ends."""
-        self._kept = size
-        self._count_held()
+        self._memory.keep(size)
 
     def idle_timeout(self, default: Milliseconds) -> Milliseconds:
         """Return ``default``, or the endpoint's keep-alive timeout if it is shorter."""
@@ -155,8 +129,8 @@
         self._is_complete = False
         self._ends_with_connection = False
         self._unread.clear()
-        self._received = self._body_bytes = self._skipped_bytes = self._kept = 0
-        self._sent_at = self._clock.now()
+        self._received = self._body_bytes = self._skipped_bytes = 0
+        self._memory.begin()
         self.request_count += 1
         self._dead_paths.limit_unacknowledged_time(len(data))
         self._transport.write(data)
@@ -183,6 +157,7 @@
             await self._arrived.wait()
         data = bytes(self._unread)
         self._unread.clear()
+        self._memory.hold(0, fields=len(self._headers))
         if not self._transport.is_closing():
             self._transport.resume_reading()
         return data
@@ -247,7 +222,7 @@
         """Reset the connection, which cancels the request at the endpoint."""
         if self._error is None:
             self._error = "the exchange was aborted"
-        self._release()
+        self._memory.release()
         self._transport.abort()
 
     # asyncio.Protocol
@@ -273,7 +248,7 @@
                 self._fail(f"malformed response: {error}")
         else:
             self._check_size()
-            self._count_held()
+            self._memory.hold(len(self._unread), fields=len(self._headers))
 
     def eof_received(self) -> bool:
         """Complete a response that ends with the connection; fail a truncated one."""
@@ -378,18 +353,10 @@
         elif self._skipped_bytes > MAX_SKIPPED_BYTES:
             self._fail(f"{self._skipped_bytes} bytes of responses to other requests")
 
-    def _count_held(self) -> None:
-        held = len(self._unread) + self._kept + len(self._headers) * FIELD_BYTES
-        if self._budget is None or self._error is not None:
-            return
-        if held <= UNCOUNTED_BYTES and not self.held:
-            return
-        if not self._budget.resize(self, held) and self.may_be_evicted:
-            self.evict()
-
-    def _release(self) -> None:
-        if self._budget is not None and self.held:
-            self._budget.remove(self)
+    def _evict(self, reason: str) -> None:
+        # Its reader may not have its turn for a while.
+        self._unread.clear()
+        self._fail(reason)
 
     def _complete(self) -> None:
         if not self._is_writable:
@@ -397,13 +364,13 @@
             # the request would precede the next one.
             self._keeps_open = False
         self._is_complete = True
+        self._memory.complete()
         self._arrived.set()
 
     def _finish_exchange(self) -> None:
         """Make the connection ready for another request."""
         self._head = None
-        self._kept = 0
-        self._release()
+        self._memory.release()
         self.idle_since = self._clock.now()
         if not self._keeps_open and not self._transport.is_closing():
             self._transport.close()
@@ -415,7 +382,7 @@
             self._head.set_exception(BrokenResponseError(reason))
             # Marks the exception as retrieved, as head() may never be called.
             self._head.exception()
-        self._release()
+        self._memory.release()
         self._arrived.set()
         if not self._transport.is_closing():
             self._transport.abort()
--- a/fuchsiaroute/http1/tests/test_response_budget.py
+++ b/fuchsiaroute/http1/tests/test_response_budget.py
@@ -6,6 +6,7 @@
 
 from fuchsiaroute.clock import SystemClock
 from fuchsiaroute.http1 import BrokenResponseError, MemoryBudget
+from fuchsiaroute.http1._response_memory import ResponseMemory
 from fuchsiaroute.http1.tests.test_client import (
     OK,
     EndlessEndpoint,
@@ -74,3 +75,32 @@
         for connection in connections:
             connection.abort()
         assert budget.used == 0
+
+
+def test_bytes_that_arrive_after_the_response_was_given_up_do_not_count() -> None:
+    """Guards against a budget that fills up with connections that have ended."""
+    budget = MemoryBudget(limit=BUDGET_BYTES, clock=SystemClock())
+    memory = ResponseMemory(budget, clock=SystemClock(), on_evicted=lambda reason: None)
+    memory.begin()
+    memory.hold(SOUND_BYTES, fields=2)
+    assert budget.used > SOUND_BYTES
+    memory.release()
+    memory.hold(SOUND_BYTES, fields=2)
+    memory.keep(SOUND_BYTES)
+    assert budget.used == 0
+
+
+def test_complete_response_is_not_broken_off() -> None:
+    """Guards against a ready answer that is lost for another one."""
+    reasons: list[str] = []
+    budget = MemoryBudget(limit=BUDGET_BYTES, clock=SystemClock())
+    ready, arriving = (
+        ResponseMemory(budget, clock=SystemClock(), on_evicted=reasons.append)
+        for _ in range(2)
+    )
+    for memory in (ready, arriving):
+        memory.begin()
+    ready.hold(BUDGET_BYTES - 1, fields=0)
+    ready.complete()
+    arriving.hold(SOUND_BYTES, fields=0)
+    assert len(reasons) == 1 and str(SOUND_BYTES) in reasons[0]
