Gossip: messages of tables in a module of their own; messages of build

No change of behaviour. The test of fields that keep their places looks the classes up in the package, as they are in two modules now, and covers as well, whose messages are read both ways; a patch and a part are dropped there.

--- a/fuchsiaroute/gossip/__init__.py
+++ b/fuchsiaroute/gossip/__init__.py
@@ -14,7 +14,6 @@
     GossipMessage,
     Heartbeat,
     LatencyUpdate,
-    PatchedRow,
     PermitReply,
     PermitRequest,
     PlaceReply,
@@ -22,19 +21,22 @@
     PromptCrash,
     PromptPartUpdate,
     RateUpdate,
-    RelayedRow,
     RolloutEvidence,
     RolloutUpdate,
     SessionUpdate,
     SumScope,
-    TablePatch,
-    TableRequest,
-    TableUpdate,
     VersionOutcome,
     decode_message,
     encode_message,
 )
 from fuchsiaroute.gossip._node import FANOUT, GossipNode
+from fuchsiaroute.gossip._table_messages import (
+    PatchedRow,
+    RelayedRow,
+    TablePatch,
+    TableRequest,
+    TableUpdate,
+)
 
 __all__ = [
     "AGGREGATION",
--- a/fuchsiaroute/gossip/_node.py
+++ b/fuchsiaroute/gossip/_node.py
@@ -16,18 +16,20 @@
     GossipDecodeError,
     GossipMessage,
     Heartbeat,
-    MessagePart,
     PermitReply,
     PermitRequest,
     PlaceReply,
     PlaceReport,
-    TablePatch,
-    TableRequest,
-    TableUpdate,
     decode_message,
     encode_message,
 )
 from fuchsiaroute.gossip._parts import MAX_PARTS, PART_BYTES, PartAssembler, divide
+from fuchsiaroute.gossip._table_messages import (
+    MessagePart,
+    TablePatch,
+    TableRequest,
+    TableUpdate,
+)
 from fuchsiaroute.gossip._transfer import TransferPlan, plan_relay, plan_reply
 from fuchsiaroute.ids import FailureDomainId, InstanceId, RegionId
 from fuchsiaroute.linelog import LineLog
--- a/fuchsiaroute/gossip/_parts.py
+++ b/fuchsiaroute/gossip/_parts.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass, field
 
 from fuchsiaroute.clock import Clock, Milliseconds
-from fuchsiaroute.gossip._messages import FORMAT, MessagePart
+from fuchsiaroute.gossip._messages import FORMAT
+from fuchsiaroute.gossip._table_messages import MessagePart
 
 #: Bytes of a message in a datagram: a few packets, so that one lost packet does not
 #: cost much, and a narrow link passes other datagrams in between.
--- a/fuchsiaroute/gossip/tests/test_former_build.py
+++ b/fuchsiaroute/gossip/tests/test_former_build.py
@@ -5,10 +5,13 @@
 import msgspec
 import pytest
 
+import fuchsiaroute.gossip as exported
 from fuchsiaroute.gossip import _messages as present
+from fuchsiaroute.gossip._table_messages import MessagePart
 from fuchsiaroute.gossip.tests import (
     former_messages as former,
     former_messages_602d5d1 as latest,
+    former_messages_b2c54fb as without_patches,
 )
 
 ROLLOUT = ("app", "v2", 9, 1, 500)
@@ -80,7 +83,78 @@
     assert found.flows == []
 
 
-@pytest.mark.parametrize("build", [former, latest])
+def test_build_without_patches_reads_messages_of_this_one() -> None:
+    """Guards against instances that do not hear of each other in an upgrade."""
+    fields = {**FIELDS, "heartbeats": []}
+    message = present.GossipMessage(
+        **{**fields, "heartbeats": [present.Heartbeat("b", 3, True, 3, 100)]},
+        rollouts=[],
+        addition=present.LATEST_ADDITION,
+        link=200,
+    )
+    found = without_patches.decode_message(present.encode_message(message))
+    assert found == without_patches.GossipMessage(
+        **{**fields, "heartbeats": [without_patches.Heartbeat("b", 3, True, 3)]},
+        rollouts=[],
+        addition=present.LATEST_ADDITION,
+    )
+    request = exported.TableRequest(
+        format=present.FORMAT, table="ORDERS", after=4, is_plain=True
+    )
+    assert without_patches.decode_message(
+        present.encode_message(request)
+    ) == without_patches.TableRequest(format=present.FORMAT, table="ORDERS", after=4)
+
+
+def test_this_build_reads_messages_of_the_one_without_patches() -> None:
+    message = without_patches.GossipMessage(
+        **{**FIELDS, "heartbeats": [without_patches.Heartbeat("b", 3, True, 2)]},
+        rollouts=[],
+        addition=without_patches.LATEST_ADDITION,
+    )
+    found = present.decode_message(without_patches.encode_message(message))
+    assert isinstance(found, present.GossipMessage)
+    assert (found.link, found.heartbeats[0].link) == (0, 0)
+    assert found.addition < exported.PATCHES
+    update = without_patches.TableUpdate(
+        format=present.FORMAT,
+        table="ORDERS",
+        after=3,
+        until=5,
+        rows=[without_patches.RelayedRow("config", b"value", 5)],
+    )
+    read = present.decode_message(without_patches.encode_message(update))
+    assert read == exported.TableUpdate(
+        format=present.FORMAT,
+        table="ORDERS",
+        after=3,
+        until=5,
+        rows=[exported.RelayedRow("config", b"value", 5)],
+    )
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        exported.TablePatch(
+            format=present.FORMAT,
+            table="ORDERS",
+            after=3,
+            until=5,
+            rows=[],
+            patches=[exported.PatchedRow("config", 3, 5, 77, [(0, 10), b"new"])],
+        ),
+        MessagePart(format=present.FORMAT, message=1, index=0, count=2, data=b"x"),
+    ],
+    ids=["patch", "part"],
+)
+def test_build_without_patches_drops_what_it_cannot_read(message: Any) -> None:
+    """Guards against a former build that takes a change for one without its rows."""
+    with pytest.raises(without_patches.GossipDecodeError):
+        without_patches.decode_message(present.encode_message(message))
+
+
+@pytest.mark.parametrize("build", [former, latest, without_patches])
 @pytest.mark.parametrize(
     "name",
     [
@@ -106,6 +180,6 @@
 def test_fields_of_former_builds_keep_their_places(name: str, build: Any) -> None:
     """Guards against a field that is read as another one."""
     kept = msgspec.structs.fields(getattr(build, name))
-    found = msgspec.structs.fields(getattr(present, name))
+    found = msgspec.structs.fields(getattr(exported, name))
     assert [item.name for item in found[: len(kept)]] == [item.name for item in kept]
     assert all(not item.required for item in found[len(kept) :])
--- a/fuchsiaroute/gossip/tests/test_parts.py
+++ b/fuchsiaroute/gossip/tests/test_parts.py
@@ -18,7 +18,7 @@
     decode_message,
     encode_message,
 )
-from fuchsiaroute.gossip._messages import GossipMessage, MessagePart, TableRequest
+from fuchsiaroute.gossip._messages import GossipMessage
 from fuchsiaroute.gossip._node import MAX_RELAY_BYTES
 from fuchsiaroute.gossip._parts import (
     MAX_AGE,
@@ -28,6 +28,7 @@
     PartAssembler,
     divide,
 )
+from fuchsiaroute.gossip._table_messages import MessagePart, TableRequest
 from fuchsiaroute.gossip.tests.test_gossip import UPDATE, Node, member, until
 
 DATA = os.urandom(5 * PART_BYTES + 7)
