--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,6 +12,7 @@
     Record,
     Store,
     Worker,
+    check_served,
     configuration,
     end,
     is_troubled,
@@ -77,6 +78,7 @@
         record.say("version 3, which withdraws key-2, is acknowledged")
         await asyncio.sleep(WATCHED_SECONDS)
         await end(traffic)
+        check_served(ordinary)
         ordinary.close()
         withdrawn.close()
     worker.close()
