--- a/review/9/case.py
+++ b/review/9/case.py
@@ -8,6 +8,7 @@
     Record,
     Store,
     Worker,
+    check_served,
     configuration,
     is_troubled,
     nodes,
@@ -39,6 +40,7 @@
             path = f"/write/{number}"
             await client.send(node.frontend, path, method="POST", body=b"body")
             await asyncio.sleep(0.02)
+        check_served(client)
         client.close()
     for server in (store, worker):
         server.close()
