Review stand-ins: a script holds its block of ports

Ten scripts at once in a fresh clone: one run of case 9 ended with 2, as both nodes had ended at their start. Blocks were chosen by the process id, which may be the same modulo their number; that this was the cause is suspected, as the logs were not kept. The last output of a node that has ended is recorded now.

--- a/review/stand_ins_2/review2_stand_ins.py
+++ b/review/stand_ins_2/review2_stand_ins.py
@@ -26,15 +26,16 @@
 STORE_SECONDS = 0.004
 #: Rows in one answer of the store.
 MAX_ROWS = 500
-#: Ports of the node programs: a block for each script, so that several may run at once.
-PORTS_IN_BLOCK = 100
-FIRST_PORT = 20_000 + os.getpid() % 100 * PORTS_IN_BLOCK
-LAST_PORT = FIRST_PORT + PORTS_IN_BLOCK
+#: Ports of the node programs. Each script holds a block of its own, so that several may
+#: run at once.
+FIRST_PORT, LAST_PORT, PORTS_IN_BLOCK = 20_000, 30_000, 100
 #: Time within which the node programs have to become ready.
 START_SECONDS = 25.0
 _ROOT = Path(__file__).resolve().parents[2]
 _STARTED_AT = time.monotonic()
 _given_ports: set[int] = set()
+#: Bound for as long as the script runs; its port is the first one of the block.
+_block = socket.socket()
 
 
 def now() -> float:
@@ -618,15 +619,28 @@
 
     They are below those that the system gives to outgoing connections.
     """
+    first = _first_port()
     found: list[int] = []
     while len(found) < count:
-        port = random.randrange(FIRST_PORT, LAST_PORT, 2)
+        port = random.randrange(first + 2, first + PORTS_IN_BLOCK, 2)
         if port not in _given_ports and _is_free(port) and _is_free(port + 1):
             _given_ports.add(port)
             found.append(port)
     return found
 
 
+def _first_port() -> int:
+    """Return the first port of the block that this script holds; take one if none."""
+    blocks = list(range(FIRST_PORT, LAST_PORT, PORTS_IN_BLOCK))
+    random.shuffle(blocks)
+    port: int = _block.getsockname()[1]
+    while not port:
+        with contextlib.suppress(OSError):
+            _block.bind(("127.0.0.1", blocks.pop()))
+        port = _block.getsockname()[1]
+    return port
+
+
 def _is_free(port: int) -> bool:
     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
         with socket.socket(socket.AF_INET, kind) as tried:
@@ -720,6 +734,13 @@
             self.process.wait()
         self.record.write("node:ended", node=self.name)
 
+    def record_end(self) -> None:
+        """Record the last output of a process that has ended."""
+        if self.process is not None and self.process.poll() is not None:
+            lines = self.log_path.read_text(errors="replace").splitlines()
+            last = lines[-1][:200] if lines else ""
+            self.record.write("node:had-ended", node=self.name, last=last)
+
     async def is_ready(self) -> bool:
         """Return whether the node counts as ready."""
         try:
@@ -792,6 +813,7 @@
             yield started
         finally:
             for node in started:
+                node.record_end()
                 node.signal(signal.SIGCONT)
                 node.signal(signal.SIGKILL)
                 if node.process is not None:
