--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,97 +1,141 @@
-"""
-A worker has nothing left to send of a stream, and its client goes on.
-
-It answers 204, as a sound server does; without the disruption, an empty stream.
-"""
+"""An instance is told to stop while it stands still for some seconds."""
 
 import asyncio
+import signal
 import sys
+import time
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from review_harness import (
     HOST,
     KEY,
     Message,
+    Node,
     Site,
     Worker,
     answer_done,
     configuration,
     encode,
     has_trouble,
-    read_body,
-    read_head,
+    read_message,
     route,
     run_case,
 )
 
-ROUNDS = 5
-NO_CONTENT = 204
-LAST_EVENT = "13"
-STATUS_LINE = "HTTP/1.1 "
+GRACE_S, CONTACT_S, LOSS_SLACK_S = 8.0, 3.0, 0.2
+#: The process stands still from a moment before SIGTERM.
+FREEZE_S, FREEZE_LEAD_S = 3.0, 0.2
+WORK_S = 0.7
+WARM_UP_S, INTERVAL_S = 3.0, 0.2
+DEADLINE_S = 4.0
+
+
+@dataclass
+class Sent:
+    """A request of a client, and how it ended."""
+
+    name: str
+    sent_at: float = field(default_factory=time.monotonic)
+    status: int | None = None
+    #: When the connection ended without a complete answer.
+    cut_at: float | None = None
 
 
 async def answer(
     worker: Worker, request: Message, writer: asyncio.StreamWriter
 ) -> bool:
-    """Answer 204, or with an empty stream in chunks."""
-    if not request.target.startswith("/review/"):
-        return await answer_done(worker, request, writer)
-    if has_trouble():
-        head = "".join(f"{name}: {value}\r\n" for name, value in worker.signed(request))
-        writer.write(f"HTTP/1.1 204 No Content\r\n{head}\r\n".encode())
-        return True
-    fields = [
-        *worker.signed(request),
-        ("Content-Type", "text/event-stream"),
-        ("Transfer-Encoding", "chunked"),
-    ]
-    head = "".join(f"{name}: {value}\r\n" for name, value in fields)
-    writer.write(f"HTTP/1.1 200 OK\r\n{head}\r\n0\r\n\r\n".encode())
-    return True
+    """Work for a while, then answer."""
+    await asyncio.sleep(WORK_S)
+    return await answer_done(worker, request, writer)
 
 
-async def ask_twice(site: Site, port: int, number: int) -> str | None:
-    """Ask for the rest of a stream, then issue a permit on the same connection."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+async def ask(site: Site, port: int, sent: Sent) -> None:
+    """Send a request on a new connection; record its answer or its end."""
     try:
-        for kind, line, body in (
-            ("stream", f"POST /review/{number} HTTP/1.1", b"review"),
-            ("issue", f"POST /issue/{number} HTTP/1.1", b"fee=25"),
-        ):
-            name = f"{kind}-{number}"
-            fields = [("Host", HOST), ("X-Request-Id", name), ("X-Key", KEY)]
-            fields.append(("X-Deadline-Ms", "4000"))
-            if kind == "stream":
-                fields.append(("Last-Event-Id", LAST_EVENT))
-            writer.write(encode(line, fields, body))
-            site.record.write(f"client sends {name}: {line}")
-            async with asyncio.timeout(5):
-                found, fields_found = await read_head(reader)
-            site.record.write(f"client gets {found!r} to {name}")
-            if not found.startswith(STATUS_LINE):
-                return f"MIXED: the bytes {found!r} precede the answer to {name}"
-            answered = Message(found, fields_found, b"")
-            if answered.field("x-request-id") != name:
-                return f"MIXED: {name} is answered {found!r}, which does not name it"
-            if answered.status != NO_CONTENT:
-                body = await read_body(reader, fields_found)
-                site.record.write(f"client gets body {body!r}")
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    except OSError:
+        return
+    fields = [("Host", HOST), ("X-Request-Id", sent.name), ("X-Key", KEY)]
+    fields.append(("X-Deadline-Ms", f"{DEADLINE_S * 1_000:.0f}"))
+    try:
+        writer.write(encode("POST /issue/1 HTTP/1.1", fields, b"fee=25"))
+        sent.sent_at = time.monotonic()
+        site.record.write(f"client sends {sent.name}")
+        async with asyncio.timeout(DEADLINE_S):
+            sent.status = (await read_message(reader)).status
+        site.record.write(f"client gets {sent.status} to {sent.name}")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        sent.cut_at = time.monotonic()
+        site.record.write(f"the connection of {sent.name} ends without an answer")
+    except TimeoutError:
+        site.record.write(f"client gives up {sent.name} at its deadline")
     finally:
         writer.transport.abort()
-    return None
+
+
+async def stop(site: Site, node: Node) -> tuple[float, float]:
+    """Stop the process as the platform does; return the times of the signals."""
+    thawed_at = 0.0
+    if has_trouble():
+        site.record.write("SIGSTOP")
+        node.signal(signal.SIGSTOP)
+        await asyncio.sleep(FREEZE_LEAD_S)
+    stopped_at = time.monotonic()
+    site.record.write("SIGTERM")
+    node.signal(signal.SIGTERM)
+    if has_trouble():
+        await asyncio.sleep(FREEZE_S - FREEZE_LEAD_S)
+        site.record.write("SIGCONT")
+        node.signal(signal.SIGCONT)
+        thawed_at = time.monotonic()
+    if await node.wait(stopped_at + GRACE_S - time.monotonic()) is None:
+        site.record.write("SIGKILL, as the grace period is over")
+        node.signal(signal.SIGKILL)
+        await node.wait(1.0)
+    site.record.write("the process has ended")
+    return stopped_at, thawed_at
 
 
 async def case(site: Site) -> str | None:
-    """Return how a client got bytes that are no answer."""
-    worker = Worker("i-1", site.record, answer=answer)
-    routes = [
-        route("review", "streaming", Resumable=True, GapTargetMs=1_000),
-        route("issue", "non_idempotent"),
-    ]
-    await site.open(configuration(routes), [worker])
+    """Return which requests were passed on and cut without an answer."""
+    worker = Worker("i-1", site.record, answer=answer, slots=40)
+    await site.open(configuration([route("issue", "non_idempotent")]), [worker])
     node = await site.start_node("edge-1")
-    faults = [await ask_twice(site, node.frontend, number) for number in range(ROUNDS)]
-    return next((fault for fault in faults if fault), None)
+    requests: list[Sent] = []
+    tasks: list[asyncio.Task[None]] = []
+
+    async def send_all() -> None:
+        while True:
+            sent = Sent(f"request-{len(requests)}")
+            requests.append(sent)
+            tasks.append(asyncio.create_task(ask(site, node.frontend, sent)))
+            await asyncio.sleep(INTERVAL_S)
+
+    traffic = asyncio.create_task(send_all())
+    await asyncio.sleep(WARM_UP_S)
+    stopped_at, thawed_at = await stop(site, node)
+    traffic.cancel()
+    await asyncio.gather(*tasks)
+    arrived = {run.field("x-request-id") for run in worker.runs}
+    calm_from = max(stopped_at, thawed_at + CONTACT_S)
+    lost = [
+        sent
+        for sent in requests
+        if sent.cut_at is not None
+        and calm_from <= sent.sent_at
+        and sent.cut_at <= stopped_at + GRACE_S + 1.0
+        and (sent.name in arrived or sent.cut_at - sent.sent_at > LOSS_SLACK_S)
+    ]
+    for sent in lost:
+        assert sent.cut_at is not None
+        site.record.write(
+            f"lost: {sent.name}, sent {sent.sent_at - stopped_at:.3f} s and cut"
+            f" {sent.cut_at - stopped_at:.3f} s after SIGTERM,"
+            f" {sent.sent_at - thawed_at if thawed_at else 0:.3f} s after SIGCONT,"
+            f" run by the worker: {sent.name in arrived}"
+        )
+    return f"LOST: {len(lost)} requests have no answer" if lost else None
 
 
 if __name__ == "__main__":
