Review case 11: end with 2 on any error of the script's own

An error that the stand-ins didn't expect ended a script with 1, which says that the rule was broken, and SIGTERM left its instance running. Both end with 2 now, and nothing is left (tried with SIGTERM). The case can't pass without its requests having run.

--- a/review/stand_ins_3/review_harness.py
+++ b/review/stand_ins_3/review_harness.py
@@ -346,7 +346,8 @@
     """Free ports below the range of outgoing connections, each given out once."""
 
     def __init__(self) -> None:
-        self._next = 20_000 + os.getpid() % 8_000
+        # Scripts that run beside each other begin far apart.
+        self._next = 20_000 + os.getpid() * 61 % 11_000
 
     def take(self, count: int) -> int:
         """Return the first of ``count`` free ports that follow each other."""
@@ -634,12 +635,17 @@
     async def main() -> int:
         record = Record(folder / "record.txt")
         record.write(f"with the disruption: {has_trouble()}")
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         with tempfile.TemporaryDirectory() as temporary:
             site = Site(record, Path(temporary))
             try:
                 async with asyncio.timeout(110):
                     fault = await case(site)
-            except (CaseError, OSError, TimeoutError) as error:
+            except (Exception, asyncio.CancelledError) as error:
+                # Only a broken rule may end with its status.
                 record.write(f"the case could not run: {error!r}")
                 print(f"could not run: {error!r}", file=sys.stderr)
                 return NOT_RUN
